workspace: schemas with generated code, keys that carry their issue time, engine vocabulary

Cause: an empty repository; independent parts need one contract before they can be written side by side. Conclusion: messages, settings, resources and API bodies are generated; the engine's events and commands are fixed, its decisions follow.

--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,18 @@
+//! The decisions of trefoilbay.
+//!
+//! Nothing here opens a socket, reads a clock, draws a random number or knows
+//! of tokio: an event and the current instant go in, commands come out. The
+//! same history therefore gives the same commands, which makes golden files of
+//! whole sessions exact and lets failure tests run in virtual time.
+//!
+//! * [`key`]: idempotency keys that carry their issue time.
+//! * [`verdict`]: whether a request may have run.
+//! * [`time`]: the instant handed to every decision.
+//! * [`view`]: which instance owns a key.
+//! * [`engine`]: jobs and tasks of one instance, from submission to answer.
+
+pub mod engine;
+pub mod key;
+pub mod time;
+pub mod verdict;
+pub mod view;
