--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,10 +9,14 @@
 //! * [`verdict`]: whether a request may have run.
 //! * [`time`]: the instant handed to every decision.
 //! * [`view`]: which instance owns a key.
+//! * [`membership`]: who is live, and up to which key time this instance may admit.
+//! * [`config`]: the declarations in force.
 //! * [`engine`]: jobs and tasks of one instance, from submission to answer.
 
+pub mod config;
 pub mod engine;
 pub mod key;
+pub mod membership;
 pub mod time;
 pub mod verdict;
 pub mod view;
--- /dev/null
+++ b/crates/core/src/membership.rs
@@ -0,0 +1,1 @@
+//! Membership of a failure domain and the right to admit keys.
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,5 @@
+//! HTTP for callers and operators.
+
+pub mod caller;
+pub mod operator;
+pub mod problem;
--- /dev/null
+++ b/src/http/caller.rs
@@ -0,0 +1,1 @@
+//! The callers' interface: keys and jobs.
--- /dev/null
+++ b/src/http/operator.rs
@@ -0,0 +1,1 @@
+//! The operators' resource API.
--- /dev/null
+++ b/src/http/problem.rs
@@ -0,0 +1,91 @@
+//! Problem details (RFC 9457) that carry a verdict.
+
+use poem::http::{HeaderValue, StatusCode, header};
+use poem::{IntoResponse, Response};
+use trefoil_core::verdict::Verdict;
+use trefoil_schema::api;
+
+const CONTENT_TYPE: HeaderValue = HeaderValue::from_static("application/problem+json");
+const TYPE_PREFIX: &str = "urn:trefoilbay:problem:";
+
+/// An error answer: status, reason, verdict and when to come back.
+#[derive(Clone, Debug)]
+pub struct Problem {
+    body: api::Problem,
+}
+
+impl Problem {
+    /// A problem named `reason` (one word in snake case).
+    pub fn new(
+        status: StatusCode,
+        reason: &str,
+        detail: impl Into<String>,
+        verdict: Verdict,
+    ) -> Self {
+        let body = api::Problem {
+            type_: format!("{TYPE_PREFIX}{reason}"),
+            title: reason.replace('_', " "),
+            status: status.as_u16(),
+            detail: detail.into(),
+            verdict: verdict_name(verdict),
+            key: String::new(),
+            retry_after_ms: 0,
+            errors: Vec::new(),
+        };
+        Self { body }
+    }
+
+    /// Names the idempotency key concerned.
+    #[must_use]
+    pub fn key(mut self, key: &str) -> Self {
+        self.body.key = key.to_owned();
+        self
+    }
+
+    /// Tells the client when to come back; 0 tells nothing.
+    #[must_use]
+    pub fn retry_after_ms(mut self, retry_after_ms: u64) -> Self {
+        self.body.retry_after_ms = retry_after_ms;
+        self
+    }
+
+    /// Lists the wrong fields.
+    #[must_use]
+    pub fn errors(mut self, errors: Vec<api::FieldError>) -> Self {
+        self.body.errors = errors;
+        self
+    }
+
+    /// The body as it is sent.
+    pub fn body(&self) -> &api::Problem {
+        &self.body
+    }
+}
+
+impl IntoResponse for Problem {
+    fn into_response(self) -> Response {
+        let status =
+            StatusCode::from_u16(self.body.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let text = serde_json::to_vec(&self.body).unwrap_or_default();
+        let mut response = Response::builder().status(status).body(text);
+        response
+            .headers_mut()
+            .insert(header::CONTENT_TYPE, CONTENT_TYPE);
+        if self.body.retry_after_ms > 0 {
+            let seconds = self.body.retry_after_ms.div_ceil(1000);
+            response
+                .headers_mut()
+                .insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        response
+    }
+}
+
+/// The verdict as the API's schema names it.
+pub fn verdict_name(verdict: Verdict) -> api::Verdict {
+    match verdict {
+        Verdict::NotRun => api::Verdict::NotRun,
+        Verdict::MayHaveRun => api::Verdict::MayHaveRun,
+        Verdict::Ran => api::Verdict::Ran,
+    }
+}
--- /dev/null
+++ b/src/links.rs
@@ -0,0 +1,1 @@
+//! Links between instances over nng.
--- /dev/null
+++ b/src/ops.rs
@@ -0,0 +1,1 @@
+//! What the subcommands do.
--- /dev/null
+++ b/src/runtime.rs
@@ -0,0 +1,1 @@
+//! Drives the engine: events in, commands out to workers and waiters.
--- /dev/null
+++ b/src/sources.rs
@@ -0,0 +1,4 @@
+//! Outside systems that configuration and membership come from.
+
+pub mod config;
+pub mod platform;
--- /dev/null
+++ b/src/sources/config.rs
@@ -0,0 +1,1 @@
+//! Keeps the configuration in force in step with the store.
--- /dev/null
+++ b/src/sources/platform.rs
@@ -0,0 +1,1 @@
+//! The platform's key-value service.
--- /dev/null
+++ b/src/util/log.rs
@@ -0,0 +1,1 @@
+//! Log lines by slog.
--- /dev/null
+++ b/src/util/settings.rs
@@ -0,0 +1,1 @@
+//! Settings from a JSON file, checked.
--- /dev/null
+++ b/src/util/telemetry.rs
@@ -0,0 +1,1 @@
+//! Metrics and traces by OpenTelemetry.
--- /dev/null
+++ b/src/workers.rs
@@ -0,0 +1,1 @@
+//! Calls to backend servers over bounded connections.
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! End-to-end tests by feature, each a small project of real processes.
+
+mod support;
--- /dev/null
+++ b/tests/testsuite/support/mod.rs
@@ -0,0 +1,1 @@
+//! What the tests share.
