daemon: settings checked in full, logs, metrics page and /healthz

An instance has to be startable before routes and links can be merged into it. Settings are read through the generated types, one wrong field after the other with its default in place, so that all findings come out of one run; a second description of the fields next to the schema was weighed and left, since it would have to follow each change of it. Settings::default() of the generated code gives sections of zeros; settings::defaults() gives those of the schema instead.

--- /dev/null
+++ b/src/bin/trefoild/cli.rs
@@ -0,0 +1,101 @@
+//! The command line of the daemon.
+
+use std::error::Error;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use trefoilbay::server::{self, Stop};
+use trefoilbay::util::settings::{self, Settings};
+use trefoilbay::util::telemetry::Telemetry;
+use trefoilbay::util::{log, telemetry};
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_AT_ONCE: u8 = 3;
+const EXIT_UNFINISHED: u8 = 4;
+
+fn command() -> Command {
+    Command::new("trefoild")
+        .version(clap::crate_version!())
+        .about("One instance of trefoilbay")
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Settings in JSON; without it the defaults hold"),
+        )
+        .arg(
+            Arg::new("set")
+                .long("set")
+                .value_name("PATH=VALUE")
+                .action(ArgAction::Append)
+                .help("Overrides one setting by its dotted path"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Checks the settings and exits with 0 or 1"),
+        )
+        .arg(
+            Arg::new("print-defaults")
+                .long("print-defaults")
+                .action(ArgAction::SetTrue)
+                .help("Prints the default settings and exits"),
+        )
+}
+
+/// Does what the command line asks for.
+pub fn run() -> ExitCode {
+    let matches = command().get_matches();
+    match dispatch(&matches) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("trefoild: {error}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+fn dispatch(matches: &ArgMatches) -> Result<ExitCode, Box<dyn Error>> {
+    if matches.get_flag("print-defaults") {
+        println!("{}", serde_json::to_string_pretty(&settings::defaults())?);
+        return Ok(ExitCode::SUCCESS);
+    }
+    let settings = load(matches)?;
+    if matches.get_flag("check") {
+        println!("settings are fine");
+        return Ok(ExitCode::SUCCESS);
+    }
+    serve(settings)
+}
+
+fn load(matches: &ArgMatches) -> Result<Settings, settings::SettingsError> {
+    let file = matches.get_one::<PathBuf>("settings");
+    let overrides: Vec<String> = matches
+        .get_many("set")
+        .unwrap_or_default()
+        .cloned()
+        .collect();
+    settings::load(file.map(PathBuf::as_path), &overrides)
+}
+
+fn serve(settings: Settings) -> Result<ExitCode, Box<dyn Error>> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    let stop = runtime.block_on(start(settings))?;
+    runtime.shutdown_background();
+    Ok(match stop {
+        Stop::Drained => ExitCode::SUCCESS,
+        Stop::AtOnce => ExitCode::from(EXIT_AT_ONCE),
+        Stop::Unfinished => ExitCode::from(EXIT_UNFINISHED),
+    })
+}
+
+async fn start(settings: Settings) -> Result<Stop, Box<dyn Error>> {
+    let log = log::root(&settings);
+    let telemetry: Telemetry = telemetry::Telemetry::start(&settings)?;
+    Ok(server::run(settings, log, telemetry).await?)
+}
--- a/src/bin/trefoild/main.rs
+++ b/src/bin/trefoild/main.rs
@@ -1,1 +1,9 @@
-fn main() {}
+//! The daemon: one instance of trefoilbay.
+
+mod cli;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::run()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod links;
 pub mod ops;
 pub mod runtime;
+pub mod server;
 pub mod sources;
 pub mod util;
 pub mod workers;
