drain: one absolute budget from the first signal to the exit

A stop that counts each phase on its own adds the phases up, and an instance that stops accepting before others have noticed it loses requests. The stop is a state machine without a clock: announce with new work still taken, refuse, finish when idle or when the budget is spent. One step moves one phase on, so that work taken just before the refusal is counted again; a single step through both phases was tried first and ended a stop as spent where nothing was in flight.

The daemon counts requests under /v1 and guards of accepted work, and exits with 0 when drained, 3 on a second signal, 4 with the budget spent.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,9 +11,11 @@
 //! * [`view`]: which instance owns a key.
 //! * [`membership`]: who is live, and up to which key time this instance may admit.
 //! * [`config`]: the declarations in force.
+//! * [`drain`]: a planned stop under one budget.
 //! * [`engine`]: jobs and tasks of one instance, from submission to answer.
 
 pub mod config;
+pub mod drain;
 pub mod engine;
 pub mod key;
 pub mod membership;
--- a/src/bin/trefoild/cli.rs
+++ b/src/bin/trefoild/cli.rs
@@ -5,14 +5,15 @@
 use std::process::ExitCode;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use trefoilbay::server::{self, Stop};
+use trefoil_core::drain::Ending;
+use trefoilbay::server;
+use trefoilbay::util::log;
 use trefoilbay::util::settings::{self, Settings};
 use trefoilbay::util::telemetry::Telemetry;
-use trefoilbay::util::{log, telemetry};
 
 const EXIT_FAILED: u8 = 1;
 const EXIT_AT_ONCE: u8 = 3;
-const EXIT_UNFINISHED: u8 = 4;
+const EXIT_BUDGET_SPENT: u8 = 4;
 
 fn command() -> Command {
     Command::new("trefoild")
@@ -85,17 +86,18 @@
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
-    let stop = runtime.block_on(start(settings))?;
+    // Dropped last, so that the lines of the stop are written.
+    let (log, _lines_written) = log::root(&settings);
+    let ending = runtime.block_on(start(settings, log))?;
     runtime.shutdown_background();
-    Ok(match stop {
-        Stop::Drained => ExitCode::SUCCESS,
-        Stop::AtOnce => ExitCode::from(EXIT_AT_ONCE),
-        Stop::Unfinished => ExitCode::from(EXIT_UNFINISHED),
+    Ok(match ending {
+        Ending::Drained => ExitCode::SUCCESS,
+        Ending::AtOnce => ExitCode::from(EXIT_AT_ONCE),
+        Ending::BudgetSpent => ExitCode::from(EXIT_BUDGET_SPENT),
     })
 }
 
-async fn start(settings: Settings) -> Result<Stop, Box<dyn Error>> {
-    let log = log::root(&settings);
-    let telemetry: Telemetry = telemetry::Telemetry::start(&settings)?;
+async fn start(settings: Settings, log: slog::Logger) -> Result<Ending, Box<dyn Error>> {
+    let telemetry = Telemetry::start(&settings)?;
     Ok(server::run(settings, log, telemetry).await?)
 }
--- a/src/server.rs
+++ b/src/server.rs
@@ -1,27 +1,29 @@
-//! One running instance: HTTP for health and metrics, signals, and the drain.
+//! One running instance: HTTP, signals, and the planned stop.
+//!
+//! [`run`] starts the parts, [`routes`] is where HTTP routes are added, and
+//! [`Context`] is what handlers and tasks share.
+
+pub mod health;
+pub mod stop;
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use derive_more::{Display, Error};
-use poem::listener::TcpListener;
-use poem::web::Data;
-use poem::{EndpointExt, IntoEndpoint, Response, Route, get, handler, http::StatusCode};
-use slog::{Logger, info};
+use poem::listener::{Listener, TcpAcceptor, TcpListener};
+use poem::{Endpoint, EndpointExt, Request, Response, Route};
+use slog::{Logger, info, warn};
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::oneshot;
+use trefoil_core::drain::{DrainState, Ending};
 use trefoil_schema::settings::Settings;
 
 use crate::util::telemetry::Telemetry;
+use stop::{Clock, StopControl};
 
-/// How an instance stopped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stop {
-    /// All that was in flight has finished.
-    Drained,
-    /// A second signal ended the drain.
-    AtOnce,
-    /// The budget ran out with work in flight.
-    Unfinished,
-}
+/// Longest wait for connections to close once nothing is in flight.
+const CLOSE_MAX: Duration = Duration::from_millis(500);
 
 /// Why an instance cannot run.
 #[derive(Debug, Display, Error)]
@@ -51,61 +53,128 @@
     pub log: Logger,
     /// Metrics and traces.
     pub telemetry: Telemetry,
+    /// The clocks of every decision.
+    pub clock: Clock,
+    /// What is in flight, and the planned stop.
+    pub stop: Arc<StopControl>,
+    configured: AtomicBool,
+}
+
+impl Context {
+    /// The context of an instance that serves.
+    pub fn new(settings: Settings, log: Logger, telemetry: Telemetry) -> Self {
+        let clock = Clock::start();
+        let stop = Arc::new(StopControl::new(clock, &settings.drain));
+        Self {
+            settings,
+            log,
+            telemetry,
+            clock,
+            stop,
+            configured: AtomicBool::new(false),
+        }
+    }
+
+    /// Whether declarations are in force.
+    pub fn is_configured(&self) -> bool {
+        self.configured.load(Ordering::Relaxed)
+    }
+
+    /// Notes that declarations are in force; they never cease to be.
+    pub fn set_configured(&self) {
+        self.configured.store(true, Ordering::Relaxed);
+    }
 }
 
-/// Runs one instance until it is told to stop.
+/// Runs one instance until its planned stop has ended.
 pub async fn run(
     settings: Settings,
     log: Logger,
     telemetry: Telemetry,
-) -> Result<Stop, ServerError> {
-    let context = Arc::new(Context {
-        settings,
-        log,
-        telemetry,
-    });
-    let signals = |source| ServerError::Signals { source };
-    let mut terminate = signal(SignalKind::terminate()).map_err(signals)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(signals)?;
-    let address = context.settings.http_address.clone();
-    info!(context.log, "serving"; "http_address" => &address);
-    let stopped = async move { stop_signal(&mut terminate, &mut interrupt).await };
-    poem::Server::new(TcpListener::bind(address.clone()))
-        .run_with_graceful_shutdown(routes(&context), stopped, None)
-        .await
-        .map_err(|source| ServerError::Listen { address, source })?;
-    info!(context.log, "stopped");
-    context.telemetry.stop();
-    Ok(Stop::Drained)
+) -> Result<Ending, ServerError> {
+    let context = Arc::new(Context::new(settings, log, telemetry));
+    let acceptor = listen(&context.settings.http_address).await?;
+    catch_signals(&context)?;
+    start_parts(&context);
+    info!(context.log, "serving"; "http_address" => &context.settings.http_address);
+    let ending = serve(&context, acceptor).await;
+    info!(context.log, "stopped"; "ending" => %ending);
+    if ending == Ending::Drained {
+        let limit = context.stop.budget_left();
+        context.telemetry.stop(limit).await;
+    }
+    Ok(ending)
 }
 
-async fn stop_signal(terminate: &mut Signal, interrupt: &mut Signal) {
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+async fn listen(address: &str) -> Result<TcpAcceptor, ServerError> {
+    let bound = TcpListener::bind(address.to_owned()).into_acceptor().await;
+    bound.map_err(|source| ServerError::Listen {
+        address: address.to_owned(),
+        source,
+    })
+}
+
+/// Starts what runs beside HTTP.
+fn start_parts(context: &Arc<Context>) {
+    // Without a source of declarations there is nothing to wait for.
+    context.set_configured();
+}
+
+/// Serves until the planned stop has ended, then closes connections.
+async fn serve(context: &Arc<Context>, acceptor: TcpAcceptor) -> Ending {
+    let (close, closing) = oneshot::channel::<()>();
+    let closed = async move { drop(closing.await) };
+    let server = poem::Server::new_with_acceptor(acceptor).run_with_graceful_shutdown(
+        routes(context),
+        closed,
+        Some(CLOSE_MAX),
+    );
+    let server = tokio::spawn(server);
+    let ending = context.stop.finished(&context.log).await;
+    if ending == Ending::Drained {
+        drop(close);
+        let limit = CLOSE_MAX.min(context.stop.budget_left());
+        close_within(server, limit, &context.log).await;
     }
+    ending
+}
+
+async fn close_within<T>(server: tokio::task::JoinHandle<T>, limit: Duration, log: &Logger) {
+    if tokio::time::timeout(limit, server).await.is_err() {
+        warn!(log, "connections were left open"; "limit_ms" => limit.as_millis() as u64);
+    }
+}
+
+/// All routes of an instance.
+fn routes(context: &Arc<Context>) -> impl Endpoint + use<> {
+    let health = health::routes(Route::new());
+    let work = Route::new().around(track);
+    health.nest_no_strip("/v1", work).data(context.clone())
 }
 
-fn routes(context: &Arc<Context>) -> impl IntoEndpoint<Endpoint: 'static> + use<> {
-    Route::new()
-        .at("/healthz", get(healthz))
-        .at("/metrics", get(metrics))
-        .data(context.clone())
+/// Keeps the planned stop waiting until the request is answered.
+async fn track<E: Endpoint>(next: Arc<E>, request: Request) -> poem::Result<Response> {
+    let context: Option<&Arc<Context>> = request.data();
+    let guard = context.map(|context| context.stop.track());
+    let response = next.get_response(request).await;
+    drop(guard);
+    Ok(response)
 }
 
-#[handler]
-fn healthz() -> &'static str {
-    "ok\n"
+fn catch_signals(context: &Arc<Context>) -> Result<(), ServerError> {
+    let failed = |source| ServerError::Signals { source };
+    let terminate = signal(SignalKind::terminate()).map_err(failed)?;
+    let interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
+    tokio::spawn(forward_signals(context.stop.clone(), terminate, interrupt));
+    Ok(())
 }
 
-#[handler]
-fn metrics(context: Data<&Arc<Context>>) -> Response {
-    match context.telemetry.page() {
-        Ok(text) => Response::builder()
-            .content_type("text/plain; version=0.0.4")
-            .body(text),
-        Err(error) => Response::builder()
-            .status(StatusCode::INTERNAL_SERVER_ERROR)
-            .body(error.to_string()),
+async fn forward_signals(stop: Arc<StopControl>, mut terminate: Signal, mut interrupt: Signal) {
+    while !matches!(stop.state(), DrainState::Finished(_)) {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        stop.signal();
     }
 }
--- a/src/util/log.rs
+++ b/src/util/log.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 
 use slog::{Drain, Level, Logger, OwnedKVList, Record, o};
+pub use slog_async::AsyncGuard;
 use trefoil_schema::settings::{LogFormat, LogLevel, LogSettings, Settings};
 
 /// Lines that wait for the writer; further ones are dropped and counted.
@@ -11,30 +12,34 @@
 
 /// The root logger; each line carries the instance and its failure domain.
 ///
-/// Lines go to standard error. The last clone flushes when it is dropped.
-pub fn root(settings: &Settings) -> Logger {
+/// Lines go to standard error; those that wait are written when the guard is
+/// dropped, also where clones of the logger live on.
+pub fn root(settings: &Settings) -> (Logger, AsyncGuard) {
     let fields = o!(
         "instance" => settings.instance.clone(),
         "failure_domain" => settings.failure_domain.clone(),
     );
-    Logger::root(writer(&settings.log), fields)
+    let (writer, guard) = slog_async::Async::new(form(&settings.log).ignore_res())
+        .chan_size(LINES_WAITING_MAX)
+        .build_with_guard();
+    let filter = writer.filter_level(level(settings.log.level)).ignore_res();
+    (Logger::root(filter, fields), guard)
 }
 
-fn writer(settings: &LogSettings) -> impl Drain<Ok = (), Err = slog::Never> + Send + Sync + use<> {
-    let form = match settings.format {
+fn form(settings: &LogSettings) -> Form {
+    match settings.format {
         LogFormat::Json => Form::Json(Mutex::new(slog_json::Json::default(io::stderr()))),
         LogFormat::Terminal => Form::Terminal(terminal()),
-    };
-    let level = match settings.level {
+    }
+}
+
+fn level(level: LogLevel) -> Level {
+    match level {
         LogLevel::Error => Level::Error,
         LogLevel::Warning => Level::Warning,
         LogLevel::Info => Level::Info,
         LogLevel::Debug => Level::Debug,
-    };
-    let writer = slog_async::Async::new(form.ignore_res())
-        .chan_size(LINES_WAITING_MAX)
-        .build();
-    writer.filter_level(level).ignore_res()
+    }
 }
 
 type Terminal = slog_term::FullFormat<slog_term::TermDecorator>;
--- a/src/util/telemetry.rs
+++ b/src/util/telemetry.rs
@@ -1,11 +1,15 @@
 //! Metrics and traces by OpenTelemetry.
 
+use std::time::Duration;
+
 use derive_more::{Display, Error};
 use opentelemetry_sdk::Resource;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use trefoil_schema::settings::Settings;
 
+/// Longest wait for what is pending at the stop.
+const STOP_MAX: Duration = Duration::from_millis(1000);
 const SERVICE_NAME: &str = "trefoild";
 
 /// Why telemetry cannot start or report.
@@ -56,9 +60,11 @@
         Ok(String::from_utf8_lossy(&text).into_owned())
     }
 
-    /// Sends what is pending; called once, last.
-    pub fn stop(&self) {
-        let _ = self.meters.shutdown();
+    /// Sends what is pending, within `limit`; called once, last.
+    pub async fn stop(&self, limit: Duration) {
+        let meters = self.meters.clone();
+        let sent = tokio::task::spawn_blocking(move || meters.shutdown());
+        drop(tokio::time::timeout(STOP_MAX.min(limit), sent).await);
     }
 }
 
