telemetry: counters, spans by hop, and push by OTLP

Whoever writes the engine's shell, the links and the routes needs one place that names the counters and takes spans. The instruments sit behind typed methods, so that names and labels stand once. A trace starts only at the caller's hop, and the share is drawn before a span is built: the sampler of the library builds a context and two identifiers first.

The exporters of the library with hyper need a reactor, which its threads do not have; its readers on tokio's runtime do, and are switched on by two features of the same crate. The blocking client was ruled out: it brings a second HTTP library.

--- a/src/util/telemetry.rs
+++ b/src/util/telemetry.rs
@@ -1,16 +1,32 @@
 //! Metrics and traces by OpenTelemetry.
+//!
+//! Metrics are always collected and shown as a Prometheus page; with a
+//! collector's address they are pushed as well, and traces are taken.
+
+pub mod counters;
+mod otlp;
+pub mod trace;
 
 use std::time::Duration;
 
 use derive_more::{Display, Error};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_otlp::ExporterBuildError;
 use opentelemetry_sdk::Resource;
+use opentelemetry_sdk::error::OTelSdkError;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use trefoil_schema::settings::Settings;
 
+use counters::Counters;
+use trace::{Hop, HopSpan, TraceParent, Traces};
+
 /// Longest wait for what is pending at the stop.
 const STOP_MAX: Duration = Duration::from_millis(1000);
 const SERVICE_NAME: &str = "trefoild";
+/// Names the origin of instruments and spans.
+const SCOPE: &str = "trefoilbay";
 
 /// Why telemetry cannot start or report.
 #[derive(Debug, Display, Error)]
@@ -19,7 +35,7 @@
     #[display("cannot start the metrics page: {source}")]
     Page {
         /// What the exporter said.
-        source: opentelemetry_sdk::error::OTelSdkError,
+        source: OTelSdkError,
     },
     /// The registry could not be written as text.
     #[display("cannot write the metrics page: {source}")]
@@ -27,18 +43,41 @@
         /// What the encoder said.
         source: prometheus::Error,
     },
+    /// The collector's address does not work.
+    #[display("cannot export to {endpoint}: {source}; hint: check telemetry.otlp_endpoint")]
+    Export {
+        /// The address asked for.
+        endpoint: String,
+        /// What the exporter said.
+        source: ExporterBuildError,
+    },
 }
 
-/// The providers of one instance.
+/// Metrics and traces of one instance.
 #[derive(Clone, Debug)]
 pub struct Telemetry {
     registry: Registry,
     meters: SdkMeterProvider,
+    counters: Counters,
+    traces: Traces,
 }
 
 impl Telemetry {
-    /// Starts the providers that `settings` ask for.
+    /// Starts what `settings` ask for; with a collector's address this must be
+    /// called on a tokio runtime.
     pub fn start(settings: &Settings) -> Result<Self, TelemetryError> {
+        let traces = match settings.telemetry.otlp_endpoint.as_str() {
+            "" => Traces::off(),
+            _ => Traces::new(
+                otlp::tracer_provider(settings, resource(settings))?,
+                settings.telemetry.trace_sample_percent,
+            ),
+        };
+        Self::with_traces(settings, traces)
+    }
+
+    /// As [`Self::start`], with spans handled by `traces`.
+    pub fn with_traces(settings: &Settings, traces: Traces) -> Result<Self, TelemetryError> {
         let registry = Registry::new();
         let page = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -46,9 +85,28 @@
             .map_err(|source| TelemetryError::Page { source })?;
         let meters = SdkMeterProvider::builder()
             .with_resource(resource(settings))
-            .with_reader(page)
-            .build();
-        Ok(Self { registry, meters })
+            .with_reader(page);
+        let meters = match settings.telemetry.otlp_endpoint.as_str() {
+            "" => meters.build(),
+            _ => meters.with_reader(otlp::metric_reader(settings)?).build(),
+        };
+        let counters = Counters::new(&meters.meter(SCOPE));
+        Ok(Self {
+            registry,
+            meters,
+            counters,
+            traces,
+        })
+    }
+
+    /// The instance's counters.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// A span for one hop; see [`Traces::span`].
+    pub fn span(&self, hop: Hop, parent: Option<TraceParent>) -> HopSpan {
+        self.traces.span(hop, parent)
     }
 
     /// The metrics as a Prometheus text page.
@@ -62,14 +120,17 @@
 
     /// Sends what is pending, within `limit`; called once, last.
     pub async fn stop(&self, limit: Duration) {
-        let meters = self.meters.clone();
-        let sent = tokio::task::spawn_blocking(move || meters.shutdown());
+        let (meters, traces) = (self.meters.clone(), self.traces.clone());
+        // The providers block while they send, which must not hold up tasks.
+        let sent = tokio::task::spawn_blocking(move || {
+            traces.stop();
+            meters.shutdown()
+        });
         drop(tokio::time::timeout(STOP_MAX.min(limit), sent).await);
     }
 }
 
 fn resource(settings: &Settings) -> Resource {
-    use opentelemetry::KeyValue;
     Resource::builder()
         .with_service_name(SERVICE_NAME)
         .with_attribute(KeyValue::new(
--- /dev/null
+++ b/src/util/telemetry/counters.rs
@@ -0,0 +1,216 @@
+//! The counters, gauges and histograms of one instance.
+
+use std::fmt::Display as DisplayText;
+
+use derive_more::Display;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
+use trefoil_core::engine::JobState;
+
+/// Upper bounds of response time buckets, in milliseconds.
+const RESPONSE_BOUNDS_MS: [f64; 16] = [
+    5.0, 10.0, 25.0, 50.0, 75.0, 100.0, 150.0, 250.0, 400.0, 600.0, 1_000.0, 1_500.0, 2_500.0,
+    5_000.0, 10_000.0, 60_000.0,
+];
+/// Upper bounds of admission overhead buckets, in microseconds.
+const OVERHEAD_BOUNDS_US: [f64; 12] = [
+    5.0, 10.0, 25.0, 50.0, 100.0, 250.0, 500.0, 1_000.0, 2_500.0, 5_000.0, 10_000.0, 50_000.0,
+];
+
+/// A message that brought no caller nearer to an answer.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum WastedMessage {
+    /// A backend server's answer after the task was given up.
+    #[display("late_answer")]
+    LateAnswer,
+    /// A backend server's answer to another task.
+    #[display("crossed_answer")]
+    CrossedAnswer,
+    /// A task that a backend server refused before its start.
+    #[display("refused_start")]
+    RefusedStart,
+    /// A task that could not be sent.
+    #[display("failed_send")]
+    FailedSend,
+    /// A submission of a key that is known already.
+    #[display("resubmission")]
+    Resubmission,
+    /// A job forwarded to an instance that does not own it.
+    #[display("misrouted")]
+    Misrouted,
+    /// A peer's message that nobody waits for any more.
+    #[display("stale_peer_message")]
+    StalePeerMessage,
+}
+
+/// How a placement of a task ended.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Outcome {
+    /// A result came back.
+    #[display("done")]
+    Done,
+    /// The task ran and failed.
+    #[display("failed")]
+    Failed,
+    /// The task did not start.
+    #[display("not_run")]
+    NotRun,
+    /// Nothing is known.
+    #[display("may_have_run")]
+    MayHaveRun,
+}
+
+/// A call to the platform's store; a waiting watch counts as one.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum StoreCall {
+    /// A read.
+    #[display("range")]
+    Range,
+    /// A compare-and-swap.
+    #[display("txn")]
+    Txn,
+    /// A watch.
+    #[display("watch")]
+    Watch,
+    /// A lease call.
+    #[display("lease")]
+    Lease,
+}
+
+/// Which way a message between instances goes.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Direction {
+    /// To a peer.
+    #[display("sent")]
+    Sent,
+    /// From a peer.
+    #[display("received")]
+    Received,
+}
+
+/// The instruments; clones share them.
+#[derive(Clone, Debug)]
+pub struct Counters {
+    jobs_submitted: Counter<u64>,
+    jobs_complete: Counter<u64>,
+    jobs_failed: Counter<u64>,
+    refusals: Counter<u64>,
+    task_starts: Counter<u64>,
+    task_outcomes: Counter<u64>,
+    wasted_messages: Counter<u64>,
+    peer_frames: Counter<u64>,
+    peer_bytes: Counter<u64>,
+    store_calls: Counter<u64>,
+    config_revision: Gauge<u64>,
+    tasks_queued: Gauge<u64>,
+    tasks_running: Gauge<u64>,
+    response_time_ms: Histogram<f64>,
+    admission_overhead_us: Histogram<f64>,
+}
+
+impl Counters {
+    /// The instruments of `meter`.
+    pub fn new(meter: &Meter) -> Self {
+        let counter = |name, text| meter.u64_counter(name).with_description(text).build();
+        let gauge = |name, text| meter.u64_gauge(name).with_description(text).build();
+        Self {
+            jobs_submitted: counter("trefoil_jobs_submitted", "Submissions that arrived."),
+            jobs_complete: counter("trefoil_jobs_complete", "Jobs answered whole."),
+            jobs_failed: counter("trefoil_jobs_failed", "Jobs final without a whole answer."),
+            refusals: counter("trefoil_refusals", "Submissions refused, by reason."),
+            task_starts: counter("trefoil_task_starts", "Tasks sent to a backend server."),
+            task_outcomes: counter("trefoil_task_outcomes", "Ends of placements, by outcome."),
+            wasted_messages: counter(
+                "trefoil_wasted_messages",
+                "Messages that brought no caller nearer to an answer, by kind.",
+            ),
+            peer_frames: counter("trefoil_peer_frames", "Frames between instances."),
+            peer_bytes: counter("trefoil_peer_bytes", "Bytes between instances."),
+            store_calls: counter(
+                "trefoil_store_calls",
+                "Calls to the platform's store, by kind.",
+            ),
+            config_revision: gauge("trefoil_config_revision", "Store revision in force."),
+            tasks_queued: gauge("trefoil_tasks_queued", "Tasks that wait for a slot."),
+            tasks_running: gauge("trefoil_tasks_running", "Tasks at backend servers."),
+            response_time_ms: meter
+                .f64_histogram("trefoil_response_time_ms")
+                .with_description("Milliseconds from submission to answer, by final state.")
+                .with_boundaries(RESPONSE_BOUNDS_MS.to_vec())
+                .build(),
+            admission_overhead_us: meter
+                .f64_histogram("trefoil_admission_overhead_us")
+                .with_description("Microseconds from a whole request to its admission.")
+                .with_boundaries(OVERHEAD_BOUNDS_US.to_vec())
+                .build(),
+        }
+    }
+
+    /// A submission arrived.
+    pub fn job_submitted(&self) {
+        self.jobs_submitted.add(1, &[]);
+    }
+
+    /// A job became final `response_ms` after its submission.
+    pub fn job_finished(&self, state: JobState, response_ms: f64) {
+        match state {
+            JobState::Running => return,
+            JobState::Complete => self.jobs_complete.add(1, &[]),
+            JobState::Failed | JobState::Cancelled => self.jobs_failed.add(1, &[]),
+        }
+        let label = label("state", state);
+        self.response_time_ms.record(response_ms, &[label]);
+    }
+
+    /// A submission was refused; `reason` is one word.
+    pub fn refused(&self, reason: impl DisplayText) {
+        self.refusals.add(1, &[label("reason", reason)]);
+    }
+
+    /// Admission took `overhead_us`.
+    pub fn admitted(&self, overhead_us: f64) {
+        self.admission_overhead_us.record(overhead_us, &[]);
+    }
+
+    /// A task was sent to a backend server.
+    pub fn task_started(&self) {
+        self.task_starts.add(1, &[]);
+    }
+
+    /// A placement of a task ended.
+    pub fn task_ended(&self, outcome: Outcome) {
+        self.task_outcomes.add(1, &[label("outcome", outcome)]);
+    }
+
+    /// A message was wasted.
+    pub fn wasted(&self, kind: WastedMessage) {
+        self.wasted_messages.add(1, &[label("kind", kind)]);
+    }
+
+    /// A frame of `bytes` went to or came from a peer.
+    pub fn peer_frame(&self, direction: Direction, bytes: u64) {
+        let label = [label("direction", direction)];
+        self.peer_frames.add(1, &label);
+        self.peer_bytes.add(bytes, &label);
+    }
+
+    /// The platform's store was called.
+    pub fn store_called(&self, kind: StoreCall) {
+        self.store_calls.add(1, &[label("kind", kind)]);
+    }
+
+    /// The revision in force changed.
+    pub fn set_config_revision(&self, revision: u64) {
+        self.config_revision.record(revision, &[]);
+    }
+
+    /// Tasks that wait and tasks at backend servers.
+    pub fn set_tasks(&self, queued: u64, running: u64) {
+        self.tasks_queued.record(queued, &[]);
+        self.tasks_running.record(running, &[]);
+    }
+}
+
+fn label(name: &'static str, value: impl DisplayText) -> KeyValue {
+    KeyValue::new(name, value.to_string())
+}
