--- a/src/server/stop.rs
+++ b/src/server/stop.rs
@@ -2,10 +2,11 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use slog::{Logger, info};
 use tokio::sync::Notify;
+use tokio::time::Instant;
 use trefoil_core::drain::{Drain, DrainState, Ending};
 use trefoil_core::time::Now;
 use trefoil_schema::settings::DrainSettings;
@@ -36,7 +37,7 @@
     /// Waits until the monotonic clock shows `mono_ms`.
     pub async fn sleep_until_ms(&self, mono_ms: u64) {
         let at = self.start + Duration::from_millis(mono_ms);
-        tokio::time::sleep_until(at.into()).await;
+        tokio::time::sleep_until(at).await;
     }
 }
 
--- /dev/null
+++ b/tests/testsuite/daemon.rs
@@ -0,0 +1,181 @@
+//! The daemon's life: health, planned stop, exit codes.
+
+use std::net::TcpListener;
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Empty};
+use hyper::body::Bytes;
+use hyper_util::client::legacy::{Client, connect::HttpConnector};
+use hyper_util::rt::TokioExecutor;
+use slog::{Discard, Logger, o};
+use tokio::time::{Instant, sleep, timeout};
+use trefoil_core::drain::Ending;
+use trefoil_schema::settings::DrainSettings;
+use trefoilbay::server::stop::{Clock, StopControl};
+
+const STEP: Duration = Duration::from_millis(20);
+const STEPS_MAX: u32 = 250;
+
+/// A daemon that is killed when the test ends.
+struct Daemon {
+    child: Option<Child>,
+    address: String,
+}
+
+impl Daemon {
+    async fn start(overrides: &[&str]) -> Self {
+        let address = free_address();
+        let child = command(&address, overrides).spawn().unwrap();
+        let daemon = Self {
+            child: Some(child),
+            address,
+        };
+        daemon.until(|status, _| status == 200, "/healthz").await;
+        daemon
+    }
+
+    async fn get(&self, path: &str) -> (u16, String) {
+        let client: Client<HttpConnector, Empty<Bytes>> =
+            Client::builder(TokioExecutor::new()).build_http();
+        let uri = format!("http://{}{path}", self.address).parse().unwrap();
+        let Ok(response) = client.get(uri).await else {
+            return (0, String::new());
+        };
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await.unwrap().to_bytes();
+        (status, String::from_utf8(body.to_vec()).unwrap())
+    }
+
+    async fn until(&self, fits: impl Fn(u16, &str) -> bool, path: &str) -> String {
+        for _ in 0..STEPS_MAX {
+            let (status, body) = self.get(path).await;
+            if fits(status, &body) {
+                return body;
+            }
+            sleep(STEP).await;
+        }
+        panic!("{path} never answered as expected");
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.child.as_ref().unwrap().id().to_string();
+        let killed = Command::new("kill").args(["-s", name, &id]).status();
+        assert!(killed.unwrap().success());
+    }
+
+    async fn end(mut self) -> Output {
+        let child = self.child.take().unwrap();
+        let ended = tokio::task::spawn_blocking(|| child.wait_with_output());
+        let ended = timeout(STEP * STEPS_MAX, ended).await;
+        ended.unwrap().unwrap().unwrap()
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            drop(child.kill());
+            drop(child.wait());
+        }
+    }
+}
+
+fn free_address() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap().to_string()
+}
+
+fn command(address: &str, overrides: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_trefoild"));
+    command.args(["--set", &format!("http_address={address}")]);
+    command.args(["--set", &format!("peer_address={}", free_address())]);
+    overrides.iter().for_each(|item| {
+        command.args(["--set", item]);
+    });
+    command.stderr(Stdio::piped());
+    command
+}
+
+#[tokio::test]
+async fn announces_and_then_exits_with_zero() {
+    let daemon = Daemon::start(&["drain.announce_ms=400"]).await;
+    let ready = daemon.until(|status, _| status == 200, "/readyz").await;
+    assert_eq!(ready, r#"{"ready":true,"reasons":[],"in_flight":0}"#);
+    assert!(daemon.get("/metrics").await.1.contains("target_info"));
+    daemon.signal("TERM");
+    let leaving = daemon.until(|status, _| status == 503, "/readyz").await;
+    assert!(leaving.contains(r#""reasons":["leaving"]"#), "{leaving}");
+    assert_eq!(daemon.get("/healthz").await.0, 200);
+    let output = daemon.end().await;
+    assert_eq!(output.status.code(), Some(0));
+    let lines = String::from_utf8(output.stderr).unwrap();
+    let last: serde_json::Value = serde_json::from_str(lines.lines().last().unwrap()).unwrap();
+    assert_eq!(last["msg"], "stopped");
+    assert_eq!(last["ending"], "drained");
+    assert_eq!(last["instance"], "entry-1");
+    assert_eq!(last["failure_domain"], "local");
+}
+
+#[tokio::test]
+async fn second_signal_ends_at_once() {
+    let daemon = Daemon::start(&["drain.announce_ms=20000"]).await;
+    daemon.signal("INT");
+    daemon.until(|status, _| status == 503, "/readyz").await;
+    daemon.signal("TERM");
+    assert_eq!(daemon.end().await.status.code(), Some(3));
+}
+
+#[tokio::test]
+async fn taken_address_is_reported_with_a_hint() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let output = command(&address, &[]).output().unwrap();
+    assert_eq!(output.status.code(), Some(1));
+    let report = String::from_utf8(output.stderr).unwrap();
+    assert!(report.contains("hint: check http_address"), "{report}");
+}
+
+fn control() -> Arc<StopControl> {
+    let settings = DrainSettings {
+        announce_ms: 200,
+        budget_ms: 1_000,
+    };
+    Arc::new(StopControl::new(Clock::start(), &settings))
+}
+
+fn no_log() -> Logger {
+    Logger::root(Discard, o!())
+}
+
+#[tokio::test(start_paused = true)]
+async fn stop_waits_for_what_is_in_flight() {
+    let control = control();
+    let start = Instant::now();
+    control.signal();
+    let early = control.accept().unwrap();
+    let waiting = control.clone();
+    let stop = tokio::spawn(async move { waiting.finished(&no_log()).await });
+    sleep(Duration::from_millis(100)).await;
+    let late = control.accept().expect("still accepts while announcing");
+    sleep(Duration::from_millis(150)).await;
+    assert!(control.accept().is_none(), "refuses after the announcement");
+    drop(early);
+    sleep(Duration::from_millis(50)).await;
+    assert!(!stop.is_finished());
+    drop(late);
+    assert_eq!(stop.await.unwrap(), Ending::Drained);
+    assert_eq!(start.elapsed(), Duration::from_millis(300));
+}
+
+#[tokio::test(start_paused = true)]
+async fn stop_ends_when_the_budget_is_spent() {
+    let control = control();
+    let start = Instant::now();
+    control.request();
+    let _stuck = control.accept().unwrap();
+    assert_eq!(control.finished(&no_log()).await, Ending::BudgetSpent);
+    assert_eq!(start.elapsed(), Duration::from_millis(1_000));
+    assert_eq!(control.budget_left(), Duration::ZERO);
+}
--- /dev/null
+++ b/tests/testsuite/telemetry.rs
@@ -0,0 +1,251 @@
+//! Metrics page, traces by hop, push to a collector, and what a span costs.
+
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use opentelemetry_sdk::error::OTelSdkResult;
+use opentelemetry_sdk::trace::{Sampler, SdkTracerProvider, SpanData, SpanExporter};
+use poem::listener::{Acceptor, Listener, TcpListener};
+use poem::{Endpoint, Request, Response, endpoint};
+use trefoil_core::engine::{JobState, RefusalReason};
+use trefoilbay::util::settings;
+use trefoilbay::util::telemetry::Telemetry;
+use trefoilbay::util::telemetry::counters::{Direction, Outcome, StoreCall, WastedMessage};
+use trefoilbay::util::telemetry::trace::{Hop, TraceParent, Traces};
+
+const SAMPLED: &str = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01";
+const UNSAMPLED: &str = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-00";
+
+#[derive(Clone, Debug, Default)]
+struct Kept {
+    spans: Arc<Mutex<Vec<SpanData>>>,
+}
+
+impl SpanExporter for Kept {
+    async fn export(&self, batch: Vec<SpanData>) -> OTelSdkResult {
+        self.spans.lock().unwrap().extend(batch);
+        Ok(())
+    }
+}
+
+impl Kept {
+    fn traces(&self, sample_percent: u32) -> Traces {
+        let provider = SdkTracerProvider::builder()
+            .with_sampler(Sampler::ParentBased(Box::new(Sampler::AlwaysOn)))
+            .with_simple_exporter(self.clone())
+            .build();
+        Traces::new(provider, sample_percent)
+    }
+
+    fn names(&self) -> Vec<String> {
+        let spans = self.spans.lock().unwrap();
+        spans.iter().map(|span| span.name.to_string()).collect()
+    }
+}
+
+#[test]
+fn page_shows_what_was_counted() {
+    let telemetry = Telemetry::start(&settings::defaults()).unwrap();
+    let counters = telemetry.counters();
+    counters.job_submitted();
+    counters.job_submitted();
+    counters.job_finished(JobState::Complete, 42.0);
+    counters.job_finished(JobState::Failed, 7.0);
+    counters.refused(RefusalReason::UnknownTeam);
+    counters.admitted(12.0);
+    counters.task_started();
+    counters.task_ended(Outcome::MayHaveRun);
+    counters.wasted(WastedMessage::CrossedAnswer);
+    counters.wasted(WastedMessage::LateAnswer);
+    counters.wasted(WastedMessage::LateAnswer);
+    counters.peer_frame(Direction::Sent, 300);
+    counters.store_called(StoreCall::Watch);
+    counters.set_config_revision(9);
+    counters.set_tasks(5, 3);
+    let page = telemetry.page().unwrap();
+    for (name, label, value) in [
+        ("trefoil_jobs_submitted_total", "", "2"),
+        ("trefoil_jobs_complete_total", "", "1"),
+        ("trefoil_jobs_failed_total", "", "1"),
+        ("trefoil_refusals_total", "reason=\"unknown_team\"", "1"),
+        ("trefoil_task_starts_total", "", "1"),
+        (
+            "trefoil_task_outcomes_total",
+            "outcome=\"may_have_run\"",
+            "1",
+        ),
+        ("trefoil_wasted_messages_total", "kind=\"late_answer\"", "2"),
+        (
+            "trefoil_wasted_messages_total",
+            "kind=\"crossed_answer\"",
+            "1",
+        ),
+        ("trefoil_peer_frames_total", "direction=\"sent\"", "1"),
+        ("trefoil_peer_bytes_total", "direction=\"sent\"", "300"),
+        ("trefoil_store_calls_total", "kind=\"watch\"", "1"),
+        ("trefoil_config_revision", "", "9"),
+        ("trefoil_tasks_queued", "", "5"),
+        ("trefoil_tasks_running", "", "3"),
+        ("trefoil_response_time_ms_count", "state=\"complete\"", "1"),
+        ("trefoil_admission_overhead_us_sum", "", "12"),
+    ] {
+        let fits = |line: &str| {
+            line.starts_with(&format!("{name}{{"))
+                && line.contains(label)
+                && line.ends_with(&format!("}} {value}"))
+        };
+        assert!(page.lines().any(fits), "{name} {label} {value}\n{page}");
+    }
+}
+
+#[test]
+fn traceparent_is_read_and_written_as_the_standard_says() {
+    for text in [SAMPLED, UNSAMPLED] {
+        assert_eq!(TraceParent::parse(text).unwrap().to_string(), text);
+    }
+    let later = format!("01{}-extra", &SAMPLED[2..]);
+    assert_eq!(TraceParent::parse(&later).unwrap().to_string(), SAMPLED);
+    for text in [
+        "",
+        "00",
+        "00-00000000000000000000000000000000-00f067aa0ba902b7-01",
+        "00-4bf92f3577b34da6a3ce929d0e0e4736-0000000000000000-01",
+        "00-4BF92F3577B34DA6A3CE929D0E0E4736-00f067aa0ba902b7-01",
+        "00-4bf92f3577b34da6a3ce929d0e0e473-00f067aa0ba902b7-01",
+        "ff-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01",
+        "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01-extra",
+    ] {
+        assert_eq!(TraceParent::parse(text), None, "{text}");
+    }
+}
+
+#[test]
+fn hops_of_a_sampled_request_are_one_trace() {
+    let kept = Kept::default();
+    let traces = kept.traces(0);
+    let caller = traces.span(Hop::Caller, TraceParent::parse(SAMPLED));
+    let entry = traces.span(Hop::Entry, caller.next_parent());
+    let mut backend = traces.span(Hop::BackendServer, entry.next_parent());
+    backend.set("attempt", 1);
+    backend.fail("connection refused");
+    drop((backend, entry, caller));
+    assert_eq!(kept.names(), ["backend_server", "entry", "caller"]);
+    let spans = kept.spans.lock().unwrap();
+    let trace_ids: BTreeSet<_> = spans
+        .iter()
+        .map(|span| span.span_context.trace_id().to_string())
+        .collect();
+    assert_eq!(trace_ids.len(), 1);
+    assert!(trace_ids.contains(&SAMPLED[3..35]));
+    assert_eq!(spans[0].parent_span_id, spans[1].span_context.span_id());
+    assert_eq!(spans[1].parent_span_id, spans[2].span_context.span_id());
+}
+
+#[test]
+fn parent_decides_and_only_callers_start_traces() {
+    let kept = Kept::default();
+    let all = kept.traces(100);
+    let unsampled = all.span(Hop::Caller, TraceParent::parse(UNSAMPLED));
+    assert!(!unsampled.is_taken());
+    assert_eq!(unsampled.next_parent(), TraceParent::parse(UNSAMPLED));
+    assert!(!all.span(Hop::Peer, None).is_taken());
+    let root = all.span(Hop::Caller, None);
+    assert!(root.is_taken() && root.next_parent().unwrap().is_sampled());
+    let none = kept.traces(0).span(Hop::Caller, None);
+    assert!(!none.is_taken());
+    assert_eq!(none.next_parent(), None);
+    let off = Traces::off().span(Hop::Caller, TraceParent::parse(SAMPLED));
+    assert!(!off.is_taken());
+    assert_eq!(off.next_parent(), TraceParent::parse(SAMPLED));
+}
+
+#[test]
+fn share_of_new_traces_is_near_the_setting() {
+    let traces = Kept::default().traces(20);
+    let taken = (0..10_000).filter(|_| traces.span(Hop::Caller, None).is_taken());
+    // Twelve standard deviations each way.
+    assert!((1_520..=2_480).contains(&taken.count()));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn collector_gets_spans_and_metrics() {
+    let paths = Arc::new(Mutex::new(BTreeSet::new()));
+    let acceptor = TcpListener::bind("127.0.0.1:0")
+        .into_acceptor()
+        .await
+        .unwrap();
+    let address = acceptor.local_addr()[0]
+        .as_socket_addr()
+        .unwrap()
+        .to_owned();
+    let collector = poem::Server::new_with_acceptor(acceptor).run(collector(paths.clone()));
+    let collector = tokio::spawn(collector);
+    let mut settings = settings::defaults();
+    settings.telemetry.otlp_endpoint = format!("http://{address}/");
+    settings.telemetry.trace_sample_percent = 100;
+    let telemetry = Telemetry::start(&settings).unwrap();
+    telemetry.counters().job_submitted();
+    drop(telemetry.span(Hop::Caller, None));
+    telemetry.stop(Duration::from_secs(5)).await;
+    collector.abort();
+    let paths: Vec<_> = paths.lock().unwrap().iter().cloned().collect();
+    assert_eq!(paths, ["/v1/metrics", "/v1/traces"]);
+}
+
+fn collector(paths: Arc<Mutex<BTreeSet<String>>>) -> impl Endpoint {
+    endpoint::make_sync(move |request: Request| {
+        paths
+            .lock()
+            .unwrap()
+            .insert(request.uri().path().to_owned());
+        Response::default()
+    })
+}
+
+/// Prints the cost of a span; run in release with `--nocapture` for figures.
+#[test]
+fn cost_of_a_span() {
+    let kept = Kept::default();
+    let parent = TraceParent::parse(SAMPLED);
+    let provider = SdkTracerProvider::builder().build();
+    let recorded = Traces::new(provider, 1);
+    for (name, traces, parent) in [
+        ("off", Traces::off(), None),
+        (
+            "parent not sampled",
+            kept.traces(1),
+            TraceParent::parse(UNSAMPLED),
+        ),
+        ("no parent, 1 percent sampled", kept.traces(1), None),
+        ("sampled, no exporter", recorded, parent),
+    ] {
+        let cost = measure(|| drop(traces.span(Hop::Caller, parent)));
+        println!("span {name}: {cost:.0} ns");
+    }
+    println!(
+        "parse: {:.0} ns",
+        measure(|| _ = TraceParent::parse(SAMPLED))
+    );
+    println!(
+        "format: {:.0} ns",
+        measure(|| drop(parent.unwrap().to_string()))
+    );
+    let telemetry = Telemetry::start(&settings::defaults()).unwrap();
+    let counters = telemetry.counters();
+    println!("counter: {:.0} ns", measure(|| counters.task_started()));
+    let labelled = measure(|| counters.task_ended(Outcome::Done));
+    println!("counter with label: {labelled:.0} ns");
+    println!("histogram: {:.0} ns", measure(|| counters.admitted(20.0)));
+}
+
+/// Mean nanoseconds of `work`, the least of five rounds.
+fn measure(work: impl Fn()) -> f64 {
+    const TIMES: u32 = 20_000;
+    let round = || {
+        let start = Instant::now();
+        (0..TIMES).for_each(|_| work());
+        start.elapsed().as_nanos() as f64 / f64::from(TIMES)
+    };
+    (0..5).map(|_| round()).fold(f64::INFINITY, f64::min)
+}
