verdicts: a refusal says apart what this request alone may have started

Cause: where a key's owner is cut off, the strict verdict of the key is may_have_run even for a first submission, which would leave fresh work stuck. Weighed: calling such a refusal not_run (untrue for a resubmission of a job that ran), or a header by which callers count their tries (unchecked). Conclusion: two verdicts; a caller whose every request was not_run may use a new key.

--- a/crates/core/src/engine/command.rs
+++ b/crates/core/src/engine/command.rs
@@ -98,6 +98,20 @@
     pub retry_after_ms: u64,
 }
 
+impl Refusal {
+    /// What this request alone may have started, whatever earlier requests
+    /// under the same key did.
+    ///
+    /// A caller all of whose requests under a key say `not_run` here can
+    /// safely submit the work under a new key.
+    pub fn request_verdict(&self) -> Verdict {
+        match self.reason {
+            RefusalReason::AnswerLost => Verdict::MayHaveRun,
+            _ => Verdict::NotRun,
+        }
+    }
+}
+
 /// Why a submission is refused.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
 #[display(rename_all = "snake_case")]
@@ -120,8 +134,10 @@
     KeyAhead,
     /// The instance that owned the key is lost, and its memory with it.
     OwnerLost,
-    /// The instance that owns the key cannot be reached now.
+    /// The instance that owns the key cannot be reached now; nothing was sent.
     OwnerUnreachable,
+    /// The request was handed to the key's owner, whose answer did not come.
+    AnswerLost,
     /// This instance may not admit keys of this time yet.
     NotVouched,
     /// This instance is leaving.
--- a/src/http/problem.rs
+++ b/src/http/problem.rs
@@ -28,6 +28,7 @@
             status: status.as_u16(),
             detail: detail.into(),
             verdict: verdict_name(verdict),
+            request_verdict: verdict_name(verdict),
             key: String::new(),
             retry_after_ms: 0,
             errors: Vec::new(),
@@ -35,6 +36,14 @@
         Self { body }
     }
 
+    /// What this request alone may have started, where less than earlier
+    /// requests under the key.
+    #[must_use]
+    pub fn request_verdict(mut self, verdict: Verdict) -> Self {
+        self.body.request_verdict = verdict_name(verdict);
+        self
+    }
+
     /// Names the idempotency key concerned.
     #[must_use]
     pub fn key(mut self, key: &str) -> Self {
