--- /dev/null
+++ b/src/peers/convert.rs
@@ -0,0 +1,177 @@
+//! Between the engine's types and the messages on the links.
+//!
+//! A name that this version does not know decodes to the most cautious value:
+//! an unknown reason to `answer_lost`, an unknown verdict to `may_have_run`.
+
+use std::sync::Arc;
+
+use derive_more::{Display, Error};
+use trefoil_core::engine::{JobAnswer, JobState, Refusal, RefusalReason, Submission, Task};
+use trefoil_core::key::{JobKey, KeyError};
+use trefoil_core::verdict::Verdict;
+use trefoil_schema::peer;
+use xxhash_rust::xxh3::Xxh3;
+
+/// Reasons of final failures, as they travel.
+const FAILURE_REASONS: [&str; 4] = ["task_failed", "deadline", "cancelled", "result_dropped"];
+const FAILURE_UNKNOWN: &str = "failed";
+
+/// A message that cannot be acted on.
+#[derive(Clone, Debug, Display, Error)]
+pub enum DecodeError {
+    /// The key is none.
+    #[display("a forwarded job has no valid key")]
+    Key(KeyError),
+}
+
+/// The message that hands a submission to its owner.
+pub fn forward_job(request_id: u64, submission: &Submission, wait: bool, traceparent: &str) -> peer::ForwardJob {
+    peer::ForwardJob {
+        request_id,
+        key: submission.key.as_str().to_owned(),
+        service: submission.service.to_string(),
+        team: submission.team.to_string(),
+        timeout_ms: submission.timeout_ms,
+        tasks: submission.tasks.iter().map(task_spec).collect(),
+        wait,
+        traceparent: traceparent.to_owned(),
+    }
+}
+
+fn task_spec(task: &Task) -> peer::TaskSpec {
+    peer::TaskSpec { payload: task.payload.clone(), declared_run_ms: task.declared_run_ms }
+}
+
+/// The submission behind a forwarded job.
+pub fn submission(job: peer::ForwardJob) -> Result<Submission, DecodeError> {
+    let key = JobKey::parse(&job.key).map_err(DecodeError::Key)?;
+    let tasks: Vec<Task> = job.tasks.into_iter().map(task).collect();
+    Ok(Submission {
+        key,
+        fingerprint: fingerprint(&job.service, &job.team, &tasks),
+        service: Arc::from(job.service),
+        team: Arc::from(job.team),
+        timeout_ms: job.timeout_ms,
+        tasks,
+    })
+}
+
+fn task(spec: peer::TaskSpec) -> Task {
+    Task { payload: spec.payload, declared_run_ms: spec.declared_run_ms }
+}
+
+/// Hash of what a submission asks for; a resubmission must have the same.
+///
+/// The deadline and the declared run times are left out: a caller that comes
+/// back has less time left.
+pub fn fingerprint(service: &str, team: &str, tasks: &[Task]) -> u64 {
+    let mut hash = Xxh3::new();
+    add_field(&mut hash, service.as_bytes());
+    add_field(&mut hash, team.as_bytes());
+    for task in tasks {
+        add_field(&mut hash, &task.payload);
+    }
+    hash.digest()
+}
+
+fn add_field(hash: &mut Xxh3, field: &[u8]) {
+    hash.update(&(field.len() as u64).to_be_bytes());
+    hash.update(field);
+}
+
+/// The message that carries an answer back.
+pub fn answer_message(request_id: u64, key: &str, answer: &JobAnswer) -> peer::JobAnswer {
+    let blank = peer::JobAnswer { request_id, key: key.to_owned(), ..Default::default() };
+    match answer {
+        JobAnswer::Known { state, verdict, results, reason, detail, replayed, tasks_done, tasks_total } => {
+            peer::JobAnswer {
+                state: state_to_wire(*state) as i32,
+                verdict: verdict_to_wire(*verdict) as i32,
+                results: results.to_vec(),
+                reason: (*reason).to_owned(),
+                detail: detail.clone(),
+                replayed: *replayed,
+                tasks_done: *tasks_done,
+                tasks_total: *tasks_total,
+                ..blank
+            }
+        }
+        JobAnswer::Refused(refusal) => peer::JobAnswer {
+            state: peer::JobState::Refused as i32,
+            verdict: verdict_to_wire(refusal.verdict) as i32,
+            reason: refusal.reason.to_string(),
+            detail: refusal.detail.clone(),
+            retry_after_ms: refusal.retry_after_ms,
+            ..blank
+        },
+    }
+}
+
+/// The answer behind a message.
+pub fn answer(message: peer::JobAnswer) -> JobAnswer {
+    let verdict = verdict_from_wire(message.verdict());
+    let Some(state) = state_from_wire(message.state()) else {
+        return JobAnswer::Refused(refusal(message, verdict));
+    };
+    JobAnswer::Known {
+        state,
+        verdict,
+        results: message.results.into(),
+        reason: failure_reason(&message.reason),
+        detail: message.detail,
+        replayed: message.replayed,
+        tasks_done: message.tasks_done,
+        tasks_total: message.tasks_total,
+    }
+}
+
+fn refusal(message: peer::JobAnswer, verdict: Verdict) -> Refusal {
+    Refusal {
+        reason: message.reason.parse().unwrap_or(RefusalReason::AnswerLost),
+        detail: message.detail,
+        verdict,
+        retry_after_ms: message.retry_after_ms,
+    }
+}
+
+fn failure_reason(name: &str) -> &'static str {
+    if name.is_empty() {
+        return "";
+    }
+    FAILURE_REASONS.into_iter().find(|known| *known == name).unwrap_or(FAILURE_UNKNOWN)
+}
+
+fn state_to_wire(state: JobState) -> peer::JobState {
+    match state {
+        JobState::Running => peer::JobState::Running,
+        JobState::Complete => peer::JobState::Complete,
+        JobState::Failed => peer::JobState::Failed,
+        JobState::Cancelled => peer::JobState::Cancelled,
+    }
+}
+
+fn state_from_wire(state: peer::JobState) -> Option<JobState> {
+    match state {
+        peer::JobState::Running => Some(JobState::Running),
+        peer::JobState::Complete => Some(JobState::Complete),
+        peer::JobState::Failed => Some(JobState::Failed),
+        peer::JobState::Cancelled => Some(JobState::Cancelled),
+        peer::JobState::Refused | peer::JobState::Unspecified => None,
+    }
+}
+
+fn verdict_to_wire(verdict: Verdict) -> peer::Verdict {
+    match verdict {
+        Verdict::NotRun => peer::Verdict::NotRun,
+        Verdict::MayHaveRun => peer::Verdict::MayHaveRun,
+        Verdict::Ran => peer::Verdict::Ran,
+    }
+}
+
+fn verdict_from_wire(verdict: peer::Verdict) -> Verdict {
+    match verdict {
+        peer::Verdict::NotRun => Verdict::NotRun,
+        peer::Verdict::Ran => Verdict::Ran,
+        peer::Verdict::MayHaveRun | peer::Verdict::Unspecified => Verdict::MayHaveRun,
+    }
+}
