fakes: stand-in for the platform's key-value service

Cause: tests of the store's failures need a platform that can be told to fail.

Watches follow the store's history by revision in place of queues of their own, so a resumed watch and a slow one are the same case.

Change: range, put, deleterange, txn, leases and watch over HTTP/1.1; faults on order (down, slow, dropped answers, instances cut off, lagging instance list, expired leases); counters of calls; a small HTTP client and server for the other stand-ins.

--- /dev/null
+++ b/crates/fakes/tests/platform.rs
@@ -0,0 +1,148 @@
+//! The stand-in for the platform keeps etcd's promises, and breaks them on order.
+
+use std::{net::SocketAddr, time::Duration};
+
+use base64::{Engine, prelude::BASE64_STANDARD};
+use http_body_util::BodyExt;
+use hyper::{Method, body::Incoming};
+use serde_json::{Value, json};
+use tokio::time::timeout;
+use trefoil_fakes::{
+    client::{Client, request},
+    platform::{self, PlatformHandle, PlatformOptions, faults::FaultOrder},
+};
+
+async fn start() -> (PlatformHandle, Client) {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let handle = platform::start(address, PlatformOptions::default())
+        .await
+        .unwrap();
+    (handle, Client::default())
+}
+
+fn b64(text: &str) -> String {
+    BASE64_STANDARD.encode(text)
+}
+
+async fn call(client: &Client, platform: &PlatformHandle, path: &str, body: Value) -> Value {
+    let reply = client.post(platform.address, path, body.to_string()).await;
+    serde_json::from_slice(&reply.unwrap().body).unwrap()
+}
+
+fn swap(key: &str, mod_revision: &str, value: &str) -> Value {
+    json!({
+        "compare": [{
+            "key": b64(key), "target": "MOD", "result": "EQUAL", "mod_revision": mod_revision,
+        }],
+        "success": [{"request_put": {"key": b64(key), "value": b64(value)}}],
+        "failure": [{"request_range": {"key": b64(key)}}],
+    })
+}
+
+async fn next_line(body: &mut Incoming) -> Value {
+    let frame = timeout(Duration::from_secs(5), body.frame()).await;
+    let data = frame.unwrap().unwrap().unwrap().into_data().unwrap();
+    serde_json::from_slice(&data).unwrap()
+}
+
+async fn watch(client: &Client, platform: &PlatformHandle, start_revision: &str) -> Incoming {
+    let body = json!({"create_request": {
+        "key": b64("a/"), "range_end": b64("a0"), "start_revision": start_revision,
+    }});
+    let request = request(
+        Method::POST,
+        platform.address,
+        "/v3/watch",
+        body.to_string(),
+    );
+    let mut stream = client.open(request).await.unwrap().into_body();
+    let first = next_line(&mut stream).await;
+    assert_eq!(first["result"]["created"], true);
+    stream
+}
+
+#[tokio::test]
+async fn only_one_of_two_swaps_of_the_same_revision_succeeds() {
+    let (platform, client) = start().await;
+    let (one, two) = tokio::join!(
+        call(&client, &platform, "/v3/kv/txn", swap("a/x", "0", "one")),
+        call(&client, &platform, "/v3/kv/txn", swap("a/x", "0", "two")),
+    );
+    let (winner, loser) = match one["succeeded"] == true {
+        true => (one, two),
+        false => (two, one),
+    };
+    assert_eq!(winner["succeeded"], true);
+    assert_eq!(winner["header"]["revision"], "2");
+    assert_eq!(loser["succeeded"], false);
+    let read = &loser["responses"][0]["response_range"]["kvs"][0];
+    assert_eq!(read["mod_revision"], "2");
+    assert_eq!(read["version"], "1");
+}
+
+#[tokio::test]
+async fn a_watch_resumes_out_of_history_and_goes_on() {
+    let (platform, client) = start().await;
+    for key in ["a/1", "b/1", "a/2"] {
+        let body = json!({"key": b64(key), "value": b64("v")});
+        call(&client, &platform, "/v3/kv/put", body).await;
+    }
+    let mut stream = watch(&client, &platform, "3").await;
+    let kept = next_line(&mut stream).await;
+    let events = kept["result"]["events"].as_array().unwrap();
+    assert_eq!(events.len(), 1);
+    assert_eq!(events[0]["kv"]["key"], b64("a/2"));
+    assert_eq!(events[0]["kv"]["mod_revision"], "4");
+    let body = json!({"key": b64("a/1")});
+    call(&client, &platform, "/v3/kv/deleterange", body).await;
+    let news = next_line(&mut stream).await;
+    assert_eq!(news["result"]["events"][0]["type"], "DELETE");
+    assert_eq!(platform.counters().watches_waiting, 1);
+}
+
+#[tokio::test]
+async fn a_write_whose_answer_was_dropped_took_effect() {
+    let (platform, client) = start().await;
+    platform.order(&FaultOrder {
+        drop_answers: Some(1),
+        ..FaultOrder::default()
+    });
+    let body = swap("a/x", "0", "one").to_string();
+    let lost = client.post(platform.address, "/v3/kv/txn", body).await;
+    assert!(lost.is_err());
+    let again = call(&client, &platform, "/v3/kv/txn", swap("a/x", "0", "two")).await;
+    assert_eq!(again["succeeded"], false);
+    let read = &again["responses"][0]["response_range"]["kvs"][0];
+    assert_eq!(read["value"], b64("one"));
+    assert_eq!(platform.counters().dropped_answers, 1);
+}
+
+#[tokio::test]
+async fn an_outage_ends_watches_and_refuses_calls() {
+    let (platform, client) = start().await;
+    let mut stream = watch(&client, &platform, "0").await;
+    platform.order(&FaultOrder {
+        down: Some(true),
+        ..FaultOrder::default()
+    });
+    let ended = timeout(Duration::from_secs(5), stream.frame()).await;
+    assert!(ended.unwrap().unwrap().is_err());
+    let refused = client.post(platform.address, "/v3/kv/range", "{}").await;
+    assert!(refused.is_err());
+}
+
+#[tokio::test]
+async fn an_expired_lease_takes_its_keys_along() {
+    let (platform, client) = start().await;
+    let lease = json!({"TTL": "60", "ID": "0"});
+    let granted = call(&client, &platform, "/v3/lease/grant", lease).await;
+    let id = granted["ID"].as_str().unwrap();
+    let body = json!({"key": b64("a/x"), "value": "", "lease": id});
+    call(&client, &platform, "/v3/kv/put", body).await;
+    assert!(platform.expire_lease(id.parse().unwrap()));
+    let body = json!({"key": b64("a/x")});
+    let read = call(&client, &platform, "/v3/kv/range", body).await;
+    assert_eq!(read["count"], "0");
+    let alive = call(&client, &platform, "/v3/lease/keepalive", json!({"ID": id})).await;
+    assert_eq!(alive["result"]["TTL"], "0");
+}
