fakes: backend servers that record every start, and a relay that can be cut

Cause: claims of at-most-once and of truthful refusals need a record of starts that the product does not write; tests of partitions need a link to cut.

Weighed: a slot released when its connection ends against one held for the run time; the second, because a worker does not stop a task whose caller has gone.

Change: `worker` (slots, faults, starts, counters) and `relay` with programs.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -7,3 +7,5 @@
 pub mod client;
 pub mod http;
 pub mod platform;
+pub mod relay;
+pub mod worker;
--- /dev/null
+++ b/crates/fakes/src/worker/run.rs
@@ -0,0 +1,178 @@
+//! One task at one backend server: refuse, or hold a slot, run and answer.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use hyper::{HeaderMap, StatusCode, header::HeaderValue};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, value::RawValue};
+use tokio::{sync::OwnedSemaphorePermit, time::sleep};
+
+use super::{
+    BackendServer, Shared,
+    faults::WorkerFaults,
+    record::{STARTS_MAX, Start, body_hash, wall_ms},
+};
+use crate::http::{self, Answer, CloseConnection};
+
+/// Header that names the task.
+pub const TASK_HEADER: &str = "trefoil-task";
+/// What a wrong answer names.
+const OTHER_TASK: &str = "0000000000000-other/0/1";
+const MICROS_PER_MILLI: f64 = 1_000.0;
+
+/// Payload of a task as this stand-in reads it.
+#[derive(Debug, Deserialize)]
+struct Payload {
+    #[serde(default)]
+    run_ms: f64,
+    #[serde(default)]
+    result: Option<Box<RawValue>>,
+    #[serde(default)]
+    fail: bool,
+}
+
+#[derive(Debug, Serialize)]
+struct TaskAnswer<'a> {
+    worker: &'a str,
+    result: &'a Option<Box<RawValue>>,
+}
+
+/// Marks a start as dropped unless its answer was given.
+struct StartGuard {
+    shared: Arc<Shared>,
+    start: Option<usize>,
+    answered: bool,
+}
+
+impl Drop for StartGuard {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        self.shared.counters().dropped += 1;
+        if let Some(start) = self.start {
+            self.shared.starts()[start].dropped = true;
+        }
+    }
+}
+
+/// Takes one task request.
+pub(super) async fn run(
+    shared: Arc<Shared>,
+    server: Arc<BackendServer>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Answer {
+    shared.counters().requests += 1;
+    let Ok(payload) = http::from_json::<Payload>(&body) else {
+        shared.counters().malformed += 1;
+        return http::error(StatusCode::BAD_REQUEST, "the payload is no task");
+    };
+    let faults = server.faults();
+    if faults.refuse_all {
+        shared.counters().refused_ordered += 1;
+        return http::error(StatusCode::SERVICE_UNAVAILABLE, "refused on order");
+    }
+    let Ok(slot) = Arc::clone(&server.slots).try_acquire_owned() else {
+        shared.counters().refused_busy += 1;
+        return http::error(StatusCode::SERVICE_UNAVAILABLE, "every slot is held");
+    };
+    let task = headers.get(TASK_HEADER).cloned();
+    let mut guard = start(&shared, &server, task.as_ref(), &payload, &body);
+    hold_slot(slot, &faults, payload.run_ms).await?;
+    if faults.drop_after_start {
+        return Err(CloseConnection);
+    }
+    sleep(Duration::from_millis(faults.late_ms)).await;
+    guard.answered = true;
+    answer(&shared, &server, &faults, &payload, task)
+}
+
+/// Runs to the end even where the connection goes away meanwhile.
+async fn hold_slot(
+    slot: OwnedSemaphorePermit,
+    faults: &WorkerFaults,
+    run_ms: f64,
+) -> Result<(), CloseConnection> {
+    let run_us = run_ms.max(0.0) * faults.slow_factor * MICROS_PER_MILLI;
+    let run_time = match faults.hang {
+        true => Duration::MAX,
+        false => Duration::from_micros(run_us as u64),
+    };
+    let running = tokio::spawn(async move {
+        sleep(run_time).await;
+        drop(slot);
+    });
+    running.await.map_err(|_| CloseConnection)
+}
+
+fn start(
+    shared: &Arc<Shared>,
+    server: &BackendServer,
+    task: Option<&HeaderValue>,
+    payload: &Payload,
+    body: &[u8],
+) -> StartGuard {
+    let held = (shared.slots - server.slots.available_permits()) as u64;
+    let task = task.and_then(|task| task.to_str().ok()).unwrap_or_default();
+    let start = Start {
+        task: task.to_owned(),
+        worker: server.name.clone(),
+        started_us: shared.started.elapsed().as_micros() as u64,
+        wall_ms: wall_ms(),
+        body_hash: body_hash(body),
+        token: token(payload),
+        dropped: false,
+    };
+    let mut starts = shared.starts();
+    let mut counters = shared.counters();
+    counters.starts += 1;
+    counters.slots_held_max = counters.slots_held_max.max(held);
+    let recorded = starts.len() < STARTS_MAX;
+    match recorded {
+        true => starts.push(start),
+        false => counters.starts_not_recorded += 1,
+    }
+    StartGuard {
+        shared: Arc::clone(shared),
+        start: recorded.then(|| starts.len() - 1),
+        answered: false,
+    }
+}
+
+fn token(payload: &Payload) -> Option<String> {
+    let result = payload.result.as_ref()?;
+    let result: Value = serde_json::from_str(result.get()).ok()?;
+    result["token"].as_str().map(str::to_owned)
+}
+
+fn answer(
+    shared: &Shared,
+    server: &BackendServer,
+    faults: &WorkerFaults,
+    payload: &Payload,
+    task: Option<HeaderValue>,
+) -> Answer {
+    let task = match faults.wrong_task {
+        true => Some(HeaderValue::from_static(OTHER_TASK)),
+        false => task,
+    };
+    let mut answer = match faults.fail_all || payload.fail {
+        true => {
+            shared.counters().failed += 1;
+            http::error(StatusCode::INTERNAL_SERVER_ERROR, "the task failed")
+        }
+        false => {
+            shared.counters().answered += 1;
+            http::ok_json(&TaskAnswer {
+                worker: &server.name,
+                result: &payload.result,
+            })
+        }
+    }?;
+    if let Some(task) = task {
+        answer.headers_mut().insert(TASK_HEADER, task);
+    }
+    Ok(answer)
+}
