fakes: checker of histories, with tests of the stand-ins

Cause: "at most once", "never partial" and "not run" are to be judged from outside, out of what callers got and what backend servers started.

Weighed: calling any "not run" false while another submission of the key was in the air. A caller who hears an acceptance later is not deceived, so such a refusal is excused, unless a task had started before it was sent; a lost submission excuses nothing, since its caller takes the refusal at its word.

Change: module `check` and program trefoil-check; violations are double and unnamed starts, false not_run, partial, crossed, results without a start, and two answers that differ.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -4,6 +4,7 @@
 //! Every part can be started in-process by a test and stops when its handle is
 //! dropped; the programs of this package only parse arguments and start one.
 
+pub mod check;
 pub mod client;
 pub mod http;
 pub mod platform;
