fakes: a bounded open-loop load tool

Cause: response time over the ideal, goodput, refusals and wasted messages are to be measured the same way with and without entry instances.

Weighed: response time from the planned instant against from the sending; the second, with the tool's own lag shown beside it, since a timer's millisecond would otherwise be counted as the product's. Arrivals are open-loop either way.

Change: module `load` and program trefoil-load: a plan drawn from the seed alone, entries in turn, resubmissions, cancellations, Retry-After, bursts; baselines of random and two-choices placement straight to backend servers; figures as a table and JSON, history as JSON lines.

--- /dev/null
+++ b/crates/fakes/src/bin/trefoil-load/main.rs
@@ -0,0 +1,43 @@
+//! Sends jobs by plan and measures their answers.
+
+mod args;
+
+use std::{
+    error::Error,
+    fs::{self, File},
+    io::{self, BufWriter, Write},
+    path::{Path, PathBuf},
+};
+
+use trefoil_fakes::{
+    check::history::HistoryEntry,
+    load::{self, table::Table},
+};
+
+fn write_history(path: &Path, history: &[HistoryEntry]) -> io::Result<()> {
+    let mut file = BufWriter::new(File::create(path)?);
+    for entry in history {
+        serde_json::to_writer(&mut file, entry)?;
+        file.write_all(b"\n")?;
+    }
+    file.flush()
+}
+
+fn cannot_write(path: &Path, error: &dyn Error) -> String {
+    format!("cannot write {}: {error}", path.display())
+}
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn Error>> {
+    let matches = args::command().get_matches();
+    let (report, history) = load::run(&args::options(&matches)).await;
+    print!("{}", Table(&report));
+    if let Some(path) = matches.get_one::<PathBuf>("json") {
+        let text = serde_json::to_string_pretty(&report)?;
+        fs::write(path, text).map_err(|error| cannot_write(path, &error))?;
+    }
+    if let Some(path) = matches.get_one::<PathBuf>("history") {
+        write_history(path, &history).map_err(|error| cannot_write(path, &error))?;
+    }
+    Ok(())
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod check;
 pub mod client;
 pub mod http;
+pub mod load;
 pub mod platform;
 pub mod relay;
 pub mod worker;
--- /dev/null
+++ b/crates/fakes/src/load/entries.rs
@@ -0,0 +1,204 @@
+//! Jobs sent to entry instances, as callers send them.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use hyper::{
+    Method,
+    header::{HeaderName, HeaderValue},
+};
+use tokio::time::sleep;
+
+use super::{
+    KeyKind, Run,
+    job::{self, JobAnswer, Outcome},
+    plan::{JobPlan, SecondThought},
+    stats::JobEnd,
+};
+use crate::{
+    check::history::{HistoryEntry, RequestKind},
+    client::request,
+    worker::record::body_hash,
+};
+
+const KEY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
+/// Pause before a lost or doubtful answer is asked for again.
+const ASK_AGAIN_MS: u64 = 20;
+/// Most keys minted by one call.
+const MINT_MAX: usize = 10_000;
+
+/// A submission that can be made more than once.
+#[derive(Clone, Debug)]
+struct Submission {
+    key: String,
+    tokens: Vec<String>,
+    body: Bytes,
+    body_hash: String,
+}
+
+/// Runs one job to its last answer.
+pub(super) async fn run_job(run: Arc<Run>, plan: JobPlan) {
+    let submission = submission(&run, &plan);
+    let sent = Instant::now();
+    let resubmit = follow_up(&run, &plan, plan.resubmit, RequestKind::Submit, &submission);
+    let cancel = follow_up(&run, &plan, plan.cancel, RequestKind::Cancel, &submission);
+    let first = run_first(&run, &plan, &submission, sent);
+    tokio::join!(first, resubmit, cancel);
+}
+
+async fn run_first(run: &Run, plan: &JobPlan, submission: &Submission, sent: Instant) {
+    let answer = submit_until_final(run, plan.number, submission).await;
+    let end = JobEnd {
+        tasks: plan.run_ms.len(),
+        response_ms: elapsed_ms(sent),
+        ideal_ms: plan.longest_ms() + run.options.path_ms,
+        deadline_ms: run.options.deadline_ms,
+    };
+    run.stats().ended(&answer, end);
+}
+
+fn submission(run: &Run, plan: &JobPlan) -> Submission {
+    let key = match run.options.key_kind {
+        KeyKind::Uuid7 => job::uuid7(&plan.key_random),
+        KeyKind::Minted => run
+            .take_key()
+            .unwrap_or_else(|| job::uuid7(&plan.key_random)),
+    };
+    let tokens = job::tokens(&key, plan.run_ms.len());
+    let body = job::body(&run.options, plan, &tokens);
+    Submission {
+        body_hash: body_hash(&body),
+        key,
+        tokens,
+        body,
+    }
+}
+
+async fn submit_until_final(run: &Run, number: usize, submission: &Submission) -> JobAnswer {
+    let mut asked_again = 0;
+    loop {
+        let answer = submit(run, run.entry(number + asked_again), submission).await;
+        let Some(pause) = pause_before_next(run, &answer) else {
+            return answer;
+        };
+        if asked_again >= run.options.ask_again_max {
+            return answer;
+        }
+        asked_again += 1;
+        run.stats().asked_again += 1;
+        sleep(pause).await;
+    }
+}
+
+/// How long to wait before the same key is submitted again; `None` if it is not.
+fn pause_before_next(run: &Run, answer: &JobAnswer) -> Option<Duration> {
+    match answer.outcome() {
+        Outcome::Refused if run.options.obey_retry_after && answer.retry_after_ms > 0 => {
+            Some(Duration::from_millis(answer.retry_after_ms))
+        }
+        Outcome::Lost => Some(Duration::from_millis(ASK_AGAIN_MS)),
+        Outcome::Failed if answer.verdict == "may_have_run" => {
+            Some(Duration::from_millis(ASK_AGAIN_MS))
+        }
+        Outcome::Complete | Outcome::Cancelled | Outcome::Failed | Outcome::Refused => None,
+    }
+}
+
+async fn submit(run: &Run, entry: SocketAddr, submission: &Submission) -> JobAnswer {
+    let started = Instant::now();
+    let answer = call(run, RequestKind::Submit, entry, submission).await;
+    run.stats().answered(&answer, elapsed_ms(started));
+    answer
+}
+
+async fn follow_up(
+    run: &Run,
+    plan: &JobPlan,
+    thought: Option<SecondThought>,
+    kind: RequestKind,
+    submission: &Submission,
+) {
+    let Some(thought) = thought else {
+        return;
+    };
+    sleep(Duration::from_micros((thought.after_ms * 1e3) as u64)).await;
+    let entry = run.entry(plan.number + thought.entry_step);
+    match kind {
+        RequestKind::Submit => {
+            run.stats().resubmissions += 1;
+            submit(run, entry, submission).await;
+        }
+        RequestKind::Cancel | RequestKind::Fetch => {
+            run.stats().cancellations += 1;
+            call(run, kind, entry, submission).await;
+        }
+    }
+}
+
+async fn call(
+    run: &Run,
+    kind: RequestKind,
+    entry: SocketAddr,
+    submission: &Submission,
+) -> JobAnswer {
+    let job_path = format!("/v1/jobs/{}", submission.key);
+    let mut request = match kind {
+        RequestKind::Submit => request(Method::POST, entry, "/v1/jobs", submission.body.clone()),
+        RequestKind::Fetch => request(Method::GET, entry, &job_path, Bytes::new()),
+        RequestKind::Cancel => request(Method::DELETE, entry, &job_path, Bytes::new()),
+    };
+    if let Ok(key) = HeaderValue::from_str(&submission.key) {
+        request.headers_mut().insert(KEY_HEADER, key);
+    }
+    let sent_ms = job::wall_ms();
+    let answer = JobAnswer::read(run.client.send(request).await);
+    run.remember(|| HistoryEntry {
+        kind,
+        key: submission.key.clone(),
+        body_hash: submission.body_hash.clone(),
+        entry: entry.to_string(),
+        sent_ms,
+        answered_ms: job::wall_ms(),
+        status: answer.status,
+        verdict: answer.verdict.clone(),
+        reason: answer.reason.clone(),
+        state: answer.state.clone(),
+        tokens: submission.tokens.clone(),
+        results: answer.results.clone(),
+    });
+    answer
+}
+
+pub(super) fn elapsed_ms(since: Instant) -> f64 {
+    since.elapsed().as_secs_f64() * 1e3
+}
+
+/// Mints `count` keys, spread over the entries; fewer where some refuse.
+pub(super) async fn mint(run: &Run, count: usize) -> Vec<String> {
+    #[derive(serde::Deserialize)]
+    struct Keys {
+        keys: Vec<String>,
+    }
+    let entries = &run.options.entries;
+    let share = count.div_ceil(entries.len().max(1));
+    let mut minted = Vec::with_capacity(count);
+    for &entry in entries {
+        let mut missing = share;
+        while missing > 0 {
+            let path = format!("/v1/keys?count={}", missing.min(MINT_MAX));
+            let reply = run.client.post(entry, &path, "").await.ok();
+            let keys: Option<Keys> =
+                reply.and_then(|reply| serde_json::from_slice(&reply.body).ok());
+            let Some(Keys { keys }) = keys.filter(|answer| !answer.keys.is_empty()) else {
+                break;
+            };
+            missing = missing.saturating_sub(keys.len());
+            minted.extend(keys);
+        }
+    }
+    minted
+}
