--- a/src/sources.rs
+++ b/src/sources.rs
@@ -1,4 +1,5 @@
 //! Outside systems that configuration and membership come from.
 
 pub mod config;
+pub mod instances;
 pub mod platform;
--- /dev/null
+++ b/src/sources/instances.rs
@@ -0,0 +1,116 @@
+//! The platform's own list of instances, read at intervals. It lags.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use slog::Logger;
+use tokio::sync::watch;
+use trefoil_schema::settings::Settings;
+
+use super::platform::{KeyValue, PlatformStore};
+
+/// An instance as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlatformInstance {
+    /// Configured name.
+    pub name: String,
+    /// Number of its start.
+    pub incarnation: u64,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// Address for callers and operators, IP:PORT.
+    pub http_address: String,
+    /// Address for other instances, IP:PORT.
+    pub peer_address: String,
+    /// Whether the platform is about to stop it.
+    pub leaving: bool,
+}
+
+/// The newest list; empty until the first was read. It keeps its last content
+/// while the store cannot be reached.
+pub type InstanceList = watch::Receiver<Arc<Vec<PlatformInstance>>>;
+
+#[derive(Deserialize)]
+struct Entry {
+    name: String,
+    incarnation: u64,
+    failure_domain: String,
+    #[serde(default)]
+    http_address: String,
+    #[serde(default)]
+    peer_address: String,
+    state: EntryState,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum EntryState {
+    Live,
+    Leaving,
+}
+
+/// Reads the list at intervals until every receiver is dropped.
+pub fn start(store: Arc<dyn PlatformStore>, settings: &Settings, log: Logger) -> InstanceList {
+    let (sender, receiver) = watch::channel(Arc::default());
+    let poll = Poll {
+        store,
+        prefix: settings.platform.instance_list_prefix.clone(),
+        period: Duration::from_millis(settings.platform.instance_list_poll_ms.max(1)),
+        log,
+    };
+    tokio::spawn(poll.run(sender));
+    receiver
+}
+
+struct Poll {
+    store: Arc<dyn PlatformStore>,
+    prefix: String,
+    period: Duration,
+    log: Logger,
+}
+
+impl Poll {
+    async fn run(self, sender: watch::Sender<Arc<Vec<PlatformInstance>>>) {
+        loop {
+            self.read(&sender).await;
+            tokio::select! {
+                () = tokio::time::sleep(self.period) => {}
+                () = sender.closed() => return,
+            }
+        }
+    }
+
+    async fn read(&self, sender: &watch::Sender<Arc<Vec<PlatformInstance>>>) {
+        // Whether the store answers is logged where its state is kept.
+        let Ok(listing) = self.store.range(&self.prefix).await else {
+            return;
+        };
+        let list: Vec<PlatformInstance> = listing.keys.iter().filter_map(instance).collect();
+        let changed = sender.send_if_modified(|known| replace(known, list));
+        if changed {
+            let count = sender.borrow().len();
+            slog::info!(self.log, "instance list changed"; "instances" => count);
+        }
+    }
+}
+
+fn replace(known: &mut Arc<Vec<PlatformInstance>>, list: Vec<PlatformInstance>) -> bool {
+    if **known == list {
+        return false;
+    }
+    *known = Arc::new(list);
+    true
+}
+
+fn instance(kv: &KeyValue) -> Option<PlatformInstance> {
+    let entry: Entry = serde_json::from_slice(&kv.value).ok()?;
+    Some(PlatformInstance {
+        name: entry.name,
+        incarnation: entry.incarnation,
+        failure_domain: entry.failure_domain,
+        http_address: entry.http_address,
+        peer_address: entry.peer_address,
+        leaving: entry.state == EntryState::Leaving,
+    })
+}
--- /dev/null
+++ b/src/sources/platform/etcd/watch.rs
@@ -0,0 +1,150 @@
+//! One watch: a call whose answer is a line of JSON for each event.
+//!
+//! A watch that hangs looks like one on which nothing happens, so a silent
+//! watch is ended after [`WATCH_SILENCE`] and its reader opens another.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::sync::mpsc;
+
+use super::super::wire::{
+    Base64, Event, EventKind, Int64, WatchCreate, WatchMessage, WatchRequest, WatchResponse,
+    prefix_end,
+};
+use super::super::{StoreError, WatchChange, WatchEvent};
+use super::{CallKind, Shared, base64, key_text, may_have_applied};
+
+/// Longest silence of a watch before it is opened anew. It bounds how long a
+/// hung watch delays a change, and costs one call each time.
+const WATCH_SILENCE: Duration = Duration::from_secs(3);
+/// Longest line of a watch: well above the store's largest value in base64.
+const LINE_BYTES_MAX: usize = 8 << 20;
+
+/// The request that opens a watch.
+pub(super) fn request(prefix: &str, from_revision: u64) -> WatchRequest {
+    let create_request = WatchCreate {
+        key: base64(prefix),
+        range_end: Base64(prefix_end(prefix)),
+        start_revision: Int64(from_revision),
+        progress_notify: true,
+    };
+    WatchRequest { create_request }
+}
+
+/// Runs a watch until it ends or its reader goes away.
+pub(super) async fn run(
+    shared: Arc<Shared>,
+    request: WatchRequest,
+    events: mpsc::Sender<WatchEvent>,
+) {
+    let last = tokio::select! {
+        last = follow(&shared, &request, &events) => last,
+        () = events.closed() => return,
+    };
+    let last = last.unwrap_or_else(|error| {
+        shared.note(false);
+        shared.calls.count_failure();
+        closed(error.to_string())
+    });
+    // The reader may have gone away meanwhile, which is no loss.
+    let _ = events.send(last).await;
+}
+
+// Gives the event that ends the watch.
+async fn follow(
+    shared: &Shared,
+    request: &WatchRequest,
+    events: &mpsc::Sender<WatchEvent>,
+) -> Result<WatchEvent, StoreError> {
+    let mut body = open(shared, request).await?;
+    let mut buffer = BytesMut::new();
+    loop {
+        let frame = tokio::time::timeout(WATCH_SILENCE, body.frame()).await;
+        let Ok(frame) = frame else {
+            return Ok(closed("no news within the longest silence".to_owned()));
+        };
+        let Some(frame) = frame else {
+            return Ok(closed("the store ended the watch".to_owned()));
+        };
+        let data = frame.map_err(may_have_applied)?.into_data();
+        buffer.extend_from_slice(&data.unwrap_or_default());
+        while let Some(line) = take_line(&mut buffer) {
+            let response = read(&line)?;
+            shared.note(true);
+            let event = event(response);
+            if is_last(&event) {
+                return Ok(event);
+            }
+            // `run` notices a reader that went away.
+            let _ = events.send(event).await;
+        }
+        if buffer.len() > LINE_BYTES_MAX {
+            return Err(may_have_applied("a watch line is too long"));
+        }
+    }
+}
+
+async fn open(shared: &Shared, request: &WatchRequest) -> Result<Incoming, StoreError> {
+    shared.calls.count(CallKind::Watch);
+    let sent = shared.send(CallKind::Watch, request);
+    let response = tokio::time::timeout(shared.call_timeout, sent)
+        .await
+        .map_err(may_have_applied)??;
+    Ok(response.into_body())
+}
+
+fn take_line(buffer: &mut BytesMut) -> Option<Bytes> {
+    let end = buffer.iter().position(|&byte| byte == b'\n')?;
+    let line = buffer.split_to(end + 1);
+    Some(line.freeze())
+}
+
+fn read(line: &[u8]) -> Result<WatchResponse, StoreError> {
+    let message: WatchMessage = serde_json::from_slice(line).map_err(may_have_applied)?;
+    Ok(message.result)
+}
+
+fn event(response: WatchResponse) -> WatchEvent {
+    if response.compact_revision.0 > 0 {
+        return WatchEvent::Compacted;
+    }
+    if response.canceled {
+        return closed(format!(
+            "cancelled by the store: {}",
+            response.cancel_reason
+        ));
+    }
+    if response.events.is_empty() {
+        return WatchEvent::Opened;
+    }
+    let changes: Vec<WatchChange> = response.events.into_iter().map(change).collect();
+    let newest = changes.iter().map(|change| change.revision).max();
+    WatchEvent::Changes {
+        revision: newest.unwrap_or_default(),
+        changes,
+    }
+}
+
+fn change(event: Event) -> WatchChange {
+    let value = match event.kind {
+        EventKind::Put => Some(event.kv.value.0),
+        EventKind::Delete => None,
+    };
+    WatchChange {
+        key: key_text(&event.kv.key),
+        value,
+        revision: event.kv.mod_revision.0,
+    }
+}
+
+fn is_last(event: &WatchEvent) -> bool {
+    matches!(event, WatchEvent::Closed { .. } | WatchEvent::Compacted)
+}
+
+fn closed(reason: String) -> WatchEvent {
+    WatchEvent::Closed { reason }
+}
