--- /dev/null
+++ b/src/http/operator/write.rs
@@ -0,0 +1,172 @@
+//! Writes of resources.
+
+use bytes::Bytes;
+use poem::http::{HeaderMap, StatusCode};
+use poem::web::{Data, Path, Query};
+use poem::{Body, IntoResponse, Response, handler};
+use serde::Deserialize;
+use serde_json::Value;
+use trefoil_core::config::ResourceKey;
+use trefoil_core::config::check::check;
+use trefoil_schema::api::FieldError;
+use trefoil_schema::resources::Resource;
+
+use super::precondition::Precondition;
+use super::render::{Renderer, Source, Stored, tagged};
+use super::{Collection, OperatorContext, refuse};
+use crate::http::problem::Problem;
+use crate::sources::config::write::{WriteError, replace};
+use crate::sources::platform::KeyValue;
+
+/// Largest body of a declaration, in bytes.
+const DECLARATION_BYTES_MAX: usize = 64 << 10;
+
+#[derive(Deserialize)]
+pub(super) struct WriteQuery {
+    #[serde(default)]
+    dry_run: bool,
+}
+
+#[handler]
+pub(super) async fn declare(
+    collection: Data<&Collection>,
+    Path(name): Path<String>,
+    Query(query): Query<WriteQuery>,
+    headers: &HeaderMap,
+    body: Body,
+) -> Response {
+    let key = collection.key(&name);
+    let context = &collection.context;
+    match put(context, &key, query.dry_run, headers, body).await {
+        Ok(stored) => tagged(&Renderer::new(context).render(stored, Source::Store)),
+        Err(problem) => problem.into_response(),
+    }
+}
+
+#[handler]
+pub(super) async fn remove(
+    collection: Data<&Collection>,
+    Path(name): Path<String>,
+    Query(query): Query<WriteQuery>,
+    headers: &HeaderMap,
+) -> Response {
+    let key = collection.key(&name);
+    match delete(&collection.context, &key, query.dry_run, headers).await {
+        Ok(()) => StatusCode::NO_CONTENT.into_response(),
+        Err(problem) => problem.into_response(),
+    }
+}
+
+async fn put(
+    context: &OperatorContext,
+    key: &ResourceKey,
+    dry_run: bool,
+    headers: &HeaderMap,
+    body: Body,
+) -> Result<Stored, Problem> {
+    let condition = Precondition::from_headers(headers).map_err(refuse::headers)?;
+    let declared = read_body(body).await?;
+    let resource = checked(key, &declared).map_err(|errors| refuse::invalid(key, errors))?;
+    let before = current(context, key).await?;
+    if !condition.holds(revision(before.as_ref())) {
+        return Err(refuse::precondition(key, before.as_ref(), Some(&declared)));
+    }
+    if dry_run || is_declared(before.as_ref(), &declared) {
+        let revision = revision(before.as_ref());
+        return Ok(Stored { resource, revision });
+    }
+    // `Value` keeps its fields in order, so equal declarations are equal text.
+    let value = Bytes::from(declared.to_string());
+    let revision = store(context, key, before.as_ref(), Some(value))
+        .await
+        .map_err(|error| refuse::unwritten(key, &error, Some(&declared)))?;
+    Ok(Stored { resource, revision })
+}
+
+async fn delete(
+    context: &OperatorContext,
+    key: &ResourceKey,
+    dry_run: bool,
+    headers: &HeaderMap,
+) -> Result<(), Problem> {
+    let condition = Precondition::from_headers(headers).map_err(refuse::headers)?;
+    let before = current(context, key).await?;
+    if !condition.holds(revision(before.as_ref())) {
+        return Err(refuse::precondition(key, before.as_ref(), None));
+    }
+    if before.is_none() {
+        return Err(refuse::unknown(key));
+    }
+    if dry_run {
+        return Ok(());
+    }
+    store(context, key, before.as_ref(), None)
+        .await
+        .map(|_| ())
+        .map_err(|error| refuse::unwritten(key, &error, None))
+}
+
+async fn store(
+    context: &OperatorContext,
+    key: &ResourceKey,
+    before: Option<&KeyValue>,
+    value: Option<Bytes>,
+) -> Result<u64, WriteError> {
+    let store_key = context.config.store_key(key);
+    replace(
+        context.store.as_ref(),
+        &context.platform,
+        &store_key,
+        before,
+        value,
+    )
+    .await
+}
+
+async fn current(
+    context: &OperatorContext,
+    key: &ResourceKey,
+) -> Result<Option<KeyValue>, Problem> {
+    let store_key = context.config.store_key(key);
+    let found = context.store.get(&store_key).await;
+    found.map_err(|error| refuse::unreadable(&error))
+}
+
+async fn read_body(body: Body) -> Result<Value, Problem> {
+    let bytes = body
+        .into_bytes_limit(DECLARATION_BYTES_MAX)
+        .await
+        .map_err(|_| refuse::too_large(DECLARATION_BYTES_MAX))?;
+    serde_json::from_slice(&bytes)
+        .map_err(|error| refuse::malformed(format!("the body is not JSON: {error}")))
+}
+
+fn checked(key: &ResourceKey, declared: &Value) -> Result<Resource, Vec<FieldError>> {
+    let resource = check(declared)?;
+    let kind = key.kind.to_string();
+    let kind_error = mismatch("kind", &resource.kind.to_string(), &kind);
+    let name_error = mismatch("name", &resource.name, &key.name);
+    let errors: Vec<FieldError> = kind_error.into_iter().chain(name_error).collect();
+    match errors.is_empty() {
+        true => Ok(resource),
+        false => Err(errors),
+    }
+}
+
+fn mismatch(path: &str, found: &str, in_url: &str) -> Option<FieldError> {
+    (found != in_url).then(|| FieldError {
+        path: path.to_owned(),
+        found: found.to_owned(),
+        allowed: format!("{in_url}, as in the request's path"),
+    })
+}
+
+fn revision(current: Option<&KeyValue>) -> u64 {
+    current.map_or(0, |kv| kv.revision)
+}
+
+fn is_declared(current: Option<&KeyValue>, declared: &Value) -> bool {
+    current.is_some_and(|kv| {
+        serde_json::from_slice::<Value>(&kv.value).is_ok_and(|found| found == *declared)
+    })
+}
