trefoilctl: declare resources, submit jobs and watch the deployment

Operators and callers need a command line over the HTTP API of docs/API.md.

The subcommands parse and print; what they do is in `trefoilbay::ops`, so that tests and other fronts can call it. A request goes to the first entry that can be connected. Once it may have been sent, only reads and submissions with an idempotency key go on to another entry; a lost answer to a declaration is settled by reading back. hyper's connection pool was ruled out: when a kept connection closes under a request, it is unknown whether the request was read.

Adds `similar` for unified diffs and `percent-encoding` (in the lock file before) for keys in paths. Tables are a few lines of aligned columns, not worth a library. Not tested yet beyond a run against a closed port.

--- /dev/null
+++ b/src/bin/trefoilctl/cli.rs
@@ -0,0 +1,123 @@
+//! Arguments that subcommands share.
+
+use std::env;
+use std::path::PathBuf;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use trefoil_schema::resources::Kind;
+use trefoilbay::ops::client::{Client, ClientSettings};
+use trefoilbay::ops::error::OpsError;
+
+/// Environment variable with the entries, where `--entry` is not given.
+const ENTRIES_VARIABLE: &str = "TREFOIL_ENTRIES";
+
+/// The whole command line.
+pub fn command() -> Command {
+    Command::new("trefoilctl")
+        .about("Declares resources, submits jobs and watches a trefoilbay deployment")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(
+            Arg::new("entry")
+                .long("entry")
+                .value_name("IP:PORT")
+                .value_delimiter(',')
+                .num_args(1)
+                .action(clap::ArgAction::Append)
+                .global(true)
+                .help("Instances to ask, in this order [env: TREFOIL_ENTRIES]"),
+        )
+        .arg(
+            number("request-timeout-ms", "Longest time to wait for one answer")
+                .default_value("30000")
+                .global(true),
+        )
+        .subcommands(crate::commands::all())
+}
+
+/// A client of the entries that the arguments or the environment name.
+pub fn client(args: &ArgMatches) -> Result<Client, OpsError> {
+    let mut settings = ClientSettings::default();
+    let from_environment = env::var(ENTRIES_VARIABLE).unwrap_or_default();
+    if let Some(entries) = args.get_many::<String>("entry") {
+        settings.entries = entries.cloned().collect();
+    } else if !from_environment.is_empty() {
+        settings.entries = from_environment.split(',').map(str::to_owned).collect();
+    }
+    settings.timeout_ms = get_number(args, "request-timeout-ms");
+    Client::new(settings)
+}
+
+/// An option with a whole number.
+pub fn number(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .value_parser(value_parser!(u64))
+        .help(help)
+}
+
+/// The number of an option that has a default, or 0.
+pub fn get_number(args: &ArgMatches, name: &str) -> u64 {
+    args.get_one(name).copied().unwrap_or_default()
+}
+
+/// A flag.
+pub fn flag(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .action(clap::ArgAction::SetTrue)
+        .help(help)
+}
+
+/// The `-f FILE|DIR` option.
+pub fn file() -> Arg {
+    Arg::new("file")
+        .short('f')
+        .long("file")
+        .value_name("FILE|DIR")
+        .value_parser(value_parser!(PathBuf))
+        .help("A JSON file, or a directory with `.json` files")
+}
+
+/// The path given by [`file`].
+pub fn get_file(args: &ArgMatches) -> Option<&PathBuf> {
+    args.get_one("file")
+}
+
+/// The KIND argument.
+pub fn kind() -> Arg {
+    Arg::new("kind")
+        .value_name("KIND")
+        .required(true)
+        .value_parser(parse_kind)
+        .help("team, service or backend-server (or the plural)")
+}
+
+/// The kind given by [`kind`].
+pub fn get_kind(args: &ArgMatches) -> Kind {
+    *args.get_one("kind").expect("clap asks for it")
+}
+
+/// A positional argument that must be given.
+pub fn positional(name: &'static str, value_name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .value_name(value_name)
+        .required(true)
+        .help(help)
+}
+
+/// The text of an argument that must be given.
+pub fn get_text<'a>(args: &'a ArgMatches, name: &str) -> &'a str {
+    args.get_one::<String>(name).expect("clap asks for it")
+}
+
+fn parse_kind(text: &str) -> Result<Kind, String> {
+    match text.trim_end_matches('s') {
+        "team" => Ok(Kind::Team),
+        "service" => Ok(Kind::Service),
+        "backend-server" | "backend_server" => Ok(Kind::BackendServer),
+        _ => Err("the kinds are team, service and backend-server".to_owned()),
+    }
+}
--- /dev/null
+++ b/src/bin/trefoilctl/commands/diff.rs
@@ -0,0 +1,28 @@
+//! `trefoilctl diff`.
+
+use clap::{ArgMatches, Command};
+use trefoilbay::ops::error::ExitStatus;
+use trefoilbay::ops::{apply, declare, diff};
+
+use super::CommandResult;
+use crate::{cli, output};
+
+/// Its arguments.
+pub fn cli() -> Command {
+    Command::new("diff")
+        .about("Shows what apply would change, defaults written out")
+        .arg(cli::file().required(true))
+}
+
+/// Carries it out.
+pub async fn exec(args: &ArgMatches) -> CommandResult {
+    let client = cli::client(args)?;
+    let path = cli::get_file(args).expect("clap asks for it");
+    let steps = apply::plan(&client, declare::load(path)?).await?;
+    for text in steps.iter().map(diff::unified) {
+        if !text.is_empty() {
+            output::line(text.trim_end());
+        }
+    }
+    Ok(ExitStatus::Ok)
+}
--- /dev/null
+++ b/src/bin/trefoilctl/commands/schema.rs
@@ -0,0 +1,31 @@
+//! `trefoilctl schema`.
+
+use clap::{Arg, ArgMatches, Command};
+use trefoil_schema::{API_SCHEMA, RESOURCES_SCHEMA, SETTINGS_SCHEMA};
+use trefoilbay::ops::error::ExitStatus;
+
+use super::CommandResult;
+use crate::{cli, output};
+
+/// Its arguments.
+pub fn cli() -> Command {
+    Command::new("schema")
+        .about("Prints the JSON Schema of a file or of the API's bodies")
+        .arg(
+            Arg::new("of")
+                .value_name("OF")
+                .required(true)
+                .value_parser(["settings", "resources", "api"]),
+        )
+}
+
+/// Carries it out.
+pub fn exec(args: &ArgMatches) -> CommandResult {
+    let text = match cli::get_text(args, "of") {
+        "settings" => SETTINGS_SCHEMA,
+        "resources" => RESOURCES_SCHEMA,
+        _ => API_SCHEMA,
+    };
+    output::line(text.trim_end());
+    Ok(ExitStatus::Ok)
+}
--- /dev/null
+++ b/src/bin/trefoilctl/commands/submit.rs
@@ -0,0 +1,108 @@
+//! `trefoilctl submit`.
+
+use clap::{Arg, ArgMatches, Command};
+use serde_json::Value;
+use trefoil_schema::api::{JobRequest, TaskRequest};
+use trefoilbay::ops::error::{ExitStatus, OpsError};
+use trefoilbay::ops::{declare, job};
+
+use super::CommandResult;
+use crate::{cli, output};
+
+/// Its arguments.
+pub fn cli() -> Command {
+    Command::new("submit")
+        .about("Submits a job and prints its answer; the key goes to stderr first")
+        .arg(
+            cli::file()
+                .value_name("JOB.json")
+                .help("A JSON file with the job"),
+        )
+        .arg(
+            text("service", "NAME", "Service of a job without a file")
+                .required_unless_present("file")
+                .conflicts_with("file"),
+        )
+        .arg(text(
+            "team",
+            "NAME",
+            "Team whose quota the job counts against",
+        ))
+        .arg(
+            cli::number("tasks", "How many tasks")
+                .default_value("1")
+                .conflicts_with("file"),
+        )
+        .arg(
+            text("payload", "JSON", "Payload of each task")
+                .default_value("{}")
+                .conflicts_with("file"),
+        )
+        .arg(text("key", "KEY", "Idempotency key; minted when not given"))
+        .arg(cli::number("deadline-ms", "Time the job has"))
+        .arg(cli::flag("no-wait", "Do not wait for the answer"))
+        .arg(
+            cli::number(
+                "repeat",
+                "Submit this often more with the same key, at the next entries",
+            )
+            .default_value("0"),
+        )
+}
+
+/// Carries it out.
+pub async fn exec(args: &ArgMatches) -> CommandResult {
+    let client = cli::client(args)?;
+    let request = request(args)?;
+    let key = match args.get_one::<String>("key") {
+        Some(key) => key.clone(),
+        None => job::mint_key(&client).await?,
+    };
+    output::note(format_args!("key {key}"));
+    for round in 0..=cli::get_number(args, "repeat") {
+        let client = client.rotated(round as usize);
+        let answer = job::submit(&client, &key, &request).await?;
+        output::json(&answer);
+    }
+    Ok(ExitStatus::Ok)
+}
+
+fn request(args: &ArgMatches) -> Result<JobRequest, OpsError> {
+    let mut request = match cli::get_file(args) {
+        Some(path) => declare::read_json(path)?,
+        None => from_options(args)?,
+    };
+    if let Some(team) = args.get_one::<String>("team") {
+        request.team = team.clone();
+    }
+    if let Some(deadline_ms) = args.get_one::<u64>("deadline-ms") {
+        request.deadline_ms = *deadline_ms;
+    }
+    if args.get_flag("no-wait") {
+        request.wait = false;
+    }
+    Ok(request)
+}
+
+fn from_options(args: &ArgMatches) -> Result<JobRequest, OpsError> {
+    let payload: Value =
+        serde_json::from_str(cli::get_text(args, "payload")).map_err(|error| OpsError::Usage {
+            message: format!("--payload is no JSON: {error}"),
+        })?;
+    let task = TaskRequest {
+        payload,
+        declared_run_ms: 0,
+    };
+    let count = cli::get_number(args, "tasks") as usize;
+    Ok(JobRequest {
+        service: cli::get_text(args, "service").to_owned(),
+        team: "default".to_owned(),
+        deadline_ms: 0,
+        wait: true,
+        tasks: vec![task; count],
+    })
+}
+
+fn text(name: &'static str, value_name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).value_name(value_name).help(help)
+}
