--- a/src/ops/client.rs
+++ b/src/ops/client.rs
@@ -305,8 +305,10 @@
         let request = call.request(entry).map_err(|error| broken(error.into()))?;
         let response = self.http.request(request).await.map_err(|source| {
             if source.is_connect() {
-                let entry = entry.to_owned();
-                CallError::NotSent { entry, source }
+                CallError::NotSent {
+                    entry: entry.to_owned(),
+                    source: source.into(),
+                }
             } else {
                 broken(source.into())
             }
--- a/src/ops/error.rs
+++ b/src/ops/error.rs
@@ -122,7 +122,7 @@
         /// The entry.
         entry: String,
         /// Cause.
-        source: hyper_util::client::legacy::Error,
+        source: Box<dyn std::error::Error + Send + Sync>,
     },
     /// The connection broke after the request may have been sent.
     #[display("{entry}: the connection broke")]
--- /dev/null
+++ b/tests/testsuite/ctl_rollout.rs
@@ -0,0 +1,106 @@
+//! `trefoilctl apply --wait` and `status`: what is said of each instance.
+
+use expect_test::expect;
+use trefoil_schema::api::InstanceStateName::{Gone, Leaving, Serving, Silent};
+use trefoilbay::ops::client::{Client, ClientSettings};
+use trefoilbay::ops::error::{ExitStatus, OpsError};
+use trefoilbay::ops::rollout::{self, Fleet, InForce};
+
+use crate::support::api_stub::{ApiStub, instance, seen_by};
+
+fn client(stubs: &[&ApiStub]) -> Client {
+    Client::new(ClientSettings {
+        entries: stubs.iter().map(|stub| stub.address.clone()).collect(),
+        ..ClientSettings::default()
+    })
+    .expect("valid entries")
+}
+
+#[test]
+fn a_silent_instance_is_unknown_until_a_newer_word_of_it() {
+    let mut fleet = Fleet::default();
+    let seen = vec![
+        instance("a", Serving, 7, 0),
+        instance("b", Silent, 6, 900),
+        instance("c", Gone, 5, 9000),
+    ];
+    fleet.add(seen_by("a", 7, seen));
+    assert_eq!(fleet.in_force(&fleet.instances["b"], 7), InForce::Unknown);
+    assert_eq!(fleet.in_force(&fleet.instances["b"], 6), InForce::Yes);
+    assert!(!fleet.complete(7));
+    assert_eq!(fleet.counts(7), (1, 2));
+
+    fleet.add(seen_by("b", 7, vec![instance("b", Leaving, 7, 0)]));
+    assert!(fleet.complete(7));
+}
+
+#[test]
+fn a_restarted_instance_counts_by_its_newest_start() {
+    let mut fleet = Fleet::default();
+    let mut restarted = instance("b", Serving, 0, 50);
+    restarted.incarnation = 2;
+    fleet.add(seen_by("b", 0, vec![restarted]));
+    fleet.add(seen_by(
+        "a",
+        7,
+        vec![instance("a", Serving, 7, 0), instance("b", Serving, 7, 10)],
+    ));
+    assert_eq!(fleet.in_force(&fleet.instances["b"], 7), InForce::NotYet);
+}
+
+#[test]
+fn a_deployment_of_which_nothing_is_known_is_not_complete() {
+    assert!(!Fleet::default().complete(0));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn wait_names_what_is_missing() {
+    let stub = ApiStub::start().await;
+    let seen = vec![
+        instance("a", Serving, 7, 0),
+        instance("b", Silent, 6, 900),
+        instance("c", Serving, 6, 5),
+    ];
+    stub.set(|state| state.status = Some(seen_by("a", 7, seen)));
+    let error = rollout::wait(&client(&[&stub]), 7, 1, |_| ())
+        .await
+        .expect_err("not complete");
+    assert_eq!(error.exit_status(), ExitStatus::TimedOut);
+    expect!["revision 7 is in force at 1 of 3 instances after 1 ms; missing: b (unknown: silent for 900 ms, last at 6), c (at 6)"].assert_eq(&error.to_string());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn wait_ends_when_the_last_instance_has_it() {
+    let (a, b) = (ApiStub::start().await, ApiStub::start().await);
+    a.set(|state| {
+        let seen = vec![instance("a", Serving, 7, 0), instance("b", Silent, 6, 900)];
+        state.status = Some(seen_by("a", 7, seen));
+    });
+    b.set(|state| state.status = Some(seen_by("b", 6, vec![instance("b", Serving, 6, 0)])));
+    let both = client(&[&a, &b]);
+    let mut looks = 0;
+    let waited = rollout::wait(&both, 7, 20_000, |fleet| {
+        looks += 1;
+        assert_eq!(fleet.complete(7), looks == 2);
+        b.set(|state| state.status = Some(seen_by("b", 7, vec![instance("b", Serving, 7, 0)])));
+    });
+    waited.await.expect("complete at the second look");
+    assert_eq!(looks, 2);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_entry_at_all_is_an_error_not_an_empty_deployment() {
+    let stub = ApiStub::start().await;
+    let client = client(&[&stub]);
+    stub.set(|state| state.status = Some(seen_by("a", 7, vec![instance("a", Serving, 7, 0)])));
+    assert!(rollout::look(&client).await.is_ok());
+    drop(stub);
+    // The server ends at the next poll of the runtime; until then it answers.
+    let error = loop {
+        match rollout::look(&client).await {
+            Ok(_) => tokio::task::yield_now().await,
+            Err(error) => break error,
+        }
+    };
+    assert!(matches!(error, OpsError::Connect { .. }), "{error}");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,3 +1,6 @@
 //! End-to-end tests by feature, each a small project of real processes.
 
 mod support;
+
+mod ctl;
+mod ctl_rollout;
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -1,1 +1,3 @@
 //! What the tests share.
+
+pub mod api_stub;
