engine: job table, one pool a service, owned slots

Cause: the shell needs an engine to drive; keys must dedupe, jobs must end whole or failed, and no message between instances may be spent on slots. Weighed: jobs kept in the job table alone (a start would lock two shards) against jobs in work kept in the service's pool with the table pointing at them; the second takes one lock a start and one more at the end of a job. Change: dedupe by key and fingerprint, a horizon that never goes back below which keys are refused, first-come queue of jobs, slots divided by a dealing that every instance computes alone, deadlines by heap. Conclusion: a base to order, admit and eject on.

--- a/crates/core/src/engine/event.rs
+++ b/crates/core/src/engine/event.rs
@@ -59,6 +59,16 @@
     pub leaving: bool,
 }
 
+impl Worker {
+    /// Slots that take new work.
+    pub fn open_slots(&self) -> u32 {
+        match self.leaving {
+            true => 0,
+            false => self.slots,
+        }
+    }
+}
+
 /// How a placement of a task ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TaskOutcome {
--- /dev/null
+++ b/crates/core/src/engine/job.rs
@@ -0,0 +1,167 @@
+//! A job in work, and how a job ended.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use slotmap::new_key_type;
+
+use super::command::{JobAnswer, JobState};
+use super::event::WorkerId;
+use crate::key::JobKey;
+use crate::verdict::Verdict;
+
+new_key_type! {
+    /// Names a job in work within its pool.
+    pub(crate) struct JobId;
+}
+
+/// A task that a worker refused before start, to be placed again.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReturnedTask {
+    pub index: u32,
+    /// Placements so far.
+    pub attempts: u32,
+    /// The worker that refused it last.
+    pub refused_by: WorkerId,
+}
+
+/// The next task of a job to place.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NextTask {
+    pub index: u32,
+    pub attempt: u32,
+    pub avoid: Option<WorkerId>,
+}
+
+/// An admitted job that is not final.
+#[derive(Debug)]
+pub(crate) struct JobWork {
+    pub key: Arc<JobKey>,
+    /// Position in the queue's order; smaller goes first.
+    pub rank: u64,
+    /// Payload of each task until it is done, then its result.
+    pub tasks: Vec<Bytes>,
+    pub returned: Vec<ReturnedTask>,
+    /// First index that was never placed.
+    pub unplaced: u32,
+    pub running: u32,
+    pub done: u32,
+    /// Whether a placement had an outcome other than `NotRun`.
+    pub touched: bool,
+}
+
+impl JobWork {
+    /// Tasks waiting for a slot.
+    pub fn queued(&self) -> u32 {
+        self.total() - self.unplaced + self.returned.len() as u32
+    }
+
+    /// Tasks without a result.
+    pub fn remaining(&self) -> u32 {
+        self.total() - self.done
+    }
+
+    /// Tasks of the job.
+    pub fn total(&self) -> u32 {
+        self.tasks.len() as u32
+    }
+
+    /// The task to place next; refused ones go first, being the oldest.
+    pub fn peek(&self) -> Option<NextTask> {
+        if let Some(returned) = self.returned.last() {
+            return Some(NextTask {
+                index: returned.index,
+                attempt: returned.attempts + 1,
+                avoid: Some(returned.refused_by),
+            });
+        }
+        (self.unplaced < self.total()).then_some(NextTask {
+            index: self.unplaced,
+            attempt: 1,
+            avoid: None,
+        })
+    }
+
+    /// Takes the task that [`Self::peek`] shows.
+    pub fn take_next(&mut self) {
+        if self.returned.pop().is_none() {
+            self.unplaced += 1;
+        }
+        self.running += 1;
+    }
+
+    /// What is known if the job ends now without a whole answer.
+    pub fn verdict(&self) -> Verdict {
+        match self.touched || self.running > 0 {
+            true => Verdict::MayHaveRun,
+            false => Verdict::NotRun,
+        }
+    }
+}
+
+/// How a job ended.
+#[derive(Clone, Debug)]
+pub(crate) struct JobEnd {
+    pub state: JobState,
+    pub verdict: Verdict,
+    pub results: Arc<[Bytes]>,
+    pub reason: &'static str,
+    pub detail: Box<str>,
+    pub tasks_done: u32,
+    pub tasks_total: u32,
+}
+
+impl JobEnd {
+    /// The whole answer of a job whose tasks all have results.
+    pub fn complete(tasks: Vec<Bytes>) -> Self {
+        let tasks_total = tasks.len() as u32;
+        Self {
+            state: JobState::Complete,
+            verdict: Verdict::Ran,
+            results: tasks.into(),
+            reason: "",
+            detail: Box::default(),
+            tasks_done: tasks_total,
+            tasks_total,
+        }
+    }
+
+    /// The end of a job without a whole answer.
+    pub fn cut_short(
+        work: &JobWork,
+        state: JobState,
+        reason: &'static str,
+        detail: String,
+    ) -> Self {
+        Self {
+            state,
+            verdict: work.verdict(),
+            results: Arc::default(),
+            reason,
+            detail: detail.into(),
+            tasks_done: work.done,
+            tasks_total: work.total(),
+        }
+    }
+
+    /// The answer for a waiter.
+    pub fn answer(&self, replayed: bool) -> JobAnswer {
+        JobAnswer::Known {
+            state: self.state,
+            verdict: self.verdict,
+            results: Arc::clone(&self.results),
+            reason: self.reason,
+            detail: self.detail.to_string(),
+            replayed,
+            tasks_done: self.tasks_done,
+            tasks_total: self.tasks_total,
+        }
+    }
+}
+
+/// A job that ended within its pool, for the job table.
+#[derive(Debug)]
+pub(crate) struct EndedJob {
+    pub key: Arc<JobKey>,
+    pub end: JobEnd,
+}
--- /dev/null
+++ b/crates/core/src/engine/job_table.rs
@@ -0,0 +1,172 @@
+//! Every key that may still be submitted, with its job's state or end.
+//!
+//! A key is forgotten only when its issue time has fallen behind the horizon,
+//! below which no key is admitted; so a forgotten key never starts again. The
+//! horizon never goes back, whatever the wall clock does.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::mem;
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use super::command::{Command, JobState};
+use super::event::WaiterId;
+use super::job::{EndedJob, JobEnd, JobId};
+use super::pool::Pool;
+use crate::key::JobKey;
+
+/// Why an end without results is not the whole answer.
+const RESULT_DROPPED: &str = "result_dropped";
+/// Most keys forgotten by one call, so that a call stays short.
+const FORGET_BATCH: usize = 256;
+
+/// Someone who waits for a job's end.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Waiter {
+    pub id: WaiterId,
+    /// Whether an earlier submission made the job.
+    pub replayed: bool,
+}
+
+/// A job that is not final.
+pub(crate) struct RunningJob {
+    pub pool: Arc<Pool>,
+    pub job: JobId,
+    pub tasks_total: u32,
+    pub waiters: Vec<Waiter>,
+}
+
+/// State of a remembered key.
+pub(crate) enum KeyState {
+    Running(Box<RunningJob>),
+    Ended(Box<JobEnd>),
+}
+
+/// A remembered key.
+pub(crate) struct KeyEntry {
+    pub fingerprint: u64,
+    pub state: KeyState,
+}
+
+/// One shard of the job table.
+#[derive(Default)]
+pub(crate) struct JobShard {
+    entries: HashMap<Arc<JobKey>, KeyEntry>,
+    by_issue_time: BTreeSet<(u64, Arc<JobKey>)>,
+    /// Keys with results in memory, oldest end first.
+    with_results: VecDeque<Arc<JobKey>>,
+    pub results_bytes: u64,
+    pub running: u64,
+    /// Keys issued before this time are refused.
+    horizon_ms: u64,
+}
+
+impl JobShard {
+    /// Moves the horizon on; it never goes back.
+    pub fn raise_horizon(&mut self, horizon_ms: u64) {
+        self.horizon_ms = self.horizon_ms.max(horizon_ms);
+    }
+
+    /// Whether a key is too old to be admitted or remembered.
+    pub fn is_expired(&self, key: &JobKey) -> bool {
+        key.issued_ms() < self.horizon_ms
+    }
+
+    /// The entry of a key.
+    pub fn get(&mut self, key: &JobKey) -> Option<&mut KeyEntry> {
+        self.entries.get_mut(key)
+    }
+
+    /// Remembers a job that was just admitted.
+    pub fn insert_running(&mut self, key: Arc<JobKey>, fingerprint: u64, job: RunningJob) {
+        self.by_issue_time
+            .insert((key.issued_ms(), Arc::clone(&key)));
+        let state = KeyState::Running(Box::new(job));
+        self.entries.insert(key, KeyEntry { fingerprint, state });
+        self.running += 1;
+    }
+
+    /// Records a job's end, answers its waiters and keeps results within
+    /// `results_bytes_max`.
+    pub fn end(&mut self, ended: EndedJob, results_bytes_max: u64, out: &mut Vec<Command>) {
+        let EndedJob { key, end } = ended;
+        let Some(entry) = self.entries.get_mut(&*key) else {
+            return;
+        };
+        let results_bytes = results_bytes(&end.results);
+        let ended = KeyState::Ended(Box::new(end.clone()));
+        let KeyState::Running(job) = mem::replace(&mut entry.state, ended) else {
+            return;
+        };
+        self.running -= 1;
+        answer_all(&job.waiters, &end, out);
+        if end.state == JobState::Complete {
+            self.results_bytes += results_bytes;
+            self.with_results.push_back(key);
+            self.drop_results(results_bytes_max);
+        }
+    }
+
+    fn drop_results(&mut self, results_bytes_max: u64) {
+        while self.results_bytes > results_bytes_max {
+            let Some(key) = self.with_results.pop_front() else {
+                return;
+            };
+            let Some(entry) = self.entries.get_mut(&*key) else {
+                continue;
+            };
+            let KeyState::Ended(end) = &mut entry.state else {
+                continue;
+            };
+            self.results_bytes -= results_bytes(&end.results);
+            end.results = Arc::default();
+            end.reason = RESULT_DROPPED;
+            end.detail = "the job completed; its results are no longer kept".into();
+        }
+    }
+
+    /// Forgets some of the keys behind the horizon.
+    pub fn forget_expired(&mut self) -> usize {
+        let mut forgotten = 0;
+        while forgotten < FORGET_BATCH {
+            let Some((issued_ms, key)) = self.by_issue_time.first() else {
+                break;
+            };
+            if *issued_ms >= self.horizon_ms || self.is_running(key) {
+                break;
+            }
+            let Some((_, key)) = self.by_issue_time.pop_first() else {
+                break;
+            };
+            self.forget(&key);
+            forgotten += 1;
+        }
+        forgotten
+    }
+
+    fn is_running(&self, key: &JobKey) -> bool {
+        let entry = self.entries.get(key);
+        entry.is_some_and(|entry| matches!(entry.state, KeyState::Running(_)))
+    }
+
+    fn forget(&mut self, key: &JobKey) {
+        let Some(entry) = self.entries.remove(key) else {
+            return;
+        };
+        if let KeyState::Ended(end) = entry.state {
+            self.results_bytes -= results_bytes(&end.results);
+        }
+    }
+}
+
+fn answer_all(waiters: &[Waiter], end: &JobEnd, out: &mut Vec<Command>) {
+    out.extend(waiters.iter().map(|waiter| Command::Answer {
+        waiter: waiter.id,
+        answer: end.answer(waiter.replayed),
+    }));
+}
+
+fn results_bytes(results: &[Bytes]) -> u64 {
+    results.iter().map(|result| result.len() as u64).sum()
+}
--- /dev/null
+++ b/crates/core/src/engine/refusal.rs
@@ -0,0 +1,103 @@
+//! The refusals that the engine gives, each with its verdict.
+
+use super::command::{Refusal, RefusalReason};
+use crate::key::JobKey;
+use crate::verdict::Verdict;
+
+/// Shortest wait before coming back, in milliseconds.
+const RETRY_MIN_MS: u64 = 100;
+/// Wait before coming back to an instance without workers, in milliseconds.
+const RETRY_NO_WORKERS_MS: u64 = 1000;
+/// Wait before coming back to an instance whose memory is full.
+const RETRY_MEMORY_MS: u64 = 5000;
+
+fn not_run(reason: RefusalReason, detail: String, retry_after_ms: u64) -> Refusal {
+    Refusal {
+        reason,
+        detail,
+        verdict: Verdict::NotRun,
+        retry_after_ms,
+    }
+}
+
+/// `base_ms` and up to half as much again, the same for a key at every call.
+pub(crate) fn jittered_ms(base_ms: u64, key: &JobKey) -> u64 {
+    let base_ms = base_ms.max(RETRY_MIN_MS);
+    base_ms + key.hash() % (base_ms / 2)
+}
+
+pub(crate) fn key_reused() -> Refusal {
+    let detail = "the key was submitted with another body; this body was not run";
+    not_run(RefusalReason::KeyReused, detail.to_owned(), 0)
+}
+
+pub(crate) fn key_expired() -> Refusal {
+    Refusal {
+        reason: RefusalReason::KeyExpired,
+        detail: "the key is too old, and what became of it is forgotten".to_owned(),
+        verdict: Verdict::MayHaveRun,
+        retry_after_ms: 0,
+    }
+}
+
+pub(crate) fn key_ahead() -> Refusal {
+    let detail = "the key's issue time is in the future; check the caller's clock";
+    not_run(RefusalReason::KeyAhead, detail.to_owned(), 0)
+}
+
+pub(crate) fn leaving() -> Refusal {
+    let detail = "this instance is leaving; submit through another one";
+    not_run(RefusalReason::Leaving, detail.to_owned(), RETRY_MIN_MS)
+}
+
+pub(crate) fn not_vouched(key: &JobKey) -> Refusal {
+    let detail = "this instance may not admit keys of this time yet";
+    let retry_after_ms = jittered_ms(RETRY_MIN_MS, key);
+    not_run(RefusalReason::NotVouched, detail.to_owned(), retry_after_ms)
+}
+
+pub(crate) fn malformed(detail: &str) -> Refusal {
+    not_run(RefusalReason::Malformed, detail.to_owned(), 0)
+}
+
+pub(crate) fn too_many_tasks(tasks_max: u32) -> Refusal {
+    let detail = format!("a job has at most {tasks_max} tasks; split it");
+    not_run(RefusalReason::TooManyTasks, detail, 0)
+}
+
+pub(crate) fn memory_full(key: &JobKey) -> Refusal {
+    let detail = "too many keys are remembered".to_owned();
+    not_run(
+        RefusalReason::MemoryFull,
+        detail,
+        jittered_ms(RETRY_MEMORY_MS, key),
+    )
+}
+
+pub(crate) fn unknown_team(team: &str) -> Refusal {
+    let detail = format!("no team {team} is declared");
+    not_run(RefusalReason::UnknownTeam, detail, 0)
+}
+
+pub(crate) fn unknown_service(service: &str) -> Refusal {
+    let detail = format!("no service {service} is declared");
+    not_run(RefusalReason::UnknownService, detail, 0)
+}
+
+pub(crate) fn no_workers() -> Refusal {
+    let detail = "the service has no worker here that takes work".to_owned();
+    not_run(RefusalReason::NoWorkers, detail, RETRY_NO_WORKERS_MS)
+}
+
+/// No job of the key is known; if the key expired, it may have been forgotten.
+pub(crate) fn unknown_job(expired: bool) -> Refusal {
+    Refusal {
+        reason: RefusalReason::UnknownJob,
+        detail: "no job of this key is known".to_owned(),
+        verdict: match expired {
+            true => Verdict::MayHaveRun,
+            false => Verdict::NotRun,
+        },
+        retry_after_ms: 0,
+    }
+}
--- /dev/null
+++ b/crates/core/src/engine/registry.rs
@@ -0,0 +1,166 @@
+//! What is declared, and the pools that serve it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use trefoil_schema::resources::BackendServerState;
+
+use super::command::Command;
+use super::event::{Worker, WorkerId};
+use super::pool::{Pool, ServiceTerms};
+use super::settings::EngineSettings;
+use super::shares::divide_slots;
+use crate::config::ConfigSnapshot;
+
+/// Declarations in force and one pool for every service ever declared.
+#[derive(Default)]
+pub(crate) struct Registry {
+    config: ConfigSnapshot,
+    me: String,
+    members: Vec<String>,
+    pools: Vec<Arc<Pool>>,
+    by_service: HashMap<Arc<str>, usize>,
+    worker_ids: HashMap<Arc<str>, WorkerId>,
+    last_worker_id: u32,
+}
+
+impl Registry {
+    /// The pool of a declared service.
+    pub fn pool(&self, service: &str) -> Option<&Arc<Pool>> {
+        self.config.services.get(service)?;
+        self.pools.get(*self.by_service.get(service)?)
+    }
+
+    /// The pool of a number.
+    pub fn pool_at(&self, number: usize) -> Option<&Arc<Pool>> {
+        self.pools.get(number)
+    }
+
+    /// All pools.
+    pub fn pools(&self) -> &[Arc<Pool>] {
+        &self.pools
+    }
+
+    /// Whether a team is declared.
+    pub fn has_team(&self, team: &str) -> bool {
+        self.config.teams.contains_key(team)
+    }
+
+    /// Takes new declarations.
+    pub fn set_config(
+        &mut self,
+        settings: &Arc<EngineSettings>,
+        config: &ConfigSnapshot,
+        out: &mut Vec<Command>,
+    ) {
+        self.config = config.clone();
+        self.forget_workers();
+        self.apply(settings, out);
+    }
+
+    /// Takes the failure domain's instances.
+    pub fn set_members(
+        &mut self,
+        settings: &Arc<EngineSettings>,
+        me: &str,
+        members: &[String],
+        out: &mut Vec<Command>,
+    ) {
+        self.me = me.to_owned();
+        self.members = members.to_vec();
+        self.apply(settings, out);
+    }
+
+    fn forget_workers(&mut self) {
+        let declared = &self.config.backend_servers;
+        self.worker_ids
+            .retain(|name, _| declared.contains_key(name));
+    }
+
+    fn apply(&mut self, settings: &Arc<EngineSettings>, out: &mut Vec<Command>) {
+        let mut workers = self.workers_by_service(settings);
+        let services: Vec<_> = self
+            .config
+            .services
+            .iter()
+            .map(|(name, declared)| (Arc::clone(name), ServiceTerms::from(&declared.spec)))
+            .collect();
+        for (service, terms) in services {
+            let mine = workers.remove(&service).unwrap_or_default();
+            let pool = self.pool_or_new(settings, &service, &terms);
+            pool.lock().configure(terms, mine, out);
+        }
+        for (service, number) in &self.by_service {
+            if !self.config.services.contains_key(service) {
+                self.pools[*number].lock().withdraw(out);
+            }
+        }
+    }
+
+    fn pool_or_new(
+        &mut self,
+        settings: &Arc<EngineSettings>,
+        service: &Arc<str>,
+        terms: &ServiceTerms,
+    ) -> Arc<Pool> {
+        if let Some(number) = self.by_service.get(service) {
+            return Arc::clone(&self.pools[*number]);
+        }
+        let number = self.pools.len();
+        let pool = Pool::new(number as u64, Arc::clone(settings), terms.clone());
+        let pool = Arc::new(pool);
+        self.pools.push(Arc::clone(&pool));
+        self.by_service.insert(Arc::clone(service), number);
+        pool
+    }
+
+    /// Workers of this failure domain by service, each with this instance's
+    /// share of its slots.
+    fn workers_by_service(
+        &mut self,
+        settings: &EngineSettings,
+    ) -> HashMap<Arc<str>, Vec<(WorkerId, Worker, u32)>> {
+        let mut by_service: HashMap<Arc<str>, Vec<Worker>> = HashMap::new();
+        for (name, declared) in &self.config.backend_servers {
+            let spec = &declared.spec;
+            if spec.failure_domain != settings.failure_domain {
+                continue;
+            }
+            let service: Arc<str> = spec.service.as_str().into();
+            by_service
+                .entry(Arc::clone(&service))
+                .or_default()
+                .push(Worker {
+                    name: Arc::clone(name),
+                    service,
+                    address: spec.address.as_str().into(),
+                    slots: spec.slots,
+                    leaving: spec.state == BackendServerState::Leaving,
+                });
+        }
+        by_service
+            .into_iter()
+            .map(|(service, workers)| (service, self.with_shares(workers)))
+            .collect()
+    }
+
+    fn with_shares(&mut self, workers: Vec<Worker>) -> Vec<(WorkerId, Worker, u32)> {
+        let slots: Vec<u32> = workers.iter().map(Worker::open_slots).collect();
+        let shares = divide_slots(&slots, &self.me, &self.members);
+        workers
+            .into_iter()
+            .zip(shares)
+            .map(|(worker, share)| (self.worker_id(&worker.name), worker, share))
+            .collect()
+    }
+
+    fn worker_id(&mut self, name: &Arc<str>) -> WorkerId {
+        if let Some(id) = self.worker_ids.get(name) {
+            return *id;
+        }
+        self.last_worker_id += 1;
+        let id = WorkerId(self.last_worker_id);
+        self.worker_ids.insert(Arc::clone(name), id);
+        id
+    }
+}
