--- /dev/null
+++ b/crates/core/examples/engine_load.rs
@@ -0,0 +1,131 @@
+//! Prints response time over ideal, refusals and wasted messages in virtual
+//! time, for each policy and load.
+//!
+//! `cargo run --release -p trefoil-core --example engine_load [SEED]`
+
+#[path = "../tests/engine_support/mod.rs"]
+mod engine_support;
+
+use engine_support::virtual_load::{Load, Outcome, run};
+use trefoil_core::engine::{EngineSettings, QueueOrder};
+use trefoil_schema::settings::PlacementPolicy;
+
+/// Retries that the baselines need, which find busy workers by refusals.
+const BASELINE_ATTEMPTS_MAX: u32 = 1000;
+/// Share of retries for the same reason.
+const BASELINE_RETRY_PERCENT: u32 = 10_000;
+
+fn main() {
+    let seed = std::env::args()
+        .nth(1)
+        .map_or(1, |seed| seed.parse().expect("the seed is a whole number"));
+    println!("seed {seed}");
+    println!(
+        "{:34} {:>6} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7}",
+        "case",
+        "load",
+        "mean",
+        "p50",
+        "p99",
+        "p99.9",
+        "wasted",
+        "refused",
+        "late",
+        "failed",
+        "goodput"
+    );
+    for offered in [0.5, 0.8, 0.95] {
+        for (name, engine) in policies() {
+            print(
+                name,
+                &Load {
+                    seed,
+                    offered,
+                    engine,
+                    ..Load::default()
+                },
+            );
+        }
+    }
+    for offered in [0.8, 0.95] {
+        for (name, engine) in policies() {
+            let name = format!("{name}, 1 of 50 slow");
+            print(
+                &name,
+                &Load {
+                    seed,
+                    offered,
+                    engine,
+                    slow_workers: 1,
+                    ..Load::default()
+                },
+            );
+        }
+        for (name, engine) in policies() {
+            let name = format!("{name}, 1 of 50 failing");
+            print(
+                &name,
+                &Load {
+                    seed,
+                    offered,
+                    engine,
+                    failing_workers: 1,
+                    ..Load::default()
+                },
+            );
+        }
+    }
+    for (name, engine) in policies() {
+        let load = Load {
+            seed,
+            offered: 2.0,
+            timeout_ms: 5000,
+            engine,
+            ..Load::default()
+        };
+        print(name, &load);
+    }
+}
+
+fn policies() -> Vec<(&'static str, EngineSettings)> {
+    let owned = EngineSettings::default();
+    let arrival = EngineSettings {
+        order: QueueOrder::Arrival,
+        ..owned.clone()
+    };
+    let fifo = EngineSettings {
+        admission: false,
+        ..arrival
+    };
+    vec![
+        ("owned slots", owned.clone()),
+        ("owned slots, arrival, all in", fifo),
+        ("two choices", baseline(PlacementPolicy::TwoChoices)),
+        ("random", baseline(PlacementPolicy::Random)),
+    ]
+}
+
+fn baseline(policy: PlacementPolicy) -> EngineSettings {
+    let mut engine = EngineSettings::default();
+    engine.placement.policy = policy;
+    engine.placement.attempts_max = BASELINE_ATTEMPTS_MAX;
+    engine.placement.retry_percent = BASELINE_RETRY_PERCENT;
+    engine
+}
+
+fn print(name: &str, load: &Load) {
+    let outcome: Outcome = run(load);
+    println!(
+        "{name:34} {:6.2} {:7.2} {:7.2} {:7.2} {:7.2} {:7.4} {:7.4} {:7.4} {:7.4} {:7.3}",
+        load.offered,
+        outcome.mean(),
+        outcome.quantile(0.5),
+        outcome.quantile(0.99),
+        outcome.quantile(0.999),
+        outcome.wasted_per_task(),
+        outcome.refused as f64 / outcome.submitted as f64,
+        outcome.late_share(),
+        outcome.failed as f64 / outcome.submitted as f64,
+        outcome.goodput(load),
+    );
+}
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -5,25 +5,33 @@
 //! of the key, and one pool of queue and workers for each service. A job
 //! shard may be locked before a pool, never after it.
 
+mod admission;
 pub mod command;
+mod ejection;
 pub mod event;
 mod job;
 mod job_table;
+mod placement;
 mod pool;
 mod queue;
 mod refusal;
 mod registry;
+mod retry_budget;
+mod run_times;
 pub mod settings;
 pub mod shares;
 pub mod stats;
+mod teams;
 mod worker_set;
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard};
 
+use trefoil_schema::resources::TeamSpec;
+
 pub use command::{Command, JobAnswer, JobState, Refusal, RefusalReason};
 pub use event::{Submission, Task, TaskId, TaskOutcome, WaiterId, Worker, WorkerId};
-pub use settings::EngineSettings;
+pub use settings::{EngineSettings, QueueOrder};
 pub use stats::EngineStats;
 
 use crate::config::ConfigSnapshot;
@@ -90,45 +98,40 @@
             }
             return attach(entry, waiter, wait, true, out);
         }
-        let pool = match self.check_new(now, &shard, &submission) {
-            Ok(pool) => pool,
-            Err(refusal) => return self.refuse(waiter, refusal, out),
-        };
-        self.admit(now, &mut shard, pool, submission, waiter, wait, out);
+        let key = submission.key.clone();
+        match self.admit(now, &mut shard, submission, out) {
+            Err(refusal) => self.refuse(waiter, refusal, out),
+            Ok(()) => {
+                if let Some(entry) = shard.get(&key) {
+                    attach(entry, waiter, wait, false, out);
+                }
+            }
+        }
     }
 
-    #[allow(clippy::too_many_arguments)]
     fn admit(
         &self,
         now: Now,
         shard: &mut JobShard,
-        pool: Arc<Pool>,
         submission: Submission,
-        waiter: WaiterId,
-        wait: bool,
         out: &mut Vec<Command>,
-    ) {
+    ) -> Result<(), Refusal> {
+        let (pool, team) = self.check_new(now, shard, &submission)?;
         let key = Arc::new(submission.key.clone());
         let fingerprint = submission.fingerprint;
         let tasks_total = submission.tasks.len() as u32;
-        let mut state = pool.lock();
-        if !state.has_slots() {
-            drop(state);
-            return self.refuse(waiter, refusal::no_workers(), out);
-        }
-        let job = state.admit(now, Arc::clone(&key), submission, out);
-        drop(state);
+        let job = pool
+            .lock()
+            .admit(now, Arc::clone(&key), submission, &team, out)?;
         let running = RunningJob {
             pool,
             job,
             tasks_total,
             waiters: Vec::new(),
         };
-        shard.insert_running(Arc::clone(&key), fingerprint, running);
+        shard.insert_running(key, fingerprint, running);
         self.keys.fetch_add(1, Ordering::Relaxed);
-        if let Some(entry) = shard.get(&key) {
-            attach(entry, waiter, wait, false, out);
-        }
+        Ok(())
     }
 
     fn check_new(
@@ -136,7 +139,7 @@
         now: Now,
         shard: &JobShard,
         submission: &Submission,
-    ) -> Result<Arc<Pool>, Refusal> {
+    ) -> Result<(Arc<Pool>, TeamSpec), Refusal> {
         let jobs = &self.settings.jobs;
         let key = &submission.key;
         if shard.is_expired(key) {
@@ -161,12 +164,13 @@
             return Err(refusal::memory_full(key));
         }
         let registry = self.registry();
-        if !registry.has_team(&submission.team) {
-            return Err(refusal::unknown_team(&submission.team));
-        }
-        let pool = registry.pool(&submission.service);
-        pool.cloned()
-            .ok_or_else(|| refusal::unknown_service(&submission.service))
+        let team = registry
+            .team(&submission.team)
+            .ok_or_else(|| refusal::unknown_team(&submission.team))?;
+        let pool = registry
+            .pool(&submission.service)
+            .ok_or_else(|| refusal::unknown_service(&submission.service))?;
+        Ok((Arc::clone(pool), team))
     }
 
     /// Answers with a job's state, or with its end if `wait` is set.
@@ -196,7 +200,7 @@
             return out.push(refused(waiter, refusal::unknown_job(expired)));
         };
         let ended = match &entry.state {
-            KeyState::Running(job) => job.pool.lock().cancel(job.job),
+            KeyState::Running(job) => job.pool.lock().cancel(now, job.job, out),
             KeyState::Ended(_) => None,
         };
         attach(entry, waiter, true, true, out);
@@ -224,11 +228,10 @@
         outcome: TaskOutcome,
         out: &mut Vec<Command>,
     ) {
-        let _ = now;
         let Some(pool) = self.registry().pool_at(Pool::number_of(task)).cloned() else {
             return;
         };
-        let ended = pool.lock().task_finished(task, outcome, out);
+        let ended = pool.lock().task_finished(now, task, outcome, out);
         if let Some(ended) = ended {
             self.end(ended, out);
         }
@@ -253,12 +256,11 @@
 
     /// Takes the declarations in force.
     pub fn set_config(&self, now: Now, config: &ConfigSnapshot, out: &mut Vec<Command>) {
-        let _ = now;
         let mut registry = self
             .registry
             .write()
             .unwrap_or_else(PoisonError::into_inner);
-        registry.set_config(&self.settings, config, out);
+        registry.set_config(&self.settings, now, config, out);
     }
 
     /// Takes the failure domain's instances, `me` among them.
@@ -269,12 +271,11 @@
         members: &[String],
         out: &mut Vec<Command>,
     ) {
-        let _ = now;
         let mut registry = self
             .registry
             .write()
             .unwrap_or_else(PoisonError::into_inner);
-        registry.set_members(&self.settings, me, members, out);
+        registry.set_members(&self.settings, now, me, members, out);
     }
 
     /// Sets the newest key issue time that may be admitted, Unix milliseconds.
--- /dev/null
+++ b/crates/core/src/engine/ejection.rs
@@ -0,0 +1,207 @@
+//! When a worker gets no work for a while: it fails what it starts, or takes
+//! far longer than its peers.
+//!
+//! A worker is judged against its peers, so that a fault which all show ejects
+//! nobody, and never more than a set share of a service's workers is out at
+//! once. A worker comes back by real tasks, one at a time, after a pause that
+//! doubles while it stays bad.
+
+use trefoil_schema::settings::WorkerSettings;
+
+/// Weight of a new outcome in a worker's failure rate.
+const FAILURE_GAIN: f64 = 0.1;
+/// Weight of a new run time in a worker's mean.
+const RUN_TIME_GAIN: f64 = 0.2;
+/// A streak of failures must be rarer than this at the peers' failure rate.
+const CHANCE_MAX: f64 = 0.001;
+/// Run times from which a worker's mean is judged.
+const JUDGED_SAMPLES: u32 = 8;
+/// Ratio to the service's mean run time at which a worker is ejected as slow.
+const SLOW_RATIO: f64 = 3.0;
+/// Ratio below which a slow worker is taken back.
+const RECOVERED_RATIO: f64 = 1.8;
+/// Ratio from which a worker is chosen after its peers.
+const RELUCTANT_RATIO: f64 = 1.5;
+/// Most doublings of the probation pause.
+const DOUBLINGS_MAX: u32 = 5;
+/// Pause after a refused placement, doubled by each further one in a row.
+const REFUSAL_PAUSE_MS: u64 = 10;
+/// Most doublings of that pause.
+const REFUSAL_DOUBLINGS_MAX: u32 = 6;
+
+/// Whether a worker gets work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Standing {
+    /// As much as its share allows.
+    Serving,
+    /// None until then.
+    Ejected { until_ms: u64 },
+    /// One task at a time.
+    Probation,
+}
+
+/// How a placement ended, as far as the worker is judged by it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Showing {
+    /// A result after a run time.
+    Done { run_ms: u64 },
+    /// A failure, or no answer.
+    Failed,
+    /// Refused before start.
+    Refused,
+}
+
+/// What the worker is compared with.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Peers {
+    /// Mean failure rate of the other workers.
+    pub failure_rate: f64,
+    /// Mean run time of the service.
+    pub mean_run_ms: f64,
+    /// Whether one more worker may be ejected.
+    pub may_eject: bool,
+}
+
+/// A worker's record.
+#[derive(Clone, Debug)]
+pub(crate) struct Health {
+    pub standing: Standing,
+    /// No work before this time, after refusals.
+    pub paused_until_ms: u64,
+    /// When the worker is looked at again, if it pauses.
+    pub wake_at_ms: u64,
+    pub failure_rate: f64,
+    failures_in_row: u32,
+    refusals_in_row: u32,
+    run_ms: f64,
+    samples: u32,
+    ejections: u32,
+}
+
+impl Default for Health {
+    fn default() -> Self {
+        Self {
+            standing: Standing::Serving,
+            paused_until_ms: 0,
+            wake_at_ms: 0,
+            failure_rate: 0.0,
+            failures_in_row: 0,
+            refusals_in_row: 0,
+            run_ms: 0.0,
+            samples: 0,
+            ejections: 0,
+        }
+    }
+}
+
+impl Health {
+    /// Takes an outcome and decides on the worker's standing.
+    pub fn record(
+        &mut self,
+        now_ms: u64,
+        showing: Showing,
+        peers: Peers,
+        settings: &WorkerSettings,
+    ) {
+        match showing {
+            Showing::Done { run_ms } => self.record_done(run_ms),
+            Showing::Failed => self.record_failure(),
+            Showing::Refused => self.record_refusal(now_ms),
+        }
+        let bad = self.fails_everything(peers, settings) || self.is_slow(peers, SLOW_RATIO);
+        match self.standing {
+            Standing::Serving if bad && peers.may_eject => self.eject(now_ms, settings),
+            Standing::Probation => self.judge_probation(now_ms, showing, peers, settings),
+            Standing::Serving | Standing::Ejected { .. } => {}
+        }
+    }
+
+    fn record_done(&mut self, run_ms: u64) {
+        self.failures_in_row = 0;
+        self.refusals_in_row = 0;
+        self.failure_rate -= FAILURE_GAIN * self.failure_rate;
+        self.samples = self.samples.saturating_add(1);
+        let gain = RUN_TIME_GAIN.max(1.0 / f64::from(self.samples));
+        self.run_ms += gain * (run_ms as f64 - self.run_ms);
+    }
+
+    fn record_failure(&mut self) {
+        self.failures_in_row += 1;
+        self.failure_rate += FAILURE_GAIN * (1.0 - self.failure_rate);
+    }
+
+    fn record_refusal(&mut self, now_ms: u64) {
+        self.record_failure();
+        let doublings = self.refusals_in_row.min(REFUSAL_DOUBLINGS_MAX);
+        self.refusals_in_row += 1;
+        self.paused_until_ms = now_ms + (REFUSAL_PAUSE_MS << doublings);
+    }
+
+    fn fails_everything(&self, peers: Peers, settings: &WorkerSettings) -> bool {
+        let streak = self.failures_in_row;
+        streak >= settings.eject_failures.max(1)
+            && peers.failure_rate.powf(f64::from(streak)) < CHANCE_MAX
+    }
+
+    fn is_slow(&self, peers: Peers, ratio: f64) -> bool {
+        self.samples >= JUDGED_SAMPLES && self.run_ms > ratio * peers.mean_run_ms
+    }
+
+    fn eject(&mut self, now_ms: u64, settings: &WorkerSettings) {
+        let pause_ms = settings.probation_ms << self.ejections.min(DOUBLINGS_MAX);
+        self.ejections += 1;
+        self.standing = Standing::Ejected {
+            until_ms: now_ms + pause_ms,
+        };
+    }
+
+    fn judge_probation(
+        &mut self,
+        now_ms: u64,
+        showing: Showing,
+        peers: Peers,
+        settings: &WorkerSettings,
+    ) {
+        let Showing::Done { run_ms } = showing else {
+            return self.eject(now_ms, settings);
+        };
+        if !self.is_slow(peers, RECOVERED_RATIO) {
+            self.standing = Standing::Serving;
+            self.ejections = 0;
+        } else if run_ms as f64 > RECOVERED_RATIO * peers.mean_run_ms {
+            self.eject(now_ms, settings);
+        }
+    }
+
+    /// Ends the pauses that are over; gives the end of one that is not.
+    pub fn wake(&mut self, now_ms: u64) -> Option<u64> {
+        if let Standing::Ejected { until_ms } = self.standing {
+            if until_ms > now_ms {
+                return Some(until_ms);
+            }
+            self.standing = Standing::Probation;
+        }
+        (self.paused_until_ms > now_ms).then_some(self.paused_until_ms)
+    }
+
+    /// Tasks the worker may have at once, of `share` slots.
+    pub fn slots(&self, now_ms: u64, share: u32) -> u32 {
+        match self.standing {
+            _ if self.paused_until_ms > now_ms => 0,
+            Standing::Serving => share,
+            Standing::Ejected { .. } => 0,
+            Standing::Probation => share.min(1),
+        }
+    }
+
+    /// Whether the worker is out, or on trial.
+    pub fn is_ejected(&self) -> bool {
+        self.standing != Standing::Serving
+    }
+
+    /// Order of choice; workers of a lower one go first.
+    pub fn reluctance(&self, mean_run_ms: f64) -> u8 {
+        let slow = self.samples > 0 && self.run_ms > RELUCTANT_RATIO * mean_run_ms;
+        u8::from(slow) + 2 * u8::from(self.failures_in_row > 0)
+    }
+}
--- a/crates/core/src/engine/job.rs
+++ b/crates/core/src/engine/job.rs
@@ -7,6 +7,7 @@
 
 use super::command::{JobAnswer, JobState};
 use super::event::WorkerId;
+use super::teams::TeamIndex;
 use crate::key::JobKey;
 use crate::verdict::Verdict;
 
@@ -37,8 +38,13 @@
 #[derive(Debug)]
 pub(crate) struct JobWork {
     pub key: Arc<JobKey>,
+    pub team: TeamIndex,
     /// Position in the queue's order; smaller goes first.
-    pub rank: u64,
+    pub rank_ms: u64,
+    /// Latest start of the last task that still meets the deadline.
+    pub latest_start_ms: u64,
+    /// Whether the job waits for its team's bound of slots.
+    pub parked: bool,
     /// Payload of each task until it is done, then its result.
     pub tasks: Vec<Bytes>,
     pub returned: Vec<ReturnedTask>,
--- a/crates/core/src/engine/pool.rs
+++ b/crates/core/src/engine/pool.rs
@@ -1,25 +1,32 @@
 //! The jobs and workers of one service, under one lock.
 
+mod admit;
+mod outcome;
+mod place;
+
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use bytes::Bytes;
 use slotmap::SlotMap;
 use trefoil_schema::resources::ServiceSpec;
 
 use super::command::{Command, JobState};
-use super::event::{Submission, TaskId, TaskOutcome, Worker, WorkerId};
-use super::job::{EndedJob, JobEnd, JobId, JobWork, ReturnedTask};
+use super::event::{TaskId, WorkerId};
+use super::job::{EndedJob, JobId, JobWork};
 use super::queue::JobQueue;
+use super::retry_budget::RetryBudget;
+use super::run_times::RunTimes;
 use super::settings::EngineSettings;
 use super::stats::EngineStats;
-use super::worker_set::WorkerSet;
-use crate::key::JobKey;
+use super::teams::{TeamIndex, Teams};
+use super::worker_set::{WorkerDeal, WorkerSet};
 use crate::time::Now;
 
 /// Bits of a task id that count placements; the rest name the pool.
 const TASK_COUNTER_BITS: u32 = 48;
+/// Deadlines kept of ended jobs before they are cleared out.
+const STALE_DEADLINES_MAX: usize = 1024;
 
 /// One service's pool; its number is part of its task ids.
 pub(crate) struct Pool {
@@ -48,9 +55,11 @@
 #[derive(Clone, Copy, Debug)]
 struct Placement {
     job: JobId,
+    team: TeamIndex,
     index: u32,
     attempt: u32,
     worker: WorkerId,
+    started_ms: u64,
 }
 
 /// What a pool's lock guards.
@@ -61,8 +70,13 @@
     workers: WorkerSet,
     jobs: SlotMap<JobId, JobWork>,
     queue: JobQueue,
+    teams: Teams,
     placements: HashMap<TaskId, Placement>,
     deadlines: BinaryHeap<Reverse<(u64, JobId)>>,
+    run_times: RunTimes,
+    /// When a result last came.
+    last_done_ms: u64,
+    retries: RetryBudget,
     next_placement: u64,
     stats: EngineStats,
 }
@@ -70,17 +84,22 @@
 impl Pool {
     /// An empty pool.
     pub fn new(number: u64, settings: Arc<EngineSettings>, terms: ServiceTerms) -> Self {
+        let workers = WorkerSet::new(settings.placement.policy, settings.workers.clone());
         let state = PoolState {
             number,
-            settings,
-            terms,
-            workers: WorkerSet::default(),
+            workers,
             jobs: SlotMap::with_key(),
             queue: JobQueue::default(),
+            teams: Teams::default(),
             placements: HashMap::new(),
             deadlines: BinaryHeap::new(),
+            run_times: RunTimes::new(terms.declared_run_ms),
+            last_done_ms: 0,
+            retries: RetryBudget::new(settings.placement.retry_percent),
             next_placement: 0,
             stats: EngineStats::default(),
+            settings,
+            terms,
         };
         Self {
             state: Mutex::new(state),
@@ -102,53 +121,24 @@
     /// Takes the service's declaration and its workers with shares.
     pub fn configure(
         &mut self,
+        now: Now,
         terms: ServiceTerms,
-        workers: Vec<(WorkerId, Worker, u32)>,
+        deal: WorkerDeal,
         out: &mut Vec<Command>,
     ) {
+        if terms.declared_run_ms != self.terms.declared_run_ms {
+            self.run_times.declare(terms.declared_run_ms);
+        }
         self.terms = terms;
-        self.workers.replace(workers);
-        self.dispatch(out);
+        let mean_ms = self.run_times.mean_ms();
+        self.workers.replace(now.mono_ms, mean_ms, deal);
+        self.dispatch(now, out);
     }
 
     /// The service is no longer declared: nothing starts any more.
-    pub fn withdraw(&mut self, out: &mut Vec<Command>) {
-        self.workers.replace(Vec::new());
-        self.dispatch(out);
-    }
-
-    /// Whether any slot may be used.
-    pub fn has_slots(&self) -> bool {
-        self.workers.slots() > 0
-    }
-
-    /// Queues a job's tasks and starts what has a slot.
-    pub fn admit(
-        &mut self,
-        now: Now,
-        key: Arc<JobKey>,
-        submission: Submission,
-        out: &mut Vec<Command>,
-    ) -> JobId {
-        let deadline_ms = now.mono_ms.saturating_add(submission.timeout_ms);
-        let rank = self.queue.next_rank();
-        let payloads = submission.tasks.into_iter().map(|task| task.payload);
-        let job = self.jobs.insert(JobWork {
-            key,
-            rank,
-            tasks: payloads.collect(),
-            returned: Vec::new(),
-            unplaced: 0,
-            running: 0,
-            done: 0,
-            touched: false,
-        });
-        self.deadlines.push(Reverse((deadline_ms, job)));
-        self.queue.insert(rank, job);
-        self.stats.jobs_admitted += 1;
-        self.stats.tasks_queued += u64::from(self.jobs[job].total());
-        self.dispatch(out);
-        job
+    pub fn withdraw(&mut self, now: Now, out: &mut Vec<Command>) {
+        let terms = self.terms.clone();
+        self.configure(now, terms, WorkerDeal::default(), out);
     }
 
     /// Tasks done of a job, or `None` if it just ended.
@@ -157,94 +147,14 @@
     }
 
     /// Ends a job at its caller's wish, or `None` if it just ended.
-    pub fn cancel(&mut self, job: JobId) -> Option<EndedJob> {
-        let ended = self.cut_short(job, JobState::Cancelled, "cancelled", String::new())?;
+    pub fn cancel(&mut self, now: Now, job: JobId, out: &mut Vec<Command>) -> Option<EndedJob> {
+        let why = "the caller cancelled the job".to_owned();
+        let ended = self.cut_short(job, JobState::Cancelled, "cancelled", why)?;
         self.stats.jobs_cancelled += 1;
+        self.dispatch(now, out);
         Some(ended)
     }
 
-    /// Takes a placement's outcome; gives the job if that ended it.
-    pub fn task_finished(
-        &mut self,
-        task: TaskId,
-        outcome: TaskOutcome,
-        out: &mut Vec<Command>,
-    ) -> Option<EndedJob> {
-        let Some(placement) = self.placements.remove(&task) else {
-            self.stats.outcomes_dropped += 1;
-            return None;
-        };
-        self.workers.finish(placement.worker);
-        let ended = self.apply_outcome(placement, outcome);
-        self.dispatch(out);
-        ended
-    }
-
-    fn apply_outcome(&mut self, placement: Placement, outcome: TaskOutcome) -> Option<EndedJob> {
-        let Some(work) = self.jobs.get_mut(placement.job) else {
-            self.stats.outcomes_dropped += 1;
-            return None;
-        };
-        work.running -= 1;
-        work.touched |= !matches!(outcome, TaskOutcome::NotRun(_));
-        match outcome {
-            TaskOutcome::Done(result) => self.task_done(placement, result),
-            TaskOutcome::NotRun(why) => self.task_refused(placement, why),
-            TaskOutcome::Failed(why) => self.fail(placement.job, "task_failed", why),
-            TaskOutcome::MayHaveRun(why) => self.fail(placement.job, "task_lost", why),
-        }
-    }
-
-    fn task_done(&mut self, placement: Placement, result: Bytes) -> Option<EndedJob> {
-        let work = self.jobs.get_mut(placement.job)?;
-        work.tasks[placement.index as usize] = result;
-        work.done += 1;
-        if work.remaining() > 0 {
-            return None;
-        }
-        let work = self.jobs.remove(placement.job)?;
-        self.stats.jobs_complete += 1;
-        Some(EndedJob {
-            key: work.key,
-            end: JobEnd::complete(work.tasks),
-        })
-    }
-
-    fn task_refused(&mut self, placement: Placement, why: String) -> Option<EndedJob> {
-        if placement.attempt >= self.settings.placement.attempts_max {
-            return self.fail(placement.job, "task_refused", why);
-        }
-        let work = self.jobs.get_mut(placement.job)?;
-        work.returned.push(ReturnedTask {
-            index: placement.index,
-            attempts: placement.attempt,
-            refused_by: placement.worker,
-        });
-        self.queue.insert(work.rank, placement.job);
-        self.stats.tasks_queued += 1;
-        None
-    }
-
-    fn fail(&mut self, job: JobId, reason: &'static str, why: String) -> Option<EndedJob> {
-        let ended = self.cut_short(job, JobState::Failed, reason, why)?;
-        self.stats.jobs_failed += 1;
-        Some(ended)
-    }
-
-    fn cut_short(
-        &mut self,
-        job: JobId,
-        state: JobState,
-        reason: &'static str,
-        why: String,
-    ) -> Option<EndedJob> {
-        let work = self.jobs.remove(job)?;
-        self.queue.remove(work.rank, job);
-        self.stats.tasks_queued -= u64::from(work.queued());
-        let end = JobEnd::cut_short(&work, state, reason, why);
-        Some(EndedJob { key: work.key, end })
-    }
-
     /// Ends jobs whose deadline has passed, and starts what has a slot.
     pub fn tick(&mut self, now: Now, out: &mut Vec<Command>) -> Vec<EndedJob> {
         let mut ended = Vec::new();
@@ -260,55 +170,18 @@
             self.stats.jobs_past_deadline += 1;
             ended.push(job);
         }
-        self.dispatch(out);
+        self.clear_stale_deadlines();
+        self.dispatch(now, out);
         ended
     }
 
-    fn dispatch(&mut self, out: &mut Vec<Command>) {
-        while let Some(job) = self.queue.first() {
-            let Some(next) = self.jobs.get(job).and_then(JobWork::peek) else {
-                return;
-            };
-            let Some(worker) = self.workers.best(next.avoid) else {
-                return;
-            };
-            self.start(job, worker, out);
-        }
-    }
-
-    fn start(&mut self, job: JobId, worker: WorkerId, out: &mut Vec<Command>) {
-        let work = &mut self.jobs[job];
-        let (Some(next), Some(address)) = (work.peek(), self.workers.address(worker)) else {
-            return;
-        };
-        work.take_next();
-        if work.queued() == 0 {
-            self.queue.remove(work.rank, job);
+    /// Keeps the heap in proportion to the jobs; constant time amortised.
+    fn clear_stale_deadlines(&mut self) {
+        if self.deadlines.len() > 2 * self.jobs.len() + STALE_DEADLINES_MAX {
+            let jobs = &self.jobs;
+            self.deadlines
+                .retain(|Reverse((_, job))| jobs.contains_key(*job));
         }
-        self.next_placement += 1;
-        let task = TaskId(self.number << TASK_COUNTER_BITS | self.next_placement);
-        let placement = Placement {
-            job,
-            index: next.index,
-            attempt: next.attempt,
-            worker,
-        };
-        self.placements.insert(task, placement);
-        self.workers.start(worker);
-        self.stats.tasks_queued -= 1;
-        self.stats.tasks_started += 1;
-        self.stats.tasks_retried += u64::from(next.attempt > 1);
-        out.push(Command::StartTask {
-            task,
-            key: Arc::clone(&work.key),
-            index: next.index,
-            attempt: next.attempt,
-            worker,
-            address,
-            path: Arc::clone(&self.terms.path),
-            payload: work.tasks[next.index as usize].clone(),
-            timeout_ms: self.terms.task_timeout_ms,
-        });
     }
 
     /// Counters and sizes of this pool.
@@ -317,6 +190,7 @@
             jobs_running: self.jobs.len() as u64,
             tasks_running: self.placements.len() as u64,
             slots_owned: self.workers.slots(),
+            workers_ejected: self.workers.ejected(),
             ..self.stats
         }
     }
--- /dev/null
+++ b/crates/core/src/engine/pool/admit.rs
@@ -0,0 +1,215 @@
+//! Admission of a job to its pool.
+
+use std::cmp::Reverse;
+use std::sync::Arc;
+
+use trefoil_schema::resources::TeamSpec;
+
+use super::PoolState;
+use crate::engine::admission::{Capacity, Demand, excess_ms};
+use crate::engine::command::{Command, Refusal};
+use crate::engine::event::Submission;
+use crate::engine::job::{JobId, JobWork};
+use crate::engine::refusal;
+use crate::engine::settings::QueueOrder;
+use crate::engine::teams::TeamIndex;
+use crate::key::JobKey;
+use crate::time::Now;
+
+/// How many times its own size a job may be passed by smaller ones.
+const SIZE_WEIGHT: f64 = 4.0;
+/// Time without a result after which an idle pool's estimates are not trusted.
+const STALE_MS: u64 = 1000;
+/// Share of jobs for which the longest task may exceed its estimate.
+const LATE_SHARE: f64 = 0.02;
+/// The median: a job as likely to exceed it as not.
+const EVEN_CHANCE: f64 = 0.5;
+
+/// A job's place in the queue, before it is admitted.
+#[derive(Clone, Copy, Debug)]
+struct Plan {
+    tasks: u32,
+    size_ms: f64,
+    rank_ms: u64,
+    latest_start_ms: u64,
+}
+
+impl PoolState {
+    /// Refuses a job, or queues its tasks and starts what has a slot.
+    pub fn admit(
+        &mut self,
+        now: Now,
+        key: Arc<JobKey>,
+        submission: Submission,
+        team: &TeamSpec,
+        out: &mut Vec<Command>,
+    ) -> Result<JobId, Refusal> {
+        if self.workers.slots() == 0 {
+            return Err(refusal::no_workers());
+        }
+        self.workers.wake(now.mono_ms, self.run_times.mean_ms());
+        let team = self.teams.declare(&submission.team, team);
+        let plan = self.plan(now, &submission, team);
+        self.check_quota(&key, team, plan.tasks)?;
+        self.check_time(now, &key, team, plan, submission.timeout_ms)?;
+        let job = self.enqueue(now, key, submission, team, plan);
+        self.dispatch(now, out);
+        Ok(job)
+    }
+
+    fn capacity(&self) -> Capacity {
+        let slots = self.workers.serving_slots();
+        Capacity {
+            slots,
+            free_slots: (slots - self.workers.running() as f64).max(0.0),
+            mean_ms: self.run_times.mean_ms(),
+        }
+    }
+
+    fn plan(&mut self, now: Now, submission: &Submission, team: TeamIndex) -> Plan {
+        let capacity = self.capacity();
+        let tasks = submission.tasks.len() as u32;
+        let size_ms = f64::from(tasks) * capacity.mean_ms / capacity.slots.max(1.0);
+        let longest_ms = self.run_times.longest_of_ms(tasks, LATE_SHARE);
+        let slack_ms = submission.timeout_ms.saturating_sub(longest_ms as u64);
+        let latest_start_ms = now.mono_ms.saturating_add(slack_ms);
+        let rank_ms = match self.settings.order {
+            QueueOrder::Arrival => now.mono_ms,
+            QueueOrder::Urgency => {
+                let by_size_ms = now.mono_ms + (SIZE_WEIGHT * size_ms) as u64;
+                let lead_ms = self.teams.lead_ms(team, now.mono_ms);
+                by_size_ms.min(latest_start_ms) + lead_ms as u64
+            }
+        };
+        Plan {
+            tasks,
+            size_ms,
+            rank_ms,
+            latest_start_ms,
+        }
+    }
+
+    fn check_quota(&mut self, key: &JobKey, team: TeamIndex, tasks: u32) -> Result<(), Refusal> {
+        let capacity = self.capacity();
+        let queued = self.stats.tasks_queued;
+        let free_slots = match queued {
+            0 => capacity.free_slots as u32,
+            _ => 0,
+        };
+        let waiting = tasks.saturating_sub(free_slots);
+        let queue_tasks_max = u64::from(self.settings.placement.queue_tasks_max);
+        if queued + u64::from(waiting) > queue_tasks_max {
+            let wait_ms = capacity.wait_ms(f64::from(tasks));
+            return Err(refusal::queue_full(wait_ms, key));
+        }
+        let team = self.teams.get(team);
+        if !team.has_room_for(waiting) {
+            let slots = team.slots_of(capacity.slots).max(1.0);
+            let wait_ms = f64::from(tasks) * capacity.mean_ms / slots;
+            return Err(refusal::quota(wait_ms, key));
+        }
+        Ok(())
+    }
+
+    fn check_time(
+        &mut self,
+        now: Now,
+        key: &JobKey,
+        team: TeamIndex,
+        plan: Plan,
+        timeout_ms: u64,
+    ) -> Result<(), Refusal> {
+        let idle = self.jobs.is_empty();
+        let stale = !self.run_times.is_trusted() || self.last_done_ms + STALE_MS < now.mono_ms;
+        if !self.settings.admission || (idle && stale) {
+            return Ok(());
+        }
+        let capacity = self.capacity();
+        let ideal_ms = self.ideal_ms(capacity, team, plan.tasks);
+        if ideal_ms > timeout_ms as f64 {
+            return Err(refusal::impossible(ideal_ms));
+        }
+        let starts_at_once =
+            self.stats.tasks_queued == 0 && f64::from(plan.tasks) <= capacity.free_slots;
+        if starts_at_once && !self.teams.get(team).is_at_slots_max() {
+            return Ok(());
+        }
+        let late_ms = self.late_ms(now, capacity, team, plan);
+        late_ms.map_or(Ok(()), |late_ms| Err(refusal::overload(late_ms, key)))
+    }
+
+    /// What the job would take with every slot free.
+    fn ideal_ms(&mut self, capacity: Capacity, team: TeamIndex, tasks: u32) -> f64 {
+        let slots = self.teams.get(team).slots_of(capacity.slots);
+        let free = Capacity {
+            slots,
+            free_slots: slots,
+            ..capacity
+        };
+        free.wait_ms(f64::from(tasks)) + self.run_times.longest_of_ms(tasks, EVEN_CHANCE)
+    }
+
+    /// How late this job or one behind it would be.
+    fn late_ms(
+        &mut self,
+        now: Now,
+        capacity: Capacity,
+        team: TeamIndex,
+        plan: Plan,
+    ) -> Option<f64> {
+        let slack_ms = plan.latest_start_ms.saturating_sub(now.mono_ms) as f64;
+        let demand = Demand {
+            rank_ms: plan.rank_ms,
+            tasks: plan.tasks,
+            slack_ms,
+        };
+        let team = self.teams.get(team);
+        let slots = team.slots_of(capacity.slots);
+        let of_team = Capacity {
+            slots,
+            free_slots: capacity.free_slots.min(slots - f64::from(team.running)),
+            ..capacity
+        };
+        let team_wait_ms = of_team.wait_ms(f64::from(team.queued + plan.tasks));
+        let late_in_team_ms = team_wait_ms - slack_ms;
+        let late_ms = excess_ms(now.mono_ms, &self.queue, capacity, demand);
+        let late_ms = late_ms.unwrap_or(0.0).max(match slots < capacity.slots {
+            true => late_in_team_ms,
+            false => 0.0,
+        });
+        (late_ms > 0.0).then_some(late_ms)
+    }
+
+    fn enqueue(
+        &mut self,
+        now: Now,
+        key: Arc<JobKey>,
+        submission: Submission,
+        team: TeamIndex,
+        plan: Plan,
+    ) -> JobId {
+        let payloads = submission.tasks.into_iter().map(|task| task.payload);
+        let job = self.jobs.insert(JobWork {
+            key,
+            team,
+            rank_ms: plan.rank_ms,
+            latest_start_ms: plan.latest_start_ms,
+            parked: false,
+            tasks: payloads.collect(),
+            returned: Vec::new(),
+            unplaced: 0,
+            running: 0,
+            done: 0,
+            touched: false,
+        });
+        let deadline_ms = now.mono_ms.saturating_add(submission.timeout_ms);
+        self.deadlines.push(Reverse((deadline_ms, job)));
+        self.queue
+            .add(plan.rank_ms, job, plan.tasks, plan.latest_start_ms);
+        self.teams.job_admitted(team, now.mono_ms, plan.size_ms);
+        self.teams.get(team).queued += plan.tasks;
+        self.stats.jobs_admitted += 1;
+        self.stats.tasks_queued += u64::from(plan.tasks);
+        job
+    }
+}
--- /dev/null
+++ b/crates/core/src/engine/pool/place.rs
@@ -0,0 +1,118 @@
+//! Placement of queued tasks on workers.
+
+use std::sync::Arc;
+
+use super::{Placement, PoolState, TASK_COUNTER_BITS};
+use crate::engine::command::Command;
+use crate::engine::event::{TaskId, WorkerId};
+use crate::engine::job::{JobId, JobWork, NextTask};
+use crate::engine::teams::TeamIndex;
+use crate::time::Now;
+
+impl PoolState {
+    /// Starts queued tasks for as long as a worker has a free slot.
+    pub(super) fn dispatch(&mut self, now: Now, out: &mut Vec<Command>) {
+        self.workers.wake(now.mono_ms, self.run_times.mean_ms());
+        while let Some(job) = self.queue.first() {
+            if self.park_if_at_slots_max(job) {
+                continue;
+            }
+            let Some(next) = self.jobs.get(job).and_then(JobWork::peek) else {
+                return;
+            };
+            let Some(worker) = self.workers.choose(next.avoid) else {
+                return;
+            };
+            self.start(now, job, next, worker, out);
+        }
+    }
+
+    /// Sets a job aside whose team has all the slots it may have.
+    fn park_if_at_slots_max(&mut self, job: JobId) -> bool {
+        let Some(work) = self.jobs.get_mut(job) else {
+            return false;
+        };
+        let team = self.teams.get(work.team);
+        if !team.is_at_slots_max() {
+            return false;
+        }
+        work.parked = true;
+        team.parked.insert((work.rank_ms, job));
+        self.queue.remove(work.rank_ms, job, work.queued());
+        true
+    }
+
+    /// Queues the first job that a team has set aside, if it may go on.
+    pub(super) fn unpark(&mut self, team: TeamIndex) {
+        let team = self.teams.get(team);
+        if team.is_at_slots_max() {
+            return;
+        }
+        let Some((rank_ms, job)) = team.parked.pop_first() else {
+            return;
+        };
+        let Some(work) = self.jobs.get_mut(job) else {
+            return;
+        };
+        work.parked = false;
+        self.queue
+            .add(rank_ms, job, work.queued(), work.latest_start_ms);
+    }
+
+    fn start(
+        &mut self,
+        now: Now,
+        job: JobId,
+        next: NextTask,
+        worker: WorkerId,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(address) = self.workers.address(worker) else {
+            return;
+        };
+        let task = self.next_task_id();
+        let work = &mut self.jobs[job];
+        work.take_next();
+        self.queue.take(work.rank_ms, job, work.queued() == 0);
+        let placement = Placement {
+            job,
+            team: work.team,
+            index: next.index,
+            attempt: next.attempt,
+            worker,
+            started_ms: now.mono_ms,
+        };
+        out.push(Command::StartTask {
+            task,
+            key: Arc::clone(&work.key),
+            index: next.index,
+            attempt: next.attempt,
+            worker,
+            address,
+            path: Arc::clone(&self.terms.path),
+            payload: work.tasks[next.index as usize].clone(),
+            timeout_ms: self.terms.task_timeout_ms,
+        });
+        self.placements.insert(task, placement);
+        self.count_start(now, placement);
+    }
+
+    fn next_task_id(&mut self) -> TaskId {
+        self.next_placement += 1;
+        TaskId(self.number << TASK_COUNTER_BITS | self.next_placement)
+    }
+
+    fn count_start(&mut self, now: Now, placement: Placement) {
+        let mean_ms = self.run_times.mean_ms();
+        self.workers.start(now.mono_ms, mean_ms, placement.worker);
+        let team = self.teams.get(placement.team);
+        team.queued -= 1;
+        team.running += 1;
+        self.stats.tasks_queued -= 1;
+        self.stats.tasks_started += 1;
+        match placement.attempt {
+            1 => self.retries.first_start(),
+            _ => self.stats.tasks_retried += 1,
+        }
+    }
+}
--- a/crates/core/src/engine/queue.rs
+++ b/crates/core/src/engine/queue.rs
@@ -1,35 +1,80 @@
 //! The order in which jobs of one service get slots.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::job::JobId;
 
+/// Width of a level in milliseconds of rank.
+const LEVEL_MS: u64 = 32;
+
 /// Jobs with queued tasks; a job leaves with all its tasks in one step.
 #[derive(Debug, Default)]
 pub(crate) struct JobQueue {
     jobs: BTreeSet<(u64, JobId)>,
-    arrivals: u64,
+    levels: BTreeMap<u64, Level>,
+}
+
+/// What is queued within a span of ranks, for estimates.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Level {
+    /// Tasks queued.
+    pub tasks: u64,
+    /// Earliest time by which a job here must have started its last task.
+    pub latest_start_ms: u64,
 }
 
 impl JobQueue {
-    /// A rank behind every job that came before.
-    pub fn next_rank(&mut self) -> u64 {
-        self.arrivals += 1;
-        self.arrivals
+    /// Adds `tasks` tasks of a job, which may be queued already.
+    pub fn add(&mut self, rank_ms: u64, job: JobId, tasks: u32, latest_start_ms: u64) {
+        self.jobs.insert((rank_ms, job));
+        let level = self.levels.entry(rank_ms / LEVEL_MS).or_insert(Level {
+            tasks: 0,
+            latest_start_ms: u64::MAX,
+        });
+        level.tasks += u64::from(tasks);
+        level.latest_start_ms = level.latest_start_ms.min(latest_start_ms);
+    }
+
+    /// Takes one task of a job; the `last` takes the job out.
+    pub fn take(&mut self, rank_ms: u64, job: JobId, last: bool) {
+        self.reduce_level(rank_ms, 1);
+        if last {
+            self.jobs.remove(&(rank_ms, job));
+        }
     }
 
-    /// Adds a job, or does nothing if it is queued.
-    pub fn insert(&mut self, rank: u64, job: JobId) {
-        self.jobs.insert((rank, job));
+    /// Removes a job and with it its `tasks` queued tasks.
+    pub fn remove(&mut self, rank_ms: u64, job: JobId, tasks: u32) {
+        if self.jobs.remove(&(rank_ms, job)) {
+            self.reduce_level(rank_ms, tasks);
+        }
     }
 
-    /// Removes a job and with it all its queued tasks.
-    pub fn remove(&mut self, rank: u64, job: JobId) {
-        self.jobs.remove(&(rank, job));
+    fn reduce_level(&mut self, rank_ms: u64, tasks: u32) {
+        let number = rank_ms / LEVEL_MS;
+        let Some(level) = self.levels.get_mut(&number) else {
+            return;
+        };
+        level.tasks = level.tasks.saturating_sub(u64::from(tasks));
+        if level.tasks == 0 {
+            self.levels.remove(&number);
+        }
     }
 
     /// The job whose task is placed next.
     pub fn first(&self) -> Option<JobId> {
         self.jobs.first().map(|(_, job)| *job)
     }
+
+    /// Tasks queued in levels that go before one of rank `rank_ms`, or with it.
+    pub fn tasks_up_to(&self, rank_ms: u64) -> u64 {
+        let levels = self.levels.range(..=rank_ms / LEVEL_MS);
+        levels.map(|(_, level)| level.tasks).sum()
+    }
+
+    /// The levels that a job of rank `rank_ms` would hold up.
+    pub fn levels_after(&self, rank_ms: u64) -> impl Iterator<Item = &Level> {
+        let levels = self.levels.range(rank_ms / LEVEL_MS + 1..);
+        levels.map(|(_, level)| level)
+    }
 }
--- a/crates/core/src/engine/refusal.rs
+++ b/crates/core/src/engine/refusal.rs
@@ -101,3 +101,31 @@
         retry_after_ms: 0,
     }
 }
+
+/// The job, or an admitted one, would be `excess_ms` late.
+pub(crate) fn overload(excess_ms: f64, key: &JobKey) -> Refusal {
+    let detail = "the job cannot be done by its deadline; come back later or allow more time";
+    let retry_after_ms = jittered_ms(excess_ms.ceil() as u64, key);
+    not_run(RefusalReason::Overload, detail.to_owned(), retry_after_ms)
+}
+
+/// Even free slots take `ideal_ms`.
+pub(crate) fn impossible(ideal_ms: f64) -> Refusal {
+    let ideal_ms = ideal_ms.ceil();
+    let detail = format!("the tasks need {ideal_ms} ms even on free slots; allow more time");
+    not_run(RefusalReason::Impossible, detail, 0)
+}
+
+/// The team has as many tasks queued as it may.
+pub(crate) fn quota(wait_ms: f64, key: &JobKey) -> Refusal {
+    let detail = "the team has as many tasks queued as its quota allows".to_owned();
+    let retry_after_ms = jittered_ms(wait_ms.ceil() as u64, key);
+    not_run(RefusalReason::Quota, detail, retry_after_ms)
+}
+
+/// The service has as many tasks queued as it may.
+pub(crate) fn queue_full(wait_ms: f64, key: &JobKey) -> Refusal {
+    let detail = "the service's queue is full".to_owned();
+    let retry_after_ms = jittered_ms(wait_ms.ceil() as u64, key);
+    not_run(RefusalReason::Overload, detail, retry_after_ms)
+}
--- a/crates/core/src/engine/registry.rs
+++ b/crates/core/src/engine/registry.rs
@@ -3,14 +3,21 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use trefoil_schema::resources::BackendServerState;
+use trefoil_schema::resources::{BackendServerState, TeamSpec};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::command::Command;
 use super::event::{Worker, WorkerId};
 use super::pool::{Pool, ServiceTerms};
 use super::settings::EngineSettings;
 use super::shares::divide_slots;
+use super::teams::part_of_bound;
+use super::worker_set::WorkerDeal;
 use crate::config::ConfigSnapshot;
+use crate::time::Now;
+
+/// Leaves room for counting up from the seed.
+const DRAW_SEED_SHIFT: u32 = 8;
 
 /// Declarations in force and one pool for every service ever declared.
 #[derive(Default)]
@@ -41,34 +48,45 @@
         &self.pools
     }
 
-    /// Whether a team is declared.
-    pub fn has_team(&self, team: &str) -> bool {
-        self.config.teams.contains_key(team)
+    /// A team's terms, with this instance's part of its bounds.
+    pub fn team(&self, team: &str) -> Option<TeamSpec> {
+        let spec = &self.config.teams.get(team)?.spec;
+        let members = self.members.len() as u32;
+        let position = self.members.binary_search(&self.me).unwrap_or(0) as u32;
+        Some(TeamSpec {
+            slots_max: part_of_bound(spec.slots_max, position, members),
+            queued_tasks_max: part_of_bound(spec.queued_tasks_max, position, members),
+            ..spec.clone()
+        })
     }
 
     /// Takes new declarations.
     pub fn set_config(
         &mut self,
         settings: &Arc<EngineSettings>,
+        now: Now,
         config: &ConfigSnapshot,
         out: &mut Vec<Command>,
     ) {
         self.config = config.clone();
         self.forget_workers();
-        self.apply(settings, out);
+        self.apply(settings, now, out);
     }
 
     /// Takes the failure domain's instances.
     pub fn set_members(
         &mut self,
         settings: &Arc<EngineSettings>,
+        now: Now,
         me: &str,
         members: &[String],
         out: &mut Vec<Command>,
     ) {
         self.me = me.to_owned();
         self.members = members.to_vec();
-        self.apply(settings, out);
+        self.members.sort_unstable();
+        self.members.dedup();
+        self.apply(settings, now, out);
     }
 
     fn forget_workers(&mut self) {
@@ -77,7 +95,7 @@
             .retain(|name, _| declared.contains_key(name));
     }
 
-    fn apply(&mut self, settings: &Arc<EngineSettings>, out: &mut Vec<Command>) {
+    fn apply(&mut self, settings: &Arc<EngineSettings>, now: Now, out: &mut Vec<Command>) {
         let mut workers = self.workers_by_service(settings);
         let services: Vec<_> = self
             .config
@@ -86,13 +104,16 @@
             .map(|(name, declared)| (Arc::clone(name), ServiceTerms::from(&declared.spec)))
             .collect();
         for (service, terms) in services {
-            let mine = workers.remove(&service).unwrap_or_default();
+            let deal = WorkerDeal {
+                workers: workers.remove(&service).unwrap_or_default(),
+                draw_seed: xxh3_64(self.me.as_bytes()) >> DRAW_SEED_SHIFT,
+            };
             let pool = self.pool_or_new(settings, &service, &terms);
-            pool.lock().configure(terms, mine, out);
+            pool.lock().configure(now, terms, deal, out);
         }
         for (service, number) in &self.by_service {
             if !self.config.services.contains_key(service) {
-                self.pools[*number].lock().withdraw(out);
+                self.pools[*number].lock().withdraw(now, out);
             }
         }
     }
--- a/crates/core/src/engine/settings.rs
+++ b/crates/core/src/engine/settings.rs
@@ -13,6 +13,20 @@
     pub placement: PlacementSettings,
     /// Bounds on failing workers.
     pub workers: WorkerSettings,
+    /// Order of queued jobs.
+    pub order: QueueOrder,
+    /// Whether jobs that cannot meet their deadline are refused at once.
+    pub admission: bool,
+}
+
+/// Order of queued jobs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum QueueOrder {
+    /// Small and urgent jobs first, shared out between teams.
+    #[default]
+    Urgency,
+    /// First come, first served: the baseline.
+    Arrival,
 }
 
 impl Default for EngineSettings {
@@ -22,6 +36,8 @@
             jobs: JobSettings::default(),
             placement: PlacementSettings::default(),
             workers: WorkerSettings::default(),
+            order: QueueOrder::default(),
+            admission: true,
         }
     }
 }
@@ -33,6 +49,8 @@
             jobs: settings.jobs.clone(),
             placement: settings.placement.clone(),
             workers: settings.workers.clone(),
+            order: QueueOrder::default(),
+            admission: true,
         }
     }
 }
--- a/crates/core/src/engine/worker_set.rs
+++ b/crates/core/src/engine/worker_set.rs
@@ -1,9 +1,14 @@
 //! The workers of one service, and which of their slots this instance may use.
 
-use std::collections::{BTreeSet, HashMap};
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap, HashMap};
 use std::sync::Arc;
 
+use trefoil_schema::settings::{PlacementPolicy, WorkerSettings};
+
+use super::ejection::{Health, Peers, Showing};
 use super::event::{Worker, WorkerId};
+use super::placement::pick;
 
 /// A worker as this instance sees it.
 #[derive(Debug)]
@@ -13,65 +18,147 @@
     pub share: u32,
     /// Placements out from here.
     pub running: u32,
+    health: Health,
     /// Key under which the worker is in the ready set.
     ready_as: Option<ReadyKey>,
 }
 
+/// A service's workers as declared, each with this instance's share.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct WorkerDeal {
+    pub workers: Vec<(WorkerId, Worker, u32)>,
+    /// Start of this instance's draws, so that instances draw differently.
+    pub draw_seed: u64,
+}
+
 /// Order among workers with a free slot: the smallest gets the next task.
-type ReadyKey = (u32, WorkerId);
+type ReadyKey = (u8, u32, WorkerId);
 
 /// The workers of one service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct WorkerSet {
+    policy: PlacementPolicy,
+    settings: WorkerSettings,
     workers: HashMap<WorkerId, WorkerState>,
     ready: BTreeSet<ReadyKey>,
+    /// Workers that may take work, for the policies that draw.
+    open: Vec<WorkerId>,
+    wakes: BinaryHeap<Reverse<(u64, WorkerId)>>,
+    failure_rate_sum: f64,
+    ejected: usize,
+    slots: u64,
+    running: u64,
+    draws: u64,
 }
 
 impl WorkerSet {
+    /// A set without workers.
+    pub fn new(policy: PlacementPolicy, settings: WorkerSettings) -> Self {
+        Self {
+            policy,
+            settings,
+            workers: HashMap::new(),
+            ready: BTreeSet::new(),
+            open: Vec::new(),
+            wakes: BinaryHeap::new(),
+            failure_rate_sum: 0.0,
+            ejected: 0,
+            slots: 0,
+            running: 0,
+            draws: 0,
+        }
+    }
+
     /// Replaces the declared workers and their shares; those no longer
     /// declared get no new work and vanish with their last placement.
-    pub fn replace(&mut self, declared: Vec<(WorkerId, Worker, u32)>) {
+    pub fn replace(&mut self, now_ms: u64, mean_ms: f64, deal: WorkerDeal) {
+        self.draws = self.draws.max(deal.draw_seed);
         for state in self.workers.values_mut() {
             state.share = 0;
         }
-        for (id, worker, share) in declared {
-            let share = if worker.leaving { 0 } else { share };
+        for (id, worker, share) in deal.workers {
+            let share = match self.policy {
+                PlacementPolicy::OwnedSlots => share,
+                PlacementPolicy::TwoChoices | PlacementPolicy::Random => worker.open_slots(),
+            };
             match self.workers.get_mut(&id) {
                 Some(state) => {
                     state.worker = worker;
                     state.share = share;
                 }
                 None => {
-                    let state = WorkerState {
-                        worker,
-                        share,
-                        running: 0,
-                        ready_as: None,
-                    };
-                    self.workers.insert(id, state);
+                    self.workers.insert(id, WorkerState::new(worker, share));
                 }
             }
         }
         self.workers
             .retain(|_, state| state.share > 0 || state.running > 0);
+        self.recount(now_ms, mean_ms);
+    }
+
+    fn recount(&mut self, now_ms: u64, mean_ms: f64) {
         self.ready.clear();
+        for state in self.workers.values_mut() {
+            state.ready_as = None;
+        }
+        self.open = self
+            .workers
+            .iter()
+            .filter(|(_, state)| state.share > 0)
+            .map(|(id, _)| *id)
+            .collect();
+        self.open.sort_unstable();
+        let states = self.workers.values();
+        self.failure_rate_sum = states.clone().map(|state| state.health.failure_rate).sum();
+        self.ejected = states
+            .clone()
+            .filter(|state| state.health.is_ejected())
+            .count();
+        self.slots = states.map(|state| u64::from(state.share)).sum();
         let ids: Vec<_> = self.workers.keys().copied().collect();
         for id in ids {
-            self.refresh(id);
+            self.refresh(now_ms, mean_ms, id);
         }
     }
 
-    /// Slots that this instance may use.
+    /// Slots that this instance may use, those of ejected workers included.
     pub fn slots(&self) -> u64 {
-        self.workers
-            .values()
-            .map(|state| u64::from(state.share))
-            .sum()
+        self.slots
     }
 
-    /// The best worker with a free slot, other than `avoid` where possible.
-    pub fn best(&self, avoid: Option<WorkerId>) -> Option<WorkerId> {
-        let mut ready = self.ready.iter().map(|(_, id)| *id);
+    /// Slots to count on: all but those of ejected workers.
+    pub fn serving_slots(&self) -> f64 {
+        let open = self.open.len().max(1) as f64;
+        let serving = (open - self.ejected as f64).max(1.0);
+        self.slots as f64 * serving / open
+    }
+
+    /// Placements out.
+    pub fn running(&self) -> u64 {
+        self.running
+    }
+
+    /// Workers ejected or on trial.
+    pub fn ejected(&self) -> u64 {
+        self.ejected as u64
+    }
+
+    /// The worker for the next task, other than `avoid` where possible.
+    pub fn choose(&mut self, avoid: Option<WorkerId>) -> Option<WorkerId> {
+        if self.ready.is_empty() {
+            return None;
+        }
+        match self.policy {
+            PlacementPolicy::OwnedSlots => self.best(avoid),
+            PlacementPolicy::TwoChoices => self.draw_of(2, avoid),
+            PlacementPolicy::Random => self.draw_of(1, avoid),
+        }
+    }
+
+    /// The worker to avoid is taken only if it is the only one ready, which
+    /// means that its pause after the refusal is over.
+    fn best(&self, avoid: Option<WorkerId>) -> Option<WorkerId> {
+        let mut ready = self.ready.iter().map(|(_, _, id)| *id);
         let first = ready.next()?;
         if Some(first) != avoid {
             return Some(first);
@@ -79,6 +166,21 @@
         ready.next().or(Some(first))
     }
 
+    /// The least loaded of `choices` workers drawn among those ready.
+    fn draw_of(&mut self, choices: u32, avoid: Option<WorkerId>) -> Option<WorkerId> {
+        let mut drawn = Vec::new();
+        for _ in 0..choices {
+            self.draws += 1;
+            drawn.extend(pick(self.draws, &self.open, |id| self.is_ready(id, avoid)));
+        }
+        drawn.into_iter().min_by_key(|id| self.workers[id].running)
+    }
+
+    fn is_ready(&self, id: WorkerId, avoid: Option<WorkerId>) -> bool {
+        let ready = self.workers[&id].ready_as.is_some();
+        ready && (Some(id) != avoid || self.ready.len() == 1)
+    }
+
     /// The address of a worker.
     pub fn address(&self, id: WorkerId) -> Option<Arc<str>> {
         let state = self.workers.get(&id)?;
@@ -86,33 +188,110 @@
     }
 
     /// Takes a slot.
-    pub fn start(&mut self, id: WorkerId) {
+    pub fn start(&mut self, now_ms: u64, mean_ms: f64, id: WorkerId) {
         if let Some(state) = self.workers.get_mut(&id) {
             state.running += 1;
+            self.running += 1;
         }
-        self.refresh(id);
+        self.refresh(now_ms, mean_ms, id);
     }
 
-    /// Gives a slot back.
-    pub fn finish(&mut self, id: WorkerId) {
+    /// Gives a slot back and judges the worker.
+    pub fn finish(&mut self, now_ms: u64, mean_ms: f64, id: WorkerId, showing: Showing) {
+        let peers = self.peers_of(id, mean_ms);
         let Some(state) = self.workers.get_mut(&id) else {
             return;
         };
         state.running = state.running.saturating_sub(1);
-        self.refresh(id);
+        self.running -= 1;
+        let rate_before = state.health.failure_rate;
+        let ejected_before = state.health.is_ejected();
+        state.health.record(now_ms, showing, peers, &self.settings);
+        self.failure_rate_sum += state.health.failure_rate - rate_before;
+        self.ejected += usize::from(state.health.is_ejected());
+        self.ejected -= usize::from(ejected_before);
+        if state.running == 0 && state.share == 0 {
+            return self.vanish(id);
+        }
+        self.refresh(now_ms, mean_ms, id);
+    }
+
+    fn vanish(&mut self, id: WorkerId) {
+        let Some(state) = self.workers.remove(&id) else {
+            return;
+        };
+        self.failure_rate_sum -= state.health.failure_rate;
+        self.ejected -= usize::from(state.health.is_ejected());
     }
 
-    fn refresh(&mut self, id: WorkerId) {
+    fn peers_of(&self, id: WorkerId, mean_run_ms: f64) -> Peers {
+        let own = self.workers.get(&id);
+        let own_rate = own.map_or(0.0, |state| state.health.failure_rate);
+        let others = self.workers.len().saturating_sub(1).max(1) as f64;
+        let share_max = self.settings.eject_share_max_percent as usize;
+        Peers {
+            failure_rate: ((self.failure_rate_sum - own_rate) / others).max(0.0),
+            mean_run_ms,
+            may_eject: (self.ejected + 1) * 100 <= self.open.len() * share_max,
+        }
+    }
+
+    /// Ends the pauses that are over.
+    pub fn wake(&mut self, now_ms: u64, mean_ms: f64) {
+        while let Some(Reverse((due_ms, id))) = self.wakes.peek().copied() {
+            if due_ms > now_ms {
+                return;
+            }
+            self.wakes.pop();
+            self.refresh(now_ms, mean_ms, id);
+        }
+    }
+
+    /// Puts a worker where it belongs in the ready set.
+    fn refresh(&mut self, now_ms: u64, mean_ms: f64, id: WorkerId) {
         let Some(state) = self.workers.get_mut(&id) else {
             return;
         };
-        if let Some(key) = state.ready_as.take() {
+        if let Some(due_ms) = state.health.wake(now_ms) {
+            state.schedule(due_ms, id, &mut self.wakes);
+        }
+        let ready_as = state.ready_key(now_ms, mean_ms, id);
+        if state.ready_as == ready_as {
+            return;
+        }
+        if let Some(key) = state.ready_as {
             self.ready.remove(&key);
         }
-        if state.running < state.share {
-            let key = (state.running, id);
-            state.ready_as = Some(key);
-            self.ready.insert(key);
+        self.ready.extend(ready_as);
+        state.ready_as = ready_as;
+    }
+}
+
+impl WorkerState {
+    fn new(worker: Worker, share: u32) -> Self {
+        Self {
+            worker,
+            share,
+            running: 0,
+            health: Health::default(),
+            ready_as: None,
+        }
+    }
+
+    fn ready_key(&self, now_ms: u64, mean_ms: f64, id: WorkerId) -> Option<ReadyKey> {
+        let free = self.running < self.health.slots(now_ms, self.share);
+        free.then(|| (self.health.reluctance(mean_ms), self.running, id))
+    }
+
+    fn schedule(
+        &mut self,
+        due_ms: u64,
+        id: WorkerId,
+        wakes: &mut BinaryHeap<Reverse<(u64, WorkerId)>>,
+    ) {
+        if self.health.wake_at_ms != due_ms {
+            self.health.wake_at_ms = due_ms;
+            wakes.push(Reverse((due_ms, id)));
         }
     }
 }
--- a/crates/core/tests/engine_support/mod.rs
+++ b/crates/core/tests/engine_support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod virtual_load;
+
 use std::collections::VecDeque;
 use std::sync::Arc;
 
