--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -14,10 +14,14 @@
 //! is stored, the members of the view before it must be unable to admit keys
 //! issued at `from_ms` or later.
 
+use derive_more::{Display, Error};
+use trefoil_schema::peer;
+
 use crate::key::{JobKey, rendezvous};
 
 /// An instance and the number of its start.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[display("{name}#{incarnation}")]
 pub struct Member {
     /// Configured name of the instance.
     pub name: String,
@@ -72,7 +76,157 @@
     }
 }
 
+/// A message or record that breaks a rule of view logs.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum ViewError {
+    /// A view names no members.
+    #[display("a view has no members")]
+    NoMembers,
+    /// Two members of a view share a name.
+    #[display("a view lists one name twice")]
+    RepeatedName,
+    /// Versions do not rise by one, or key times go back.
+    #[display("views are out of order")]
+    OutOfOrder,
+}
+
+impl Member {
+    /// A member of that name and incarnation.
+    pub fn new(name: &str, incarnation: u64) -> Self {
+        Self {
+            name: name.to_owned(),
+            incarnation,
+        }
+    }
+}
+
+impl From<&peer::InstanceRef> for Member {
+    fn from(instance: &peer::InstanceRef) -> Self {
+        Self::new(&instance.name, instance.incarnation)
+    }
+}
+
+impl From<&Member> for peer::InstanceRef {
+    fn from(member: &Member) -> Self {
+        Self {
+            name: member.name.clone(),
+            incarnation: member.incarnation,
+        }
+    }
+}
+
+impl From<&View> for peer::View {
+    fn from(view: &View) -> Self {
+        Self {
+            version: view.version,
+            from_ms: view.from_ms,
+            members: view.members.iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl From<&peer::View> for View {
+    fn from(view: &peer::View) -> Self {
+        Self {
+            version: view.version,
+            from_ms: view.from_ms,
+            members: view.members.iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl ViewLog {
+    /// The version of the newest view; 0 before the first.
+    pub fn version(&self) -> u64 {
+        self.newest().map_or(0, |view| view.version)
+    }
+
+    /// This log with one more view.
+    #[must_use]
+    pub fn with(&self, from_ms: u64, members: Vec<Member>) -> Self {
+        let mut views = self.views.clone();
+        views.push(View {
+            version: self.version() + 1,
+            from_ms,
+            members,
+        });
+        Self { views }
+    }
+
+    /// This log without its views older than `version`.
+    #[must_use]
+    pub fn without_before(&self, version: u64) -> Self {
+        let kept = self.views.iter().filter(|view| view.version >= version);
+        Self::new(kept.cloned().collect())
+    }
+
+    /// First version of the unbroken run of views, up to the newest, that
+    /// have `member`.
+    pub fn run_start(&self, member: &Member) -> Option<u64> {
+        let run = self.views.iter().rev();
+        run.take_while(|view| view.has(member))
+            .last()
+            .map(|view| view.version)
+    }
+
+    /// Checks the rules that every stored log obeys.
+    pub fn check(&self) -> Result<(), ViewError> {
+        for view in &self.views {
+            view.check()?;
+        }
+        let ordered = self.views.windows(2).all(|pair| {
+            pair[0].version + 1 == pair[1].version && pair[0].from_ms <= pair[1].from_ms
+        });
+        ordered.then_some(()).ok_or(ViewError::OutOfOrder)
+    }
+
+    /// The log of a message.
+    pub fn from_record(record: &peer::ViewRecord) -> Result<Self, ViewError> {
+        let log = Self::new(record.views.iter().map(Into::into).collect());
+        log.check()?;
+        Ok(log)
+    }
+
+    /// A message with this log, as of store revision `revision`.
+    pub fn to_record(&self, domain: &str, revision: u64) -> peer::ViewRecord {
+        peer::ViewRecord {
+            domain: domain.to_owned(),
+            views: self.views.iter().map(Into::into).collect(),
+            revision,
+        }
+    }
+}
+
 impl View {
+    /// Whether `member`, in that incarnation, belongs to the view.
+    pub fn has(&self, member: &Member) -> bool {
+        self.members.contains(member)
+    }
+
+    /// Members that must vouch, the asker included, before it may admit.
+    pub fn quorum(&self) -> usize {
+        match self.members.len() {
+            count @ 0..=2 => count,
+            3 => 2,
+            count => count / 2 + 1,
+        }
+    }
+
+    /// Members, the sealed one aside, whose seals leave it no quorum.
+    pub fn blocking(&self) -> usize {
+        self.members.len() - self.quorum() + 1
+    }
+
+    fn check(&self) -> Result<(), ViewError> {
+        if self.members.is_empty() {
+            return Err(ViewError::NoMembers);
+        }
+        let mut names: Vec<&str> = self.members.iter().map(|m| m.name.as_str()).collect();
+        names.sort_unstable();
+        let repeated = names.windows(2).any(|pair| pair[0] == pair[1]);
+        (!repeated).then_some(()).ok_or(ViewError::RepeatedName)
+    }
+
     /// The member that owns `key` within this view.
     pub fn owner(&self, key: &JobKey) -> Option<&Member> {
         let hash = key.hash();
