links: tests of delivery, rubbish, doubled frames, restarts and dead peers

Cause: the links were untested.

Change: twelve tests over loopback; the raw side is an nng PUSH socket, an nng PULL socket or plain TCP, so that the frames' form is tested too.

Ruled out: the first form of the lateness test let nng's dial backoff (500 ms) pass the lateness bound (300 ms), so the second message was late as well and rightly dropped; the test now dials each 20 ms.

--- /dev/null
+++ b/tests/testsuite/links.rs
@@ -0,0 +1,340 @@
+//! Links between instances: delivery, batches, rubbish, restarts, dead peers.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+use nng::options::{Options, RecvMaxSize};
+use nng::{Protocol, Socket};
+use prost::Message as _;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::mpsc::Receiver;
+use tokio::time::timeout;
+use trefoil_core::verdict::Verdict;
+use trefoil_schema::peer::{CancelJob, ForwardJob, Frame, InstanceRef, Message, message::Body};
+use trefoilbay::links::{Incoming, LinkReason, LinkSettings, LinkStats, Links, Probe, probe};
+
+/// No test waits longer than this for what must come.
+const SOON: Duration = Duration::from_secs(10);
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn settings(name: &str, incarnation: u64) -> LinkSettings {
+    LinkSettings {
+        me: reference(name, incarnation),
+        listen: free_address(),
+        ..LinkSettings::default()
+    }
+}
+
+fn reference(name: &str, incarnation: u64) -> InstanceRef {
+    let name = name.to_owned();
+    InstanceRef { name, incarnation }
+}
+
+fn start(settings: &LinkSettings) -> (Links, Receiver<Incoming>) {
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    Links::start(settings.clone(), log).unwrap()
+}
+
+fn cancel(request_id: u64) -> Body {
+    let key = "k".to_owned();
+    Body::CancelJob(CancelJob { request_id, key })
+}
+
+fn request_id(incoming: &Incoming) -> u64 {
+    match &incoming.message {
+        Body::CancelJob(cancel) => cancel.request_id,
+        other => panic!("not sent by these tests: {other:?}"),
+    }
+}
+
+async fn next(receiver: &mut Receiver<Incoming>) -> Incoming {
+    timeout(SOON, receiver.recv()).await.unwrap().unwrap()
+}
+
+async fn wait_for(links: &Links, reached: impl Fn(&LinkStats) -> bool) -> LinkStats {
+    let begun = Instant::now();
+    while !reached(&links.stats()) {
+        assert!(begun.elapsed() < SOON, "not reached: {:?}", links.stats());
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    links.stats()
+}
+
+fn frame(name: &str, incarnation: u64, sequence: u64, request_id: u64) -> Vec<u8> {
+    let message = Message {
+        body: Some(cancel(request_id)),
+    };
+    let frame = Frame {
+        from: Some(reference(name, incarnation)),
+        sequence,
+        messages: vec![message],
+    };
+    frame.encode_to_vec()
+}
+
+fn raw_push(address: SocketAddr) -> Socket {
+    let socket = Socket::new(Protocol::Push0).unwrap();
+    socket.dial(&format!("tcp://{address}")).unwrap();
+    socket
+}
+
+#[tokio::test]
+async fn delivers_both_ways_in_order_in_few_frames() {
+    const COUNT: u64 = 2_000;
+    let (a_settings, b_settings) = (settings("a", 1), settings("b", 1));
+    let (a, mut at_a) = start(&a_settings);
+    let (b, mut at_b) = start(&b_settings);
+    a.set_peer("b", b_settings.listen);
+    b.set_peer("a", a_settings.listen);
+    for id in 0..COUNT {
+        a.send("b", cancel(id)).unwrap();
+        b.send("a", cancel(id)).unwrap();
+    }
+    for id in 0..COUNT {
+        let incoming = next(&mut at_b).await;
+        assert_eq!(incoming.from, reference("a", 1));
+        assert_eq!(request_id(&incoming), id);
+        assert_eq!(request_id(&next(&mut at_a).await), id);
+    }
+    let stats = b.stats();
+    assert_eq!(stats.messages_in, COUNT);
+    assert_eq!(stats.gaps, 0);
+    assert!(stats.frames_in < COUNT / 2, "no batches: {stats:?}");
+    assert_eq!(stats.dropped, LinkStats::default().dropped);
+}
+
+#[tokio::test]
+async fn an_idle_link_sends_at_once() {
+    let b_settings = settings("b", 1);
+    let (a, _at_a) = start(&settings("a", 1));
+    let (_b, mut at_b) = start(&b_settings);
+    a.set_peer("b", b_settings.listen);
+    for id in 1..=5 {
+        a.send("b", cancel(id)).unwrap();
+        assert_eq!(request_id(&next(&mut at_b).await), id);
+        assert_eq!(a.stats().frames_out, id);
+    }
+}
+
+#[tokio::test]
+async fn rubbish_is_counted_and_never_delivered() {
+    let b_settings = LinkSettings {
+        frame_bytes_max: 1 << 10,
+        message_bytes_max: 1 << 10,
+        ..settings("b", 1)
+    };
+    let (b, mut at_b) = start(&b_settings);
+    let push = raw_push(b_settings.listen);
+    let whole = frame("a", 1, 1, 7);
+    push.send(&b"\xff\xff\xff\xffnot a frame"[..]).unwrap();
+    push.send(&whole[..whole.len() - 3]).unwrap();
+    push.send(&frame("", 1, 1, 7)[..]).unwrap();
+    push.send(&frame("a", 1, 0, 7)[..]).unwrap();
+    push.send(&b""[..]).unwrap();
+    let stats = wait_for(&b, |stats| stats.frames_in == 5).await;
+    wait_for(&b, |stats| stats.dropped.rubbish == 5).await;
+    assert_eq!(stats.messages_in, 0);
+    push.send(&vec![0; 64 << 10][..]).unwrap();
+    wait_for(&b, |stats| stats.disconnects == 1).await;
+    let mut raw = TcpStream::connect(b_settings.listen).await.unwrap();
+    let _ = raw.write_all(b"GET / HTTP/1.1\r\nhost: b\r\n\r\n").await;
+    let mut cut = TcpStream::connect(b_settings.listen).await.unwrap();
+    let _ = cut
+        .write_all(b"\0SP\0\0\x50\0\0\0\0\0\0\0\0\0\x40half")
+        .await;
+    drop(cut);
+    raw_push(b_settings.listen).send(&whole[..]).unwrap();
+    assert_eq!(request_id(&next(&mut at_b).await), 7);
+    assert_eq!(b.stats().messages_in, 1);
+    assert_eq!(b.stats().frames_in, 6);
+}
+
+#[tokio::test]
+async fn doubled_and_stale_frames_are_dropped_and_gaps_counted() {
+    let b_settings = settings("b", 1);
+    let (b, mut at_b) = start(&b_settings);
+    let push = raw_push(b_settings.listen);
+    // Incarnation, sequence and message id; the same connection keeps order.
+    let frames = [
+        (5, 1, 1),
+        (5, 1, 1),
+        (5, 4, 4),
+        (5, 3, 3),
+        (6, 1, 11),
+        (5, 9, 9),
+        (6, 1, 11),
+        (6, 2, 12),
+    ];
+    for (incarnation, sequence, id) in frames {
+        push.send(&frame("a", incarnation, sequence, id)[..])
+            .unwrap();
+    }
+    let mut got = Vec::new();
+    for _ in 0..4 {
+        got.push(request_id(&next(&mut at_b).await));
+    }
+    assert_eq!(got, [1, 4, 11, 12]);
+    let stats = wait_for(&b, |stats| stats.frames_in == 8).await;
+    assert_eq!(stats.dropped.doubled, 3);
+    assert_eq!(stats.dropped.stale, 1);
+    assert_eq!(stats.gaps, 2);
+    assert!(at_b.try_recv().is_err());
+}
+
+#[tokio::test]
+async fn a_restarted_peer_is_heard_and_reached_again() {
+    let b_settings = settings("b", 1);
+    let a_settings = settings("a", 1);
+    let (b, mut at_b) = start(&b_settings);
+    let (a, _at_a) = start(&a_settings);
+    a.set_peer("b", b_settings.listen);
+    a.send("b", cancel(1)).unwrap();
+    next(&mut at_b).await;
+    drop(a);
+    let (a, mut at_a) = start(&LinkSettings {
+        me: reference("a", 2),
+        ..a_settings.clone()
+    });
+    a.set_peer("b", b_settings.listen);
+    a.send("b", cancel(2)).unwrap();
+    let incoming = next(&mut at_b).await;
+    assert_eq!(incoming.from, reference("a", 2));
+    b.set_peer("a", a_settings.listen);
+    b.send("a", cancel(3)).unwrap();
+    assert_eq!(request_id(&next(&mut at_a).await), 3);
+}
+
+#[tokio::test]
+async fn a_changed_address_is_dialled_and_takes_what_waits() {
+    let b_settings = settings("b", 1);
+    let (a, _at_a) = start(&settings("a", 1));
+    let (_b, mut at_b) = start(&b_settings);
+    a.set_peer("b", free_address());
+    a.send("b", cancel(1)).unwrap();
+    a.set_peer("b", b_settings.listen);
+    assert_eq!(request_id(&next(&mut at_b).await), 1);
+    a.remove_peer("b");
+    let error = a.send("b", cancel(2)).unwrap_err();
+    assert_eq!(error.verdict, Verdict::NotRun);
+    assert!(matches!(error.reason, LinkReason::UnknownPeer { .. }));
+    // Sequence numbers go on, so the receiver takes no frame for a doubled one.
+    a.set_peer("b", b_settings.listen);
+    a.send("b", cancel(3)).unwrap();
+    assert_eq!(request_id(&next(&mut at_b).await), 3);
+}
+
+#[tokio::test]
+async fn a_dead_peer_blocks_no_other_and_its_queue_is_bounded() {
+    const BOUND: usize = 100;
+    let b_settings = settings("b", 1);
+    let (a, _at_a) = start(&LinkSettings {
+        queue_messages_max: BOUND,
+        ..settings("a", 1)
+    });
+    let (_b, mut at_b) = start(&b_settings);
+    a.set_peer("b", b_settings.listen);
+    // Bound and not listening, so that no other test can get the port.
+    let dead = TcpSocket::new_v4().unwrap();
+    dead.bind((Ipv4Addr::LOCALHOST, 0).into()).unwrap();
+    a.set_peer("dead", dead.local_addr().unwrap());
+    let mut refused = 0;
+    for id in 0..1_000 {
+        if let Err(error) = a.send("dead", cancel(id)) {
+            assert_eq!(error.verdict, Verdict::NotRun);
+            assert!(matches!(error.reason, LinkReason::QueueFull { .. }));
+            refused += 1;
+        }
+    }
+    assert_eq!(refused, 1_000 - BOUND);
+    a.send("b", cancel(7)).unwrap();
+    assert_eq!(request_id(&next(&mut at_b).await), 7);
+    assert_eq!(a.stats().dropped.queue_full, 900);
+}
+
+#[tokio::test]
+async fn a_peer_that_takes_nothing_costs_bounded_memory_and_time() {
+    // Accepts connections in the kernel alone and never answers.
+    let frozen = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let (a, _at_a) = start(&LinkSettings {
+        late_ms: 20,
+        redial_ms: 60,
+        queue_messages_max: 10,
+        ..settings("a", 1)
+    });
+    a.set_peer("frozen", frozen.local_addr().unwrap());
+    for id in 0..10 {
+        a.send("frozen", cancel(id)).unwrap();
+    }
+    let stats = wait_for(&a, |stats| stats.redials > 0 && stats.dropped.late == 10).await;
+    assert_eq!(stats.frames_out, 0);
+}
+
+#[tokio::test]
+async fn late_messages_are_dropped_and_the_time_left_is_brought_up_to_date() {
+    let b_settings = settings("b", 1);
+    let (a, _at_a) = start(&LinkSettings {
+        late_ms: 300,
+        // Dials within the time that the second message may wait.
+        reconnect_max_ms: 20,
+        redial_ms: 60_000,
+        ..settings("a", 1)
+    });
+    a.set_peer("b", b_settings.listen);
+    a.send("b", cancel(1)).unwrap();
+    tokio::time::sleep(Duration::from_millis(310)).await;
+    let job = ForwardJob {
+        timeout_ms: 1_000,
+        ..ForwardJob::default()
+    };
+    a.send("b", Body::ForwardJob(job)).unwrap();
+    assert_eq!(a.stats().dropped.late, 1);
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let (_b, mut at_b) = start(&b_settings);
+    let Body::ForwardJob(job) = next(&mut at_b).await.message else {
+        panic!("the late message was delivered");
+    };
+    assert!((700..=980).contains(&job.timeout_ms), "{}", job.timeout_ms);
+}
+
+#[tokio::test]
+async fn a_message_over_the_bound_is_refused() {
+    let (a, _at_a) = start(&LinkSettings {
+        message_bytes_max: 64,
+        ..settings("a", 1)
+    });
+    a.set_peer("b", free_address());
+    let key = "k".repeat(65);
+    let error = a
+        .send("b", Body::CancelJob(CancelJob { request_id: 1, key }))
+        .unwrap_err();
+    assert_eq!(error.verdict, Verdict::NotRun);
+    assert!(matches!(error.reason, LinkReason::TooLarge { .. }));
+}
+
+#[tokio::test]
+async fn the_probe_tells_refused_from_accepting() {
+    let b_settings = settings("b", 1);
+    let (b, _at_b) = start(&b_settings);
+    assert_eq!(probe(b_settings.listen, SOON).await, Probe::Accepts);
+    drop(b);
+    assert_eq!(probe(b_settings.listen, SOON).await, Probe::Refused);
+}
+
+#[tokio::test]
+async fn what_a_link_sends_is_a_plain_frame() {
+    let pull = Socket::new(Protocol::Pull0).unwrap();
+    pull.set_opt::<RecvMaxSize>(1 << 20).unwrap();
+    let address = free_address();
+    pull.listen(&format!("tcp://{address}")).unwrap();
+    let (a, _at_a) = start(&settings("a", 9));
+    a.set_peer("b", address);
+    a.send("b", cancel(4)).unwrap();
+    let bytes = tokio::task::spawn_blocking(move || pull.recv().unwrap());
+    let bytes = timeout(SOON, bytes).await.unwrap().unwrap();
+    assert_eq!(&bytes[..], &frame("a", 9, 1, 4)[..]);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,3 +1,4 @@
 //! End-to-end tests by feature, each a small project of real processes.
 
+mod links;
 mod support;
