links: an example that measures them beside REQ/REP and a TCP echo

Change: examples/link_rate, and a test that a connected peer which reads nothing fills a bounded queue and is dialled anew.

--- /dev/null
+++ b/examples/link_rate/main.rs
@@ -0,0 +1,103 @@
+//! Measures links between two instances on loopback beside nng REQ/REP and a
+//! plain TCP echo, in one process. Stops by itself.
+//!
+//! `cargo run --release --example link_rate`
+
+mod echo;
+mod links;
+mod reqrep;
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Bytes of a small message and of one task's payload.
+const SMALL_BYTES: usize = 200;
+/// Tasks of a job; a job carries this many payloads each way.
+const JOB_TASKS: usize = 100;
+const DEPTHS: [usize; 2] = [1, 64];
+const ROUNDS: usize = 3;
+
+/// Latencies of one run and how long it took.
+pub struct Run {
+    latencies: Vec<Duration>,
+    took: Duration,
+}
+
+impl Run {
+    fn new(mut latencies: Vec<Duration>, begun: Instant) -> Self {
+        let took = begun.elapsed();
+        latencies.sort_unstable();
+        Self { latencies, took }
+    }
+
+    fn quantile_us(&self, quantile: f64) -> f64 {
+        let last = self.latencies.len() - 1;
+        let index = (last as f64 * quantile) as usize;
+        self.latencies[index].as_secs_f64() * 1e6
+    }
+
+    fn print(&self, what: &str, load: &str, depth: usize) {
+        let rate = self.latencies.len() as f64 / self.took.as_secs_f64();
+        let (p50, p99) = (self.quantile_us(0.5), self.quantile_us(0.99));
+        println!("{what:<22} {load:<6} {depth:>5} {p50:>9.0} {p99:>9.0} {rate:>9.0}");
+    }
+}
+
+/// How many exchanges a run makes.
+fn exchanges(load: &str, depth: usize) -> usize {
+    match (load, depth) {
+        ("small", 1) => 5_000,
+        ("small", _) => 50_000,
+        (_, 1) => 2_000,
+        _ => 10_000,
+    }
+}
+
+/// A number from this process's status file.
+fn status(field: &str) -> u64 {
+    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find(|line| line.starts_with(field));
+    let number = line.and_then(|line| line.split_whitespace().nth(1));
+    number.and_then(|number| number.parse().ok()).unwrap_or(0)
+}
+
+/// This process's threads by name.
+fn threads() -> BTreeMap<String, usize> {
+    let mut names = BTreeMap::new();
+    let tasks = std::fs::read_dir("/proc/self/task").into_iter().flatten();
+    for task in tasks.flatten() {
+        let name = std::fs::read_to_string(task.path().join("comm")).unwrap_or_default();
+        *names.entry(name.trim().to_owned()).or_default() += 1;
+    }
+    names
+}
+
+#[tokio::main(worker_threads = 4)]
+async fn main() {
+    println!(
+        "threads before nng: {}, load {}",
+        status("Threads"),
+        std::fs::read_to_string("/proc/loadavg")
+            .unwrap_or_default()
+            .trim()
+    );
+    links::footprint().await;
+    println!("way                    load   depth    p50 us    p99 us      per s");
+    for _ in 0..ROUNDS {
+        for (load, bytes) in [("small", SMALL_BYTES), ("job", SMALL_BYTES * JOB_TASKS)] {
+            for depth in DEPTHS {
+                let count = exchanges(load, depth);
+                links::one_way(load, depth, count).await;
+                links::round_trip(load, depth, count).await;
+                reqrep::round_trip(bytes, depth, count)
+                    .await
+                    .print("nng req/rep", load, depth);
+                echo::round_trip(bytes, depth, count)
+                    .await
+                    .print("tcp echo", load, depth);
+            }
+        }
+        links::throughput().await;
+    }
+    links::heartbeat_bytes();
+}
--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -274,6 +274,36 @@
     assert_eq!(stats.frames_out, 0);
 }
 
+#[tokio::test]
+async fn a_connected_peer_that_reads_nothing_is_bounded_and_dialled_anew() {
+    const MESSAGE_BYTES: usize = 1 << 20;
+    const BOUND: usize = 4;
+    let unread = Socket::new(Protocol::Pull0).unwrap();
+    unread.set_opt::<RecvMaxSize>(64 << 20).unwrap();
+    let address = free_address();
+    unread.listen(&format!("tcp://{address}")).unwrap();
+    let (a, _at_a) = start(&LinkSettings {
+        late_ms: 100,
+        redial_ms: 60,
+        queue_bytes_max: BOUND * MESSAGE_BYTES + (1 << 10),
+        ..settings("a", 1)
+    });
+    a.set_peer("unread", address);
+    let begun = Instant::now();
+    let mut full = 0;
+    while a.stats().redials == 0 {
+        assert!(begun.elapsed() < SOON, "not dialled anew: {:?}", a.stats());
+        let key = "k".repeat(MESSAGE_BYTES);
+        let cancel = CancelJob { request_id: 1, key };
+        full += usize::from(a.send("unread", Body::CancelJob(cancel)).is_err());
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let stats = a.stats();
+    assert!(full > 0, "the queue was never full: {stats:?}");
+    assert_eq!(stats.dropped.queue_full, full as u64);
+    assert!(stats.dropped.late > 0, "nothing was late: {stats:?}");
+}
+
 #[tokio::test]
 async fn late_messages_are_dropped_and_the_time_left_is_brought_up_to_date() {
     let b_settings = settings("b", 1);
