runtime, caller: drive the engine, and take jobs over HTTP

Cause: the engine has no clock, no sockets and no waiters of its own.

Callers' requests go through Dispatch, which knows this instance alone for now.

Payloads and results pass byte for byte. Weighed: reading them into JSON values, which changes numbers beyond 64-bit floats, and a fingerprint of normalised payloads, under which two such payloads are one. A refusal of form under a key that is known carries the verdict of that key's job.

--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -1,1 +1,163 @@
 //! The callers' interface: keys and jobs.
+//!
+//! Every refusal is given at once and says whether tasks under the key may
+//! have started. That includes refusals of form: a malformed resubmission of a
+//! key whose job ran is answered with that job's verdict.
+//!
+//! * [`request`]: from HTTP to a checked submission.
+//! * [`answer`]: from the engine's answer to HTTP.
+
+pub mod answer;
+pub mod request;
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use poem::http::StatusCode;
+use poem::web::Data;
+use poem::{
+    Body, EndpointExt, IntoEndpoint, IntoResponse, Request, Response, Route, get, handler, post,
+};
+use serde::Deserialize;
+use trefoil_core::engine::JobAnswer;
+use trefoil_core::key::JobKey;
+use trefoil_core::verdict::Verdict;
+use trefoil_schema::api::KeysResponse;
+use trefoil_schema::settings::JobSettings;
+
+use crate::runtime::dispatch::Dispatch;
+use answer::Asked;
+use request::{FormError, JobSubmission};
+
+/// Most keys minted by one request.
+const KEYS_MAX: u32 = 10_000;
+
+/// What the callers' handlers share.
+#[derive(Clone)]
+pub struct CallerContext {
+    /// Takes requests to the owner of their key.
+    pub dispatch: Dispatch,
+    /// Bounds on jobs.
+    pub jobs: Arc<JobSettings>,
+    /// Failure domain that minted keys name.
+    pub failure_domain: Arc<str>,
+}
+
+/// Routes for callers, below the server's root.
+pub fn routes(context: CallerContext) -> impl IntoEndpoint {
+    Route::new()
+        .at("/v1/keys", post(mint_keys))
+        .at("/v1/jobs", post(submit_job))
+        .at("/v1/jobs/:key", get(fetch_job).delete(cancel_job))
+        .data(context)
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct MintQuery {
+    #[serde(default = "one")]
+    count: u32,
+}
+
+fn one() -> u32 {
+    1
+}
+
+#[handler]
+fn mint_keys(request: &Request, context: Data<&CallerContext>) -> Response {
+    let count = match request.params::<MintQuery>() {
+        Ok(query) if (1..=KEYS_MAX).contains(&query.count) => query.count,
+        Ok(_) => return FormError::malformed(format!("count is not 1 to {KEYS_MAX}")).respond(),
+        Err(error) => return FormError::malformed(error.to_string()).respond(),
+    };
+    let issued_ms = context.dispatch.wall_ms();
+    let mint = |_| JobKey::mint(&context.failure_domain, issued_ms, rand::random()).to_string();
+    let keys = (0..count).map(mint).collect();
+    answer::json(StatusCode::OK, &KeysResponse { keys })
+}
+
+#[handler]
+async fn submit_job(request: &Request, body: Body, context: Data<&CallerContext>) -> Response {
+    let arrived = Instant::now();
+    let key = match request::header_key(request.headers()) {
+        Ok(key) => key,
+        Err(error) => return error.respond(),
+    };
+    let job = match read_job(request, body, &context).await {
+        Ok(job) => job,
+        Err(error) => return refuse_form(&context, &key, error).await,
+    };
+    let job = job.into_checked(key.clone(), &context.jobs, arrived);
+    let traceparent = request::traceparent(request.headers());
+    let answer = context
+        .dispatch
+        .submit(job.submission, job.wait, traceparent)
+        .await;
+    answer::respond(&key, Asked::Submit, answer)
+}
+
+async fn read_job(
+    request: &Request,
+    body: Body,
+    context: &CallerContext,
+) -> Result<JobSubmission, FormError> {
+    let bytes = request::read_body(request.headers(), body, &context.jobs).await?;
+    let job = JobSubmission::parse(&bytes)?;
+    job.check(&context.jobs, &context.dispatch.config())?;
+    Ok(job)
+}
+
+/// Refuses a request under a good key, with what is known of the key.
+async fn refuse_form(context: &CallerContext, key: &JobKey, error: FormError) -> Response {
+    let verdict = match context.dispatch.fetch(key, 0).await {
+        JobAnswer::Known { verdict, .. } => verdict,
+        JobAnswer::Refused(refusal) => refusal.verdict,
+    };
+    error.respond_with(verdict, key)
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FetchQuery {
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+#[handler]
+async fn fetch_job(request: &Request, context: Data<&CallerContext>) -> Response {
+    let key = match request::path_key(request) {
+        Ok(key) => key,
+        Err(error) => return error.respond(),
+    };
+    let wait_ms = match request.params::<FetchQuery>() {
+        Ok(query) => query.wait_ms.min(context.jobs.deadline_max_ms),
+        Err(error) => {
+            let error = FormError::malformed(error.to_string());
+            return refuse_form(&context, &key, error).await;
+        }
+    };
+    let answer = context.dispatch.fetch(&key, wait_ms).await;
+    answer::respond(&key, Asked::State, answer)
+}
+
+#[handler]
+async fn cancel_job(request: &Request, context: Data<&CallerContext>) -> Response {
+    let key = match request::path_key(request) {
+        Ok(key) => key,
+        Err(error) => return error.respond(),
+    };
+    let answer = context.dispatch.cancel(&key).await;
+    answer::respond(&key, Asked::State, answer)
+}
+
+impl FormError {
+    /// The answer where no job can stand behind the request.
+    fn respond(self) -> Response {
+        self.into_problem(Verdict::NotRun).into_response()
+    }
+
+    /// The answer where a key is known.
+    fn respond_with(self, verdict: Verdict, key: &JobKey) -> Response {
+        self.into_problem(verdict).key(key.as_str()).into_response()
+    }
+}
--- /dev/null
+++ b/src/http/caller/request.rs
@@ -0,0 +1,281 @@
+//! From HTTP to a checked submission.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use poem::error::ReadBodyError;
+use poem::http::{HeaderMap, StatusCode, header};
+use poem::{Body, Request};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use trefoil_core::config::ConfigSnapshot;
+use trefoil_core::engine::{RefusalReason, Submission, Task};
+use trefoil_core::key::JobKey;
+use trefoil_core::verdict::Verdict;
+use trefoil_schema::api::FieldError;
+use trefoil_schema::settings::JobSettings;
+
+use super::answer::refusal_status;
+use crate::http::problem::Problem;
+use crate::runtime::dispatch::fingerprint;
+
+/// Header with the idempotency key.
+pub const KEY_HEADER: &str = "idempotency-key";
+const TRACEPARENT_HEADER: &str = "traceparent";
+const DEFAULT_TEAM: &str = "default";
+/// Parts a JSON error's text at what would have been right.
+const EXPECTED: &str = ", expected ";
+
+/// Why a request is refused before it reaches the engine.
+#[derive(Clone, Debug)]
+pub struct FormError {
+    reason: RefusalReason,
+    detail: String,
+    errors: Vec<FieldError>,
+}
+
+impl FormError {
+    /// A request without the right form.
+    pub fn malformed(detail: impl Into<String>) -> Self {
+        Self::new(RefusalReason::Malformed, detail)
+    }
+
+    fn new(reason: RefusalReason, detail: impl Into<String>) -> Self {
+        Self {
+            reason,
+            detail: detail.into(),
+            errors: Vec::new(),
+        }
+    }
+
+    fn field(mut self, path: String, found: String, allowed: String) -> Self {
+        self.errors.push(FieldError {
+            path,
+            found,
+            allowed,
+        });
+        self
+    }
+
+    /// The answer, with what is known of the key.
+    pub fn into_problem(self, verdict: Verdict) -> Problem {
+        let status = refusal_status(self.reason);
+        let reason = self.reason.to_string();
+        Problem::new(status, &reason, self.detail, verdict).errors(self.errors)
+    }
+
+    /// The status of the answer.
+    pub fn status(&self) -> StatusCode {
+        refusal_status(self.reason)
+    }
+}
+
+/// The idempotency key of a submission.
+pub fn header_key(headers: &HeaderMap) -> Result<JobKey, FormError> {
+    let mut values = headers.get_all(KEY_HEADER).iter();
+    let value = values
+        .next()
+        .ok_or_else(|| FormError::malformed("the header idempotency-key is missing"))?;
+    if values.next().is_some() {
+        let detail = "the header idempotency-key is there more than once";
+        return Err(FormError::malformed(detail));
+    }
+    parse_key(value.to_str().unwrap_or_default())
+}
+
+/// The idempotency key in the path.
+pub fn path_key(request: &Request) -> Result<JobKey, FormError> {
+    let text = request
+        .path_params::<String>()
+        .map_err(|error| FormError::malformed(error.to_string()))?;
+    parse_key(&text)
+}
+
+fn parse_key(text: &str) -> Result<JobKey, FormError> {
+    JobKey::parse(text).map_err(|error| FormError::malformed(error.to_string()))
+}
+
+/// The trace context to pass on.
+pub fn traceparent(headers: &HeaderMap) -> Option<Arc<str>> {
+    let value = headers.get(TRACEPARENT_HEADER)?;
+    value.to_str().ok().map(Arc::from)
+}
+
+/// Reads the body, never more than its bound.
+pub async fn read_body(
+    headers: &HeaderMap,
+    body: Body,
+    jobs: &JobSettings,
+) -> Result<Bytes, FormError> {
+    let bytes_max = jobs.body_bytes_max;
+    if declared_length(headers).is_some_and(|length| length > bytes_max) {
+        return Err(too_large(bytes_max));
+    }
+    body.into_bytes_limit(bytes_max as usize)
+        .await
+        .map_err(|error| match error {
+            ReadBodyError::PayloadTooLarge => too_large(bytes_max),
+            error => FormError::malformed(error.to_string()),
+        })
+}
+
+fn declared_length(headers: &HeaderMap) -> Option<u64> {
+    let value = headers.get(header::CONTENT_LENGTH)?;
+    value.to_str().ok()?.parse().ok()
+}
+
+fn too_large(bytes_max: u64) -> FormError {
+    let detail = format!("a body has at most {bytes_max} bytes; split the job");
+    FormError::new(RefusalReason::TooLarge, detail)
+}
+
+/// The schema's `JobRequest`, with payloads left as they came: a payload that
+/// is read into values and written again may differ in its numbers.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct JobBody<'a> {
+    service: String,
+    #[serde(default = "default_team")]
+    team: String,
+    #[serde(default)]
+    deadline_ms: u64,
+    #[serde(default = "default_wait")]
+    wait: bool,
+    #[serde(borrow)]
+    tasks: Vec<TaskBody<'a>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TaskBody<'a> {
+    #[serde(borrow)]
+    payload: &'a RawValue,
+    #[serde(default)]
+    declared_run_ms: u64,
+}
+
+fn default_team() -> String {
+    DEFAULT_TEAM.to_owned()
+}
+
+fn default_wait() -> bool {
+    true
+}
+
+/// A submission as its body has it.
+#[derive(Clone, Debug)]
+pub struct JobSubmission {
+    service: String,
+    team: String,
+    deadline_ms: u64,
+    wait: bool,
+    tasks: Vec<Task>,
+}
+
+/// A checked submission.
+#[derive(Clone, Debug)]
+pub struct CheckedJob {
+    /// For the engine.
+    pub submission: Submission,
+    /// Whether to answer when the job is final.
+    pub wait: bool,
+}
+
+impl JobSubmission {
+    /// Reads a body.
+    pub fn parse(bytes: &Bytes) -> Result<Self, FormError> {
+        let mut reader = serde_json::Deserializer::from_slice(bytes);
+        let body: JobBody<'_> =
+            serde_path_to_error::deserialize(&mut reader).map_err(field_error)?;
+        reader
+            .end()
+            .map_err(|error| FormError::malformed(error.to_string()))?;
+        let task = |task: TaskBody<'_>| Task {
+            payload: bytes.slice_ref(task.payload.get().as_bytes()),
+            declared_run_ms: task.declared_run_ms,
+        };
+        Ok(Self {
+            service: body.service,
+            team: body.team,
+            deadline_ms: body.deadline_ms,
+            wait: body.wait,
+            tasks: body.tasks.into_iter().map(task).collect(),
+        })
+    }
+
+    /// Checks it against the bounds of this instance and of the service.
+    pub fn check(&self, jobs: &JobSettings, config: &ConfigSnapshot) -> Result<(), FormError> {
+        self.check_task_count(jobs)?;
+        self.check_deadline(jobs)?;
+        self.check_payloads(config)
+    }
+
+    fn check_task_count(&self, jobs: &JobSettings) -> Result<(), FormError> {
+        let found = self.tasks.len();
+        let reason = match found {
+            0 => RefusalReason::Malformed,
+            _ if found > jobs.tasks_max as usize => RefusalReason::TooManyTasks,
+            _ => return Ok(()),
+        };
+        let allowed = format!("1 to {} tasks", jobs.tasks_max);
+        let error = FormError::new(reason, format!("the job has {found} tasks"));
+        Err(error.field("tasks".to_owned(), format!("{found} tasks"), allowed))
+    }
+
+    fn check_deadline(&self, jobs: &JobSettings) -> Result<(), FormError> {
+        if self.deadline_ms <= jobs.deadline_max_ms {
+            return Ok(());
+        }
+        let found = self.deadline_ms.to_string();
+        let allowed = format!("0 to {}", jobs.deadline_max_ms);
+        let error = FormError::malformed("the deadline is too long");
+        Err(error.field("deadline_ms".to_owned(), found, allowed))
+    }
+
+    fn check_payloads(&self, config: &ConfigSnapshot) -> Result<(), FormError> {
+        // An unknown service is for its owner to refuse.
+        let Some(service) = config.services.get(&*self.service) else {
+            return Ok(());
+        };
+        let bytes_max = service.spec.payload_bytes_max;
+        let mut payloads = self.tasks.iter().map(|task| task.payload.len());
+        let Some(index) = payloads.position(|length| length as u64 > bytes_max) else {
+            return Ok(());
+        };
+        let found = format!("{} bytes", self.tasks[index].payload.len());
+        let allowed = format!("{bytes_max} bytes");
+        let error = FormError::new(RefusalReason::TooLarge, "a payload is too large");
+        Err(error.field(format!("tasks[{index}].payload"), found, allowed))
+    }
+
+    /// What the engine takes; the deadline counts from `arrived`.
+    pub fn into_checked(self, key: JobKey, jobs: &JobSettings, arrived: Instant) -> CheckedJob {
+        let allowed_ms = match self.deadline_ms {
+            0 => jobs.deadline_default_ms,
+            deadline_ms => deadline_ms,
+        };
+        let elapsed_ms = arrived.elapsed().as_millis() as u64;
+        let submission = Submission {
+            key,
+            fingerprint: fingerprint(&self.service, &self.team, &self.tasks),
+            service: self.service.into(),
+            team: self.team.into(),
+            timeout_ms: allowed_ms.saturating_sub(elapsed_ms),
+            tasks: self.tasks,
+        };
+        CheckedJob {
+            submission,
+            wait: self.wait,
+        }
+    }
+}
+
+fn field_error(error: serde_path_to_error::Error<serde_json::Error>) -> FormError {
+    let path = error.path().to_string();
+    let text = error.into_inner().to_string();
+    let (found, allowed) = text.split_once(EXPECTED).unwrap_or((&text, "JSON"));
+    let (found, allowed) = (found.to_owned(), allowed.to_owned());
+    let detail = format!("the body is wrong at {path}: {text}");
+    FormError::malformed(detail).field(path, found, allowed)
+}
--- /dev/null
+++ b/src/runtime/dispatch.rs
@@ -0,0 +1,70 @@
+//! Where callers' requests enter, and which instance they go to.
+
+use std::sync::Arc;
+
+use trefoil_core::config::ConfigSnapshot;
+use trefoil_core::engine::{JobAnswer, Submission, Task};
+use trefoil_core::key::JobKey;
+use xxhash_rust::xxh3::Xxh3;
+
+use super::Runtime;
+
+/// Takes callers' requests to the instance that owns their key.
+#[derive(Clone)]
+pub struct Dispatch {
+    runtime: Arc<Runtime>,
+}
+
+impl Dispatch {
+    /// A dispatch to this instance alone.
+    pub fn new(runtime: Arc<Runtime>) -> Self {
+        Self { runtime }
+    }
+
+    /// Submits a job; with `wait` the answer comes when the job is final.
+    pub async fn submit(
+        &self,
+        submission: Submission,
+        wait: bool,
+        traceparent: Option<Arc<str>>,
+    ) -> JobAnswer {
+        self.runtime.submit(submission, wait, traceparent).await
+    }
+
+    /// Tells a job's state, or its end if it comes within `wait_ms`.
+    pub async fn fetch(&self, key: &JobKey, wait_ms: u64) -> JobAnswer {
+        self.runtime.fetch(key, wait_ms).await
+    }
+
+    /// Cancels a job.
+    pub async fn cancel(&self, key: &JobKey) -> JobAnswer {
+        self.runtime.cancel(key).await
+    }
+
+    /// The declarations in force here.
+    pub fn config(&self) -> Arc<ConfigSnapshot> {
+        self.runtime.config()
+    }
+
+    /// Unix time here, in milliseconds.
+    pub fn wall_ms(&self) -> u64 {
+        self.runtime.now().wall_ms
+    }
+}
+
+/// Hash of what makes two submissions of one key the same: service, team and
+/// the payloads, byte for byte.
+///
+/// Payloads are not normalised first: reading numbers into floats would make
+/// different payloads equal, and one caller would get the other's answer.
+pub fn fingerprint(service: &str, team: &str, tasks: &[Task]) -> u64 {
+    let mut hash = Xxh3::new();
+    let mut add = |part: &[u8]| {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part);
+    };
+    add(service.as_bytes());
+    add(team.as_bytes());
+    tasks.iter().for_each(|task| add(&task.payload));
+    hash.digest()
+}
