--- a/src/workers.rs
+++ b/src/workers.rs
@@ -93,10 +93,13 @@
     pub async fn call(&self, call: &WorkerCall) -> TaskOutcome {
         self.counters.calls.fetch_add(1, Ordering::Relaxed);
         let limit = Duration::from_millis(call.timeout_ms);
-        let outcome = self
-            .exchange(call, limit)
-            .await
-            .unwrap_or_else(CallError::into_outcome);
+        let result = self.exchange(call, limit).await;
+        if let Err(CallError::Crossed(_)) = result {
+            self.counters
+                .crossed_answers
+                .fetch_add(1, Ordering::Relaxed);
+        }
+        let outcome = result.unwrap_or_else(CallError::into_outcome);
         self.count(&outcome);
         outcome
     }
