--- a/src/http/caller/request.rs
+++ b/src/http/caller/request.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use poem::error::ReadBodyError;
-use poem::http::{HeaderMap, StatusCode, header};
+use poem::http::{HeaderMap, header};
 use poem::{Body, Request};
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -26,6 +26,8 @@
 const DEFAULT_TEAM: &str = "default";
 /// Parts a JSON error's text at what would have been right.
 const EXPECTED: &str = ", expected ";
+/// Ends a JSON error's text with a place that the path tells better.
+const PLACE: &str = " at line ";
 
 /// Why a request is refused before it reaches the engine.
 #[derive(Clone, Debug)]
@@ -64,11 +66,6 @@
         let reason = self.reason.to_string();
         Problem::new(status, &reason, self.detail, verdict).errors(self.errors)
     }
-
-    /// The status of the answer.
-    pub fn status(&self) -> StatusCode {
-        refusal_status(self.reason)
-    }
 }
 
 /// The idempotency key of a submission.
@@ -274,7 +271,8 @@
 fn field_error(error: serde_path_to_error::Error<serde_json::Error>) -> FormError {
     let path = error.path().to_string();
     let text = error.into_inner().to_string();
-    let (found, allowed) = text.split_once(EXPECTED).unwrap_or((&text, "JSON"));
+    let (what, _) = text.rsplit_once(PLACE).unwrap_or((&text, ""));
+    let (found, allowed) = what.split_once(EXPECTED).unwrap_or((what, "JSON"));
     let (found, allowed) = (found.to_owned(), allowed.to_owned());
     let detail = format!("the body is wrong at {path}: {text}");
     FormError::malformed(detail).field(path, found, allowed)
