--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,7 +1,8 @@
 //! End-to-end tests by feature, each a small project of real processes.
 
-mod links;
-mod support;
-
+mod caller;
 mod ctl;
 mod ctl_rollout;
+mod links;
+mod support;
+mod workers;
