--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -28,7 +28,10 @@
         let spec = declared.get("spec").unwrap_or(&Value::Null);
         errors.extend(schema::check(&SCHEMA, spec_schema, "spec", spec));
     }
-    errors.extend(rules::check(declared, &errors));
+    // A rule allows less than the field's type and so says more.
+    let broken = rules::check(declared);
+    errors.retain(|error| broken.iter().all(|rule| rule.path != error.path));
+    errors.extend(broken);
     if !errors.is_empty() {
         return Err(errors);
     }
--- a/crates/core/src/config/check/rules.rs
+++ b/crates/core/src/config/check/rules.rs
@@ -44,8 +44,8 @@
     ("spec.slots", Rule::Range(1, SLOTS_MAX)),
 ];
 
-/// Broken rules, on fields that have the right type and are not in `errors`.
-pub(super) fn check(declared: &Value, errors: &[FieldError]) -> Vec<FieldError> {
+/// Broken rules, on fields that are there.
+pub(super) fn check(declared: &Value) -> Vec<FieldError> {
     let kind = declared.get("kind").and_then(Value::as_str);
     let of_kind = match kind.and_then(|kind| kind.parse().ok()) {
         Some(Kind::Team) => TEAM,
@@ -56,7 +56,6 @@
     COMMON
         .iter()
         .chain(of_kind)
-        .filter(|(path, _)| errors.iter().all(|error| error.path != *path))
         .filter_map(|(path, rule)| broken(path, *rule, find(declared, path)?))
         .collect()
 }
--- a/crates/core/src/config/log.rs
+++ b/crates/core/src/config/log.rs
@@ -121,11 +121,8 @@
         let mut new = self.removals(revision, changes);
         new.extend(newer(changes, self.revision()));
         new.sort_by_key(|change| change.revision);
-        let first = self.revision() == 0;
         self.advance(new, revision);
-        if first {
-            self.forget_kept();
-        }
+        self.forget_kept();
         Applied::Advanced
     }
 
@@ -202,7 +199,8 @@
         }
     }
 
-    // What came before the first list is unknown: removals are not in it.
+    // A list does not tell of resources that were declared and removed since
+    // the last one, and a peer in between may have them.
     fn forget_kept(&mut self) {
         self.kept.clear();
         self.kept_from_revision = self.revision();
--- a/crates/core/src/config/settle.rs
+++ b/crates/core/src/config/settle.rs
@@ -1,9 +1,10 @@
 //! What became of a write whose answer was lost.
 //!
-//! A write names the revision it replaces, so it can take effect once at
-//! most: whoever changes the key first makes every later attempt fail. What
-//! the store holds afterwards, and how often the key changed since, tells in
-//! nearly all cases whether it was this write.
+//! A write that names the revision it replaces takes effect once at most:
+//! whoever changes the key first makes every later attempt fail. What the
+//! store holds afterwards, and how often the key changed since, tells in
+//! nearly all cases whether it was this write. A creation replaces nothing,
+//! so it is only found done or left open.
 
 use bytes::Bytes;
 
@@ -77,10 +78,11 @@
     same_life && found.version == write.replaces_version + 1
 }
 
+// A creation that finds nothing may have been removed again: sending it once
+// more would undo that removal, so it is left open.
 fn settle_absent(write: &Write) -> Outcome {
-    match (&write.value, write.replaces_revision) {
-        (None, _) => Outcome::Applied { revision: 0 },
-        (Some(_), 0) => Outcome::Pending,
-        (Some(_), _) => Outcome::Unknown,
+    match write.value {
+        None => Outcome::Applied { revision: 0 },
+        Some(_) => Outcome::Unknown,
     }
 }
--- a/src/sources/config/write.rs
+++ b/src/sources/config/write.rs
@@ -11,8 +11,9 @@
 use crate::sources::backoff::Backoff;
 use crate::sources::platform::{CasResult, KeyValue, PlatformStore, StoreError};
 
-/// Longest time spent on settling one write, besides the call under way.
-const SETTLE_BUDGET: Duration = Duration::from_secs(4);
+/// Longest time spent on settling one write besides the call under way, in
+/// time limits of a call.
+const SETTLE_CALLS: u64 = 2;
 
 /// Why a write was not acknowledged.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
@@ -56,12 +57,13 @@
         Ok(CasResult::Conflict { current }) => Err(WriteError::Conflict { current }),
         Err(StoreError::NotApplied { reason }) => Err(WriteError::NotApplied { reason }),
         Err(StoreError::MayHaveApplied { reason }) => {
+            let budget = Duration::from_millis(SETTLE_CALLS * settings.call_timeout_ms);
             let settling = Settling {
                 store,
                 key,
                 write: &write,
                 backoff: Backoff::new(settings),
-                give_up: Instant::now() + SETTLE_BUDGET,
+                give_up: Instant::now() + budget,
             };
             settling.run(reason).await
         }
