--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,5 +4,7 @@
 mod ctl;
 mod ctl_rollout;
 mod links;
+mod operator;
+mod operator_sources;
 mod support;
 mod workers;
