--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,3 +8,7 @@
 mod operator_sources;
 mod support;
 mod workers;
+mod daemon;
+mod settings;
+mod support;
+mod telemetry;
