--- a/src/http/caller/answer.rs
+++ b/src/http/caller/answer.rs
@@ -124,12 +124,14 @@
 
 fn refused(key: &JobKey, refusal: Refusal) -> Response {
     let reason = refusal.reason.to_string();
+    let request_verdict = refusal.request_verdict();
     Problem::new(
         refusal_status(refusal.reason),
         &reason,
         refusal.detail,
         refusal.verdict,
     )
+    .request_verdict(request_verdict)
     .key(key.as_str())
     .retry_after_ms(refusal.retry_after_ms)
     .into_response()
@@ -165,6 +167,7 @@
         }
         RefusalReason::OwnerLost
         | RefusalReason::OwnerUnreachable
+        | RefusalReason::AnswerLost
         | RefusalReason::NotVouched
         | RefusalReason::Leaving
         | RefusalReason::NoWorkers => StatusCode::SERVICE_UNAVAILABLE,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,12 +3,11 @@
 mod caller;
 mod ctl;
 mod ctl_rollout;
+mod daemon;
 mod links;
 mod operator;
 mod operator_sources;
-mod support;
-mod workers;
-mod daemon;
 mod settings;
 mod support;
 mod telemetry;
+mod workers;
