--- a/src/bin/trefoilctl/commands/describe.rs
+++ b/src/bin/trefoilctl/commands/describe.rs
@@ -43,9 +43,9 @@
 }
 
 fn print_conditions(conditions: &[Condition]) {
-    let mut table = Table::new(["CONDITION", "STATUS", "REASON", "MESSAGE"]);
+    let mut table = Table::new(vec!["CONDITION", "STATUS", "REASON", "MESSAGE"]);
     for condition in conditions {
-        table.row([
+        table.row(vec![
             condition.type_.clone(),
             condition.status.to_string(),
             condition.reason.clone(),
--- a/src/bin/trefoilctl/commands/get.rs
+++ b/src/bin/trefoilctl/commands/get.rs
@@ -1,9 +1,10 @@
 //! `trefoilctl get`.
 
 use clap::{Arg, ArgMatches, Command};
-use trefoil_schema::resources::StoredResource;
+use serde_json::Value;
+use trefoil_schema::resources::{Kind, StoredResource};
 use trefoilbay::ops::error::ExitStatus;
-use trefoilbay::ops::resources;
+use trefoilbay::ops::{apply, resources};
 
 use super::CommandResult;
 use crate::table::Table;
@@ -35,21 +36,66 @@
     };
     match cli::get_text(args, "output") {
         "json" => output::json(&found),
-        _ => print_table(&found),
+        _ => print_table(kind, &found),
     }
     Ok(ExitStatus::Ok)
 }
 
-fn print_table(found: &[StoredResource]) {
-    let mut table = Table::new(["NAME", "REVISION", "IN FORCE", "SPEC"]);
+fn print_table(kind: Kind, found: &[StoredResource]) {
+    let mut table = Table::new(headings(kind));
     for resource in found {
         let status = &resource.status;
-        table.row([
+        let mut cells = vec![
             resource.name.clone(),
             status.revision.to_string(),
             format!("{}/{}", status.instances_in_force, status.instances_live),
-            resource.spec.to_string(),
-        ]);
+        ];
+        cells.extend(spec_cells(resource));
+        table.row(cells);
     }
     table.print();
 }
+
+fn headings(kind: Kind) -> Vec<&'static str> {
+    let of_spec = fields(kind).iter().map(|(heading, _)| *heading);
+    ["NAME", "REVISION", "IN FORCE"]
+        .into_iter()
+        .chain(of_spec)
+        .collect()
+}
+
+fn spec_cells(resource: &StoredResource) -> Vec<String> {
+    let spec = apply::completed(resource.kind, &resource.spec);
+    fields(resource.kind)
+        .iter()
+        .map(|(_, pointer)| match spec.pointer(pointer) {
+            Some(Value::String(text)) => text.clone(),
+            Some(other) => other.to_string(),
+            None => "-".to_owned(),
+        })
+        .collect()
+}
+
+/// Columns of a kind: heading, and where the value is in the spec.
+fn fields(kind: Kind) -> &'static [(&'static str, &'static str)] {
+    match kind {
+        Kind::Team => &[
+            ("WEIGHT", "/weight"),
+            ("SLOTS MAX", "/slots_max"),
+            ("QUEUED TASKS MAX", "/queued_tasks_max"),
+        ],
+        Kind::Service => &[
+            ("IDEMPOTENT", "/idempotent"),
+            ("PATH", "/path"),
+            ("DECLARED RUN MS", "/declared_run_ms"),
+            ("RESPONSE P99 MS", "/targets/response_p99_ms"),
+        ],
+        Kind::BackendServer => &[
+            ("SERVICE", "/service"),
+            ("FAILURE DOMAIN", "/failure_domain"),
+            ("ADDRESS", "/address"),
+            ("SLOTS", "/slots"),
+            ("STATE", "/state"),
+        ],
+    }
+}
--- a/src/bin/trefoilctl/commands/status.rs
+++ b/src/bin/trefoilctl/commands/status.rs
@@ -28,7 +28,7 @@
 }
 
 fn print_table(fleet: &Fleet) {
-    let mut table = Table::new([
+    let mut table = Table::new(vec![
         "INSTANCE",
         "START",
         "FAILURE DOMAIN",
@@ -37,7 +37,7 @@
         "HEARD MS AGO",
     ]);
     for instance in fleet.instances.values() {
-        table.row([
+        table.row(vec![
             instance.instance.clone(),
             instance.incarnation.to_string(),
             instance.failure_domain.clone(),
--- a/src/bin/trefoilctl/commands/submit.rs
+++ b/src/bin/trefoilctl/commands/submit.rs
@@ -4,6 +4,7 @@
 use serde_json::Value;
 use trefoil_schema::api::{JobRequest, TaskRequest};
 use trefoilbay::ops::error::{ExitStatus, OpsError};
+use trefoilbay::ops::job::SubmissionKey;
 use trefoilbay::ops::{declare, job};
 
 use super::CommandResult;
@@ -54,15 +55,19 @@
 pub async fn exec(args: &ArgMatches) -> CommandResult {
     let client = cli::client(args)?;
     let request = request(args)?;
-    let key = match args.get_one::<String>("key") {
-        Some(key) => key.clone(),
+    let mut key = match args.get_one::<String>("key") {
+        Some(text) => SubmissionKey {
+            text: text.clone(),
+            fresh: false,
+        },
         None => job::mint_key(&client).await?,
     };
-    output::note(format_args!("key {key}"));
+    output::note(format_args!("key {}", key.text));
     for round in 0..=cli::get_number(args, "repeat") {
         let client = client.rotated(round as usize);
         let answer = job::submit(&client, &key, &request).await?;
         output::json(&answer);
+        key.fresh = false;
     }
     Ok(ExitStatus::Ok)
 }
--- a/src/bin/trefoilctl/table.rs
+++ b/src/bin/trefoilctl/table.rs
@@ -4,20 +4,21 @@
 const GAP: &str = "  ";
 
 /// A table with a heading.
-pub struct Table<const COLUMNS: usize> {
-    rows: Vec<[String; COLUMNS]>,
+pub struct Table {
+    rows: Vec<Vec<String>>,
 }
 
-impl<const COLUMNS: usize> Table<COLUMNS> {
+impl Table {
     /// A table with this heading and no rows.
-    pub fn new(heading: [&str; COLUMNS]) -> Self {
+    pub fn new(heading: Vec<&str>) -> Self {
+        let heading = heading.into_iter().map(str::to_owned).collect();
         Self {
-            rows: vec![heading.map(str::to_owned)],
+            rows: vec![heading],
         }
     }
 
-    /// Adds a row.
-    pub fn row(&mut self, cells: [String; COLUMNS]) {
+    /// Adds a row, with a cell for each column.
+    pub fn row(&mut self, cells: Vec<String>) {
         self.rows.push(cells);
     }
 
@@ -27,20 +28,18 @@
         for row in &self.rows {
             let cells = row
                 .iter()
-                .zip(widths)
-                .map(|(cell, width)| format!("{cell:width$}"))
+                .zip(&widths)
+                .map(|(cell, &width)| format!("{cell:width$}"))
                 .collect::<Vec<_>>();
             crate::output::line(cells.join(GAP).trim_end());
         }
     }
 
-    fn widths(&self) -> [usize; COLUMNS] {
-        let mut widths = [0; COLUMNS];
-        for row in &self.rows {
-            for (width, cell) in widths.iter_mut().zip(row) {
-                *width = (*width).max(cell.chars().count());
-            }
-        }
-        widths
+    fn widths(&self) -> Vec<usize> {
+        let width = |column: usize| {
+            let cells = self.rows.iter().filter_map(|row| row.get(column));
+            cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+        };
+        (0..self.rows[0].len()).map(width).collect()
     }
 }
--- a/src/ops/apply.rs
+++ b/src/ops/apply.rs
@@ -64,7 +64,7 @@
 /// Carries out one step, or has an instance check it when `dry_run`.
 pub async fn apply(client: &Client, step: &Step, dry_run: bool) -> Result<Applied, OpsError> {
     let precondition = match (&step.live, step.change) {
-        (Some(live), Change::Unchanged) => {
+        (Some(live), Change::Unchanged) if resources::is_current(live) => {
             return Ok(Applied {
                 revision: live.status.revision,
                 read_back: false,
--- a/src/ops/client.rs
+++ b/src/ops/client.rs
@@ -59,6 +59,7 @@
     body: Bytes,
     resend: Resend,
     changes: bool,
+    first_request: bool,
     timeout_ms: Option<u64>,
 }
 
@@ -78,6 +79,7 @@
             body: Bytes::new(),
             resend,
             changes,
+            first_request: false,
             timeout_ms: None,
         }
     }
@@ -110,6 +112,13 @@
         self
     }
 
+    /// Says that no request was made before under its idempotency key.
+    #[must_use]
+    pub fn first_request(mut self) -> Self {
+        self.first_request = true;
+        self
+    }
+
     /// Waits at most this long, in milliseconds, in place of the client's setting.
     #[must_use]
     pub fn timeout_ms(mut self, timeout_ms: u64) -> Self {
@@ -136,6 +145,7 @@
 pub struct Answer {
     request: String,
     changes: bool,
+    first_request: bool,
     /// Status of the answer.
     pub status: StatusCode,
     /// Its `ETag`, as sent.
@@ -154,6 +164,7 @@
             request: self.request,
             source: Refusal {
                 problem: Box::new(problem),
+                first_request: self.first_request,
             },
         })
     }
@@ -236,35 +247,43 @@
         let mut unconnected = None;
         for entry in self.entries.iter() {
             match self.send_to(entry, call).await {
-                Ok(answer) => return Ok(answer),
+                Ok(mut answer) => {
+                    answer.first_request = call.first_request && lost.is_none();
+                    return Ok(answer);
+                }
                 Err(error @ CallError::NotSent { .. }) => unconnected = Some(error),
                 Err(error) => {
-                    lost = Some((entry, error));
+                    lost = Some(error);
                     if call.resend == Resend::Never {
                         break;
                     }
                 }
             }
         }
-        if let Some((entry, source)) = lost {
-            return Err(OpsError::Lost {
-                request: call.title(),
-                entry: entry.clone(),
-                changes: call.changes,
-                source,
-            });
-        }
-        match unconnected {
-            Some(source) => Err(OpsError::Connect {
-                entries: self.entries.join(", "),
-                source,
-            }),
+        match lost.or(unconnected) {
+            Some(error) => Err(self.unanswered(call, error)),
             None => Err(OpsError::Usage {
                 message: "no entry is named".to_owned(),
             }),
         }
     }
 
+    /// The failure of a request that no entry answered.
+    pub fn unanswered(&self, call: &Call, error: CallError) -> OpsError {
+        match &error {
+            CallError::NotSent { .. } => OpsError::Connect {
+                entries: self.entries.join(", "),
+                source: error,
+            },
+            CallError::Broken { entry, .. } | CallError::TimedOut { entry, .. } => OpsError::Lost {
+                request: call.title(),
+                entry: entry.clone(),
+                changes: call.changes,
+                source: error,
+            },
+        }
+    }
+
     /// Sends a request to every entry at once; answers in the entries' order.
     pub async fn send_all(&self, call: &Call) -> Vec<(String, Result<Answer, CallError>)> {
         let mut calls = JoinSet::new();
@@ -318,6 +337,7 @@
         Ok(Answer {
             request: call.title(),
             changes: call.changes,
+            first_request: false,
             status: head.status,
             etag: header_text(head.headers.get(ETAG)),
             body: body.to_bytes(),
--- a/src/ops/declare.rs
+++ b/src/ops/declare.rs
@@ -7,9 +7,10 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
+use trefoil_core::config::check::check;
 use trefoil_schema::resources::{BackendServerSpec, Kind, Resource, ServiceSpec, TeamSpec};
 
-use super::error::{FormError, OpsError};
+use super::error::{FormError, OpsError, WrongField};
 
 /// Reads a file, or the `.json` files directly in a directory, in the order in
 /// which resources are applied: teams, services, backend servers.
@@ -93,18 +94,30 @@
     })
 }
 
-/// Reads one resource or an array of them, and checks each.
+/// Reads one resource or an array of them, and finds every wrong field.
 pub fn parse_resources(text: &str) -> Result<Vec<Resource>, FormError> {
-    let resources: Vec<Resource> = if text.trim_start().starts_with('[') {
-        parse(text)?
-    } else {
-        vec![parse(text)?]
+    let declared = match parse(text)? {
+        Value::Array(declared) => declared,
+        single => vec![single],
     };
-    for resource in &resources {
-        check_name(&resource.name)?;
-        complete_spec(resource.kind, &resource.spec).map_err(|error| within(resource, error))?;
+    let mut resources = Vec::new();
+    let mut wrong = Vec::new();
+    for (position, declared) in declared.iter().enumerate() {
+        match check(declared) {
+            Ok(resource) => resources.push(resource),
+            Err(errors) => {
+                let title = title(position, declared);
+                wrong.extend(errors.into_iter().map(|error| WrongField {
+                    resource: title.clone(),
+                    error,
+                }));
+            }
+        }
     }
-    Ok(resources)
+    if wrong.is_empty() {
+        return Ok(resources);
+    }
+    Err(FormError::Fields { wrong })
 }
 
 fn parse<T: DeserializeOwned>(text: &str) -> Result<T, FormError> {
@@ -132,22 +145,11 @@
     }
 }
 
-fn within(resource: &Resource, error: FormError) -> FormError {
-    match error {
-        FormError::Json { at, source } => FormError::Json {
-            at: format!("{} {}: spec.{at}", resource.kind, resource.name),
-            source,
-        },
-        other => other,
+/// How errors call a declaration whose fields may be wrong.
+fn title(position: usize, declared: &Value) -> String {
+    let text = |field: &str| declared.get(field).and_then(Value::as_str);
+    match (text("kind"), text("name")) {
+        (Some(kind), Some(name)) => format!("{kind}/{name}"),
+        _ => format!("resource {}", position + 1),
     }
 }
-
-fn check_name(name: &str) -> Result<(), FormError> {
-    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
-    if !name.is_empty() && name.bytes().all(allowed) {
-        return Ok(());
-    }
-    Err(FormError::Name {
-        name: name.to_owned(),
-    })
-}
--- a/src/ops/error.rs
+++ b/src/ops/error.rs
@@ -97,11 +97,11 @@
         /// Cause.
         source: serde_json::Error,
     },
-    /// A name with characters other than letters, digits, `.`, `_` and `-`.
-    #[display("`{name}` is no name: letters, digits, `.`, `_` and `-` are allowed")]
-    Name {
-        /// What was found.
-        name: String,
+    /// Fields with wrong values.
+    #[display("{} wrong fields{}", wrong.len(), each_on_a_line(wrong))]
+    Fields {
+        /// The fields.
+        wrong: Vec<WrongField>,
     },
     /// A resource that is declared twice.
     #[display("{kind} `{name}` is declared twice")]
@@ -113,6 +113,16 @@
     },
 }
 
+/// A wrong field of one resource.
+#[derive(Clone, Debug, Display)]
+#[display("{resource} `{}`: found {}, allowed: {}", error.path, error.found, error.allowed)]
+pub struct WrongField {
+    /// The resource, as KIND/NAME.
+    pub resource: String,
+    /// The field.
+    pub error: api::FieldError,
+}
+
 /// Why a request to one entry brought no answer.
 #[derive(Debug, Display, Error)]
 pub enum CallError {
@@ -149,6 +159,8 @@
     /// The answer's body.
     #[error(not(source))]
     pub problem: Box<api::Problem>,
+    /// Whether the problem answers the only request ever made under its key.
+    pub first_request: bool,
 }
 
 /// How `trefoilctl` ends.
@@ -220,15 +232,28 @@
     fn exit_status(&self) -> ExitStatus {
         match self.problem.status {
             409 | 412 => ExitStatus::Conflict,
-            _ => of_verdict(self.problem.verdict),
+            _ => of_verdict(self.verdict()),
+        }
+    }
+
+    /// What is known of the work: where no other request was made under the
+    /// key, what this request alone may have started.
+    pub fn verdict(&self) -> api::Verdict {
+        if self.first_request {
+            self.problem.request_verdict
+        } else {
+            self.problem.verdict
         }
     }
 
     fn hint(&self) -> Option<&'static str> {
-        match (self.problem.status, self.problem.verdict) {
+        match (self.problem.status, self.verdict()) {
             (409 | 412, _) => Some("look at what is there now, then decide again"),
             (_, api::Verdict::MayHaveRun) => {
-                Some("it may have taken effect; ask again with the same key")
+                Some("it may have taken effect; look, or ask again with the same key")
+            }
+            (_, api::Verdict::NotRun) if self.problem.verdict != api::Verdict::NotRun => {
+                Some("nothing took effect; submit it again under a new key")
             }
             (_, api::Verdict::NotRun) if self.problem.retry_after_ms > 0 => {
                 Some("nothing took effect; come back after the time given")
@@ -238,6 +263,10 @@
     }
 }
 
+fn each_on_a_line(wrong: &[WrongField]) -> String {
+    wrong.iter().map(|field| format!("\n    {field}")).collect()
+}
+
 fn of_verdict(verdict: api::Verdict) -> ExitStatus {
     match verdict {
         api::Verdict::NotRun => ExitStatus::NotRun,
@@ -252,13 +281,16 @@
         text += &format!(": {}", problem.detail);
     }
     text += &format!(" (verdict {}", problem.verdict);
+    if problem.request_verdict != problem.verdict {
+        text += &format!(", of this request alone {}", problem.request_verdict);
+    }
     if problem.retry_after_ms > 0 {
         text += &format!(", retry after {} ms", problem.retry_after_ms);
     }
     text.push(')');
     for error in &problem.errors {
         text += &format!(
-            "\n  `{}`: found {}, allowed: {}",
+            "\n    `{}`: found {}, allowed: {}",
             error.path, error.found, error.allowed
         );
     }
--- a/src/ops/job.rs
+++ b/src/ops/job.rs
@@ -16,25 +16,38 @@
 
 /// Has an instance mint a key. A key that is lost on the way stands for nothing,
 /// so the request may go to another entry.
-pub async fn mint_key(client: &Client) -> Result<String, OpsError> {
+pub async fn mint_key(client: &Client) -> Result<SubmissionKey, OpsError> {
     let call = Call::new(Method::POST, "/v1/keys?count=1").changes_nothing();
     let keys: KeysResponse = client.send(&call).await?.accept()?.decode()?;
-    keys.keys.into_iter().next().ok_or(OpsError::Usage {
+    let text = keys.keys.into_iter().next().ok_or(OpsError::Usage {
         message: "the instance minted no key".to_owned(),
-    })
+    })?;
+    Ok(SubmissionKey { text, fresh: true })
+}
+
+/// A key, and whether requests were made under it before.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SubmissionKey {
+    /// The idempotency key.
+    pub text: String,
+    /// Whether it was minted just now, so that nothing is known under it.
+    pub fresh: bool,
 }
 
 /// Submits a job under `key`. The key makes it harmless to go to another entry
 /// after an answer was lost.
 pub async fn submit(
     client: &Client,
-    key: &str,
+    key: &SubmissionKey,
     request: &JobRequest,
 ) -> Result<JobResponse, OpsError> {
     let mut call = Call::new(Method::POST, "/v1/jobs")
-        .header(IDEMPOTENCY_KEY, key_value(key)?)
+        .header(IDEMPOTENCY_KEY, key_value(&key.text)?)
         .json(request)
         .resend_harmless();
+    if key.fresh {
+        call = call.first_request();
+    }
     if request.deadline_ms > 0 {
         call = call.timeout_ms(request.deadline_ms.saturating_add(ANSWER_MARGIN_MS));
     }
--- a/src/ops/resources.rs
+++ b/src/ops/resources.rs
@@ -2,11 +2,14 @@
 
 use hyper::header::{HeaderValue, IF_MATCH, IF_NONE_MATCH};
 use hyper::{Method, StatusCode};
-use trefoil_schema::resources::{Kind, Resource, StoredResource};
+use trefoil_schema::resources::{ConditionStatus, Kind, Resource, StoredResource};
 
 use super::client::{Call, Client};
 use super::error::OpsError;
 
+/// Type of the condition that an instance sets when it cannot reach the store.
+const CURRENT_CONDITION: &str = "Current";
+
 /// What must hold for a change to be made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Precondition {
@@ -69,7 +72,8 @@
     client.send(&call).await?.accept()?.decode()
 }
 
-/// Removes a resource whose declaration has this store revision.
+/// Removes a resource whose declaration has this store revision. A lost answer
+/// stays unsettled: an instance that does not know the resource may be behind.
 pub async fn delete(
     client: &Client,
     kind: Kind,
@@ -82,6 +86,14 @@
     Ok(())
 }
 
+/// Whether an instance read the resource in the store, not in its memory.
+pub fn is_current(resource: &StoredResource) -> bool {
+    let mut conditions = resource.status.conditions.iter();
+    !conditions.any(|condition| {
+        condition.type_ == CURRENT_CONDITION && condition.status != ConditionStatus::True
+    })
+}
+
 fn path(kind: Kind, name: &str) -> String {
     format!("{}/{name}", collection(kind))
 }
--- a/src/ops/rollout.rs
+++ b/src/ops/rollout.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 use trefoil_schema::api::{InstanceStateName, InstanceStatus, StatusResponse};
 
-use super::client::{Call, Client};
+use super::client::{Answer, Call, Client};
 use super::error::OpsError;
 
 /// Pause between two looks at the instances.
@@ -57,8 +57,12 @@
     let mut fleet = Fleet::default();
     let mut failed = None;
     for (entry, answer) in client.send_all(&call).await {
-        match answer {
-            Ok(answer) => fleet.add(answer.accept()?.decode()?),
+        let status = answer
+            .map_err(|error| client.unanswered(&call, error))
+            .and_then(Answer::accept)
+            .and_then(|answer| answer.decode());
+        match status {
+            Ok(status) => fleet.add(status),
             Err(error) => {
                 fleet.entries_silent.push(entry);
                 failed = Some(error);
@@ -66,10 +70,7 @@
         }
     }
     match failed {
-        Some(source) if fleet.entries_answered == 0 => Err(OpsError::Connect {
-            entries: client.entries().join(", "),
-            source,
-        }),
+        Some(error) if fleet.entries_answered == 0 => Err(error),
         _ => Ok(fleet),
     }
 }
@@ -85,22 +86,30 @@
 ) -> Result<Fleet, OpsError> {
     let until = Instant::now() + Duration::from_millis(timeout_ms);
     loop {
-        let looked = look(client).await;
-        if let Ok(fleet) = looked {
-            progress(&fleet);
+        let fleet = look(client).await;
+        if let Ok(fleet) = &fleet {
+            progress(fleet);
             if fleet.complete(revision) {
-                return Ok(fleet);
+                return Ok(fleet.clone());
             }
-            if Instant::now() >= until {
-                return Err(fleet.timed_out(revision, timeout_ms));
-            }
-        } else if Instant::now() >= until {
-            return looked;
+        }
+        if Instant::now() >= until {
+            return Err(timed_out(fleet, revision, timeout_ms));
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
 
+fn timed_out(fleet: Result<Fleet, OpsError>, revision: u64, timeout_ms: u64) -> OpsError {
+    let known = match fleet {
+        Ok(fleet) => fleet.describe(revision),
+        Err(error) => format!("at unknown instances: {error}"),
+    };
+    OpsError::TimedOut {
+        message: format!("after {timeout_ms} ms revision {revision} is in force {known}"),
+    }
+}
+
 impl Fleet {
     /// Takes in what one instance sees.
     pub fn add(&mut self, status: StatusResponse) {
@@ -172,30 +181,28 @@
         known.config_revision = config_revision;
     }
 
-    fn timed_out(&self, revision: u64, timeout_ms: u64) -> OpsError {
+    /// Where `revision` is in force, and the instances that lack it.
+    fn describe(&self, revision: u64) -> String {
         let missing = self
             .instances
             .values()
-            .filter_map(|instance| {
-                let in_force = self.in_force(instance, revision);
-                let found = instance.config_revision;
-                match in_force {
-                    InForce::Yes | InForce::Gone => None,
-                    InForce::NotYet => Some(format!("{} (at {found})", instance.instance)),
-                    InForce::Unknown => Some(format!(
-                        "{} (unknown: silent for {} ms, last at {found})",
-                        instance.instance, instance.heard_ms
-                    )),
-                }
-            })
+            .filter_map(|instance| self.describe_missing(instance, revision))
             .collect::<Vec<_>>();
         let (done, counted) = self.counts(revision);
-        OpsError::TimedOut {
-            message: format!(
-                "revision {revision} is in force at {done} of {counted} instances after \
-                 {timeout_ms} ms; missing: {}",
-                missing.join(", ")
-            ),
+        let missing = missing.join(", ");
+        format!("at {done} of {counted} instances; missing: {missing}")
+    }
+
+    fn describe_missing(&self, instance: &InstanceStatus, revision: u64) -> Option<String> {
+        let name = &instance.instance;
+        let found = instance.config_revision;
+        let heard_ms = instance.heard_ms;
+        match self.in_force(instance, revision) {
+            InForce::Yes | InForce::Gone => None,
+            InForce::NotYet => Some(format!("{name} (at {found})")),
+            InForce::Unknown => Some(format!(
+                "{name} (unknown: silent for {heard_ms} ms, last at {found})"
+            )),
         }
     }
 }
--- a/tests/testsuite/ctl.rs
+++ b/tests/testsuite/ctl.rs
@@ -9,7 +9,7 @@
 use tokio::process::Command;
 use trefoil_core::verdict::Verdict;
 
-use crate::support::api_stub::ApiStub;
+use crate::support::api_stub::{ApiStub, ClosedAddress};
 
 const KEY: &str = "1764691200000-payrun";
 const BLUE_MAHOE: &str = "examples/blue-mahoe";
@@ -52,12 +52,6 @@
     path
 }
 
-/// An address that nothing listens on.
-async fn closed_address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    listener.local_addr().expect("bound").to_string()
-}
-
 /// An entry that reads a request and closes without an answer.
 async fn rude_entry() -> String {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
@@ -73,7 +67,10 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn apply_creates_in_order_then_changes_nothing() {
     let stub = ApiStub::start().await;
-    check(&stub, &format!("apply -f {BLUE_MAHOE}"), expect![[r#"
+    check(
+        &stub,
+        &format!("apply -f {BLUE_MAHOE}"),
+        expect![[r#"
         exit 0
         team/families created revision 1
         team/payroll-office created revision 2
@@ -86,8 +83,13 @@
         backend_server/payslip-new-kingston-1 created revision 9
         backend_server/payslip-portmore-1 created revision 10
         --
-    "#]]).await;
-    check(&stub, &format!("apply -f {BLUE_MAHOE}"), expect![[r#"
+    "#]],
+    )
+    .await;
+    check(
+        &stub,
+        &format!("apply -f {BLUE_MAHOE}"),
+        expect![[r#"
         exit 0
         team/families unchanged revision 1
         team/payroll-office unchanged revision 2
@@ -100,7 +102,9 @@
         backend_server/payslip-new-kingston-1 unchanged revision 9
         backend_server/payslip-portmore-1 unchanged revision 10
         --
-    "#]]).await;
+    "#]],
+    )
+    .await;
     assert_eq!(stub.state.lock().unwrap().changes.len(), 10);
 }
 
@@ -149,13 +153,21 @@
         "#]],
     )
     .await;
-    check(&stub, "get teams", expect![[r#"
-        exit 0
-        NAME     REVISION  IN FORCE  SPEC
-        grocers  1         0/1       {"weight":200}
-        --
-    "#]]).await;
-    check(&stub, "describe team grocers", expect![[r#"
+    check(
+        &stub,
+        "get teams",
+        expect![[r#"
+            exit 0
+            NAME     REVISION  IN FORCE  WEIGHT  SLOTS MAX  QUEUED TASKS MAX
+            grocers  1         0/1       200     0          0
+            --
+        "#]],
+    )
+    .await;
+    check(
+        &stub,
+        "describe team grocers",
+        expect![[r#"
         exit 0
         kind:     team
         name:     grocers
@@ -168,24 +180,37 @@
           "weight": 200
         }
         --
-    "#]]).await;
-    check(&stub, "delete team grocers", expect![[r#"
+    "#]],
+    )
+    .await;
+    check(
+        &stub,
+        "delete team grocers",
+        expect![[r#"
         exit 0
         team/grocers deleted
         --
-    "#]]).await;
-    check(&stub, "get team grocers", expect![[r#"
+    "#]],
+    )
+    .await;
+    check(
+        &stub,
+        "get team grocers",
+        expect![[r#"
         exit 3
         --
         error: GET /v1/teams/grocers was refused
           caused by: 404 unknown resource: no resource of this name (verdict not_run)
-    "#]]).await;
+    "#]],
+    )
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_wrong_field_is_named_and_nothing_is_sent() {
     let stub = ApiStub::start().await;
-    let text = r#"{"kind":"service","name":"payrun","spec":{"targets":{"response_p99_ms":-1}}}"#;
+    let text =
+        r#"{"kind":"service","name":"payrun","spec":{"path":7,"targets":{"response_p99_ms":-1}}}"#;
     let path = file("wrong_field.json", text);
     let output = run(&[&stub.address], &format!("apply -f {}", path.display())).await;
     let shown = shown(&output, &stub).replace(path.to_str().expect("UTF-8"), "FILE");
@@ -193,10 +218,12 @@
         exit 2
         --
         error: `FILE` is not valid
-          caused by: at `service payrun: spec.targets.response_p99_ms`
-          caused by: invalid value: integer `-1`, expected u64
+          caused by: 2 wrong fields
+            service/payrun `spec.path`: found 7, allowed: a string
+            service/payrun `spec.targets.response_p99_ms`: found -1, allowed: a whole number from 0 to 18446744073709551615
           hint: see `trefoilctl schema resources` or `schema api`
-    "#]].assert_eq(&shown);
+    "#]]
+    .assert_eq(&shown);
     assert!(stub.state.lock().unwrap().changes.is_empty());
 }
 
@@ -205,13 +232,18 @@
     let stub = ApiStub::start().await;
     stub.set(|state| state.swallow_answers = true);
     let line = "apply --request-timeout-ms 300 -f examples/haugland/teams.json";
-    check(&stub, line, expect![[r#"
+    check(
+        &stub,
+        line,
+        expect![[r#"
         exit 0
         team/grocers created revision 1 (answer lost, read back)
         team/importers created revision 2 (answer lost, read back)
         team/registry created revision 3 (answer lost, read back)
         --
-    "#]]).await;
+    "#]],
+    )
+    .await;
     assert_eq!(stub.state.lock().unwrap().changes.len(), 3);
 }
 
@@ -279,12 +311,15 @@
 async fn submit_goes_on_with_the_same_key_after_a_lost_answer() {
     let stub = ApiStub::start().await;
     let rude = rude_entry().await;
-    let closed = closed_address().await;
+    let closed = ClosedAddress::new();
     let line = format!("submit --service payrun --key {KEY}");
-    assert_eq!(exit_code(&[&closed, &rude, &stub.address], &line).await, 0);
+    assert_eq!(
+        exit_code(&[&closed.address, &rude, &stub.address], &line).await,
+        0
+    );
     assert_eq!(stub.state.lock().unwrap().keys, [KEY]);
-    assert_eq!(exit_code(&[&rude, &closed], &line).await, 4);
-    assert_eq!(exit_code(&[&closed], &line).await, 1);
+    assert_eq!(exit_code(&[&rude, &closed.address], &line).await, 4);
+    assert_eq!(exit_code(&[&closed.address], &line).await, 1);
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -298,28 +333,112 @@
         (409, "key_reused", Verdict::NotRun, 5),
     ];
     for (status, reason, verdict, expected) in cases {
-        stub.set(|state| state.refuse_jobs = Some((status, reason, verdict)));
+        stub.set(|state| state.refuse_jobs = Some((status, reason, verdict, verdict)));
         assert_eq!(
             exit_code(&[&stub.address], &line).await,
             expected,
             "{reason}"
         );
     }
-    stub.set(|state| state.refuse_jobs = Some((429, "overload", Verdict::NotRun)));
-    check(&stub, &line, expect![[r#"
+    stub.set(|state| state.refuse_jobs = Some((429, "overload", Verdict::NotRun, Verdict::NotRun)));
+    check(
+        &stub,
+        &line,
+        expect![[r#"
         exit 3
         --
         key 1764691200000-payrun
         error: POST /v1/jobs was refused
           caused by: 429 overload: as the test asked (verdict not_run, retry after 40 ms)
           hint: nothing took effect; come back after the time given
-    "#]]).await;
+    "#]],
+    )
+    .await;
     assert_eq!(
         exit_code(&[&stub.address], "submit --service a --key opaque").await,
         2
     );
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refusal_of_the_only_request_under_a_key_counts_by_itself() {
+    let stub = ApiStub::start().await;
+    let rude = rude_entry().await;
+    let refusal = (503, "owner_lost", Verdict::MayHaveRun, Verdict::NotRun);
+    stub.set(|state| state.refuse_jobs = Some(refusal));
+    let fresh = "submit --service payrun";
+    check(&stub, fresh, expect![[r#"
+        exit 3
+        --
+        key 01890a5d-ac96-8abc-8000-000000000001
+        error: POST /v1/jobs was refused
+          caused by: 503 owner lost: as the test asked (verdict may_have_run, of this request alone not_run, retry after 40 ms)
+          hint: nothing took effect; submit it again under a new key
+    "#]]).await;
+    assert_eq!(exit_code(&[&rude, &stub.address], fresh).await, 4);
+    let known = format!("{fresh} --key {KEY}");
+    assert_eq!(exit_code(&[&stub.address], &known).await, 4);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn job_and_cancel_name_the_key_whatever_its_characters() {
+    let stub = ApiStub::start().await;
+    check(
+        &stub,
+        "job 1764691200000-a/b?c%20 --wait-ms 5",
+        expect![[r#"
+            exit 0
+            {
+              "detail": "wait_ms=5",
+              "key": "1764691200000-a/b?c%20",
+              "reason": "",
+              "replayed": false,
+              "state": "running",
+              "tasks_done": 0,
+              "tasks_total": 1,
+              "verdict": "may_have_run"
+            }
+            --
+        "#]],
+    )
+    .await;
+    check(
+        &stub,
+        "cancel 1764691200000-a/b?c%20",
+        expect![[r#"
+        exit 0
+        {
+          "detail": "",
+          "key": "1764691200000-a/b?c%20",
+          "reason": "",
+          "replayed": false,
+          "state": "cancelled",
+          "tasks_done": 0,
+          "tasks_total": 1,
+          "verdict": "may_have_run"
+        }
+        --
+    "#]],
+    )
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drain_goes_to_the_named_instance_and_waits() {
+    let (named, other) = (ApiStub::start().await, ApiStub::start().await);
+    let line = format!("drain {} --wait", named.address);
+    let output = run(&[&other.address], &line).await;
+    expect![[r#"
+        exit 0
+        ENTRY is leaving
+        ENTRY has gone
+        --
+    "#]]
+    .assert_eq(&shown(&output, &named));
+    assert!(other.state.lock().unwrap().changes.is_empty());
+    assert_eq!(exit_code(&[&other.address], &line).await, 1);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn the_examples_have_the_form_of_the_schemas() {
     use trefoil_schema::api::JobRequest;
--- a/tests/testsuite/ctl_rollout.rs
+++ b/tests/testsuite/ctl_rollout.rs
@@ -1,16 +1,21 @@
 //! `trefoilctl apply --wait` and `status`: what is said of each instance.
 
 use expect_test::expect;
+use tokio::net::TcpListener;
 use trefoil_schema::api::InstanceStateName::{Gone, Leaving, Serving, Silent};
 use trefoilbay::ops::client::{Client, ClientSettings};
 use trefoilbay::ops::error::{ExitStatus, OpsError};
 use trefoilbay::ops::rollout::{self, Fleet, InForce};
 
-use crate::support::api_stub::{ApiStub, instance, seen_by};
+use crate::support::api_stub::{ApiStub, ClosedAddress, instance, seen_by};
 
 fn client(stubs: &[&ApiStub]) -> Client {
+    client_of(stubs.iter().map(|stub| stub.address.clone()).collect())
+}
+
+fn client_of(entries: Vec<String>) -> Client {
     Client::new(ClientSettings {
-        entries: stubs.iter().map(|stub| stub.address.clone()).collect(),
+        entries,
         ..ClientSettings::default()
     })
     .expect("valid entries")
@@ -66,7 +71,7 @@
         .await
         .expect_err("not complete");
     assert_eq!(error.exit_status(), ExitStatus::TimedOut);
-    expect!["revision 7 is in force at 1 of 3 instances after 1 ms; missing: b (unknown: silent for 900 ms, last at 6), c (at 6)"].assert_eq(&error.to_string());
+    expect!["after 1 ms revision 7 is in force at 1 of 3 instances; missing: b (unknown: silent for 900 ms, last at 6), c (at 6)"].assert_eq(&error.to_string());
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -90,17 +95,20 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn no_entry_at_all_is_an_error_not_an_empty_deployment() {
-    let stub = ApiStub::start().await;
-    let client = client(&[&stub]);
-    stub.set(|state| state.status = Some(seen_by("a", 7, vec![instance("a", Serving, 7, 0)])));
-    assert!(rollout::look(&client).await.is_ok());
-    drop(stub);
-    // The server ends at the next poll of the runtime; until then it answers.
-    let error = loop {
-        match rollout::look(&client).await {
-            Ok(_) => tokio::task::yield_now().await,
-            Err(error) => break error,
-        }
-    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound").to_string();
+    let client = client_of(vec![address]);
+    let accept = async { drop(listener.accept().await) };
+    let (error, ()) = tokio::join!(rollout::look(&client), accept);
+    let error = error.expect_err("the connection was closed");
+    assert!(matches!(error, OpsError::Lost { .. }), "{error}");
+    assert_eq!(error.exit_status(), ExitStatus::Failed);
+
+    let closed = ClosedAddress::new();
+    let client = client_of(vec![closed.address.clone()]);
+    let error = rollout::look(&client).await.expect_err("nothing listens");
     assert!(matches!(error, OpsError::Connect { .. }), "{error}");
+    let error = rollout::wait(&client, 7, 1, |_| ()).await;
+    let error = error.expect_err("nothing is known");
+    assert_eq!(error.exit_status(), ExitStatus::TimedOut);
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,4 +3,5 @@
 mod support;
 
 mod ctl;
+mod ctl_operator;
 mod ctl_rollout;
--- a/tests/testsuite/support/api_stub.rs
+++ b/tests/testsuite/support/api_stub.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::future::pending;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
 use poem::http::StatusCode;
@@ -10,6 +11,8 @@
 use poem::web::{Data, Json, Path, Query};
 use poem::{EndpointExt, IntoResponse, Request, Response, Route, Server, get, handler, post};
 use serde_json::{Value, json};
+use tokio::net::TcpSocket;
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use trefoil_core::verdict::Verdict;
 use trefoil_schema::api::{InstanceStateName, InstanceStatus, JobRequest, StatusResponse};
@@ -30,10 +33,12 @@
     pub status: Option<StatusResponse>,
     /// Take effect, then never answer.
     pub swallow_answers: bool,
-    /// Refuse jobs with this status, reason and verdict.
-    pub refuse_jobs: Option<(u16, &'static str, Verdict)>,
+    /// Refuse jobs with this status, reason, verdict and request verdict.
+    pub refuse_jobs: Option<(u16, &'static str, Verdict, Verdict)>,
     /// Change requests, as METHOD PATH, in order.
     pub changes: Vec<String>,
+    /// Told once the stand-in is to stop.
+    pub leaving: Arc<Notify>,
     /// Keys of the jobs submitted, in order.
     pub keys: Vec<String>,
 }
@@ -53,10 +58,15 @@
             .at("/v1/status", get(show_status))
             .at("/v1/keys", post(mint_keys))
             .at("/v1/jobs", post(submit))
+            .at("/v1/jobs/:key", get(one_job).delete(one_job))
+            .at("/v1/drain", post(drain))
             .at("/v1/:collection", get(list))
             .at("/v1/:collection/:name", get(one).put(put).delete(delete))
             .data(state.clone());
-        let server = tokio::spawn(Server::new_with_acceptor(acceptor).run(routes));
+        let leaving = state.lock().unwrap().leaving.clone();
+        let signal = async move { leaving.notified().await };
+        let server = Server::new_with_acceptor(acceptor);
+        let server = tokio::spawn(server.run_with_graceful_shutdown(routes, signal, None));
         Self {
             address,
             state,
@@ -76,6 +86,26 @@
     }
 }
 
+/// An address that refuses connections; bound and not listened on, so that no
+/// other test gets it.
+pub struct ClosedAddress {
+    pub address: String,
+    _socket: TcpSocket,
+}
+
+impl ClosedAddress {
+    pub fn new() -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        socket.bind(any_port).expect("a free port");
+        let address = socket.local_addr().expect("bound").to_string();
+        Self {
+            address,
+            _socket: socket,
+        }
+    }
+}
+
 /// News of one instance.
 pub fn instance(
     name: &str,
@@ -126,9 +156,10 @@
     if swallow {
         pending::<()>().await;
     }
-    if let Some((status, reason, verdict)) = refusal {
+    if let Some((status, reason, verdict, request_verdict)) = refusal {
         let status = StatusCode::from_u16(status).unwrap();
         return Problem::new(status, reason, "as the test asked", verdict)
+            .request_verdict(request_verdict)
             .key(&key)
             .retry_after_ms(40)
             .into_response();
@@ -149,6 +180,29 @@
     .into_response()
 }
 
+/// A job in the state that the request leaves it in.
+#[handler]
+fn one_job(request: &Request, Path(key): Path<String>) -> Json<Value> {
+    let state = if request.method() == "DELETE" {
+        "cancelled"
+    } else {
+        "running"
+    };
+    Json(json!({
+        "key": key, "state": state, "verdict": "may_have_run", "tasks_total": 1, "tasks_done": 0,
+        "replayed": false, "detail": request.uri().query().unwrap_or_default(),
+    }))
+}
+
+/// Ends the stand-in, connections of later requests first.
+#[handler]
+fn drain(request: &Request, state: Data<&Shared>) -> StatusCode {
+    let mut state = state.lock().unwrap();
+    state.changes.push(format!("POST {}", request.uri()));
+    state.leaving.notify_one();
+    StatusCode::ACCEPTED
+}
+
 #[handler]
 fn list(Path(collection): Path<String>, state: Data<&Shared>) -> Json<Vec<Value>> {
     let state = state.lock().unwrap();
