--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,8 +1,9 @@
 //! End-to-end tests by feature, each a small project of real processes.
 
-mod links;
-mod support;
-
 mod ctl;
 mod ctl_operator;
 mod ctl_rollout;
+mod links;
+mod operator;
+mod operator_sources;
+mod support;
