--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,11 +2,9 @@
 
 mod caller;
 mod ctl;
-mod ctl_rollout;
-mod daemon;
-mod ctl;
 mod ctl_operator;
 mod ctl_rollout;
+mod daemon;
 mod links;
 mod operator;
 mod operator_sources;
