engine: judge slow workers by typical run times, weigh size more

And small jobs still waited behind large ones. Change: slow is a mean logarithm three times the service's over 16 runs; a worker on trial is judged after 3; a size counts 64 times; estimates allow 20 % and 5 % of jobs a longer last task.

--- a/crates/core/examples/engine_load.rs
+++ b/crates/core/examples/engine_load.rs
@@ -21,7 +21,7 @@
         .map_or(1, |seed| seed.parse().expect("the seed is a whole number"));
     println!("seed {seed}");
     println!(
-        "{:34} {:>6} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7}",
+        "{:40} {:>6} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7}",
         "case",
         "load",
         "mean",
@@ -79,7 +79,7 @@
         let load = Load {
             seed,
             offered: 2.0,
-            timeout_ms: 5000,
+            timeout_ms: 10_000,
             engine,
             ..Load::default()
         };
@@ -116,7 +116,7 @@
 fn print(name: &str, load: &Load) {
     let outcome: Outcome = run(load);
     println!(
-        "{name:34} {:6.2} {:7.2} {:7.2} {:7.2} {:7.2} {:7.4} {:7.4} {:7.4} {:7.4} {:7.3}",
+        "{name:40} {:6.2} {:7.2} {:7.2} {:7.2} {:7.2} {:7.4} {:7.4} {:7.4} {:7.4} {:7.3}",
         load.offered,
         outcome.mean(),
         outcome.quantile(0.5),
--- a/crates/core/src/engine/admission.rs
+++ b/crates/core/src/engine/admission.rs
@@ -9,7 +9,7 @@
 use super::queue::JobQueue;
 
 /// Allowance for estimates that are too short.
-const SAFETY: f64 = 1.1;
+const SAFETY: f64 = 1.2;
 
 /// What the service can do now.
 #[derive(Clone, Copy, Debug)]
--- a/crates/core/src/engine/ejection.rs
+++ b/crates/core/src/engine/ejection.rs
@@ -11,17 +11,20 @@
 /// Weight of a new outcome in a worker's failure rate.
 const FAILURE_GAIN: f64 = 0.1;
 /// Weight of a new run time in a worker's mean.
-const RUN_TIME_GAIN: f64 = 0.2;
+const RUN_TIME_GAIN: f64 = 0.1;
 /// A streak of failures must be rarer than this at the peers' failure rate.
 const CHANCE_MAX: f64 = 0.001;
 /// Run times from which a worker's mean is judged.
-const JUDGED_SAMPLES: u32 = 8;
-/// Ratio to the service's mean run time at which a worker is ejected as slow.
-const SLOW_RATIO: f64 = 3.0;
-/// Ratio below which a slow worker is taken back.
-const RECOVERED_RATIO: f64 = 1.8;
-/// Ratio from which a worker is chosen after its peers.
-const RELUCTANT_RATIO: f64 = 1.5;
+const JUDGED_SAMPLES: u32 = 16;
+/// Run times after which a worker on trial is judged.
+const TRIAL_SAMPLES: u32 = 3;
+/// Ratio to the service's typical run time, as a power of two, at which a
+/// worker is ejected as slow: three times.
+const SLOW_LOG2: f64 = 1.585;
+/// Ratio below which a worker on trial is taken back: twice.
+const RECOVERED_LOG2: f64 = 1.0;
+/// Ratio from which a worker is chosen after its peers: one and a half.
+const RELUCTANT_LOG2: f64 = 0.585;
 /// Most doublings of the probation pause.
 const DOUBLINGS_MAX: u32 = 5;
 /// Pause after a refused placement, doubled by each further one in a row.
@@ -56,8 +59,8 @@
 pub(crate) struct Peers {
     /// Mean failure rate of the other workers.
     pub failure_rate: f64,
-    /// Mean run time of the service.
-    pub mean_run_ms: f64,
+    /// Mean binary logarithm of the service's run times in milliseconds.
+    pub run_log2: f64,
     /// Whether one more worker may be ejected.
     pub may_eject: bool,
 }
@@ -73,7 +76,8 @@
     pub failure_rate: f64,
     failures_in_row: u32,
     refusals_in_row: u32,
-    run_ms: f64,
+    /// Mean binary logarithm of its run times; single long ones weigh little.
+    run_log2: f64,
     samples: u32,
     ejections: u32,
 }
@@ -87,7 +91,7 @@
             failure_rate: 0.0,
             failures_in_row: 0,
             refusals_in_row: 0,
-            run_ms: 0.0,
+            run_log2: 0.0,
             samples: 0,
             ejections: 0,
         }
@@ -108,7 +112,8 @@
             Showing::Failed => self.record_failure(),
             Showing::Refused => self.record_refusal(now_ms),
         }
-        let bad = self.fails_everything(peers, settings) || self.is_slow(peers, SLOW_RATIO);
+        let slow = self.samples >= JUDGED_SAMPLES && self.is_slow(peers, SLOW_LOG2);
+        let bad = slow || self.fails_everything(peers, settings);
         match self.standing {
             Standing::Serving if bad && peers.may_eject => self.eject(now_ms, settings),
             Standing::Probation => self.judge_probation(now_ms, showing, peers, settings),
@@ -122,7 +127,8 @@
         self.failure_rate -= FAILURE_GAIN * self.failure_rate;
         self.samples = self.samples.saturating_add(1);
         let gain = RUN_TIME_GAIN.max(1.0 / f64::from(self.samples));
-        self.run_ms += gain * (run_ms as f64 - self.run_ms);
+        let run_log2 = (run_ms.max(1) as f64).log2();
+        self.run_log2 += gain * (run_log2 - self.run_log2);
     }
 
     fn record_failure(&mut self) {
@@ -143,13 +149,14 @@
             && peers.failure_rate.powf(f64::from(streak)) < CHANCE_MAX
     }
 
-    fn is_slow(&self, peers: Peers, ratio: f64) -> bool {
-        self.samples >= JUDGED_SAMPLES && self.run_ms > ratio * peers.mean_run_ms
+    fn is_slow(&self, peers: Peers, ratio_log2: f64) -> bool {
+        self.run_log2 > peers.run_log2 + ratio_log2
     }
 
     fn eject(&mut self, now_ms: u64, settings: &WorkerSettings) {
         let pause_ms = settings.probation_ms << self.ejections.min(DOUBLINGS_MAX);
         self.ejections += 1;
+        self.samples = 0;
         self.standing = Standing::Ejected {
             until_ms: now_ms + pause_ms,
         };
@@ -162,14 +169,13 @@
         peers: Peers,
         settings: &WorkerSettings,
     ) {
-        let Showing::Done { run_ms } = showing else {
-            return self.eject(now_ms, settings);
-        };
-        if !self.is_slow(peers, RECOVERED_RATIO) {
+        let done = matches!(showing, Showing::Done { .. });
+        let judged = self.samples >= TRIAL_SAMPLES;
+        if !done || (judged && self.is_slow(peers, RECOVERED_LOG2)) {
+            self.eject(now_ms, settings);
+        } else if judged {
             self.standing = Standing::Serving;
             self.ejections = 0;
-        } else if run_ms as f64 > RECOVERED_RATIO * peers.mean_run_ms {
-            self.eject(now_ms, settings);
         }
     }
 
@@ -200,8 +206,8 @@
     }
 
     /// Order of choice; workers of a lower one go first.
-    pub fn reluctance(&self, mean_run_ms: f64) -> u8 {
-        let slow = self.samples > 0 && self.run_ms > RELUCTANT_RATIO * mean_run_ms;
+    pub fn reluctance(&self, run_log2: f64) -> u8 {
+        let slow = self.samples >= TRIAL_SAMPLES && self.run_log2 > run_log2 + RELUCTANT_LOG2;
         u8::from(slow) + 2 * u8::from(self.failures_in_row > 0)
     }
 }
--- a/crates/core/src/engine/pool.rs
+++ b/crates/core/src/engine/pool.rs
@@ -130,8 +130,8 @@
             self.run_times.declare(terms.declared_run_ms);
         }
         self.terms = terms;
-        let mean_ms = self.run_times.mean_ms();
-        self.workers.replace(now.mono_ms, mean_ms, deal);
+        let run_log2 = self.run_times.mean_log2();
+        self.workers.replace(now.mono_ms, run_log2, deal);
         self.dispatch(now, out);
     }
 
--- a/crates/core/src/engine/pool/admit.rs
+++ b/crates/core/src/engine/pool/admit.rs
@@ -17,11 +17,11 @@
 use crate::time::Now;
 
 /// How many times its own size a job may be passed by smaller ones.
-const SIZE_WEIGHT: f64 = 4.0;
+const SIZE_WEIGHT: f64 = 64.0;
 /// Time without a result after which an idle pool's estimates are not trusted.
 const STALE_MS: u64 = 1000;
 /// Share of jobs for which the longest task may exceed its estimate.
-const LATE_SHARE: f64 = 0.02;
+const LATE_SHARE: f64 = 0.05;
 /// The median: a job as likely to exceed it as not.
 const EVEN_CHANCE: f64 = 0.5;
 
@@ -47,7 +47,7 @@
         if self.workers.slots() == 0 {
             return Err(refusal::no_workers());
         }
-        self.workers.wake(now.mono_ms, self.run_times.mean_ms());
+        self.workers.wake(now.mono_ms, self.run_times.mean_log2());
         let team = self.teams.declare(&submission.team, team);
         let plan = self.plan(now, &submission, team);
         self.check_quota(&key, team, plan.tasks)?;
--- a/crates/core/src/engine/pool/outcome.rs
+++ b/crates/core/src/engine/pool/outcome.rs
@@ -41,9 +41,9 @@
             self.last_done_ms = now.mono_ms;
         }
         self.teams.get(placement.team).running -= 1;
-        let mean_ms = self.run_times.mean_ms();
+        let run_log2 = self.run_times.mean_log2();
         self.workers
-            .finish(now.mono_ms, mean_ms, placement.worker, showing);
+            .finish(now.mono_ms, run_log2, placement.worker, showing);
     }
 
     fn apply_outcome(&mut self, placement: Placement, outcome: TaskOutcome) -> Option<EndedJob> {
--- a/crates/core/src/engine/pool/place.rs
+++ b/crates/core/src/engine/pool/place.rs
@@ -12,7 +12,7 @@
 impl PoolState {
     /// Starts queued tasks for as long as a worker has a free slot.
     pub(super) fn dispatch(&mut self, now: Now, out: &mut Vec<Command>) {
-        self.workers.wake(now.mono_ms, self.run_times.mean_ms());
+        self.workers.wake(now.mono_ms, self.run_times.mean_log2());
         while let Some(job) = self.queue.first() {
             if self.park_if_at_slots_max(job) {
                 continue;
@@ -103,8 +103,8 @@
     }
 
     fn count_start(&mut self, now: Now, placement: Placement) {
-        let mean_ms = self.run_times.mean_ms();
-        self.workers.start(now.mono_ms, mean_ms, placement.worker);
+        let run_log2 = self.run_times.mean_log2();
+        self.workers.start(now.mono_ms, run_log2, placement.worker);
         let team = self.teams.get(placement.team);
         team.queued -= 1;
         team.running += 1;
--- a/crates/core/src/engine/run_times.rs
+++ b/crates/core/src/engine/run_times.rs
@@ -22,6 +22,7 @@
 pub(crate) struct RunTimes {
     declared_ms: f64,
     mean_ms: f64,
+    mean_log2: f64,
     samples: u64,
     weights: [f64; BUCKETS],
     next_weight: f64,
@@ -34,6 +35,7 @@
         Self {
             declared_ms,
             mean_ms: declared_ms,
+            mean_log2: declared_ms.log2(),
             samples: 0,
             weights: [0.0; BUCKETS],
             next_weight: 1.0,
@@ -46,6 +48,7 @@
         self.samples += 1;
         let gain = MEAN_GAIN.max(1.0 / self.samples as f64);
         self.mean_ms += gain * (run_ms - self.mean_ms);
+        self.mean_log2 += gain * (run_ms.log2() - self.mean_log2);
         self.weights[bucket(run_ms)] += self.next_weight;
         self.next_weight *= WEIGHT_GROWTH;
         if self.next_weight > WEIGHT_MAX {
@@ -78,6 +81,12 @@
         }
     }
 
+    /// Mean binary logarithm of the run times in milliseconds: what is typical,
+    /// whatever a few stragglers take.
+    pub fn mean_log2(&self) -> f64 {
+        self.mean_log2
+    }
+
     /// A run time that a share `quantile` of the tasks does not exceed.
     pub fn quantile_ms(&self, quantile: f64) -> f64 {
         if !self.is_trusted() {
--- a/crates/core/src/engine/worker_set.rs
+++ b/crates/core/src/engine/worker_set.rs
@@ -71,7 +71,7 @@
 
     /// Replaces the declared workers and their shares; those no longer
     /// declared get no new work and vanish with their last placement.
-    pub fn replace(&mut self, now_ms: u64, mean_ms: f64, deal: WorkerDeal) {
+    pub fn replace(&mut self, now_ms: u64, run_log2: f64, deal: WorkerDeal) {
         self.draws = self.draws.max(deal.draw_seed);
         for state in self.workers.values_mut() {
             state.share = 0;
@@ -93,10 +93,10 @@
         }
         self.workers
             .retain(|_, state| state.share > 0 || state.running > 0);
-        self.recount(now_ms, mean_ms);
+        self.recount(now_ms, run_log2);
     }
 
-    fn recount(&mut self, now_ms: u64, mean_ms: f64) {
+    fn recount(&mut self, now_ms: u64, run_log2: f64) {
         self.ready.clear();
         for state in self.workers.values_mut() {
             state.ready_as = None;
@@ -117,7 +117,7 @@
         self.slots = states.map(|state| u64::from(state.share)).sum();
         let ids: Vec<_> = self.workers.keys().copied().collect();
         for id in ids {
-            self.refresh(now_ms, mean_ms, id);
+            self.refresh(now_ms, run_log2, id);
         }
     }
 
@@ -188,17 +188,17 @@
     }
 
     /// Takes a slot.
-    pub fn start(&mut self, now_ms: u64, mean_ms: f64, id: WorkerId) {
+    pub fn start(&mut self, now_ms: u64, run_log2: f64, id: WorkerId) {
         if let Some(state) = self.workers.get_mut(&id) {
             state.running += 1;
             self.running += 1;
         }
-        self.refresh(now_ms, mean_ms, id);
+        self.refresh(now_ms, run_log2, id);
     }
 
     /// Gives a slot back and judges the worker.
-    pub fn finish(&mut self, now_ms: u64, mean_ms: f64, id: WorkerId, showing: Showing) {
-        let peers = self.peers_of(id, mean_ms);
+    pub fn finish(&mut self, now_ms: u64, run_log2: f64, id: WorkerId, showing: Showing) {
+        let peers = self.peers_of(id, run_log2);
         let Some(state) = self.workers.get_mut(&id) else {
             return;
         };
@@ -213,7 +213,7 @@
         if state.running == 0 && state.share == 0 {
             return self.vanish(id);
         }
-        self.refresh(now_ms, mean_ms, id);
+        self.refresh(now_ms, run_log2, id);
     }
 
     fn vanish(&mut self, id: WorkerId) {
@@ -224,38 +224,38 @@
         self.ejected -= usize::from(state.health.is_ejected());
     }
 
-    fn peers_of(&self, id: WorkerId, mean_run_ms: f64) -> Peers {
+    fn peers_of(&self, id: WorkerId, run_log2: f64) -> Peers {
         let own = self.workers.get(&id);
         let own_rate = own.map_or(0.0, |state| state.health.failure_rate);
         let others = self.workers.len().saturating_sub(1).max(1) as f64;
         let share_max = self.settings.eject_share_max_percent as usize;
         Peers {
             failure_rate: ((self.failure_rate_sum - own_rate) / others).max(0.0),
-            mean_run_ms,
+            run_log2,
             may_eject: (self.ejected + 1) * 100 <= self.open.len() * share_max,
         }
     }
 
     /// Ends the pauses that are over.
-    pub fn wake(&mut self, now_ms: u64, mean_ms: f64) {
+    pub fn wake(&mut self, now_ms: u64, run_log2: f64) {
         while let Some(Reverse((due_ms, id))) = self.wakes.peek().copied() {
             if due_ms > now_ms {
                 return;
             }
             self.wakes.pop();
-            self.refresh(now_ms, mean_ms, id);
+            self.refresh(now_ms, run_log2, id);
         }
     }
 
     /// Puts a worker where it belongs in the ready set.
-    fn refresh(&mut self, now_ms: u64, mean_ms: f64, id: WorkerId) {
+    fn refresh(&mut self, now_ms: u64, run_log2: f64, id: WorkerId) {
         let Some(state) = self.workers.get_mut(&id) else {
             return;
         };
         if let Some(due_ms) = state.health.wake(now_ms) {
             state.schedule(due_ms, id, &mut self.wakes);
         }
-        let ready_as = state.ready_key(now_ms, mean_ms, id);
+        let ready_as = state.ready_key(now_ms, run_log2, id);
         if state.ready_as == ready_as {
             return;
         }
@@ -278,9 +278,9 @@
         }
     }
 
-    fn ready_key(&self, now_ms: u64, mean_ms: f64, id: WorkerId) -> Option<ReadyKey> {
+    fn ready_key(&self, now_ms: u64, run_log2: f64, id: WorkerId) -> Option<ReadyKey> {
         let free = self.running < self.health.slots(now_ms, self.share);
-        free.then(|| (self.health.reluctance(mean_ms), self.running, id))
+        free.then(|| (self.health.reluctance(run_log2), self.running, id))
     }
 
     fn schedule(
