server: join store, configuration, engine, links and membership into one instance

Cause: the parts stood alone; nothing served a request end to end. Change: requests go to the owner of their key, over the links where that is another instance; a lost frame is asked for again by key. Not measured yet.

--- a/crates/core/src/engine/command.rs
+++ b/crates/core/src/engine/command.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use derive_more::Display;
+use derive_more::{Display, FromStr};
 
 use super::event::{TaskId, WaiterId, WorkerId};
 use crate::key::JobKey;
@@ -113,8 +113,9 @@
 }
 
 /// Why a submission is refused.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, Display, FromStr, PartialEq, Eq, Hash)]
 #[display(rename_all = "snake_case")]
+#[from_str(rename_all = "snake_case")]
 pub enum RefusalReason {
     /// The body or the key is malformed.
     Malformed,
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -45,11 +45,18 @@
 
 /// Routes for callers, below the server's root.
 pub fn routes(context: CallerContext) -> impl IntoEndpoint {
-    Route::new()
-        .at("/v1/keys", post(mint_keys))
-        .at("/v1/jobs", post(submit_job))
-        .at("/v1/jobs/:key", get(fetch_job).delete(cancel_job))
-        .data(context)
+    add_routes(Route::new(), context)
+}
+
+/// `route` with the callers' routes added.
+pub fn add_routes(route: Route, context: CallerContext) -> Route {
+    let keys = post(mint_keys).data(context.clone());
+    let jobs = post(submit_job).data(context.clone());
+    let job = get(fetch_job).delete(cancel_job).data(context);
+    route
+        .at("/v1/keys", keys)
+        .at("/v1/jobs", jobs)
+        .at("/v1/jobs/:key", job)
 }
 
 #[derive(Deserialize)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod http;
 pub mod links;
 pub mod ops;
+pub mod peers;
 pub mod runtime;
 pub mod server;
 pub mod sources;
--- a/src/peers/convert.rs
+++ b/src/peers/convert.rs
@@ -10,10 +10,13 @@
 use trefoil_core::key::{JobKey, KeyError};
 use trefoil_core::verdict::Verdict;
 use trefoil_schema::peer;
-use xxhash_rust::xxh3::Xxh3;
 
+use crate::runtime::dispatch::fingerprint;
+
+/// Reason of a job whose results cannot be given any more.
+pub const RESULT_DROPPED: &str = "result_dropped";
 /// Reasons of final failures, as they travel.
-const FAILURE_REASONS: [&str; 4] = ["task_failed", "deadline", "cancelled", "result_dropped"];
+const FAILURE_REASONS: [&str; 4] = ["task_failed", "deadline", "cancelled", RESULT_DROPPED];
 const FAILURE_UNKNOWN: &str = "failed";
 
 /// A message that cannot be acted on.
@@ -25,7 +28,12 @@
 }
 
 /// The message that hands a submission to its owner.
-pub fn forward_job(request_id: u64, submission: &Submission, wait: bool, traceparent: &str) -> peer::ForwardJob {
+pub fn forward_job(
+    request_id: u64,
+    submission: &Submission,
+    wait: bool,
+    traceparent: &str,
+) -> peer::ForwardJob {
     peer::ForwardJob {
         request_id,
         key: submission.key.as_str().to_owned(),
@@ -39,7 +47,10 @@
 }
 
 fn task_spec(task: &Task) -> peer::TaskSpec {
-    peer::TaskSpec { payload: task.payload.clone(), declared_run_ms: task.declared_run_ms }
+    peer::TaskSpec {
+        payload: task.payload.clone(),
+        declared_run_ms: task.declared_run_ms,
+    }
 }
 
 /// The submission behind a forwarded job.
@@ -57,45 +68,40 @@
 }
 
 fn task(spec: peer::TaskSpec) -> Task {
-    Task { payload: spec.payload, declared_run_ms: spec.declared_run_ms }
-}
-
-/// Hash of what a submission asks for; a resubmission must have the same.
-///
-/// The deadline and the declared run times are left out: a caller that comes
-/// back has less time left.
-pub fn fingerprint(service: &str, team: &str, tasks: &[Task]) -> u64 {
-    let mut hash = Xxh3::new();
-    add_field(&mut hash, service.as_bytes());
-    add_field(&mut hash, team.as_bytes());
-    for task in tasks {
-        add_field(&mut hash, &task.payload);
+    Task {
+        payload: spec.payload,
+        declared_run_ms: spec.declared_run_ms,
     }
-    hash.digest()
-}
-
-fn add_field(hash: &mut Xxh3, field: &[u8]) {
-    hash.update(&(field.len() as u64).to_be_bytes());
-    hash.update(field);
 }
 
 /// The message that carries an answer back.
 pub fn answer_message(request_id: u64, key: &str, answer: &JobAnswer) -> peer::JobAnswer {
-    let blank = peer::JobAnswer { request_id, key: key.to_owned(), ..Default::default() };
+    let blank = peer::JobAnswer {
+        request_id,
+        key: key.to_owned(),
+        ..Default::default()
+    };
     match answer {
-        JobAnswer::Known { state, verdict, results, reason, detail, replayed, tasks_done, tasks_total } => {
-            peer::JobAnswer {
-                state: state_to_wire(*state) as i32,
-                verdict: verdict_to_wire(*verdict) as i32,
-                results: results.to_vec(),
-                reason: (*reason).to_owned(),
-                detail: detail.clone(),
-                replayed: *replayed,
-                tasks_done: *tasks_done,
-                tasks_total: *tasks_total,
-                ..blank
-            }
-        }
+        JobAnswer::Known {
+            state,
+            verdict,
+            results,
+            reason,
+            detail,
+            replayed,
+            tasks_done,
+            tasks_total,
+        } => peer::JobAnswer {
+            state: state_to_wire(*state) as i32,
+            verdict: verdict_to_wire(*verdict) as i32,
+            results: results.to_vec(),
+            reason: (*reason).to_owned(),
+            detail: detail.clone(),
+            replayed: *replayed,
+            tasks_done: *tasks_done,
+            tasks_total: *tasks_total,
+            ..blank
+        },
         JobAnswer::Refused(refusal) => peer::JobAnswer {
             state: peer::JobState::Refused as i32,
             verdict: verdict_to_wire(refusal.verdict) as i32,
@@ -138,7 +144,10 @@
     if name.is_empty() {
         return "";
     }
-    FAILURE_REASONS.into_iter().find(|known| *known == name).unwrap_or(FAILURE_UNKNOWN)
+    FAILURE_REASONS
+        .into_iter()
+        .find(|known| *known == name)
+        .unwrap_or(FAILURE_UNKNOWN)
 }
 
 fn state_to_wire(state: JobState) -> peer::JobState {
--- /dev/null
+++ b/src/peers/pending.rs
@@ -0,0 +1,78 @@
+//! Requests to other instances that wait for an answer.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use tokio::sync::mpsc;
+use trefoil_schema::peer::JobAnswer;
+
+/// Shards of the table, each under its own lock.
+const SHARDS: usize = 16;
+/// Answers that one request holds until it reads them.
+const ANSWERS_MAX: usize = 4;
+
+type Shard = HashMap<u64, mpsc::Sender<JobAnswer>>;
+
+/// Open requests by number.
+#[derive(Debug, Default)]
+pub struct PendingTable {
+    next_id: AtomicU64,
+    shards: [Mutex<Shard>; SHARDS],
+}
+
+/// One open request; dropping it forgets the request.
+#[derive(Debug)]
+pub struct PendingRequest<'a> {
+    table: &'a PendingTable,
+    id: u64,
+    answers: mpsc::Receiver<JobAnswer>,
+}
+
+impl PendingTable {
+    /// Opens a request under a number that was not used before.
+    pub fn open(&self) -> PendingRequest<'_> {
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed) + 1;
+        let (sender, answers) = mpsc::channel(ANSWERS_MAX);
+        self.shard(id).insert(id, sender);
+        PendingRequest {
+            table: self,
+            id,
+            answers,
+        }
+    }
+
+    /// Gives an answer to its request; false where none is open.
+    pub fn answer(&self, answer: JobAnswer) -> bool {
+        let shard = self.shard(answer.request_id);
+        let Some(sender) = shard.get(&answer.request_id) else {
+            return false;
+        };
+        sender.try_send(answer).is_ok()
+    }
+
+    fn shard(&self, id: u64) -> MutexGuard<'_, Shard> {
+        let index = id as usize % SHARDS;
+        self.shards[index]
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl PendingRequest<'_> {
+    /// Number of the request.
+    pub fn id(&self) -> u64 {
+        self.id
+    }
+
+    /// The next answer.
+    pub async fn next(&mut self) -> Option<JobAnswer> {
+        self.answers.recv().await
+    }
+}
+
+impl Drop for PendingRequest<'_> {
+    fn drop(&mut self) {
+        self.table.shard(self.id).remove(&self.id);
+    }
+}
--- /dev/null
+++ b/src/peers/serve.rs
@@ -0,0 +1,167 @@
+//! Requests and news from other instances.
+
+use std::sync::Arc;
+
+use tokio::sync::mpsc;
+use trefoil_core::engine::{JobAnswer, JobState};
+use trefoil_core::key::JobKey;
+use trefoil_core::membership::{Event, Route};
+use trefoil_core::verdict::Verdict;
+use trefoil_core::view::Member;
+use trefoil_schema::peer::message::Body;
+use trefoil_schema::peer::{ForwardJob, InstanceRef};
+
+use super::{Peers, convert, forward};
+use crate::links::Incoming;
+
+/// When an entry should ask again that came to the wrong owner.
+const WRONG_OWNER_RETRY_MS: u64 = 250;
+
+impl Peers {
+    /// Takes messages until the links close.
+    pub(super) async fn receive(self: Arc<Self>, mut incoming: mpsc::Receiver<Incoming>) {
+        while let Some(Incoming { from, message }) = incoming.recv().await {
+            self.take(&from, message);
+        }
+    }
+
+    fn take(self: &Arc<Self>, from: &InstanceRef, body: Body) {
+        match body {
+            Body::ForwardJob(job) => self.serve_job(from.clone(), job),
+            Body::FetchJob(request) => {
+                let serve = move |peers: Arc<Self>, key: JobKey| async move {
+                    peers.context.runtime.fetch(&key, request.wait_ms).await
+                };
+                self.serve_key(from.clone(), request.request_id, &request.key, serve);
+            }
+            Body::CancelJob(request) => {
+                let serve = |peers: Arc<Self>, key: JobKey| async move {
+                    peers.context.runtime.cancel(&key).await
+                };
+                self.serve_key(from.clone(), request.request_id, &request.key, serve);
+            }
+            Body::JobAnswer(answer) => {
+                // An answer to a request that is closed is late or doubled.
+                self.pending.answer(answer);
+            }
+            Body::ConfigRequest(request) => {
+                let changes = self.context.config.changes_after(request.after_revision);
+                self.reply(from, Body::ConfigChanges(changes));
+            }
+            Body::ConfigChanges(changes) => {
+                if let Some(request) = self.context.config.apply_from_peer(&changes) {
+                    self.reply(from, Body::ConfigRequest(request));
+                }
+            }
+            Body::Heartbeat(heartbeat) => {
+                if let Some(request) = self
+                    .context
+                    .config
+                    .request_if_behind(heartbeat.config_revision)
+                {
+                    self.reply(from, Body::ConfigRequest(request));
+                }
+                self.tell(from, Body::Heartbeat(heartbeat));
+            }
+            other => self.tell(from, other),
+        }
+    }
+
+    fn tell(self: &Arc<Self>, from: &InstanceRef, body: Body) {
+        self.handle(Event::Message {
+            from: Member::from(from),
+            body,
+        });
+    }
+
+    /// Sends an answer that may be lost: whoever asked asks again.
+    fn reply(&self, to: &InstanceRef, body: Body) {
+        let _ = self.links.send(&to.name, body);
+    }
+
+    fn serve_job(self: &Arc<Self>, from: InstanceRef, job: ForwardJob) {
+        let peers = Arc::clone(self);
+        let in_flight = self.context.stop.track();
+        tokio::spawn(async move {
+            let (request_id, key) = (job.request_id, job.key.clone());
+            let answer = peers.run_job(job).await;
+            peers.reply_answer(&from, request_id, &key, &answer);
+            drop(in_flight);
+        });
+    }
+
+    async fn run_job(self: &Arc<Self>, job: ForwardJob) -> JobAnswer {
+        let wait = job.wait;
+        let traceparent =
+            (!job.traceparent.is_empty()).then(|| Arc::from(job.traceparent.as_str()));
+        let Ok(submission) = convert::submission(job) else {
+            return JobAnswer::Refused(forward::unknown_owner(0));
+        };
+        match self.route(&submission.key) {
+            Route::Here => {
+                self.context
+                    .runtime
+                    .submit(submission, wait, traceparent)
+                    .await
+            }
+            Route::OwnerLost => JobAnswer::Refused(forward::owner_lost()),
+            // Not handed on: two instances that disagree must not play it back
+            // and forth.
+            Route::Peer(_) => JobAnswer::Refused(forward::unknown_owner(WRONG_OWNER_RETRY_MS)),
+            Route::Unknown { retry_after_ms } => {
+                JobAnswer::Refused(forward::unknown_owner(retry_after_ms))
+            }
+        }
+    }
+
+    fn serve_key<F>(
+        self: &Arc<Self>,
+        from: InstanceRef,
+        request_id: u64,
+        text: &str,
+        serve: impl FnOnce(Arc<Self>, JobKey) -> F,
+    ) where
+        F: Future<Output = JobAnswer> + Send + 'static,
+    {
+        let Ok(key) = JobKey::parse(text) else {
+            return;
+        };
+        let answer = serve(Arc::clone(self), key.clone());
+        let peers = Arc::clone(self);
+        tokio::spawn(async move {
+            let answer = answer.await;
+            peers.reply_answer(&from, request_id, key.as_str(), &answer);
+        });
+    }
+
+    fn reply_answer(&self, to: &InstanceRef, request_id: u64, key: &str, answer: &JobAnswer) {
+        let message = convert::answer_message(request_id, key, answer);
+        if self.links.send(&to.name, Body::JobAnswer(message)).is_err() {
+            // Too large, or too much queued: say at least how the job ended.
+            let message = convert::answer_message(request_id, key, &without_results(answer));
+            let _ = self.links.send(&to.name, Body::JobAnswer(message));
+        }
+    }
+}
+
+fn without_results(answer: &JobAnswer) -> JobAnswer {
+    match answer.clone() {
+        JobAnswer::Known {
+            state: JobState::Complete,
+            replayed,
+            tasks_done,
+            tasks_total,
+            ..
+        } => JobAnswer::Known {
+            state: JobState::Failed,
+            verdict: Verdict::Ran,
+            results: Vec::new().into(),
+            reason: convert::RESULT_DROPPED,
+            detail: "the job completed; its results cannot be passed on".to_owned(),
+            replayed,
+            tasks_done,
+            tasks_total,
+        },
+        other => other,
+    }
+}
--- a/src/runtime/dispatch.rs
+++ b/src/runtime/dispatch.rs
@@ -8,17 +8,30 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use super::Runtime;
+use crate::peers::Peers;
 
 /// Takes callers' requests to the instance that owns their key.
 #[derive(Clone)]
 pub struct Dispatch {
     runtime: Arc<Runtime>,
+    peers: Option<Arc<Peers>>,
 }
 
 impl Dispatch {
     /// A dispatch to this instance alone.
     pub fn new(runtime: Arc<Runtime>) -> Self {
-        Self { runtime }
+        Self {
+            runtime,
+            peers: None,
+        }
+    }
+
+    /// A dispatch to the owner of each key.
+    pub fn with_peers(runtime: Arc<Runtime>, peers: Arc<Peers>) -> Self {
+        Self {
+            runtime,
+            peers: Some(peers),
+        }
     }
 
     /// Submits a job; with `wait` the answer comes when the job is final.
@@ -28,17 +41,26 @@
         wait: bool,
         traceparent: Option<Arc<str>>,
     ) -> JobAnswer {
-        self.runtime.submit(submission, wait, traceparent).await
+        match &self.peers {
+            Some(peers) => peers.submit(submission, wait, traceparent).await,
+            None => self.runtime.submit(submission, wait, traceparent).await,
+        }
     }
 
     /// Tells a job's state, or its end if it comes within `wait_ms`.
     pub async fn fetch(&self, key: &JobKey, wait_ms: u64) -> JobAnswer {
-        self.runtime.fetch(key, wait_ms).await
+        match &self.peers {
+            Some(peers) => peers.fetch(key, wait_ms).await,
+            None => self.runtime.fetch(key, wait_ms).await,
+        }
     }
 
     /// Cancels a job.
     pub async fn cancel(&self, key: &JobKey) -> JobAnswer {
-        self.runtime.cancel(key).await
+        match &self.peers {
+            Some(peers) => peers.cancel(key).await,
+            None => self.runtime.cancel(key).await,
+        }
     }
 
     /// The declarations in force here.
--- a/src/server.rs
+++ b/src/server.rs
@@ -4,6 +4,7 @@
 //! [`Context`] is what handlers and tasks share.
 
 pub mod health;
+pub mod parts;
 pub mod stop;
 
 use std::sync::Arc;
@@ -19,7 +20,9 @@
 use trefoil_core::drain::{DrainState, Ending};
 use trefoil_schema::settings::Settings;
 
+use crate::peers::PeersError;
 use crate::util::telemetry::Telemetry;
+use parts::Parts;
 use stop::{Clock, StopControl};
 
 /// Longest wait for connections to close once nothing is in flight.
@@ -42,6 +45,12 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// The links between instances cannot be started.
+    #[display("cannot take part in the deployment: {source}")]
+    Peers {
+        /// What went wrong.
+        source: PeersError,
+    },
 }
 
 /// What all parts of one instance share.
@@ -58,6 +67,7 @@
     /// What is in flight, and the planned stop.
     pub stop: Arc<StopControl>,
     configured: AtomicBool,
+    in_view: AtomicBool,
 }
 
 impl Context {
@@ -72,6 +82,7 @@
             clock,
             stop,
             configured: AtomicBool::new(false),
+            in_view: AtomicBool::new(false),
         }
     }
 
@@ -80,6 +91,16 @@
         self.configured.load(Ordering::Relaxed)
     }
 
+    /// Whether this instance owns keys.
+    pub fn is_in_view(&self) -> bool {
+        self.in_view.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether this instance owns keys.
+    pub fn set_in_view(&self, in_view: bool) {
+        self.in_view.store(in_view, Ordering::Relaxed);
+    }
+
     /// Notes that declarations are in force; they never cease to be.
     pub fn set_configured(&self) {
         self.configured.store(true, Ordering::Relaxed);
@@ -95,9 +116,9 @@
     let context = Arc::new(Context::new(settings, log, telemetry));
     let acceptor = listen(&context.settings.http_address).await?;
     catch_signals(&context)?;
-    start_parts(&context);
+    let parts = Parts::start(&context)?;
     info!(context.log, "serving"; "http_address" => &context.settings.http_address);
-    let ending = serve(&context, acceptor).await;
+    let ending = serve(&context, &parts, acceptor).await;
     info!(context.log, "stopped"; "ending" => %ending);
     if ending == Ending::Drained {
         let limit = context.stop.budget_left();
@@ -114,18 +135,12 @@
     })
 }
 
-/// Starts what runs beside HTTP.
-fn start_parts(context: &Arc<Context>) {
-    // Without a source of declarations there is nothing to wait for.
-    context.set_configured();
-}
-
 /// Serves until the planned stop has ended, then closes connections.
-async fn serve(context: &Arc<Context>, acceptor: TcpAcceptor) -> Ending {
+async fn serve(context: &Arc<Context>, parts: &Parts, acceptor: TcpAcceptor) -> Ending {
     let (close, closing) = oneshot::channel::<()>();
     let closed = async move { drop(closing.await) };
     let server = poem::Server::new_with_acceptor(acceptor).run_with_graceful_shutdown(
-        routes(context),
+        routes(context, parts),
         closed,
         Some(CLOSE_MAX),
     );
@@ -146,9 +161,9 @@
 }
 
 /// All routes of an instance.
-fn routes(context: &Arc<Context>) -> impl Endpoint + use<> {
+fn routes(context: &Arc<Context>, parts: &Parts) -> impl Endpoint + use<> {
     let health = health::routes(Route::new());
-    let work = Route::new().around(track);
+    let work = parts.routes(context).around(track);
     health.nest_no_strip("/v1", work).data(context.clone())
 }
 
--- a/src/server/health.rs
+++ b/src/server/health.rs
@@ -20,6 +20,8 @@
 pub enum NotReady {
     /// No declarations are in force yet.
     NoConfiguration,
+    /// No view has this instance yet: it owns no keys.
+    NoView,
     /// A planned stop is announced; new work is still taken.
     Leaving,
     /// A planned stop refuses new work.
@@ -54,7 +56,12 @@
     };
     let configured = context.is_configured();
     let no_configuration = (!configured).then_some(NotReady::NoConfiguration);
-    let reasons: Vec<_> = no_configuration.into_iter().chain(leaving).collect();
+    let no_view = (leaving.is_none() && !context.is_in_view()).then_some(NotReady::NoView);
+    let reasons: Vec<_> = no_configuration
+        .into_iter()
+        .chain(no_view)
+        .chain(leaving)
+        .collect();
     Readiness {
         ready: reasons.is_empty(),
         reasons,
--- /dev/null
+++ b/src/server/parts.rs
@@ -0,0 +1,190 @@
+//! The parts of a running instance, and how they are joined.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use poem::http::{Method, StatusCode};
+use poem::web::Data;
+use poem::{
+    Endpoint, EndpointExt, IntoEndpoint, IntoResponse, Request, Response, Route, handler, post,
+};
+use tokio::time::MissedTickBehavior;
+use trefoil_core::drain::DrainState;
+use trefoil_core::engine::{Engine, EngineSettings};
+use trefoil_core::verdict::Verdict;
+
+use super::{Context, ServerError};
+use crate::http::caller::{self, CallerContext};
+use crate::http::operator::{self, OperatorContext};
+use crate::http::problem::Problem;
+use crate::peers::{Peers, PeersContext};
+use crate::runtime::dispatch::Dispatch;
+use crate::runtime::{Runtime, TickerGuard};
+use crate::sources::config::{ConfigHandle, ConfigSync};
+use crate::sources::instances;
+use crate::sources::platform::PlatformStore;
+use crate::sources::platform::etcd::EtcdJson;
+use crate::workers::WorkerClient;
+
+/// Period of looks at the planned stop and the gauges.
+const WATCH_PERIOD: Duration = Duration::from_millis(50);
+/// When a client of a leaving instance should ask another one.
+const LEAVING_RETRY_MS: u64 = 100;
+
+/// Everything that serves requests.
+pub struct Parts {
+    store: Arc<dyn PlatformStore>,
+    config: ConfigHandle,
+    runtime: Arc<Runtime>,
+    peers: Arc<Peers>,
+    _ticker: TickerGuard,
+}
+
+impl Parts {
+    /// Starts all parts.
+    ///
+    /// # Errors
+    ///
+    /// The peer address cannot be listened on.
+    pub fn start(context: &Arc<Context>) -> Result<Arc<Self>, ServerError> {
+        let settings = &context.settings;
+        let store: Arc<dyn PlatformStore> = Arc::new(EtcdJson::new(settings));
+        let config = ConfigSync::start(store.clone(), settings, context.log.clone());
+        let engine = Engine::new(EngineSettings::from(settings));
+        let runtime = Runtime::new(engine, WorkerClient::new(&settings.workers));
+        let peers = Peers::start(PeersContext {
+            settings: settings.clone(),
+            store: store.clone(),
+            instances: instances::start(store.clone(), settings, context.log.clone()),
+            config: config.clone(),
+            runtime: runtime.clone(),
+            stop: context.stop.clone(),
+            log: context.log.clone(),
+        });
+        let peers = peers.map_err(|source| ServerError::Peers { source })?;
+        let ticker = runtime.start_ticker();
+        let parts = Arc::new(Self {
+            store,
+            config,
+            runtime,
+            peers,
+            _ticker: ticker,
+        });
+        tokio::spawn(follow_config(context.clone(), parts.clone()));
+        tokio::spawn(watch_stop(context.clone(), parts.clone()));
+        Ok(parts)
+    }
+
+    /// Adds the callers' and the operators' routes below `/v1`.
+    pub fn routes(&self, context: &Arc<Context>) -> impl Endpoint + use<> {
+        let peers = self.peers.clone();
+        let operator = OperatorContext {
+            config: self.config.clone(),
+            store: self.store.clone(),
+            platform: context.settings.platform.clone(),
+            status: Arc::new(move || peers.status()),
+            conditions: Arc::new(|_| Vec::new()),
+        };
+        let caller = CallerContext {
+            dispatch: Dispatch::with_peers(self.runtime.clone(), self.peers.clone()),
+            jobs: Arc::new(context.settings.jobs.clone()),
+            failure_domain: Arc::from(context.settings.failure_domain.as_str()),
+        };
+        let route = Route::new().at("/v1/drain", post(drain));
+        let route = operator::add_routes(route, operator);
+        caller::add_routes(route, caller)
+            .around(refuse_when_leaving)
+            .into_endpoint()
+    }
+}
+
+/// Starts the planned stop of this instance.
+#[handler]
+fn drain(context: Data<&Arc<Context>>) -> Response {
+    let state = context.stop.request();
+    Response::builder()
+        .status(StatusCode::ACCEPTED)
+        .body(state.to_string())
+}
+
+/// Refuses submissions once the planned stop has got so far.
+async fn refuse_when_leaving<E: Endpoint>(
+    next: Arc<E>,
+    request: Request,
+) -> poem::Result<Response> {
+    let context: Option<&Arc<Context>> = request.data();
+    let submits = request.method() == Method::POST && request.uri().path() == "/v1/jobs";
+    let accepted = context.map(|context| context.stop.accept());
+    if submits && matches!(accepted, Some(None)) {
+        return Ok(leaving().into_response());
+    }
+    let response = next.get_response(request).await;
+    drop(accepted);
+    Ok(response)
+}
+
+fn leaving() -> Problem {
+    let detail = "this instance is leaving; ask another with the same key";
+    Problem::new(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "leaving",
+        detail,
+        Verdict::MayHaveRun,
+    )
+    .request_verdict(Verdict::NotRun)
+    .retry_after_ms(LEAVING_RETRY_MS)
+}
+
+/// Puts each accepted configuration in force.
+async fn follow_config(context: Arc<Context>, parts: Arc<Parts>) {
+    let mut snapshots = parts.config.subscribe();
+    loop {
+        let snapshot = snapshots.borrow_and_update().clone();
+        if snapshot.revision > 0 {
+            context
+                .telemetry
+                .counters()
+                .set_config_revision(snapshot.revision);
+            parts.runtime.set_config(snapshot);
+            context.set_configured();
+        }
+        if snapshots.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Hands keys over when the planned stop begins, and keeps the stop waiting
+/// while jobs run here.
+async fn watch_stop(context: Arc<Context>, parts: Arc<Parts>) {
+    let mut ticks = tokio::time::interval(WATCH_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut jobs = None;
+    loop {
+        ticks.tick().await;
+        let stats = parts.runtime.engine().stats();
+        context
+            .telemetry
+            .counters()
+            .set_tasks(stats.tasks_queued, stats.tasks_running);
+        match context.stop.state() {
+            DrainState::Serving => context.set_in_view(parts.peers.in_force()),
+            DrainState::Announcing { .. } => {
+                if jobs.is_none() {
+                    jobs = Some(context.stop.track());
+                    parts.peers.leave();
+                }
+            }
+            DrainState::Refusing { .. } => {
+                parts.runtime.engine().set_leaving(true);
+                if jobs.is_none() && stats.jobs_running > 0 {
+                    jobs = Some(context.stop.track());
+                }
+                if stats.jobs_running == 0 {
+                    jobs = None;
+                }
+            }
+            DrainState::Finished(_) => return,
+        }
+    }
+}
