--- /dev/null
+++ b/crates/core/src/engine/pool.rs
@@ -0,0 +1,197 @@
+//! The jobs and workers of one service, under one lock.
+
+mod admit;
+mod outcome;
+mod place;
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use slotmap::SlotMap;
+use trefoil_schema::resources::ServiceSpec;
+
+use super::command::{Command, JobState};
+use super::event::{TaskId, WorkerId};
+use super::job::{EndedJob, JobId, JobWork};
+use super::queue::JobQueue;
+use super::retry_budget::RetryBudget;
+use super::run_times::RunTimes;
+use super::settings::EngineSettings;
+use super::stats::EngineStats;
+use super::teams::{TeamIndex, Teams};
+use super::worker_set::{WorkerDeal, WorkerSet};
+use crate::time::Now;
+
+/// Bits of a task id that count placements; the rest name the pool.
+const TASK_COUNTER_BITS: u32 = 48;
+/// Deadlines kept of ended jobs before they are cleared out.
+const STALE_DEADLINES_MAX: usize = 1024;
+
+/// One service's pool; its number is part of its task ids.
+pub(crate) struct Pool {
+    state: Mutex<PoolState>,
+}
+
+/// What the service's declaration says about its tasks.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct ServiceTerms {
+    pub path: Arc<str>,
+    pub task_timeout_ms: u64,
+    pub declared_run_ms: u64,
+}
+
+impl From<&ServiceSpec> for ServiceTerms {
+    fn from(spec: &ServiceSpec) -> Self {
+        Self {
+            path: spec.path.as_str().into(),
+            task_timeout_ms: spec.task_timeout_ms,
+            declared_run_ms: spec.declared_run_ms,
+        }
+    }
+}
+
+/// A placement that is out.
+#[derive(Clone, Copy, Debug)]
+struct Placement {
+    job: JobId,
+    team: TeamIndex,
+    index: u32,
+    attempt: u32,
+    worker: WorkerId,
+    started_ms: u64,
+}
+
+/// What a pool's lock guards.
+pub(crate) struct PoolState {
+    number: u64,
+    settings: Arc<EngineSettings>,
+    terms: ServiceTerms,
+    workers: WorkerSet,
+    jobs: SlotMap<JobId, JobWork>,
+    queue: JobQueue,
+    teams: Teams,
+    placements: HashMap<TaskId, Placement>,
+    deadlines: BinaryHeap<Reverse<(u64, JobId)>>,
+    run_times: RunTimes,
+    /// When a result last came.
+    last_done_ms: u64,
+    retries: RetryBudget,
+    next_placement: u64,
+    stats: EngineStats,
+}
+
+impl Pool {
+    /// An empty pool.
+    pub fn new(number: u64, settings: Arc<EngineSettings>, terms: ServiceTerms) -> Self {
+        let workers = WorkerSet::new(settings.placement.policy, settings.workers.clone());
+        let state = PoolState {
+            number,
+            workers,
+            jobs: SlotMap::with_key(),
+            queue: JobQueue::default(),
+            teams: Teams::default(),
+            placements: HashMap::new(),
+            deadlines: BinaryHeap::new(),
+            run_times: RunTimes::new(terms.declared_run_ms),
+            last_done_ms: 0,
+            retries: RetryBudget::new(settings.placement.retry_percent),
+            next_placement: 0,
+            stats: EngineStats::default(),
+            settings,
+            terms,
+        };
+        Self {
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Locks the pool; a job shard may be locked before it, never after.
+    pub fn lock(&self) -> MutexGuard<'_, PoolState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The number of the pool that made a task id.
+    pub fn number_of(task: TaskId) -> usize {
+        (task.0 >> TASK_COUNTER_BITS) as usize
+    }
+}
+
+impl PoolState {
+    /// Takes the service's declaration and its workers with shares.
+    pub fn configure(
+        &mut self,
+        now: Now,
+        terms: ServiceTerms,
+        deal: WorkerDeal,
+        out: &mut Vec<Command>,
+    ) {
+        if terms.declared_run_ms != self.terms.declared_run_ms {
+            self.run_times.declare(terms.declared_run_ms);
+        }
+        self.terms = terms;
+        let run_log2 = self.run_times.mean_log2();
+        self.workers.replace(now.mono_ms, run_log2, deal);
+        self.dispatch(now, out);
+    }
+
+    /// The service is no longer declared: nothing starts any more.
+    pub fn withdraw(&mut self, now: Now, out: &mut Vec<Command>) {
+        let terms = self.terms.clone();
+        self.configure(now, terms, WorkerDeal::default(), out);
+    }
+
+    /// Tasks done of a job, or `None` if it just ended.
+    pub fn tasks_done(&self, job: JobId) -> Option<u32> {
+        self.jobs.get(job).map(|work| work.done)
+    }
+
+    /// Ends a job at its caller's wish, or `None` if it just ended.
+    pub fn cancel(&mut self, now: Now, job: JobId, out: &mut Vec<Command>) -> Option<EndedJob> {
+        let why = "the caller cancelled the job".to_owned();
+        let ended = self.cut_short(job, JobState::Cancelled, "cancelled", why)?;
+        self.stats.jobs_cancelled += 1;
+        self.dispatch(now, out);
+        Some(ended)
+    }
+
+    /// Ends jobs whose deadline has passed, and starts what has a slot.
+    pub fn tick(&mut self, now: Now, out: &mut Vec<Command>) -> Vec<EndedJob> {
+        let mut ended = Vec::new();
+        while let Some(Reverse((deadline_ms, job))) = self.deadlines.peek().copied() {
+            if deadline_ms > now.mono_ms {
+                break;
+            }
+            self.deadlines.pop();
+            let late = "the deadline passed before the last result";
+            let Some(job) = self.fail(job, "deadline", late.to_owned()) else {
+                continue;
+            };
+            self.stats.jobs_past_deadline += 1;
+            ended.push(job);
+        }
+        self.clear_stale_deadlines();
+        self.dispatch(now, out);
+        ended
+    }
+
+    /// Keeps the heap in proportion to the jobs; constant time amortised.
+    fn clear_stale_deadlines(&mut self) {
+        if self.deadlines.len() > 2 * self.jobs.len() + STALE_DEADLINES_MAX {
+            let jobs = &self.jobs;
+            self.deadlines
+                .retain(|Reverse((_, job))| jobs.contains_key(*job));
+        }
+    }
+
+    /// Counters and sizes of this pool.
+    pub fn stats(&self) -> EngineStats {
+        EngineStats {
+            jobs_running: self.jobs.len() as u64,
+            tasks_running: self.placements.len() as u64,
+            slots_owned: self.workers.slots(),
+            workers_ejected: self.workers.ejected(),
+            ..self.stats
+        }
+    }
+}
