server: a stop cannot end before the parts have handed over

The watch of the stop took its guard when it saw the announcement, every 50 ms. With an announcement shorter than that the stop could finish between two looks: jobs without a waiting caller were cut off, and the instance did not tell its peers that it leaves. Now the guard is held from the start as a hold, which the stop waits for but does not count as a request, and it is dropped one look after new work is refused and no job runs. Taking an ordinary guard from the start was weighed: /readyz would show one request too many. The price is up to 100 ms a stop.

The test of a ready daemon now starts the platform's stand-in, since readiness has come to need configuration and a view; the state without it has a test of its own.

--- a/src/server/parts.rs
+++ b/src/server/parts.rs
@@ -13,6 +13,7 @@
 use trefoil_core::engine::{Engine, EngineSettings};
 use trefoil_core::verdict::Verdict;
 
+use super::stop::Hold;
 use super::{Context, ServerError};
 use crate::http::caller::{self, CallerContext};
 use crate::http::operator::{self, OperatorContext};
@@ -71,7 +72,8 @@
             _ticker: ticker,
         });
         tokio::spawn(follow_config(context.clone(), parts.clone()));
-        tokio::spawn(watch_stop(context.clone(), parts.clone()));
+        let hold = context.stop.hold();
+        tokio::spawn(watch_stop(context.clone(), parts.clone(), hold));
         Ok(parts)
     }
 
@@ -156,33 +158,33 @@
 
 /// Hands keys over when the planned stop begins, and keeps the stop waiting
 /// while jobs run here.
-async fn watch_stop(context: Arc<Context>, parts: Arc<Parts>) {
+async fn watch_stop(context: Arc<Context>, parts: Arc<Parts>, hold: Hold) {
     let mut ticks = tokio::time::interval(WATCH_PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut jobs = None;
+    let mut hold = Some(hold);
+    let mut has_left = false;
+    let mut has_refused = false;
     loop {
         ticks.tick().await;
+        let state = context.stop.state();
+        if state == DrainState::Serving {
+            context.set_in_view(parts.peers.in_force());
+        } else if !has_left {
+            parts.peers.leave();
+            has_left = true;
+        }
         let stats = parts.runtime.engine().stats();
-        context
-            .telemetry
-            .counters()
-            .set_tasks(stats.tasks_queued, stats.tasks_running);
-        match context.stop.state() {
-            DrainState::Serving => context.set_in_view(parts.peers.in_force()),
-            DrainState::Announcing { .. } => {
-                if jobs.is_none() {
-                    jobs = Some(context.stop.track());
-                    parts.peers.leave();
-                }
+        let counters = context.telemetry.counters();
+        counters.set_tasks(stats.tasks_queued, stats.tasks_running);
+        match state {
+            DrainState::Serving | DrainState::Announcing { .. } => {}
+            // Released one period later, when no admission is under way.
+            DrainState::Refusing { .. } if has_refused && stats.jobs_running == 0 => {
+                drop(hold.take());
             }
             DrainState::Refusing { .. } => {
                 parts.runtime.engine().set_leaving(true);
-                if jobs.is_none() && stats.jobs_running > 0 {
-                    jobs = Some(context.stop.track());
-                }
-                if stats.jobs_running == 0 {
-                    jobs = None;
-                }
+                has_refused = true;
             }
             DrainState::Finished(_) => return,
         }
--- a/src/server/stop.rs
+++ b/src/server/stop.rs
@@ -52,6 +52,7 @@
     drain: Mutex<Drain>,
     accepts: AtomicBool,
     in_flight: AtomicU64,
+    holds: AtomicU64,
     changed: Notify,
 }
 
@@ -69,6 +70,22 @@
     }
 }
 
+/// Keeps a planned stop from finishing until it is dropped.
+///
+/// Unlike [`InFlight`] it is no request: a part takes it when it starts, and
+/// drops it when the stop may finish as far as that part is concerned.
+#[derive(Debug)]
+pub struct Hold {
+    control: Arc<StopControl>,
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        self.control.holds.fetch_sub(1, Ordering::SeqCst);
+        self.control.changed.notify_one();
+    }
+}
+
 impl StopControl {
     /// An instance that serves.
     pub fn new(clock: Clock, settings: &DrainSettings) -> Self {
@@ -77,6 +94,7 @@
             drain: Mutex::new(Drain::new(settings)),
             accepts: AtomicBool::new(true),
             in_flight: AtomicU64::new(0),
+            holds: AtomicU64::new(0),
             changed: Notify::new(),
         }
     }
@@ -96,11 +114,23 @@
         }
     }
 
+    /// Keeps the planned stop from finishing while the guard lives.
+    pub fn hold(self: &Arc<Self>) -> Hold {
+        self.holds.fetch_add(1, Ordering::SeqCst);
+        Hold {
+            control: self.clone(),
+        }
+    }
+
     /// What is in flight now.
     pub fn in_flight(&self) -> u64 {
         self.in_flight.load(Ordering::SeqCst)
     }
 
+    fn unfinished(&self) -> u64 {
+        self.in_flight() + self.holds.load(Ordering::SeqCst)
+    }
+
     /// Where the stop stands.
     pub fn state(&self) -> DrainState {
         self.drain().state()
@@ -150,13 +180,13 @@
         let now = self.clock.now();
         let mut drain = self.drain();
         let before = drain.state();
-        let after = drain.step(now, self.in_flight());
+        let after = drain.step(now, self.unfinished());
         self.accepts.store(drain.accepts(), Ordering::SeqCst);
         if before == after {
             return after;
         }
         // Counted again now that new work is refused.
-        drain.step(now, self.in_flight())
+        drain.step(now, self.unfinished())
     }
 
     /// What is left of the stop's budget.
--- a/tests/testsuite/daemon.rs
+++ b/tests/testsuite/daemon.rs
@@ -12,6 +12,7 @@
 use slog::{Discard, Logger, o};
 use tokio::time::{Instant, sleep, timeout};
 use trefoil_core::drain::Ending;
+use trefoil_fakes::platform::{self, PlatformOptions};
 use trefoil_schema::settings::DrainSettings;
 use trefoilbay::server::stop::{Clock, StopControl};
 
@@ -99,8 +100,22 @@
 }
 
 #[tokio::test]
+async fn without_the_store_it_lives_but_is_not_ready() {
+    let platform = format!("platform.address={}", free_address());
+    let daemon = Daemon::start(&[&platform]).await;
+    let (status, body) = daemon.get("/readyz").await;
+    assert_eq!(status, 503);
+    let reasons = r#""reasons":["no_configuration","no_view"]"#;
+    assert!(body.contains(reasons), "{body}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn announces_and_then_exits_with_zero() {
-    let daemon = Daemon::start(&["drain.announce_ms=400"]).await;
+    let any = "127.0.0.1:0".parse().unwrap();
+    let platform = platform::start(any, PlatformOptions::default());
+    let platform = platform.await.unwrap();
+    let address = format!("platform.address={}", platform.address);
+    let daemon = Daemon::start(&["drain.announce_ms=400", &address]).await;
     let ready = daemon.until(|status, _| status == 200, "/readyz").await;
     assert_eq!(ready, r#"{"ready":true,"reasons":[],"in_flight":0}"#);
     assert!(daemon.get("/metrics").await.1.contains("target_info"));
@@ -179,3 +194,17 @@
     assert_eq!(start.elapsed(), Duration::from_millis(1_000));
     assert_eq!(control.budget_left(), Duration::ZERO);
 }
+
+#[tokio::test(start_paused = true)]
+async fn stop_waits_for_holds_which_are_not_counted_as_requests() {
+    let control = control();
+    let hold = control.hold();
+    assert_eq!(control.in_flight(), 0);
+    control.signal();
+    let waiting = control.clone();
+    let stop = tokio::spawn(async move { waiting.finished(&no_log()).await });
+    sleep(Duration::from_millis(700)).await;
+    assert!(!stop.is_finished());
+    drop(hold);
+    assert_eq!(stop.await.unwrap(), Ending::Drained);
+}
