server: submissions counted and traced, totals of the parts on the page

The page showed two gauges and the configuration's revision: the counters were there, but nothing counted. Submissions, refusals by reason, response times and the caller's span are taken by one layer round the routes; what engine, workers and links count already is read where the stop is watched, and the difference is added. Calls from those parts into the counters were weighed: they would count twice what is there.

A problem's reason travels beside its response, so that the layer need not read the body. refused_start and failed_send became not_started, which is what the client of workers can tell.

--- a/src/http/problem.rs
+++ b/src/http/problem.rs
@@ -8,6 +8,10 @@
 const CONTENT_TYPE: HeaderValue = HeaderValue::from_static("application/problem+json");
 const TYPE_PREFIX: &str = "urn:trefoilbay:problem:";
 
+/// The reason of a [`Problem`], kept beside its response for counters.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reason(pub String);
+
 /// An error answer: status, reason, verdict and when to come back.
 #[derive(Clone, Debug)]
 pub struct Problem {
@@ -80,6 +84,8 @@
         response
             .headers_mut()
             .insert(header::CONTENT_TYPE, CONTENT_TYPE);
+        let reason = self.body.type_.strip_prefix(TYPE_PREFIX);
+        response.set_data(Reason(reason.unwrap_or_default().to_owned()));
         if self.body.retry_after_ms > 0 {
             let seconds = self.body.retry_after_ms.div_ceil(1000);
             response
--- a/src/server.rs
+++ b/src/server.rs
@@ -4,6 +4,7 @@
 //! [`Context`] is what handlers and tasks share.
 
 pub mod health;
+mod observe;
 pub mod parts;
 pub mod stop;
 
@@ -163,7 +164,7 @@
 /// All routes of an instance.
 fn routes(context: &Arc<Context>, parts: &Parts) -> impl Endpoint + use<> {
     let health = health::routes(Route::new());
-    let work = parts.routes(context).around(track);
+    let work = parts.routes(context).around(observe::observe).around(track);
     health.nest_no_strip("/v1", work).data(context.clone())
 }
 
--- /dev/null
+++ b/src/server/observe.rs
@@ -0,0 +1,80 @@
+//! Counts and traces callers' submissions, and reports the parts' totals.
+
+use std::sync::Arc;
+
+use poem::http::{HeaderValue, Method, StatusCode};
+use poem::{Endpoint, Request, Response};
+use tokio::time::Instant;
+use trefoil_core::engine::JobState;
+
+use super::Context;
+use crate::http::problem::Reason;
+use crate::util::telemetry::counters::Counters;
+use crate::util::telemetry::trace::{Hop, HopSpan, TRACEPARENT, TraceParent};
+
+const SUBMISSION_PATH: &str = "/v1/jobs";
+
+/// Counts a submission, times its answer, and takes the caller's span.
+///
+/// What follows finds the span as the request's `traceparent`.
+pub(super) async fn observe<E: Endpoint>(
+    next: Arc<E>,
+    mut request: Request,
+) -> poem::Result<Response> {
+    let context: Option<Arc<Context>> = request.data().cloned();
+    let submits = request.method() == Method::POST && request.uri().path() == SUBMISSION_PATH;
+    let Some(context) = context.filter(|_| submits) else {
+        return Ok(next.get_response(request).await);
+    };
+    let start = Instant::now();
+    let counters = context.telemetry.counters();
+    counters.job_submitted();
+    let mut span = context.telemetry.span(Hop::Caller, parent(&request));
+    pass_on(&span, &mut request);
+    let response = next.get_response(request).await;
+    span.set("http.status", i64::from(response.status().as_u16()));
+    if response.status().is_server_error() {
+        span.fail("answered with an error");
+    }
+    count_answer(counters, &response, start);
+    Ok(response)
+}
+
+fn parent(request: &Request) -> Option<TraceParent> {
+    request.header(TRACEPARENT).and_then(TraceParent::parse)
+}
+
+fn pass_on(span: &HopSpan, request: &mut Request) {
+    let parent = span.next_parent().filter(|_| span.is_taken());
+    let header = parent.map(|parent| HeaderValue::try_from(parent.to_string()));
+    if let Some(Ok(header)) = header {
+        request.headers_mut().insert(TRACEPARENT, header);
+    }
+}
+
+fn count_answer(counters: &Counters, response: &Response, start: Instant) {
+    let reason = response.data::<Reason>();
+    match final_state(response.status(), reason) {
+        Some(JobState::Running) => {}
+        Some(state) => {
+            let response_ms = start.elapsed().as_secs_f64() * 1_000.0;
+            counters.answered(state, response_ms);
+        }
+        None => counters.refused(reason.map_or("other", |reason| &reason.0)),
+    }
+}
+
+/// State of the job behind an answer; `None` for a refusal.
+fn final_state(status: StatusCode, reason: Option<&Reason>) -> Option<JobState> {
+    if status == StatusCode::ACCEPTED {
+        return Some(JobState::Running);
+    }
+    if status.is_success() {
+        return Some(JobState::Complete);
+    }
+    match reason.map(|reason| reason.0.as_str()) {
+        Some("task_failed" | "deadline") => Some(JobState::Failed),
+        Some("cancelled") => Some(JobState::Cancelled),
+        _ => None,
+    }
+}
--- a/src/server/parts.rs
+++ b/src/server/parts.rs
@@ -1,6 +1,7 @@
 //! The parts of a running instance, and how they are joined.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use poem::http::{Method, StatusCode};
@@ -10,7 +11,7 @@
 };
 use tokio::time::MissedTickBehavior;
 use trefoil_core::drain::DrainState;
-use trefoil_core::engine::{Engine, EngineSettings};
+use trefoil_core::engine::{Engine, EngineSettings, EngineStats};
 use trefoil_core::verdict::Verdict;
 
 use super::stop::Hold;
@@ -25,6 +26,7 @@
 use crate::sources::instances;
 use crate::sources::platform::PlatformStore;
 use crate::sources::platform::etcd::EtcdJson;
+use crate::util::telemetry::counters::{Direction, Totals, WastedMessage};
 use crate::workers::WorkerClient;
 
 /// Period of looks at the planned stop and the gauges.
@@ -77,6 +79,31 @@
         Ok(parts)
     }
 
+    fn totals(&self, stats: &EngineStats) -> Totals {
+        let workers = self.runtime.workers().counters();
+        let links = self.peers.links().stats();
+        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        Totals {
+            jobs_complete: stats.jobs_complete,
+            jobs_failed: stats.jobs_failed + stats.jobs_cancelled,
+            task_starts: stats.tasks_started,
+            wasted: [
+                (WastedMessage::LateAnswer, stats.outcomes_dropped),
+                (WastedMessage::CrossedAnswer, read(&workers.crossed_answers)),
+                (WastedMessage::NotStarted, read(&workers.not_run)),
+                (WastedMessage::Resubmission, stats.jobs_replayed),
+            ],
+            peer_frames: [
+                (Direction::Sent, links.frames_out),
+                (Direction::Received, links.frames_in),
+            ],
+            peer_bytes: [
+                (Direction::Sent, links.bytes_out),
+                (Direction::Received, links.bytes_in),
+            ],
+        }
+    }
+
     /// Adds the callers' and the operators' routes below `/v1`.
     pub fn routes(&self, context: &Arc<Context>) -> impl Endpoint + use<> {
         let peers = self.peers.clone();
@@ -164,6 +191,7 @@
     let mut hold = Some(hold);
     let mut has_left = false;
     let mut has_refused = false;
+    let mut reported = parts.totals(&parts.runtime.engine().stats());
     loop {
         ticks.tick().await;
         let state = context.stop.state();
@@ -176,6 +204,9 @@
         let stats = parts.runtime.engine().stats();
         let counters = context.telemetry.counters();
         counters.set_tasks(stats.tasks_queued, stats.tasks_running);
+        let totals = parts.totals(&stats);
+        counters.advance(&reported, &totals);
+        reported = totals;
         match state {
             DrainState::Serving | DrainState::Announcing { .. } => {}
             // Released one period later, when no admission is under way.
--- a/src/util/telemetry/counters.rs
+++ b/src/util/telemetry/counters.rs
@@ -23,10 +23,8 @@
     LateAnswer,
     /// A backend server's answer to another task.
     CrossedAnswer,
-    /// A task that a backend server refused before its start.
-    RefusedStart,
-    /// A task that could not be sent.
-    FailedSend,
+    /// A task that was refused before its start or could not be sent.
+    NotStarted,
     /// A submission of a key that is known already.
     Resubmission,
     /// A job forwarded to an instance that does not own it.
@@ -40,8 +38,7 @@
         match self {
             Self::LateAnswer => "late_answer",
             Self::CrossedAnswer => "crossed_answer",
-            Self::RefusedStart => "refused_start",
-            Self::FailedSend => "failed_send",
+            Self::NotStarted => "not_started",
             Self::Resubmission => "resubmission",
             Self::Misrouted => "misrouted",
             Self::StalePeerMessage => "stale_peer_message",
@@ -115,6 +112,23 @@
     }
 }
 
+/// What the parts of an instance have counted since its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Totals {
+    /// Jobs that completed here.
+    pub jobs_complete: u64,
+    /// Jobs that failed or were cancelled here.
+    pub jobs_failed: u64,
+    /// Placements of tasks.
+    pub task_starts: u64,
+    /// Wasted messages, the same kinds in the same order in each reading.
+    pub wasted: [(WastedMessage, u64); 4],
+    /// Frames to and from peers.
+    pub peer_frames: [(Direction, u64); 2],
+    /// Bytes of those frames.
+    pub peer_bytes: [(Direction, u64); 2],
+}
+
 /// The instruments; clones share them.
 #[derive(Clone, Debug)]
 pub struct Counters {
@@ -178,17 +192,41 @@
         self.jobs_submitted.add(1, &[]);
     }
 
-    /// A job became final `response_ms` after its submission.
-    pub fn job_finished(&self, state: JobState, response_ms: f64) {
-        match state {
-            JobState::Running => return,
-            JobState::Complete => self.jobs_complete.add(1, &[]),
-            JobState::Failed | JobState::Cancelled => self.jobs_failed.add(1, &[]),
-        }
+    /// A caller had the answer of a final job `response_ms` after it asked.
+    pub fn answered(&self, state: JobState, response_ms: f64) {
         let label = label("state", state.to_string());
         self.response_time_ms.record(response_ms, &[label]);
     }
 
+    /// Adds what the parts counted between two readings.
+    pub fn advance(&self, from: &Totals, to: &Totals) {
+        let add = |counter: &Counter<u64>, from: u64, to: u64, labels: &[KeyValue]| {
+            if to > from {
+                counter.add(to - from, labels);
+            }
+        };
+        add(
+            &self.jobs_complete,
+            from.jobs_complete,
+            to.jobs_complete,
+            &[],
+        );
+        add(&self.jobs_failed, from.jobs_failed, to.jobs_failed, &[]);
+        add(&self.task_starts, from.task_starts, to.task_starts, &[]);
+        for (&(kind, from), (_, to)) in from.wasted.iter().zip(to.wasted) {
+            let labels = [label("kind", kind.name())];
+            add(&self.wasted_messages, from, to, &labels);
+        }
+        for (&(way, from), (_, to)) in from.peer_frames.iter().zip(to.peer_frames) {
+            let labels = [label("direction", way.name())];
+            add(&self.peer_frames, from, to, &labels);
+        }
+        for (&(way, from), (_, to)) in from.peer_bytes.iter().zip(to.peer_bytes) {
+            let labels = [label("direction", way.name())];
+            add(&self.peer_bytes, from, to, &labels);
+        }
+    }
+
     /// A submission was refused; `reason` is one word.
     pub fn refused(&self, reason: impl Display) {
         self.refusals.add(1, &[label("reason", reason.to_string())]);
@@ -199,11 +237,6 @@
         self.admission_overhead_us.record(overhead_us, &[]);
     }
 
-    /// A task was sent to a backend server.
-    pub fn task_started(&self) {
-        self.task_starts.add(1, &[]);
-    }
-
     /// A placement of a task ended.
     pub fn task_ended(&self, outcome: Outcome) {
         self.task_outcomes
@@ -215,13 +248,6 @@
         self.wasted_messages.add(1, &[label("kind", kind.name())]);
     }
 
-    /// A frame of `bytes` went to or came from a peer.
-    pub fn peer_frame(&self, direction: Direction, bytes: u64) {
-        let label = [label("direction", direction.name())];
-        self.peer_frames.add(1, &label);
-        self.peer_bytes.add(bytes, &label);
-    }
-
     /// The platform's store was called.
     pub fn store_called(&self, kind: StoreCall) {
         self.store_calls.add(1, &[label("kind", kind.name())]);
--- a/tests/testsuite/daemon.rs
+++ b/tests/testsuite/daemon.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Empty};
+use hyper::Request;
 use hyper::body::Bytes;
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
 use hyper_util::rt::TokioExecutor;
@@ -38,10 +39,17 @@
     }
 
     async fn get(&self, path: &str) -> (u16, String) {
+        self.call("GET", path).await
+    }
+
+    async fn call(&self, method: &str, path: &str) -> (u16, String) {
         let client: Client<HttpConnector, Empty<Bytes>> =
             Client::builder(TokioExecutor::new()).build_http();
-        let uri = format!("http://{}{path}", self.address).parse().unwrap();
-        let Ok(response) = client.get(uri).await else {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address));
+        let request = request.body(Empty::new()).unwrap();
+        let Ok(response) = client.request(request).await else {
             return (0, String::new());
         };
         let status = response.status().as_u16();
@@ -208,3 +216,20 @@
     drop(hold);
     assert_eq!(stop.await.unwrap(), Ending::Drained);
 }
+
+#[tokio::test]
+async fn submissions_and_refusals_are_counted() {
+    let platform = format!("platform.address={}", free_address());
+    let daemon = Daemon::start(&[&platform]).await;
+    assert_eq!(daemon.call("POST", "/v1/jobs").await.0, 400);
+    assert_eq!(daemon.call("POST", "/v1/jobs").await.0, 400);
+    let page = daemon.get("/metrics").await.1;
+    let line = |name: &str| page.lines().find(|line| line.starts_with(name)).unwrap();
+    assert!(
+        line("trefoil_jobs_submitted_total{").ends_with(" 2"),
+        "{page}"
+    );
+    let refusals = line("trefoil_refusals_total{");
+    assert!(refusals.contains("reason=\"malformed\""), "{refusals}");
+    assert!(refusals.ends_with(" 2"), "{refusals}");
+}
--- a/tests/testsuite/telemetry.rs
+++ b/tests/testsuite/telemetry.rs
@@ -11,7 +11,7 @@
 use trefoil_core::engine::{JobState, RefusalReason};
 use trefoilbay::util::settings;
 use trefoilbay::util::telemetry::Telemetry;
-use trefoilbay::util::telemetry::counters::{Direction, Outcome, StoreCall, WastedMessage};
+use trefoilbay::util::telemetry::counters::{Direction, Outcome, StoreCall, Totals, WastedMessage};
 use trefoilbay::util::telemetry::trace::{Hop, TraceParent, Traces};
 
 const SAMPLED: &str = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01";
@@ -53,22 +53,35 @@
     }
 }
 
+fn totals(count: u64) -> Totals {
+    Totals {
+        jobs_complete: count,
+        jobs_failed: count,
+        task_starts: count,
+        wasted: [
+            (WastedMessage::LateAnswer, count - 1),
+            (WastedMessage::CrossedAnswer, 0),
+            (WastedMessage::NotStarted, 5 * count),
+            (WastedMessage::Resubmission, 3),
+        ],
+        peer_frames: [(Direction::Sent, count), (Direction::Received, 0)],
+        peer_bytes: [(Direction::Sent, 300 * count), (Direction::Received, 0)],
+    }
+}
+
 #[test]
 fn page_shows_what_was_counted() {
     let telemetry = Telemetry::start(&settings::defaults()).unwrap();
     let counters = telemetry.counters();
     counters.job_submitted();
     counters.job_submitted();
-    counters.job_finished(JobState::Complete, 42.0);
-    counters.job_finished(JobState::Failed, 7.0);
+    counters.answered(JobState::Complete, 42.0);
+    counters.advance(&totals(1), &totals(2));
     counters.refused(RefusalReason::UnknownTeam);
     counters.admitted(12.0);
-    counters.task_started();
     counters.task_ended(Outcome::MayHaveRun);
     counters.wasted(WastedMessage::CrossedAnswer);
     counters.wasted(WastedMessage::LateAnswer);
-    counters.wasted(WastedMessage::LateAnswer);
-    counters.peer_frame(Direction::Sent, 300);
     counters.store_called(StoreCall::Watch);
     counters.set_config_revision(9);
     counters.set_tasks(5, 3);
@@ -84,6 +97,7 @@
             "outcome=\"may_have_run\"",
             "1",
         ),
+        ("trefoil_wasted_messages_total", "kind=\"not_started\"", "5"),
         ("trefoil_wasted_messages_total", "kind=\"late_answer\"", "2"),
         (
             "trefoil_wasted_messages_total",
@@ -106,6 +120,10 @@
         };
         assert!(page.lines().any(fits), "{name} {label} {value}\n{page}");
     }
+    assert!(
+        !page.contains("resubmission"),
+        "unchanged totals add nothing"
+    );
 }
 
 #[test]
@@ -246,7 +264,7 @@
     );
     let telemetry = Telemetry::start(&settings::defaults()).unwrap();
     let counters = telemetry.counters();
-    println!("counter: {:.0} ns", measure(|| counters.task_started()));
+    println!("counter: {:.0} ns", measure(|| counters.job_submitted()));
     let labelled = measure(|| counters.task_ended(Outcome::Done));
     println!("counter with label: {labelled:.0} ns");
     println!("histogram: {:.0} ns", measure(|| counters.admitted(20.0)));
