runtime: a span and an outcome for each placement

A trace ended at the instance: the backend server got the caller's trace context, not the placement that called it, so retries of one task looked alike. Each call to a worker is now a hop with address, index and attempt, and its outcome is counted. The runtime takes telemetry as an option, so that tests and benches go on without it.

Measured: the test of the hop and the 7 of telemetry pass. The hops entry and peer are still not taken.

--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -28,6 +28,7 @@
 use trefoil_core::time::Now;
 use trefoil_core::verdict::Verdict;
 
+use crate::util::telemetry::Telemetry;
 use crate::workers::{WorkerCall, WorkerClient};
 use clock::Clock;
 use tasks::Placement;
@@ -48,6 +49,7 @@
     traces: TraceContexts,
     config: watch::Sender<Arc<ConfigSnapshot>>,
     handle: Handle,
+    telemetry: Option<Telemetry>,
 }
 
 impl Runtime {
@@ -57,6 +59,19 @@
     ///
     /// Outside a tokio runtime.
     pub fn new(engine: Engine, workers: WorkerClient) -> Arc<Self> {
+        Self::with_telemetry(engine, workers, None)
+    }
+
+    /// As [`Self::new`], with counts and spans of placements in `telemetry`.
+    ///
+    /// # Panics
+    ///
+    /// Outside a tokio runtime.
+    pub fn with_telemetry(
+        engine: Engine,
+        workers: WorkerClient,
+        telemetry: Option<Telemetry>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             engine,
             clock: Clock::default(),
@@ -65,6 +80,7 @@
             traces: TraceContexts::default(),
             config: watch::Sender::default(),
             handle: Handle::current(),
+            telemetry,
         })
     }
 
--- a/src/runtime/tasks.rs
+++ b/src/runtime/tasks.rs
@@ -5,6 +5,8 @@
 use trefoil_core::engine::{Command, TaskId, TaskOutcome};
 
 use super::Runtime;
+use crate::util::telemetry::counters::Outcome;
+use crate::util::telemetry::trace::{Hop, TraceParent};
 use crate::workers::WorkerCall;
 
 /// One placement of a task, chosen by the engine.
@@ -23,12 +25,34 @@
     let mut next = Some(placement);
     while let Some(placement) = next {
         let report = OutcomeReport::new(&runtime, placement.task);
-        let outcome = runtime.workers.call(&placement.call).await;
+        let outcome = call(&runtime, placement.call).await;
         report.finish(outcome, &mut out);
         next = execute(&runtime, &mut out);
     }
 }
 
+/// Calls the worker, within a span that the worker gets as its parent.
+async fn call(runtime: &Runtime, mut call: WorkerCall) -> TaskOutcome {
+    let Some(telemetry) = &runtime.telemetry else {
+        return runtime.workers.call(&call).await;
+    };
+    let parent = call.traceparent.as_deref().and_then(TraceParent::parse);
+    let mut span = telemetry.span(Hop::BackendServer, parent);
+    if span.is_taken() {
+        span.set("address", call.address.to_string());
+        span.set("index", i64::from(call.index));
+        span.set("attempt", i64::from(call.attempt));
+        call.traceparent = span.next_parent().map(|next| next.to_string().into());
+    }
+    let outcome = runtime.workers.call(&call).await;
+    let ended = Outcome::from(&outcome);
+    telemetry.counters().task_ended(ended);
+    if ended != Outcome::Done {
+        span.fail(ended.name());
+    }
+    outcome
+}
+
 fn execute(runtime: &Arc<Runtime>, commands: &mut Vec<Command>) -> Option<Placement> {
     let mut first = None;
     for command in commands.drain(..) {
--- a/src/server/parts.rs
+++ b/src/server/parts.rs
@@ -54,7 +54,9 @@
         let store: Arc<dyn PlatformStore> = Arc::new(EtcdJson::new(settings));
         let config = ConfigSync::start(store.clone(), settings, context.log.clone());
         let engine = Engine::new(EngineSettings::from(settings));
-        let runtime = Runtime::new(engine, WorkerClient::new(&settings.workers));
+        let workers = WorkerClient::new(&settings.workers);
+        let telemetry = Some(context.telemetry.clone());
+        let runtime = Runtime::with_telemetry(engine, workers, telemetry);
         let peers = Peers::start(PeersContext {
             settings: settings.clone(),
             store: store.clone(),
--- a/src/util/telemetry/counters.rs
+++ b/src/util/telemetry/counters.rs
@@ -4,7 +4,7 @@
 
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
 use opentelemetry::{KeyValue, Value};
-use trefoil_core::engine::JobState;
+use trefoil_core::engine::{JobState, TaskOutcome};
 
 /// Upper bounds of response time buckets, in milliseconds.
 const RESPONSE_BOUNDS_MS: [f64; 16] = [
@@ -59,8 +59,20 @@
     MayHaveRun,
 }
 
+impl From<&TaskOutcome> for Outcome {
+    fn from(outcome: &TaskOutcome) -> Self {
+        match outcome {
+            TaskOutcome::Done(_) => Self::Done,
+            TaskOutcome::Failed(_) => Self::Failed,
+            TaskOutcome::NotRun(_) => Self::NotRun,
+            TaskOutcome::MayHaveRun(_) => Self::MayHaveRun,
+        }
+    }
+}
+
 impl Outcome {
-    fn name(self) -> &'static str {
+    /// The outcome as the counter's label names it.
+    pub fn name(self) -> &'static str {
         match self {
             Self::Done => "done",
             Self::Failed => "failed",
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,4 +11,5 @@
 mod settings;
 mod support;
 mod telemetry;
+mod telemetry_hops;
 mod workers;
--- a/tests/testsuite/telemetry.rs
+++ b/tests/testsuite/telemetry.rs
@@ -14,12 +14,12 @@
 use trefoilbay::util::telemetry::counters::{Direction, Outcome, StoreCall, Totals, WastedMessage};
 use trefoilbay::util::telemetry::trace::{Hop, TraceParent, Traces};
 
-const SAMPLED: &str = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01";
+pub(crate) const SAMPLED: &str = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01";
 const UNSAMPLED: &str = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-00";
 
 #[derive(Clone, Debug, Default)]
-struct Kept {
-    spans: Arc<Mutex<Vec<SpanData>>>,
+pub(crate) struct Kept {
+    pub(crate) spans: Arc<Mutex<Vec<SpanData>>>,
 }
 
 impl SpanExporter for Kept {
@@ -39,7 +39,7 @@
 }
 
 impl Kept {
-    fn traces(&self, sample_percent: u32) -> Traces {
+    pub(crate) fn traces(&self, sample_percent: u32) -> Traces {
         let provider = SdkTracerProvider::builder()
             .with_sampler(Sampler::ParentBased(Box::new(Sampler::AlwaysOn)))
             .with_simple_exporter(self.clone())
