links: count a frame or message before anyone can see it

Cause: a reader could hold a message that the counters did not yet know. The rubbish test failed in 1 of 2 runs and the idle test in 2 of 30 on a busy machine, both at the counter behind a delivery. Two further failures in those 30 runs were a port that another test's outgoing connection had taken between its choice and its use.

Ruled out: waiting in the tests for the counters to catch up; the order is the links' to keep.

Change: both counters move before the hand-over (the inbox place is reserved first). The tests take each address from 127.0.0.0/8 for themselves, and the rubbish test keeps its last socket open, as a closing socket may drop what it took.

--- a/src/links/inbound.rs
+++ b/src/links/inbound.rs
@@ -128,11 +128,14 @@
                 counters.unknown.add(1);
                 continue;
             };
+            let Ok(place) = self.deliver.try_reserve() else {
+                counters.inbox_full.add(1);
+                continue;
+            };
+            // Counted first: a reader that has the message finds it counted.
+            counters.messages_in.add(1);
             let from = from.clone();
-            match self.deliver.try_send(Incoming { from, message }) {
-                Ok(()) => counters.messages_in.add(1),
-                Err(_) => counters.inbox_full.add(1),
-            }
+            place.send(Incoming { from, message });
         }
     }
 }
--- a/src/links/outbound.rs
+++ b/src/links/outbound.rs
@@ -298,12 +298,11 @@
         };
         let bytes = frame.encode_to_vec();
         let counters = &self.context.counters;
+        // Counted first: a receiver that has the frame finds it counted.
+        counters.frames_out.add(1);
+        counters.bytes_out.add(bytes.len());
         match wire.socket.send_async(&wire.aio, &bytes[..]) {
-            Ok(()) => {
-                wire.in_flight = Some(count);
-                counters.frames_out.add(1);
-                counters.bytes_out.add(bytes.len());
-            }
+            Ok(()) => wire.in_flight = Some(count),
             Err(_) => counters.lost.add(count),
         }
     }
--- a/src/links/stats.rs
+++ b/src/links/stats.rs
@@ -5,7 +5,7 @@
 /// Counters since the start, as read at one moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LinkStats {
-    /// Frames handed to connections.
+    /// Frames offered to connections, with those that timed out or were lost.
     pub frames_out: u64,
     /// Bytes of those frames.
     pub bytes_out: u64,
--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -1,6 +1,7 @@
 //! Links between instances: delivery, batches, rubbish, restarts, dead peers.
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU8, Ordering::Relaxed};
 use std::time::{Duration, Instant};
 
 use nng::options::{Options, RecvMaxSize};
@@ -17,8 +18,13 @@
 /// No test waits longer than this for what must come.
 const SOON: Duration = Duration::from_secs(10);
 
+/// An address of 127.0.0.0/8 that no other test or process of these uses, so
+/// that no outgoing connection can have taken its port meanwhile.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    static USED: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let own = Ipv4Addr::new(127, high | 0x80, low, USED.fetch_add(1, Relaxed));
+    let listener = TcpListener::bind((own, 0)).unwrap();
     listener.local_addr().unwrap()
 }
 
@@ -148,7 +154,9 @@
         .write_all(b"\0SP\0\0\x50\0\0\0\0\0\0\0\0\0\x40half")
         .await;
     drop(cut);
-    raw_push(b_settings.listen).send(&whole[..]).unwrap();
+    // Kept open: a socket that closes may drop what it has just taken.
+    let push = raw_push(b_settings.listen);
+    push.send(&whole[..]).unwrap();
     assert_eq!(request_id(&next(&mut at_b).await), 7);
     assert_eq!(b.stats().messages_in, 1);
     assert_eq!(b.stats().frames_in, 6);
