fakes: tests of the lagging instance list and of blocked instances

Cause: both faults stood without a test.

Change: a watch shows the list only after the lag and a replaced list as one deletion and one write; a blocked instance is refused and another is not.

--- a/crates/fakes/tests/platform.rs
+++ b/crates/fakes/tests/platform.rs
@@ -146,3 +146,54 @@
     let alive = call(&client, &platform, "/v3/lease/keepalive", json!({"ID": id})).await;
     assert_eq!(alive["result"]["TTL"], "0");
 }
+
+#[tokio::test]
+async fn the_instance_list_lags_and_then_shows_what_was_set() {
+    let (platform, client) = start().await;
+    platform.order(&FaultOrder {
+        instance_list_lag_ms: Some(300),
+        ..FaultOrder::default()
+    });
+    let body = json!({"create_request": {
+        "key": b64("/platform/instances/"), "range_end": b64("/platform/instances0"),
+    }});
+    let request = request(
+        Method::POST,
+        platform.address,
+        "/v3/watch",
+        body.to_string(),
+    );
+    let mut stream = client.open(request).await.unwrap().into_body();
+    next_line(&mut stream).await;
+    platform.set_instances(vec![json!({"name": "one", "state": "live"})]);
+    let all = json!({"key": b64("/platform/instances/"), "range_end": b64("/platform/instances0")});
+    let read = call(&client, &platform, "/v3/kv/range", all).await;
+    assert_eq!(read["count"], "0");
+    let shown = next_line(&mut stream).await;
+    let key = &shown["result"]["events"][0]["kv"]["key"];
+    assert_eq!(*key, b64("/platform/instances/one"));
+    platform.set_instances(vec![json!({"name": "two", "state": "live"})]);
+    let changed = next_line(&mut stream).await;
+    let events = changed["result"]["events"].as_array().unwrap();
+    let kinds: Vec<_> = events.iter().map(|event| &event["type"]).collect();
+    assert_eq!(kinds, ["DELETE", "PUT"]);
+}
+
+#[tokio::test]
+async fn a_blocked_instance_is_cut_off_and_others_are_not() {
+    let (platform, client) = start().await;
+    platform.order(&FaultOrder {
+        block_instances: Some(vec!["one".to_owned()]),
+        ..FaultOrder::default()
+    });
+    let range = |instance: &'static str| {
+        let mut request = request(Method::POST, platform.address, "/v3/kv/range", "{}");
+        let name = hyper::header::HeaderValue::from_static(instance);
+        request.headers_mut().insert("trefoil-instance", name);
+        client.send(request)
+    };
+    assert!(range("one").await.is_err());
+    assert!(range("two").await.is_ok());
+    let counters = platform.counters();
+    assert_eq!((counters.range, counters.refused), (1, 1));
+}
