--- a/crates/fakes/src/bin/trefoil-load/args.rs
+++ b/crates/fakes/src/bin/trefoil-load/args.rs
@@ -5,6 +5,9 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use trefoil_fakes::load::{Bursts, KeyKind, LoadOptions, Policy, law::Law};
 
+/// Submissions after a refusal where Retry-After is obeyed and no number given.
+const OBEDIENT_ASK_AGAIN_MAX: usize = 5;
+
 /// The command line.
 pub fn command() -> Command {
     Command::new("trefoil-load")
@@ -86,12 +89,10 @@
             .long("obey-retry-after")
             .help("submit again after the time that a refusal names")
             .action(ArgAction::SetTrue),
-        number(
-            "ask-again",
-            "0",
-            "most submissions after a refusal with a time or a lost answer",
-        )
-        .value_parser(value_parser!(usize)),
+        Arg::new("ask-again")
+            .long("ask-again")
+            .help("most submissions after a refusal with a time or a lost answer")
+            .value_parser(value_parser!(usize)),
         number("seed", "1", "seed of the plan").value_parser(value_parser!(u64)),
         number("key-kind", "uuid7", "who makes the keys").value_parser(["uuid7", "minted"]),
         number("path-ms", "0", "path time that the ideal includes")
@@ -177,7 +178,7 @@
         cancel_percent: get(matches, "cancel-percent").unwrap_or_default(),
         deadline_ms: get(matches, "deadline-ms").unwrap_or_default(),
         obey_retry_after: matches.get_flag("obey-retry-after"),
-        ask_again_max: get(matches, "ask-again").unwrap_or_default(),
+        ask_again_max: ask_again_max(matches),
         seed: get(matches, "seed").unwrap_or(default.seed),
         key_kind: match text("key-kind").as_str() {
             "minted" => KeyKind::Minted,
@@ -189,6 +190,15 @@
     }
 }
 
+/// None are made where nothing asks for them.
+fn ask_again_max(matches: &ArgMatches) -> usize {
+    let default = match matches.get_flag("obey-retry-after") {
+        true => OBEDIENT_ASK_AGAIN_MAX,
+        false => 0,
+    };
+    get(matches, "ask-again").unwrap_or(default)
+}
+
 fn get<T: Clone + Send + Sync + 'static>(matches: &ArgMatches, name: &str) -> Option<T> {
     matches.get_one::<T>(name).cloned()
 }
--- a/crates/fakes/src/check/history.rs
+++ b/crates/fakes/src/check/history.rs
@@ -11,6 +11,10 @@
 
 use crate::worker::record::Start;
 
+/// Reason that the caller's side gives where no connection could be made:
+/// nothing was sent.
+pub const UNREACHABLE: &str = "unreachable";
+
 /// What a request asked for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/fakes/src/load.rs
+++ b/crates/fakes/src/load.rs
@@ -157,6 +157,11 @@
         self.rate_jobs_per_s * factor
     }
 
+    /// Whether a job may still be asked for so long after its first submission.
+    fn allows(&self, elapsed: Duration) -> bool {
+        self.deadline_ms == 0 || elapsed < Duration::from_millis(self.deadline_ms)
+    }
+
     fn drain(&self) -> Duration {
         let drain_ms = match self.deadline_ms {
             0 => DRAIN_WITHOUT_DEADLINE_MS,
--- a/crates/fakes/src/load/job.rs
+++ b/crates/fakes/src/load/job.rs
@@ -9,7 +9,10 @@
 use uuid::Builder;
 
 use super::{LoadOptions, plan::JobPlan};
-use crate::client::{CallError, Reply};
+use crate::{
+    check::history::UNREACHABLE,
+    client::{CallError, Reply},
+};
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 const NOT_RUN: &str = "not_run";
@@ -98,6 +101,9 @@
 pub(super) struct JobAnswer {
     #[serde(skip)]
     pub status: u16,
+    /// Whether the request never left: no verdict of the other side's.
+    #[serde(skip)]
+    pub unsent: bool,
     pub state: String,
     pub verdict: String,
     pub reason: String,
@@ -124,12 +130,12 @@
     }
 
     fn lost(error: &CallError) -> Self {
-        let (verdict, reason) = match error {
-            CallError::Connect { .. } => (NOT_RUN, "unreachable"),
-            CallError::Broken { .. } => ("", "lost"),
+        let (unsent, reason) = match error {
+            CallError::Connect { .. } => (true, UNREACHABLE),
+            CallError::Broken { .. } => (false, "lost"),
         };
         Self {
-            verdict: verdict.to_owned(),
+            unsent,
             reason: reason.to_owned(),
             ..Self::default()
         }
@@ -144,6 +150,7 @@
             return Outcome::Cancelled;
         }
         match (self.status, self.verdict.as_str()) {
+            _ if self.unsent => Outcome::Refused,
             (_, NOT_RUN) => Outcome::Refused,
             (0, _) => Outcome::Lost,
             _ => Outcome::Failed,
--- a/crates/fakes/src/load/stats.rs
+++ b/crates/fakes/src/load/stats.rs
@@ -77,6 +77,7 @@
     pub resubmissions: u64,
     pub cancellations: u64,
     pub asked_again: u64,
+    pub keys_not_minted: u64,
     complete: u64,
     complete_tasks: u64,
     complete_late: u64,
@@ -101,6 +102,7 @@
             resubmissions: 0,
             cancellations: 0,
             asked_again: 0,
+            keys_not_minted: 0,
             complete: 0,
             complete_tasks: 0,
             complete_late: 0,
@@ -188,6 +190,7 @@
             resubmissions: self.resubmissions,
             cancellations: self.cancellations,
             asked_again: self.asked_again,
+            keys_not_minted: self.keys_not_minted,
             complete: self.complete,
             complete_late: self.complete_late,
             cancelled: self.cancelled,
@@ -228,6 +231,8 @@
     pub cancellations: u64,
     /// Submissions made again after a refusal or a lost answer.
     pub asked_again: u64,
+    /// Jobs sent under a key of the caller's for want of a minted one.
+    pub keys_not_minted: u64,
     /// Jobs complete.
     pub complete: u64,
     /// Of these, later than the deadline asked for.
--- a/crates/fakes/src/load/table.rs
+++ b/crates/fakes/src/load/table.rs
@@ -35,6 +35,7 @@
         ("resubmissions", report.resubmissions),
         ("cancellations", report.cancellations),
         ("asked again", report.asked_again),
+        ("keys not minted", report.keys_not_minted),
         ("complete", report.complete),
         ("complete late", report.complete_late),
         ("cancelled", report.cancelled),
--- a/crates/fakes/tests/check.rs
+++ b/crates/fakes/tests/check.rs
@@ -96,6 +96,22 @@
     ));
 }
 
+#[test]
+fn an_entry_that_was_unreachable_is_no_later_word() {
+    let unreachable = HistoryEntry {
+        status: 0,
+        verdict: String::new(),
+        reason: "unreachable".to_owned(),
+        ..refused(200.0)
+    };
+    let requests = [refused(150.0), unreachable];
+    let found = violations(&requests, &[start(0, 1, 300)]);
+    assert!(matches!(
+        found[..],
+        [Violation::FalseNotRun { starts: 1, .. }]
+    ));
+}
+
 #[test]
 fn a_not_run_after_a_start_is_false_whatever_follows() {
     let requests = [complete(), refused(150.0)];
