fakes: the platform can leave out fields of default value

Cause: etcd's own mapping omits them (`succeeded`, `kvs`, the type of a write event); a client that only ever met this stand-in could depend on them.

Weighed: omitting always.

--- a/crates/fakes/src/bin/trefoil-fake-platform.rs
+++ b/crates/fakes/src/bin/trefoil-fake-platform.rs
@@ -2,7 +2,7 @@
 
 use std::{error::Error, net::SocketAddr};
 
-use clap::{Arg, Command, value_parser};
+use clap::{Arg, ArgAction, Command, value_parser};
 use trefoil_fakes::platform::{self, PlatformOptions};
 
 fn command() -> Command {
@@ -22,6 +22,12 @@
                 .value_parser(value_parser!(u64))
                 .default_value("3"),
         )
+        .arg(
+            Arg::new("omit-defaults")
+                .long("omit-defaults")
+                .help("leave fields of default value out of answers, as etcd itself does")
+                .action(ArgAction::SetTrue),
+        )
 }
 
 #[tokio::main]
@@ -30,6 +36,7 @@
     let listen: SocketAddr = *matches.get_one("listen").ok_or("no address to listen on")?;
     let options = PlatformOptions {
         sync_ms: *matches.get_one("sync-ms").ok_or("no sync time")?,
+        omit_defaults: matches.get_flag("omit-defaults"),
         ..PlatformOptions::default()
     };
     let mut platform = platform::start(listen, options)
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -5,6 +5,7 @@
 //! platform's is. `POST /fake/instances` sets the whole instance list: entries
 //! that are missing from it are removed.
 
+mod defaults;
 pub mod faults;
 pub mod messages;
 mod service;
@@ -44,6 +45,9 @@
     pub sync_ms: u64,
     /// Changes kept for watches that resume.
     pub history_max: usize,
+    /// Leave fields of default value out of answers, as etcd itself does:
+    /// `succeeded`, `kvs`, `count`, the type of a write event and the like.
+    pub omit_defaults: bool,
     /// Faults from the start.
     pub faults: Faults,
 }
@@ -53,6 +57,7 @@
         Self {
             sync_ms: 3,
             history_max: 100_000,
+            omit_defaults: false,
             faults: Faults::default(),
         }
     }
@@ -62,6 +67,7 @@
 #[derive(Debug)]
 struct Shared {
     sync_ms: u64,
+    omit_defaults: bool,
     store: Mutex<Store>,
     faults: Mutex<Faults>,
     counters: Mutex<Counters>,
@@ -212,6 +218,7 @@
     let listener = TcpListener::bind(address).await?;
     let shared = Arc::new(Shared {
         sync_ms: options.sync_ms,
+        omit_defaults: options.omit_defaults,
         store: Mutex::new(Store::new(options.history_max)),
         faults: Mutex::new(options.faults),
         counters: Mutex::default(),
--- a/crates/fakes/src/platform/service.rs
+++ b/crates/fakes/src/platform/service.rs
@@ -12,7 +12,7 @@
 use tokio::time::sleep;
 
 use super::{
-    Shared,
+    Shared, defaults,
     faults::{Call, FaultOrder, INSTANCE_HEADER},
     messages::{Int64, LeaseRequest, PutRequest, RequestOp, StreamItem, TxnRequest},
     watch,
@@ -85,14 +85,14 @@
 async fn serve(shared: &Arc<Shared>, call: Call, instance: Option<String>, body: &Bytes) -> Answer {
     match call {
         Call::Range => parsed(body, |request| {
-            http::ok_json(&shared.store().range(&request))
+            answer(shared, &shared.store().range(&request))
         }),
         Call::LeaseKeepalive => parsed(body, |request| keep_alive(shared, request)),
         Call::Watch => parsed(body, |request| watch::start(shared, request, instance)),
         Call::Put => write(shared, body, put).await,
         Call::DeleteRange => {
             write(shared, body, |shared, request| {
-                http::ok_json(&shared.store().delete_range(&request))
+                answer(shared, &shared.store().delete_range(&request))
             })
             .await
         }
@@ -102,6 +102,11 @@
     }
 }
 
+fn answer<T: Serialize>(shared: &Shared, message: &T) -> Answer {
+    let value = defaults::to_value(message, shared.omit_defaults);
+    http::ok_json(&value.map_err(|_| CloseConnection)?)
+}
+
 fn parsed<T: DeserializeOwned>(body: &Bytes, run: impl FnOnce(T) -> Answer) -> Answer {
     match http::from_json(body) {
         Ok(request) => run(request),
@@ -121,11 +126,11 @@
     };
     let _synced = shared.sync.lock().await;
     sleep(Duration::from_millis(shared.sync_ms)).await;
-    let answer = run(shared, request);
+    let answered = run(shared, request);
     shared.raise();
     match take_drop_answer(shared) {
         true => Err(CloseConnection),
-        false => answer,
+        false => answered,
     }
 }
 
@@ -142,7 +147,7 @@
 fn put(shared: &Shared, request: PutRequest) -> Answer {
     let mut store = shared.store();
     match store.has_lease(request.lease) {
-        true => http::ok_json(&store.put(&request)),
+        true => answer(shared, &store.put(&request)),
         false => http::error(StatusCode::NOT_FOUND, LEASE_NOT_FOUND),
     }
 }
@@ -159,7 +164,7 @@
         });
     match lapsed {
         true => http::error(StatusCode::NOT_FOUND, LEASE_NOT_FOUND),
-        false => http::ok_json(&store.txn(&request)),
+        false => answer(shared, &store.txn(&request)),
     }
 }
 
@@ -168,7 +173,7 @@
         .store()
         .grant(request.id, request.ttl, Instant::now());
     match granted {
-        Some(response) => http::ok_json(&response),
+        Some(response) => answer(shared, &response),
         None => http::error(StatusCode::BAD_REQUEST, LEASE_EXISTS),
     }
 }
@@ -180,16 +185,19 @@
     }
     let mut store = shared.store();
     match store.revoke(request.id) {
-        true => http::ok_json(&RevokeResponse {
-            header: store.header(),
-        }),
+        true => answer(
+            shared,
+            &RevokeResponse {
+                header: store.header(),
+            },
+        ),
         false => http::error(StatusCode::NOT_FOUND, LEASE_NOT_FOUND),
     }
 }
 
 fn keep_alive(shared: &Shared, request: LeaseRequest) -> Answer {
     let result = shared.store().keep_alive(request.id, Instant::now());
-    http::ok_json(&StreamItem { result })
+    answer(shared, &StreamItem { result })
 }
 
 fn control(shared: &Arc<Shared>, order: &str, body: &Bytes) -> Answer {
--- a/crates/fakes/src/platform/watch.rs
+++ b/crates/fakes/src/platform/watch.rs
@@ -6,7 +6,7 @@
 use tokio::sync::mpsc;
 
 use super::{
-    Shared,
+    Shared, defaults,
     messages::{Int64, StreamItem, WatchRequest, WatchResponse},
     store::KeyRange,
 };
@@ -139,8 +139,9 @@
     }
 
     async fn send(&self, result: WatchResponse) -> Result<(), CloseConnection> {
-        let mut line = serde_json::to_vec(&StreamItem { result }).map_err(|_| CloseConnection)?;
-        line.push(b'\n');
+        let item = StreamItem { result };
+        let value = defaults::to_value(&item, self.shared.omit_defaults);
+        let line = format!("{}\n", value.map_err(|_| CloseConnection)?);
         self.pieces
             .send(Ok(Bytes::from(line)))
             .await
--- a/crates/fakes/tests/platform.rs
+++ b/crates/fakes/tests/platform.rs
@@ -13,10 +13,12 @@
 };
 
 async fn start() -> (PlatformHandle, Client) {
+    start_with(PlatformOptions::default()).await
+}
+
+async fn start_with(options: PlatformOptions) -> (PlatformHandle, Client) {
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
-    let handle = platform::start(address, PlatformOptions::default())
-        .await
-        .unwrap();
+    let handle = platform::start(address, options).await.unwrap();
     (handle, Client::default())
 }
 
@@ -197,3 +199,25 @@
     let counters = platform.counters();
     assert_eq!((counters.range, counters.refused), (1, 1));
 }
+
+#[tokio::test]
+async fn fields_of_default_value_can_be_left_out() {
+    let options = PlatformOptions {
+        omit_defaults: true,
+        ..PlatformOptions::default()
+    };
+    let (platform, client) = start_with(options).await;
+    let absent = json!({"key": b64("a/x")});
+    let read = call(&client, &platform, "/v3/kv/range", absent).await;
+    let header = json!({"cluster_id": "1", "member_id": "1", "revision": "1"});
+    assert_eq!(read, json!({"header": header}));
+    call(&client, &platform, "/v3/kv/txn", swap("a/x", "0", "one")).await;
+    let lost = call(&client, &platform, "/v3/kv/txn", swap("a/x", "0", "two")).await;
+    assert_eq!(lost.get("succeeded"), None);
+    let kv = &lost["responses"][0]["response_range"]["kvs"][0];
+    assert_eq!((&kv["version"], kv.get("lease")), (&json!("1"), None));
+    let mut stream = watch(&client, &platform, "2").await;
+    let event = &next_line(&mut stream).await["result"]["events"][0];
+    assert_eq!(event.get("type"), None);
+    assert_eq!(event["kv"]["value"], b64("one"));
+}
