fakes: a slow write of the platform outlives its caller

Cause: a caller that timed out took its write along, because the server drops the handler of a closed connection. The platform's writes take effect whether or not anyone waits.

Change: a call runs in a task of its own.

Run: the new test fails without the change (no event within 5 s) and passes with it; the nine tests of crates/fakes/tests/platform.rs pass.

--- a/crates/fakes/src/platform/service.rs
+++ b/crates/fakes/src/platform/service.rs
@@ -43,6 +43,17 @@
         .and_then(|value| value.to_str().ok())
         .map(str::to_owned);
     let body = http::read_body(request).await?;
+    // A task of its own: a call goes on even where its caller has gone away.
+    let served = tokio::spawn(admit_and_serve(shared, call, instance, body));
+    served.await.map_err(|_| CloseConnection)?
+}
+
+async fn admit_and_serve(
+    shared: Arc<Shared>,
+    call: Call,
+    instance: Option<String>,
+    body: Bytes,
+) -> Answer {
     admit(&shared, call, instance.as_deref()).await?;
     serve(&shared, call, instance, &body).await
 }
--- a/crates/fakes/tests/platform.rs
+++ b/crates/fakes/tests/platform.rs
@@ -221,3 +221,18 @@
     assert_eq!(event.get("type"), None);
     assert_eq!(event["kv"]["value"], b64("one"));
 }
+
+#[tokio::test]
+async fn a_slow_write_takes_effect_after_its_caller_gave_up() {
+    let (platform, client) = start().await;
+    let mut stream = watch(&client, &platform, "0").await;
+    platform.order(&FaultOrder {
+        slow_ms: Some(200),
+        ..FaultOrder::default()
+    });
+    let body = json!({"key": b64("a/x"), "value": b64("v")}).to_string();
+    let put = client.post(platform.address, "/v3/kv/put", body);
+    assert!(timeout(Duration::from_millis(50), put).await.is_err());
+    let event = &next_line(&mut stream).await["result"]["events"][0];
+    assert_eq!(event["kv"]["key"], b64("a/x"));
+}
