--- a/crates/fakes/src/bin/trefoil-load/args.rs
+++ b/crates/fakes/src/bin/trefoil-load/args.rs
@@ -70,8 +70,14 @@
     ]
 }
 
-fn callers() -> [Arg; 9] {
+fn callers() -> [Arg; 10] {
     [
+        number(
+            "reuse-percent",
+            "0",
+            "share of keys used for another body elsewhere",
+        )
+        .value_parser(value_parser!(f64)),
         number(
             "resubmit-percent",
             "0",
@@ -175,6 +181,7 @@
         duration_ms: get(matches, "duration-ms").unwrap_or(default.duration_ms),
         bursts: get(matches, "bursts"),
         resubmit_percent: get(matches, "resubmit-percent").unwrap_or_default(),
+        reuse_percent: get(matches, "reuse-percent").unwrap_or_default(),
         cancel_percent: get(matches, "cancel-percent").unwrap_or_default(),
         deadline_ms: get(matches, "deadline-ms").unwrap_or_default(),
         obey_retry_after: matches.get_flag("obey-retry-after"),
--- a/crates/fakes/src/bin/trefoil-load/main.rs
+++ b/crates/fakes/src/bin/trefoil-load/main.rs
@@ -41,7 +41,6 @@
 async fn main() -> Result<(), Box<dyn Error>> {
     let matches = args::command().get_matches();
     let (report, history) = load::run(&args::options(&matches)).await;
-    print!("{}", Table(&report));
     if let Some(path) = matches.get_one::<PathBuf>("json") {
         let output = Output {
             arguments: env::args().skip(1).collect(),
@@ -53,5 +52,6 @@
     if let Some(path) = matches.get_one::<PathBuf>("history") {
         write_history(path, &history).map_err(|error| cannot_write(path, &error))?;
     }
+    write!(io::stdout(), "{}", Table(&report))?;
     Ok(())
 }
--- a/crates/fakes/src/load.rs
+++ b/crates/fakes/src/load.rs
@@ -89,6 +89,8 @@
     pub bursts: Option<Bursts>,
     /// Share of jobs submitted again at another entry.
     pub resubmit_percent: f64,
+    /// Share of jobs whose key is used for another body at another entry.
+    pub reuse_percent: f64,
     /// Share of jobs cancelled.
     pub cancel_percent: f64,
     /// Time allowed for a job; 0 leaves it to the entry.
@@ -127,6 +129,7 @@
             duration_ms: 5_000,
             bursts: None,
             resubmit_percent: 0.0,
+            reuse_percent: 0.0,
             cancel_percent: 0.0,
             deadline_ms: 0,
             obey_retry_after: false,
--- a/crates/fakes/src/load/direct.rs
+++ b/crates/fakes/src/load/direct.rs
@@ -101,7 +101,7 @@
 /// Runs one job to its end.
 pub(super) async fn run_job(run: Arc<Run>, plan: JobPlan) {
     let key = job::uuid7(&plan.key_random);
-    let tokens = job::tokens(&key, plan.run_ms.len());
+    let tokens = job::tokens(&key, job::OWN_BODY, plan.run_ms.len());
     let (sent, sent_ms) = (Instant::now(), job::wall_ms());
     let deadline_ms = match run.options.deadline_ms {
         0 => DEADLINE_DEFAULT_MS,
--- a/crates/fakes/src/load/entries.rs
+++ b/crates/fakes/src/load/entries.rs
@@ -44,12 +44,21 @@
 
 /// Runs one job to its last answer.
 pub(super) async fn run_job(run: Arc<Run>, plan: JobPlan) {
-    let submission = submission(&run, &plan);
+    let key = key(&run, &plan);
+    let own = submission_of(&run, &plan, &key, job::OWN_BODY);
+    let other = plan
+        .reuse
+        .map(|_| submission_of(&run, &plan, &key, job::OTHER_BODY));
     let sent = Instant::now();
-    let resubmit = follow_up(&run, &plan, plan.resubmit, RequestKind::Submit, &submission);
-    let cancel = follow_up(&run, &plan, plan.cancel, RequestKind::Cancel, &submission);
-    let first = run_first(&run, &plan, &submission, sent);
-    tokio::join!(first, resubmit, cancel);
+    let resubmit = follow_up(&run, &plan, plan.resubmit, RequestKind::Submit, &own);
+    let reuse = async {
+        if let Some(other) = &other {
+            follow_up(&run, &plan, plan.reuse, RequestKind::Submit, other).await;
+        }
+    };
+    let cancel = follow_up(&run, &plan, plan.cancel, RequestKind::Cancel, &own);
+    let first = run_first(&run, &plan, &own, sent);
+    tokio::join!(first, resubmit, reuse, cancel);
 }
 
 async fn run_first(run: &Run, plan: &JobPlan, submission: &Submission, sent: Instant) {
@@ -63,19 +72,24 @@
     run.stats().ended(&answer, end);
 }
 
-fn submission(run: &Run, plan: &JobPlan) -> Submission {
-    let key = match run.options.key_kind {
-        KeyKind::Uuid7 => job::uuid7(&plan.key_random),
-        KeyKind::Minted => run.take_key().unwrap_or_else(|| {
-            run.stats().keys_not_minted += 1;
-            job::uuid7(&plan.key_random)
-        }),
+fn key(run: &Run, plan: &JobPlan) -> String {
+    let minted = match run.options.key_kind {
+        KeyKind::Uuid7 => None,
+        KeyKind::Minted => {
+            let key = run.take_key();
+            run.stats().keys_not_minted += u64::from(key.is_none());
+            key
+        }
     };
-    let tokens = job::tokens(&key, plan.run_ms.len());
+    minted.unwrap_or_else(|| job::uuid7(&plan.key_random))
+}
+
+fn submission_of(run: &Run, plan: &JobPlan, key: &str, mark: &str) -> Submission {
+    let tokens = job::tokens(key, mark, plan.run_ms.len());
     let body = job::body(&run.options, plan, &tokens);
     Submission {
+        key: key.to_owned(),
         body_hash: body_hash(&body),
-        key,
         tokens,
         body,
     }
--- a/crates/fakes/src/load/job.rs
+++ b/crates/fakes/src/load/job.rs
@@ -17,6 +17,10 @@
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 const NOT_RUN: &str = "not_run";
 const COMPLETE: &str = "complete";
+/// Mark of a job's own body in its tokens.
+pub(super) const OWN_BODY: &str = "#";
+/// Mark of another body under the same key.
+pub(super) const OTHER_BODY: &str = "#other#";
 const CANCELLED: &str = "cancelled";
 
 #[derive(Debug, Serialize)]
@@ -62,9 +66,11 @@
     since.as_secs_f64() * MILLIS_PER_SECOND
 }
 
-/// One token a task.
-pub(super) fn tokens(key: &str, tasks: usize) -> Vec<String> {
-    (0..tasks).map(|index| format!("{key}#{index}")).collect()
+/// One token a task; `mark` tells bodies under the same key apart.
+pub(super) fn tokens(key: &str, mark: &str, tasks: usize) -> Vec<String> {
+    (0..tasks)
+        .map(|index| format!("{key}{mark}{index}"))
+        .collect()
 }
 
 /// Body of a submission.
--- a/crates/fakes/src/load/plan.rs
+++ b/crates/fakes/src/load/plan.rs
@@ -36,6 +36,8 @@
     pub key_random: [u8; 10],
     /// Whether and when it is submitted again.
     pub resubmit: Option<SecondThought>,
+    /// Whether and when another body is submitted under its key.
+    pub reuse: Option<SecondThought>,
     /// Whether and when it is cancelled.
     pub cancel: Option<SecondThought>,
 }
@@ -126,11 +128,13 @@
             run_ms,
             key_random: self.random.random(),
             resubmit: None,
+            reuse: None,
             cancel: None,
         };
         let longest_ms = job.longest_ms();
         job.resubmit = self.second_thought(self.options.resubmit_percent, longest_ms);
         job.cancel = self.second_thought(self.options.cancel_percent, longest_ms);
+        job.reuse = self.second_thought(self.options.reuse_percent, longest_ms);
         self.number += 1;
         Some(job)
     }
--- a/crates/fakes/tests/load.rs
+++ b/crates/fakes/tests/load.rs
@@ -137,13 +137,19 @@
     }))
 }
 
+fn start_entry() -> Server {
+    let listener = std::net::TcpListener::bind(local()).unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let seen = Arc::new(AtomicUsize::new(0));
+    let listener = TcpListener::from_std(listener).unwrap();
+    Server::start(listener, move |request| answer(Arc::clone(&seen), request)).unwrap()
+}
+
 #[tokio::test]
 async fn a_refusal_is_counted_by_its_reason_and_asked_again() {
-    let seen = Arc::new(AtomicUsize::new(0));
-    let listener = TcpListener::bind(local()).await.unwrap();
-    let server = Server::start(listener, move |request| answer(Arc::clone(&seen), request));
+    let entry = start_entry();
     let options = LoadOptions {
-        entries: vec![server.as_ref().unwrap().address()],
+        entries: vec![entry.address()],
         obey_retry_after: true,
         ask_again_max: 100,
         ..short_run()
@@ -162,3 +168,22 @@
     let complete = history.iter().find(|entry| entry.status == 200).unwrap();
     assert_eq!(complete.results.len(), complete.tokens.len());
 }
+
+#[tokio::test]
+async fn a_reused_key_carries_another_body() {
+    let entry = start_entry();
+    let options = LoadOptions {
+        entries: vec![entry.address()],
+        reuse_percent: 100.0,
+        ..short_run()
+    };
+    let (report, history) = load::run(&options).await;
+    assert!(report.jobs > 0);
+    assert_eq!(history.len() as u64, 2 * report.jobs);
+    for first in &history {
+        let other = history
+            .iter()
+            .find(|other| other.key == first.key && other.body_hash != first.body_hash);
+        assert_ne!(other.unwrap().tokens, first.tokens);
+    }
+}
