--- a/crates/fakes/tests/platform.rs
+++ b/crates/fakes/tests/platform.rs
@@ -13,10 +13,12 @@
 };
 
 async fn start() -> (PlatformHandle, Client) {
+    start_with(PlatformOptions::default()).await
+}
+
+async fn start_with(options: PlatformOptions) -> (PlatformHandle, Client) {
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
-    let handle = platform::start(address, PlatformOptions::default())
-        .await
-        .unwrap();
+    let handle = platform::start(address, options).await.unwrap();
     (handle, Client::default())
 }
 
@@ -146,3 +148,91 @@
     let alive = call(&client, &platform, "/v3/lease/keepalive", json!({"ID": id})).await;
     assert_eq!(alive["result"]["TTL"], "0");
 }
+
+#[tokio::test]
+async fn the_instance_list_lags_and_then_shows_what_was_set() {
+    let (platform, client) = start().await;
+    platform.order(&FaultOrder {
+        instance_list_lag_ms: Some(300),
+        ..FaultOrder::default()
+    });
+    let body = json!({"create_request": {
+        "key": b64("/platform/instances/"), "range_end": b64("/platform/instances0"),
+    }});
+    let request = request(
+        Method::POST,
+        platform.address,
+        "/v3/watch",
+        body.to_string(),
+    );
+    let mut stream = client.open(request).await.unwrap().into_body();
+    next_line(&mut stream).await;
+    platform.set_instances(vec![json!({"name": "one", "state": "live"})]);
+    let all = json!({"key": b64("/platform/instances/"), "range_end": b64("/platform/instances0")});
+    let read = call(&client, &platform, "/v3/kv/range", all).await;
+    assert_eq!(read["count"], "0");
+    let shown = next_line(&mut stream).await;
+    let key = &shown["result"]["events"][0]["kv"]["key"];
+    assert_eq!(*key, b64("/platform/instances/one"));
+    platform.set_instances(vec![json!({"name": "two", "state": "live"})]);
+    let changed = next_line(&mut stream).await;
+    let events = changed["result"]["events"].as_array().unwrap();
+    let kinds: Vec<_> = events.iter().map(|event| &event["type"]).collect();
+    assert_eq!(kinds, ["DELETE", "PUT"]);
+}
+
+#[tokio::test]
+async fn a_blocked_instance_is_cut_off_and_others_are_not() {
+    let (platform, client) = start().await;
+    platform.order(&FaultOrder {
+        block_instances: Some(vec!["one".to_owned()]),
+        ..FaultOrder::default()
+    });
+    let range = |instance: &'static str| {
+        let mut request = request(Method::POST, platform.address, "/v3/kv/range", "{}");
+        let name = hyper::header::HeaderValue::from_static(instance);
+        request.headers_mut().insert("trefoil-instance", name);
+        client.send(request)
+    };
+    assert!(range("one").await.is_err());
+    assert!(range("two").await.is_ok());
+    let counters = platform.counters();
+    assert_eq!((counters.range, counters.refused), (1, 1));
+}
+
+#[tokio::test]
+async fn fields_of_default_value_can_be_left_out() {
+    let options = PlatformOptions {
+        omit_defaults: true,
+        ..PlatformOptions::default()
+    };
+    let (platform, client) = start_with(options).await;
+    let absent = json!({"key": b64("a/x")});
+    let read = call(&client, &platform, "/v3/kv/range", absent).await;
+    let header = json!({"cluster_id": "1", "member_id": "1", "revision": "1"});
+    assert_eq!(read, json!({"header": header}));
+    call(&client, &platform, "/v3/kv/txn", swap("a/x", "0", "one")).await;
+    let lost = call(&client, &platform, "/v3/kv/txn", swap("a/x", "0", "two")).await;
+    assert_eq!(lost.get("succeeded"), None);
+    let kv = &lost["responses"][0]["response_range"]["kvs"][0];
+    assert_eq!((&kv["version"], kv.get("lease")), (&json!("1"), None));
+    let mut stream = watch(&client, &platform, "2").await;
+    let event = &next_line(&mut stream).await["result"]["events"][0];
+    assert_eq!(event.get("type"), None);
+    assert_eq!(event["kv"]["value"], b64("one"));
+}
+
+#[tokio::test]
+async fn a_slow_write_takes_effect_after_its_caller_gave_up() {
+    let (platform, client) = start().await;
+    let mut stream = watch(&client, &platform, "0").await;
+    platform.order(&FaultOrder {
+        slow_ms: Some(200),
+        ..FaultOrder::default()
+    });
+    let body = json!({"key": b64("a/x"), "value": b64("v")}).to_string();
+    let put = client.post(platform.address, "/v3/kv/put", body);
+    assert!(timeout(Duration::from_millis(50), put).await.is_err());
+    let event = &next_line(&mut stream).await["result"]["events"][0];
+    assert_eq!(event["kv"]["key"], b64("a/x"));
+}
