tests: the command line against the real operators' routes throughout

The stand-in of the API kept resources in a map of its own, which doubled what the operators' routes and the stand-in of the store now do. Both stand behind it, wrapped so that a change can take effect and its answer be kept back; only keys, jobs and drain are stood in for. Revisions, the 404's detail and the conditions in the expectations are the real ones therefore.

--- a/tests/testsuite/ctl.rs
+++ b/tests/testsuite/ctl.rs
@@ -71,38 +71,38 @@
         &stub,
         &format!("apply -f {BLUE_MAHOE}"),
         expect![[r#"
-        exit 0
-        team/families created revision 1
-        team/payroll-office created revision 2
-        service/payrun created revision 3
-        service/payslip-lookup created revision 4
-        backend_server/payrun-half-way-tree-1 created revision 5
-        backend_server/payrun-new-kingston-1 created revision 6
-        backend_server/payrun-portmore-1 created revision 7
-        backend_server/payslip-half-way-tree-1 created revision 8
-        backend_server/payslip-new-kingston-1 created revision 9
-        backend_server/payslip-portmore-1 created revision 10
-        --
-    "#]],
+            exit 0
+            team/families created revision 2
+            team/payroll-office created revision 3
+            service/payrun created revision 4
+            service/payslip-lookup created revision 5
+            backend_server/payrun-half-way-tree-1 created revision 6
+            backend_server/payrun-new-kingston-1 created revision 7
+            backend_server/payrun-portmore-1 created revision 8
+            backend_server/payslip-half-way-tree-1 created revision 9
+            backend_server/payslip-new-kingston-1 created revision 10
+            backend_server/payslip-portmore-1 created revision 11
+            --
+        "#]],
     )
     .await;
     check(
         &stub,
         &format!("apply -f {BLUE_MAHOE}"),
         expect![[r#"
-        exit 0
-        team/families unchanged revision 1
-        team/payroll-office unchanged revision 2
-        service/payrun unchanged revision 3
-        service/payslip-lookup unchanged revision 4
-        backend_server/payrun-half-way-tree-1 unchanged revision 5
-        backend_server/payrun-new-kingston-1 unchanged revision 6
-        backend_server/payrun-portmore-1 unchanged revision 7
-        backend_server/payslip-half-way-tree-1 unchanged revision 8
-        backend_server/payslip-new-kingston-1 unchanged revision 9
-        backend_server/payslip-portmore-1 unchanged revision 10
-        --
-    "#]],
+            exit 0
+            team/families unchanged revision 2
+            team/payroll-office unchanged revision 3
+            service/payrun unchanged revision 4
+            service/payslip-lookup unchanged revision 5
+            backend_server/payrun-half-way-tree-1 unchanged revision 6
+            backend_server/payrun-new-kingston-1 unchanged revision 7
+            backend_server/payrun-portmore-1 unchanged revision 8
+            backend_server/payslip-half-way-tree-1 unchanged revision 9
+            backend_server/payslip-new-kingston-1 unchanged revision 10
+            backend_server/payslip-portmore-1 unchanged revision 11
+            --
+        "#]],
     )
     .await;
     assert_eq!(stub.state.lock().unwrap().changes.len(), 10);
@@ -122,7 +122,16 @@
         "#]],
     )
     .await;
-    assert!(stub.state.lock().unwrap().resources.is_empty());
+    check(
+        &stub,
+        "get services",
+        expect![[r#"
+        exit 0
+        NAME  REVISION  IN FORCE  IDEMPOTENT  PATH  DECLARED RUN MS  RESPONSE P99 MS
+        --
+    "#]],
+    )
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -132,7 +141,11 @@
     let after = r#"{"kind":"team","name":"grocers","spec":{"weight":250,"slots_max":0}}"#;
     let before = file("diff_before.json", before);
     let after = file("diff_after.json", after);
-    let applied = exit_code(&[&stub.address], &format!("apply -f {}", before.display())).await;
+    let applied = exit_code(
+        &[&stub.address],
+        &format!("apply --wait -f {}", before.display()),
+    )
+    .await;
     assert_eq!(applied, 0);
     check(
         &stub,
@@ -159,7 +172,7 @@
         expect![[r#"
             exit 0
             NAME     REVISION  IN FORCE  WEIGHT  SLOTS MAX  QUEUED TASKS MAX
-            grocers  1         0/1       200     0          0
+            grocers  2         1/1       200     0          0
             --
         "#]],
     )
@@ -168,19 +181,21 @@
         &stub,
         "describe team grocers",
         expect![[r#"
-        exit 0
-        kind:     team
-        name:     grocers
-        revision: 1
-        in force: 0 of 1 live instances
-        spec:
-        {
-          "queued_tasks_max": 0,
-          "slots_max": 0,
-          "weight": 200
-        }
-        --
-    "#]],
+            exit 0
+            kind:     team
+            name:     grocers
+            revision: 2
+            in force: 1 of 1 live instances
+            spec:
+            {
+              "queued_tasks_max": 0,
+              "slots_max": 0,
+              "weight": 200
+            }
+            CONDITION  STATUS  REASON      MESSAGE
+            InForce    true    Everywhere  in force at 1 of 1 live instances
+            --
+        "#]],
     )
     .await;
     check(
@@ -197,11 +212,11 @@
         &stub,
         "get team grocers",
         expect![[r#"
-        exit 3
-        --
-        error: GET /v1/teams/grocers was refused
-          caused by: 404 unknown resource: no resource of this name (verdict not_run)
-    "#]],
+            exit 3
+            --
+            error: GET /v1/teams/grocers was refused
+              caused by: 404 unknown resource: team/grocers is not declared (verdict not_run)
+        "#]],
     )
     .await;
 }
@@ -219,8 +234,8 @@
         --
         error: `FILE` is not valid
           caused by: 2 wrong fields
-            service/payrun `spec.path`: found 7, allowed: a string
             service/payrun `spec.targets.response_p99_ms`: found -1, allowed: a whole number from 0 to 18446744073709551615
+            service/payrun `spec.path`: found 7, allowed: an absolute path of visible ASCII, such as /run
           hint: see `trefoilctl schema resources` or `schema api`
     "#]]
     .assert_eq(&shown);
@@ -236,12 +251,12 @@
         &stub,
         line,
         expect![[r#"
-        exit 0
-        team/grocers created revision 1 (answer lost, read back)
-        team/importers created revision 2 (answer lost, read back)
-        team/registry created revision 3 (answer lost, read back)
-        --
-    "#]],
+            exit 0
+            team/grocers created revision 2 (answer lost, read back)
+            team/importers created revision 3 (answer lost, read back)
+            team/registry created revision 4 (answer lost, read back)
+            --
+        "#]],
     )
     .await;
     assert_eq!(stub.state.lock().unwrap().changes.len(), 3);
--- a/tests/testsuite/support/api_stub.rs
+++ b/tests/testsuite/support/api_stub.rs
@@ -1,80 +1,87 @@
-//! A stand-in for an instance's HTTP API, for tests of the command line: it
-//! keeps resources, answers a status it is given, and counts what it gets.
+//! An instance's HTTP API for tests of the command line: the real operators'
+//! routes on a stand-in of the platform's store, and stand-ins for the callers'
+//! routes, with faults on order.
 
-use std::collections::BTreeMap;
 use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
 use poem::http::StatusCode;
 use poem::listener::{Acceptor, Listener, TcpListener};
-use poem::web::{Data, Json, Path, Query};
-use poem::{EndpointExt, IntoResponse, Request, Response, Route, Server, get, handler, post};
+use poem::web::{Data, Json, Path};
+use poem::{
+    Endpoint, EndpointExt, IntoEndpoint, IntoResponse, Request, Response, Route, Server, get,
+    handler, post,
+};
 use serde_json::{Value, json};
+use slog::{Discard, Logger, o};
 use tokio::net::TcpSocket;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use trefoil_core::verdict::Verdict;
+use trefoil_fakes::platform::{self, PlatformHandle, PlatformOptions};
 use trefoil_schema::api::{InstanceStateName, InstanceStatus, JobRequest, StatusResponse};
+use trefoil_schema::settings::{PlatformSettings, Settings};
+use trefoilbay::http::operator::{self, OperatorContext};
 use trefoilbay::http::problem::Problem;
+use trefoilbay::sources::config::ConfigSync;
+use trefoilbay::sources::platform::PlatformStore;
+use trefoilbay::sources::platform::etcd::EtcdJson;
 
-/// A running stand-in; ends when dropped.
+/// A running instance's API; ends when dropped.
 pub struct ApiStub {
     pub address: String,
     pub state: Arc<Mutex<StubState>>,
+    pub platform: PlatformHandle,
     server: JoinHandle<std::io::Result<()>>,
 }
 
-/// What the stand-in knows and how it misbehaves.
+/// What it was asked and how it misbehaves.
 #[derive(Default)]
 pub struct StubState {
-    pub resources: BTreeMap<(String, String), Value>,
-    pub revision: u64,
+    /// What it sees; the configuration in force at itself alone when not set.
     pub status: Option<StatusResponse>,
-    /// Take effect, then never answer.
+    /// Let a change take effect, then never answer.
     pub swallow_answers: bool,
     /// Refuse jobs with this status, reason, verdict and request verdict.
     pub refuse_jobs: Option<(u16, &'static str, Verdict, Verdict)>,
     /// Change requests, as METHOD PATH, in order.
     pub changes: Vec<String>,
-    /// Told once the stand-in is to stop.
-    pub leaving: Arc<Notify>,
     /// Keys of the jobs submitted, in order.
     pub keys: Vec<String>,
+    /// Told once it is to stop.
+    pub leaving: Arc<Notify>,
 }
 
 type Shared = Arc<Mutex<StubState>>;
 
 impl ApiStub {
     pub async fn start() -> Self {
-        let state = Shared::default();
-        let acceptor = TcpListener::bind("127.0.0.1:0")
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let platform = platform::start(any_port, PlatformOptions::default())
+            .await
+            .expect("a free port");
+        let acceptor = TcpListener::bind(any_port)
             .into_acceptor()
             .await
             .expect("a free port");
         let local = acceptor.local_addr().remove(0);
         let address = local.as_socket_addr().expect("TCP").to_string();
-        let routes = Route::new()
-            .at("/v1/status", get(show_status))
-            .at("/v1/keys", post(mint_keys))
-            .at("/v1/jobs", post(submit))
-            .at("/v1/jobs/:key", get(one_job).delete(one_job))
-            .at("/v1/drain", post(drain))
-            .at("/v1/:collection", get(list))
-            .at("/v1/:collection/:name", get(one).put(put).delete(delete))
-            .data(state.clone());
+        let state = Shared::default();
         let leaving = state.lock().unwrap().leaving.clone();
         let signal = async move { leaving.notified().await };
+        let routes = routes(&platform, &state);
         let server = Server::new_with_acceptor(acceptor);
         let server = tokio::spawn(server.run_with_graceful_shutdown(routes, signal, None));
         Self {
             address,
             state,
+            platform,
             server,
         }
     }
 
-    /// Changes what it knows.
+    /// Changes how it behaves.
     pub fn set(&self, change: impl FnOnce(&mut StubState)) {
         change(&mut self.state.lock().unwrap());
     }
@@ -86,6 +93,73 @@
     }
 }
 
+fn routes(platform: &PlatformHandle, state: &Shared) -> impl IntoEndpoint + use<> {
+    let route = Route::new()
+        .at("/v1/keys", post(mint_keys))
+        .at("/v1/jobs", post(submit))
+        .at("/v1/jobs/:key", get(one_job).delete(one_job))
+        .at("/v1/drain", post(drain));
+    operator::add_routes(route, operator_context(platform, state))
+        .data(state.clone())
+        .around({
+            let state = state.clone();
+            move |routes, request| record(routes, request, state.clone())
+        })
+}
+
+/// Records a change and, when so ordered, keeps back the answer.
+async fn record<E: Endpoint>(
+    routes: Arc<E>,
+    request: Request,
+    state: Shared,
+) -> poem::Result<Response> {
+    let changes = request.method() != "GET";
+    if changes {
+        let title = format!("{} {}", request.method(), request.uri());
+        state.lock().unwrap().changes.push(title);
+    }
+    let response = routes.get_response(request).await;
+    let swallow = changes && state.lock().unwrap().swallow_answers;
+    if swallow {
+        pending::<()>().await;
+    }
+    Ok(response)
+}
+
+fn operator_context(platform: &PlatformHandle, state: &Shared) -> OperatorContext {
+    let settings = Settings {
+        platform: PlatformSettings {
+            address: platform.address.to_string(),
+            backoff_min_ms: 10,
+            backoff_max_ms: 50,
+            call_timeout_ms: 300,
+            ..PlatformSettings::default()
+        },
+        ..Settings::default()
+    };
+    let store: Arc<dyn PlatformStore> = Arc::new(EtcdJson::new(&settings));
+    let log = Logger::root(Discard, o!());
+    let config = ConfigSync::start(Arc::clone(&store), &settings, log);
+    let status = {
+        let (config, state) = (config.clone(), state.clone());
+        move || {
+            let ordered = state.lock().unwrap().status.clone();
+            ordered.unwrap_or_else(|| {
+                let revision = config.current().revision;
+                let own = instance("a", InstanceStateName::Serving, revision, 0);
+                seen_by("a", revision, vec![own])
+            })
+        }
+    };
+    OperatorContext {
+        config,
+        store,
+        platform: settings.platform,
+        status: Arc::new(status),
+        conditions: Arc::new(|_| Vec::new()),
+    }
+}
+
 /// An address that refuses connections; bound and not listened on, so that no
 /// other test gets it.
 pub struct ClosedAddress {
@@ -134,12 +208,6 @@
     }
 }
 
-#[handler]
-fn show_status(state: Data<&Shared>) -> Json<StatusResponse> {
-    let state = state.lock().unwrap();
-    Json(state.status.clone().expect("the test sets a status"))
-}
-
 #[handler]
 fn mint_keys() -> Json<Value> {
     Json(json!({ "keys": ["01890a5d-ac96-8abc-8000-000000000001"] }))
@@ -148,14 +216,12 @@
 #[handler]
 async fn submit(request: &Request, state: Data<&Shared>, Json(job): Json<JobRequest>) -> Response {
     let key = request.header("idempotency-key").expect("a key").to_owned();
-    let (refusal, swallow) = {
+    let (refusal, replayed) = {
         let mut state = state.lock().unwrap();
+        let replayed = state.keys.contains(&key);
         state.keys.push(key.clone());
-        (state.refuse_jobs, state.swallow_answers)
+        (state.refuse_jobs, replayed)
     };
-    if swallow {
-        pending::<()>().await;
-    }
     if let Some((status, reason, verdict, request_verdict)) = refusal {
         let status = StatusCode::from_u16(status).unwrap();
         return Problem::new(status, reason, "as the test asked", verdict)
@@ -165,14 +231,6 @@
             .into_response();
     }
     let results: Vec<Value> = job.tasks.into_iter().map(|task| task.payload).collect();
-    let replayed = state
-        .lock()
-        .unwrap()
-        .keys
-        .iter()
-        .filter(|&k| *k == key)
-        .count()
-        > 1;
     Json(json!({
         "key": key, "state": "complete", "verdict": "ran", "tasks_total": results.len(),
         "tasks_done": results.len(), "replayed": replayed, "results": results,
@@ -196,102 +254,7 @@
 
 /// Ends the stand-in, connections of later requests first.
 #[handler]
-fn drain(request: &Request, state: Data<&Shared>) -> StatusCode {
-    let mut state = state.lock().unwrap();
-    state.changes.push(format!("POST {}", request.uri()));
-    state.leaving.notify_one();
+fn drain(state: Data<&Shared>) -> StatusCode {
+    state.lock().unwrap().leaving.notify_one();
     StatusCode::ACCEPTED
 }
-
-#[handler]
-fn list(Path(collection): Path<String>, state: Data<&Shared>) -> Json<Vec<Value>> {
-    let state = state.lock().unwrap();
-    let of_kind = state
-        .resources
-        .iter()
-        .filter(|((kind, _), _)| *kind == collection);
-    Json(of_kind.map(|(_, resource)| resource.clone()).collect())
-}
-
-#[handler]
-fn one(Path(place): Path<(String, String)>, state: Data<&Shared>) -> Response {
-    match state.lock().unwrap().resources.get(&place) {
-        Some(resource) => Json(resource.clone()).into_response(),
-        None => missing(),
-    }
-}
-
-#[handler]
-async fn put(
-    request: &Request,
-    Path(place): Path<(String, String)>,
-    Query(query): Query<BTreeMap<String, String>>,
-    state: Data<&Shared>,
-    Json(mut resource): Json<Value>,
-) -> Response {
-    let swallow = {
-        let mut state = state.lock().unwrap();
-        state.changes.push(format!("PUT {}", request.uri()));
-        if !precondition_holds(request, state.resources.get(&place)) {
-            return lost_race();
-        }
-        let dry_run = query.contains_key("dry_run");
-        let revision = state.revision + u64::from(!dry_run);
-        resource["status"] = json!({
-            "revision": revision, "instances_in_force": 0, "instances_live": 1, "conditions": [],
-        });
-        if !dry_run {
-            state.revision = revision;
-            state.resources.insert(place, resource.clone());
-        }
-        state.swallow_answers
-    };
-    if swallow {
-        pending::<()>().await;
-    }
-    Json(resource).into_response()
-}
-
-#[handler]
-fn delete(
-    request: &Request,
-    Path(place): Path<(String, String)>,
-    state: Data<&Shared>,
-) -> Response {
-    let mut state = state.lock().unwrap();
-    state.changes.push(format!("DELETE {}", request.uri()));
-    if !precondition_holds(request, state.resources.get(&place)) {
-        return lost_race();
-    }
-    match state.resources.remove(&place) {
-        Some(_) => StatusCode::NO_CONTENT.into_response(),
-        None => missing(),
-    }
-}
-
-fn precondition_holds(request: &Request, live: Option<&Value>) -> bool {
-    match live {
-        None => request.header("if-none-match") == Some("*"),
-        Some(live) => {
-            let etag = format!("\"{}\"", live["status"]["revision"]);
-            request.header("if-match") == Some(&etag)
-        }
-    }
-}
-
-fn missing() -> Response {
-    let detail = "no resource of this name";
-    Problem::new(
-        StatusCode::NOT_FOUND,
-        "unknown_resource",
-        detail,
-        Verdict::NotRun,
-    )
-    .into_response()
-}
-
-fn lost_race() -> Response {
-    let detail = "the resource has another revision";
-    let status = StatusCode::PRECONDITION_FAILED;
-    Problem::new(status, "precondition_failed", detail, Verdict::NotRun).into_response()
-}
