trefoilctl: apply and diff take several -f; examples' backend servers apart

A deployment that is set up from an example has backend servers of its own; those of the example, which do not answer there, were declared along with the teams and services. They are in a directory of their own now, and -f may be repeated, so that one apply still takes all of it in the right order. Reading directories with everything below was ruled out: jobs stand there too.

--- a/src/bin/trefoilctl/cli.rs
+++ b/src/bin/trefoilctl/cli.rs
@@ -71,19 +71,25 @@
         .help(help)
 }
 
-/// The `-f FILE|DIR` option.
-pub fn file() -> Arg {
+/// The `-f FILE|DIR` option, which may be repeated.
+pub fn files() -> Arg {
     Arg::new("file")
         .short('f')
         .long("file")
         .value_name("FILE|DIR")
         .value_parser(value_parser!(PathBuf))
-        .help("A JSON file, or a directory with `.json` files")
+        .action(clap::ArgAction::Append)
+        .required(true)
+        .help("A JSON file, or a directory with `.json` files; may be repeated")
 }
 
-/// The path given by [`file`].
-pub fn get_file(args: &ArgMatches) -> Option<&PathBuf> {
-    args.get_one("file")
+/// The paths given by [`files`].
+pub fn get_files(args: &ArgMatches) -> Vec<PathBuf> {
+    args.get_many("file")
+        .into_iter()
+        .flatten()
+        .cloned()
+        .collect()
 }
 
 /// The KIND argument.
--- a/src/bin/trefoilctl/commands/apply.rs
+++ b/src/bin/trefoilctl/commands/apply.rs
@@ -14,7 +14,7 @@
 pub fn cli() -> Command {
     Command::new("apply")
         .about("Declares resources: creates and updates, never removes")
-        .arg(cli::file().required(true))
+        .arg(cli::files())
         .arg(cli::flag(
             "dry-run",
             "Have an instance check, store nothing",
@@ -29,8 +29,8 @@
 /// Carries it out.
 pub async fn exec(args: &ArgMatches) -> CommandResult {
     let client = cli::client(args)?;
-    let path = cli::get_file(args).expect("clap asks for it");
-    let steps = apply::plan(&client, declare::load(path)?).await?;
+    let declared = declare::load(&cli::get_files(args))?;
+    let steps = apply::plan(&client, declared).await?;
     let dry_run = args.get_flag("dry-run");
     let mut revision = 0;
     for (done, step) in steps.iter().enumerate() {
--- a/src/bin/trefoilctl/commands/diff.rs
+++ b/src/bin/trefoilctl/commands/diff.rs
@@ -11,14 +11,14 @@
 pub fn cli() -> Command {
     Command::new("diff")
         .about("Shows what apply would change, defaults written out")
-        .arg(cli::file().required(true))
+        .arg(cli::files())
 }
 
 /// Carries it out.
 pub async fn exec(args: &ArgMatches) -> CommandResult {
     let client = cli::client(args)?;
-    let path = cli::get_file(args).expect("clap asks for it");
-    let steps = apply::plan(&client, declare::load(path)?).await?;
+    let declared = declare::load(&cli::get_files(args))?;
+    let steps = apply::plan(&client, declared).await?;
     for text in steps.iter().map(diff::unified) {
         if !text.is_empty() {
             output::line(text.trim_end());
--- a/src/bin/trefoilctl/commands/submit.rs
+++ b/src/bin/trefoilctl/commands/submit.rs
@@ -1,6 +1,8 @@
 //! `trefoilctl submit`.
 
-use clap::{Arg, ArgMatches, Command};
+use std::path::PathBuf;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
 use serde_json::Value;
 use trefoil_schema::api::{JobRequest, TaskRequest};
 use trefoilbay::ops::error::{ExitStatus, OpsError};
@@ -15,8 +17,11 @@
     Command::new("submit")
         .about("Submits a job and prints its answer; the key goes to stderr first")
         .arg(
-            cli::file()
+            Arg::new("file")
+                .short('f')
+                .long("file")
                 .value_name("JOB.json")
+                .value_parser(value_parser!(PathBuf))
                 .help("A JSON file with the job"),
         )
         .arg(
@@ -73,7 +78,7 @@
 }
 
 fn request(args: &ArgMatches) -> Result<JobRequest, OpsError> {
-    let mut request = match cli::get_file(args) {
+    let mut request = match args.get_one::<PathBuf>("file") {
         Some(path) => declare::read_json(path)?,
         None => from_options(args)?,
     };
--- a/src/ops/declare.rs
+++ b/src/ops/declare.rs
@@ -12,12 +12,13 @@
 
 use super::error::{FormError, OpsError, WrongField};
 
-/// Reads a file, or the `.json` files directly in a directory, in the order in
+/// Reads files, and the `.json` files directly in directories, in the order in
 /// which resources are applied: teams, services, backend servers.
-pub fn load(path: &Path) -> Result<Vec<Resource>, OpsError> {
+pub fn load(paths: &[PathBuf]) -> Result<Vec<Resource>, OpsError> {
     let mut resources = Vec::new();
     let mut seen = HashSet::new();
-    for file in files(path)? {
+    let files = paths.iter().map(|path| files(path));
+    for file in files.collect::<Result<Vec<_>, _>>()?.into_iter().flatten() {
         for resource in read_file(&file)? {
             if !seen.insert((resource.kind, resource.name.clone())) {
                 let source = FormError::Twice {
--- a/tests/testsuite/ctl.rs
+++ b/tests/testsuite/ctl.rs
@@ -14,7 +14,7 @@
 use crate::support::api_stub::{ApiStub, ClosedAddress, MINTED_KEY, instance, seen_by};
 
 const KEY: &str = "1764691200000-payrun";
-const BLUE_MAHOE: &str = "examples/blue-mahoe";
+const BLUE_MAHOE: &str = "-f examples/blue-mahoe/backend-servers -f examples/blue-mahoe";
 
 /// Runs `trefoilctl` towards `entries` with the words of `line` as arguments.
 async fn run(entries: &[&str], line: &str) -> Output {
@@ -71,7 +71,7 @@
     let stub = ApiStub::start().await;
     check(
         &stub,
-        &format!("apply -f {BLUE_MAHOE}"),
+        &format!("apply {BLUE_MAHOE}"),
         expect![[r#"
             exit 0
             team/families created revision 2
@@ -88,7 +88,7 @@
         "#]],
     )
     .await;
-    let again = run(&[&stub.address], &format!("apply -f {BLUE_MAHOE}")).await;
+    let again = run(&[&stub.address], &format!("apply {BLUE_MAHOE}")).await;
     let lines = String::from_utf8_lossy(&again.stdout);
     let unchanged = lines.lines().filter(|line| line.contains(" unchanged "));
     assert_eq!(unchanged.count(), 10, "{lines}");
@@ -276,6 +276,10 @@
     assert_eq!(replayed, [false, true]);
     assert!(answers.iter().all(|answer| answer.results == [7, 7]));
     assert_eq!(stub.state.lock().unwrap().keys, [MINTED_KEY, MINTED_KEY]);
+    let line = "submit --no-wait -f examples/haugland/jobs/revocation.json";
+    assert_eq!(exit_code(&[&stub.address], line).await, 0);
+    let both = format!("{line} --service payrun");
+    assert_eq!(exit_code(&[&stub.address], &both).await, 2);
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -416,7 +420,11 @@
     use trefoilbay::ops::declare;
     let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("examples");
     for deployment in ["blue-mahoe", "haugland"] {
-        let resources = declare::load(&root.join(deployment)).expect("valid resources");
+        let paths = [
+            root.join(deployment),
+            root.join(deployment).join("backend-servers"),
+        ];
+        let resources = declare::load(&paths).expect("valid resources");
         assert!(resources.len() >= 10);
         let jobs = std::fs::read_dir(root.join(deployment).join("jobs")).expect("jobs");
         for job in jobs {
--- a/tests/testsuite/ctl_operator.rs
+++ b/tests/testsuite/ctl_operator.rs
@@ -1,6 +1,8 @@
 //! `trefoilctl` against the real operators' routes and a stand-in of the
 //! platform's store, in one process.
 
+use std::path::Path;
+
 use trefoil_fakes::platform::faults::FaultOrder;
 use trefoil_schema::resources::Kind;
 use trefoilbay::ops::apply::{self, Change, Step};
@@ -46,8 +48,9 @@
 async fn what_is_applied_comes_into_force_and_is_then_unchanged() {
     let stub = ApiStub::start().await;
     let client = &client(&stub);
-    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/blue-mahoe");
-    let declared = declare::load(path.as_ref()).expect("valid");
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/blue-mahoe");
+    let paths = [root.join("backend-servers"), root];
+    let declared = declare::load(&paths).expect("valid");
     let steps = apply::plan(client, declared.clone())
         .await
         .expect("planned");
