trefoilctl: hints for expired keys and unknown names

A trial against two instances, the stand-ins of the store and of two backend servers showed two hints that mislead: for an expired key, "ask again with the same key", which is refused for ever; for a team that is not declared, none. A refusal's status now gives the hint where it says more than the verdict.

--- a/src/ops/error.rs
+++ b/src/ops/error.rs
@@ -247,15 +247,27 @@
     }
 
     fn hint(&self) -> Option<&'static str> {
-        match (self.problem.status, self.verdict()) {
-            (409 | 412, _) => Some("look at what is there now, then decide again"),
-            (_, api::Verdict::MayHaveRun) => {
+        self.hint_of_status().or_else(|| self.hint_of_verdict())
+    }
+
+    fn hint_of_status(&self) -> Option<&'static str> {
+        match self.problem.status {
+            404 => Some("list what is declared with `trefoilctl get KIND`"),
+            409 | 412 => Some("look at what is there now, then decide again"),
+            410 => Some("a key this old starts nothing any more; look for the job's effect"),
+            _ => None,
+        }
+    }
+
+    fn hint_of_verdict(&self) -> Option<&'static str> {
+        match self.verdict() {
+            api::Verdict::MayHaveRun => {
                 Some("it may have taken effect; look, or ask again with the same key")
             }
-            (_, api::Verdict::NotRun) if self.problem.verdict != api::Verdict::NotRun => {
+            api::Verdict::NotRun if self.problem.verdict != api::Verdict::NotRun => {
                 Some("nothing took effect; submit it again under a new key")
             }
-            (_, api::Verdict::NotRun) if self.problem.retry_after_ms > 0 => {
+            api::Verdict::NotRun if self.problem.retry_after_ms > 0 => {
                 Some("nothing took effect; come back after the time given")
             }
             _ => None,
--- a/tests/testsuite/ctl.rs
+++ b/tests/testsuite/ctl.rs
@@ -203,6 +203,7 @@
             --
             error: GET /v1/teams/grocers was refused
               caused by: 404 unknown resource: team/grocers is not declared (verdict not_run)
+              hint: list what is declared with `trefoilctl get KIND`
         "#]],
     )
     .await;
