workers: copy results out of the read buffer

Cause: a result was a slice of the connection's read buffer of at least 8 KiB, and results are kept for resubmissions: a result of ten bytes would have kept the whole buffer, unseen by results_bytes_max, and made the connection allocate another for each answer.

Change: results are copied into an allocation of their own size. The task header's text is made once a call instead of three times.

--- a/src/workers.rs
+++ b/src/workers.rs
@@ -107,7 +107,8 @@
     async fn exchange(&self, call: &WorkerCall, limit: Duration) -> Result<TaskOutcome, CallError> {
         let give_up = tokio::time::Instant::now() + limit;
         let pool = self.pool(&call.address);
-        let request = call.request(pool.host())?;
+        let task = call.task_header();
+        let request = call.request(pool.host(), &task)?;
         let checkout = pool.checkout(
             self.connections_max.load(Ordering::Relaxed),
             self.connect_timeout,
@@ -123,8 +124,8 @@
                 .fetch_add(1, Ordering::Relaxed);
         }
         let answer = lease.connection().exchange(request, give_up).await?;
-        let reusable = answer.reusable && answer.echo_matches(&call.task_header());
-        let outcome = answer.into_outcome(&call.task_header())?;
+        let reusable = answer.reusable && answer.echo_matches(&task);
+        let outcome = answer.into_outcome(&task)?;
         if reusable {
             lease.keep();
         }
--- a/src/workers/connection.rs
+++ b/src/workers/connection.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::Ordering;
 use std::task::Poll;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
@@ -24,6 +24,8 @@
 
 /// Largest result of one task, in bytes.
 pub const RESULT_BYTES_MAX: usize = 8 * 1024 * 1024;
+/// Most bytes reserved on the word of a `Content-Length`.
+const RESERVE_BYTES_MAX: usize = 64 * 1024;
 
 type Driver = http1::Connection<MeteredStream, Full<Bytes>>;
 
@@ -125,8 +127,11 @@
     })
 }
 
+/// Copies the body out of the connection's read buffer: results are kept for
+/// resubmissions, and a slice of that buffer would keep all of it.
 async fn collect(mut body: Incoming) -> Result<Bytes, BodyError> {
-    let mut whole = Bytes::new();
+    let expected = body.size_hint().exact().unwrap_or(0) as usize;
+    let mut whole = Vec::with_capacity(expected.min(RESERVE_BYTES_MAX));
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| BodyError::Truncated(chain(&error)))?;
         let Ok(data) = frame.into_data() else {
@@ -135,19 +140,9 @@
         if whole.len() + data.len() > RESULT_BYTES_MAX {
             return Err(BodyError::Oversized(RESULT_BYTES_MAX));
         }
-        whole = append(whole, data);
+        whole.extend_from_slice(&data);
     }
-    Ok(whole)
-}
-
-/// Joins two pieces; the usual answer has one, which is not copied.
-fn append(whole: Bytes, data: Bytes) -> Bytes {
-    if whole.is_empty() {
-        return data;
-    }
-    let mut joined = BytesMut::from(whole);
-    joined.extend_from_slice(&data);
-    joined.freeze()
+    Ok(Bytes::from(whole.into_boxed_slice()))
 }
 
 fn is_chunked(headers: &HeaderMap) -> bool {
--- a/src/workers/request.rs
+++ b/src/workers/request.rs
@@ -42,11 +42,15 @@
         format!("{}/{}/{}", self.key, self.index, self.attempt)
     }
 
-    pub(super) fn request(&self, host: &HeaderValue) -> Result<Request<Full<Bytes>>, CallError> {
+    pub(super) fn request(
+        &self,
+        host: &HeaderValue,
+        task: &str,
+    ) -> Result<Request<Full<Bytes>>, CallError> {
         let mut request = Request::post(&*self.path)
             .header(HOST, host)
             .header(CONTENT_TYPE, JSON)
-            .header(TASK_HEADER, self.task_header());
+            .header(TASK_HEADER, task);
         if let Some(traceparent) = &self.traceparent {
             request = request.header(TRACEPARENT, &**traceparent);
         }
