--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,7 +7,9 @@
 pub mod http;
 pub mod links;
 pub mod ops;
+pub mod peers;
 pub mod runtime;
+pub mod server;
 pub mod sources;
 pub mod util;
 pub mod workers;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,5 +2,14 @@
 
 mod caller;
 mod caller_overhead;
+mod ctl;
+mod ctl_operator;
+mod ctl_rollout;
+mod daemon;
+mod links;
+mod operator;
+mod operator_sources;
+mod settings;
 mod support;
+mod telemetry;
 mod workers;
