operator: unreadable stored values are told; tests of lost answers in a race and of the peers' feed

Cause: a value under a resource's key that is no resource was answered as 'not declared'. Races with lost answers, and an instance that never watches, were not tested.

Conclusion: with 5 dropped answers ordered in a race of 8, exactly one operator is told it won and no not_run is untrue.

--- a/src/http/operator/read.rs
+++ b/src/http/operator/read.rs
@@ -4,11 +4,12 @@
 
 use poem::web::{Data, Path};
 use poem::{IntoResponse, Response, handler};
-use trefoil_core::config::ResourceKey;
+use trefoil_core::config::{ResourceKey, StoredValue};
 use trefoil_schema::resources::StoredResource;
 
 use super::render::{Renderer, Source, Stored, json, tagged};
 use super::{Collection, OperatorContext, refuse};
+use crate::sources::platform::KeyValue;
 
 /// Longest wait for the store before what is in force here is shown.
 const STORE_WAIT: Duration = Duration::from_millis(500);
@@ -27,23 +28,30 @@
 #[handler]
 pub(super) async fn one(collection: Data<&Collection>, Path(name): Path<String>) -> Response {
     let key = collection.key(&name);
-    let (stored, source) = read_one(&collection.context, &key).await;
-    let Some(stored) = stored else {
+    let (found, source) = read_one(&collection.context, &key).await;
+    let Some(found) = found else {
         return refuse::unknown(&key).into_response();
     };
+    let Some(stored) = read_value(&found.value, found.revision) else {
+        return refuse::not_a_resource(&key, found.revision).into_response();
+    };
     tagged(&Renderer::new(&collection.context).render(stored, source))
 }
 
-async fn read_one(context: &OperatorContext, key: &ResourceKey) -> (Option<Stored>, Source) {
+async fn read_one(context: &OperatorContext, key: &ResourceKey) -> (Option<StoredValue>, Source) {
     let store_key = context.config.store_key(key);
     let read = context.store.get(&store_key);
-    if let Ok(Ok(found)) = tokio::time::timeout(STORE_WAIT, read).await {
-        let stored = found.and_then(|kv| read_value(&kv.value, kv.revision));
-        return (stored, Source::Store);
+    match tokio::time::timeout(STORE_WAIT, read).await {
+        Ok(Ok(found)) => (found.map(stored_value), Source::Store),
+        Ok(Err(_)) | Err(_) => (context.config.value(key), Source::Memory),
+    }
+}
+
+fn stored_value(kv: KeyValue) -> StoredValue {
+    StoredValue {
+        value: kv.value,
+        revision: kv.revision,
     }
-    let known = context.config.value(key);
-    let stored = known.and_then(|known| read_value(&known.value, known.revision));
-    (stored, Source::Memory)
 }
 
 async fn read_all(collection: &Collection) -> (Vec<Stored>, Source) {
--- a/src/http/operator/refuse.rs
+++ b/src/http/operator/refuse.rs
@@ -40,6 +40,14 @@
     Problem::new(status, "unknown_resource", detail, Verdict::NotRun)
 }
 
+/// The store holds something else under the resource's key.
+pub(super) fn not_a_resource(key: &ResourceKey, revision: u64) -> Problem {
+    let detail =
+        format!("the stored text of {key} at revision {revision} cannot be read; declare it again");
+    let status = StatusCode::INTERNAL_SERVER_ERROR;
+    Problem::new(status, "unreadable_resource", detail, Verdict::NotRun)
+}
+
 pub(super) fn invalid(key: &ResourceKey, errors: Vec<FieldError>) -> Problem {
     let detail = format!(
         "{key} has {} wrong fields; nothing was stored",
--- a/tests/testsuite/operator.rs
+++ b/tests/testsuite/operator.rs
@@ -8,6 +8,7 @@
 use poem::{Endpoint, Request, Route};
 use serde_json::{Value, json};
 use slog::{Discard, Logger, o};
+use tokio::task::JoinSet;
 use tokio::time::timeout;
 use trefoil_fakes::platform::faults::FaultOrder;
 use trefoil_fakes::platform::{self, PlatformHandle, PlatformOptions};
@@ -16,22 +17,22 @@
 use trefoilbay::http::operator::{OperatorContext, routes};
 use trefoilbay::sources::config::{ConfigHandle, ConfigSync};
 use trefoilbay::sources::platform::PlatformStore;
-use trefoilbay::sources::platform::etcd::{CallKind, EtcdJson};
+use trefoilbay::sources::platform::etcd::EtcdJson;
 
 /// Longest wait for a change to come into force.
-const IN_FORCE_WAIT: Duration = Duration::from_secs(5);
+pub(crate) const IN_FORCE_WAIT: Duration = Duration::from_secs(5);
 
 /// The operators' side of one instance.
 pub(crate) struct Instance {
-    config: ConfigHandle,
+    pub(crate) config: ConfigHandle,
     pub(crate) store: EtcdJson,
     api: Route,
 }
 
 pub(crate) struct Answer {
-    status: StatusCode,
-    etag: String,
-    body: Value,
+    pub(crate) status: StatusCode,
+    pub(crate) etag: String,
+    pub(crate) body: Value,
 }
 
 pub(crate) async fn start_platform() -> PlatformHandle {
@@ -89,7 +90,17 @@
         }
     }
 
-    async fn get(&self, path: &str) -> Answer {
+    /// Races eight operators from one revision; gives their run times and answers.
+    async fn race(self: &Arc<Self>, etag: &str) -> Vec<(u64, Answer)> {
+        let mut racers = JoinSet::new();
+        for run_ms in 10..18 {
+            let (instance, precondition) = (Arc::clone(self), format!("if-match: {etag}"));
+            racers.spawn(async move { (run_ms, instance.put(&precondition, run_ms).await) });
+        }
+        racers.join_all().await
+    }
+
+    pub(crate) async fn get(&self, path: &str) -> Answer {
         self.call(Method::GET, path, "", Value::Null).await
     }
 
@@ -138,7 +149,7 @@
     }
 }
 
-fn down(platform: &PlatformHandle, down: bool) {
+pub(crate) fn down(platform: &PlatformHandle, down: bool) {
     platform.order(&FaultOrder {
         down: Some(down),
         ..FaultOrder::default()
@@ -209,18 +220,7 @@
     let platform = start_platform().await;
     let instance = Arc::new(Instance::start("one", platform.address));
     let first = instance.put("if-none-match: *", 1).await;
-    let mut racers = tokio::task::JoinSet::new();
-    for run_ms in 10..18 {
-        let (instance, tag) = (Arc::clone(&instance), first.etag.clone());
-        let race = async move {
-            (
-                run_ms,
-                instance.put(&format!("if-match: {tag}"), run_ms).await,
-            )
-        };
-        racers.spawn(race);
-    }
-    let answers = racers.join_all().await;
+    let answers = instance.race(&first.etag).await;
     let (won, lost): (Vec<_>, Vec<_>) = answers
         .into_iter()
         .partition(|(_, answer)| answer.status == StatusCode::OK);
@@ -237,6 +237,29 @@
     assert_eq!(stored.body["spec"]["declared_run_ms"], won[0].0);
 }
 
+#[tokio::test]
+async fn racing_operators_whose_answers_are_lost_are_told_the_truth() {
+    let platform = start_platform().await;
+    let instance = Arc::new(Instance::start("one", platform.address));
+    let first = instance.put("if-none-match: *", 1).await;
+    drop_answers(&platform, 5);
+    let answers = instance.race(&first.etag).await;
+    let stored = instance.get("/v1/services/pay").await;
+    let stored = stored.body["spec"]["declared_run_ms"].as_u64().unwrap();
+    let accepted = |answer: &Answer| answer.status == StatusCode::OK;
+    let count = answers.iter().filter(|(_, one)| accepted(one)).count();
+    assert_eq!(count, 1);
+    for (run_ms, answer) in &answers {
+        let verdict = answer.body["verdict"].as_str().unwrap_or("accepted");
+        match verdict {
+            "accepted" => assert_eq!(*run_ms, stored),
+            "not_run" => assert_ne!(*run_ms, stored),
+            other => panic!("the store was up, yet {other} of {run_ms}"),
+        }
+    }
+    assert!(platform.counters().dropped_answers > 0);
+}
+
 #[tokio::test]
 async fn a_lost_answer_is_settled_by_reading_back() {
     let platform = start_platform().await;
@@ -304,50 +327,3 @@
     assert_eq!(instance.put("", 9).await.status, StatusCode::OK);
     instance.run_ms_in_force(9).await;
 }
-
-#[tokio::test]
-async fn a_watch_resumes_after_a_cut_without_listing_again() {
-    let platform = start_platform().await;
-    let (one, two) = (
-        Instance::start("one", platform.address),
-        Instance::start("two", platform.address),
-    );
-    one.put("", 1).await;
-    two.run_ms_in_force(1).await;
-    let ranges = two.store.calls().of(CallKind::Range);
-    platform.order(&FaultOrder {
-        block_instances: Some(vec!["two".to_owned()]),
-        ..FaultOrder::default()
-    });
-    one.put("", 2).await;
-    one.run_ms_in_force(2).await;
-    assert_eq!(two.config.current().services["pay"].spec.declared_run_ms, 1);
-    platform.order(&FaultOrder {
-        block_instances: Some(Vec::new()),
-        ..FaultOrder::default()
-    });
-    two.run_ms_in_force(2).await;
-    let after = two.store.calls().of(CallKind::Range);
-    assert_eq!(after, ranges);
-}
-
-#[tokio::test]
-async fn a_fresh_instance_is_fed_by_a_peer_while_the_store_is_down() {
-    let platform = start_platform().await;
-    let one = Instance::start("one", platform.address);
-    one.put("", 3).await;
-    one.run_ms_in_force(3).await;
-    down(&platform, true);
-    let fresh = Instance::start("fresh", platform.address);
-    fresh.config.set_watching(false);
-    let revision = one.config.current().revision;
-    let request = fresh.config.request_if_behind(revision).unwrap();
-    let changes = one.config.changes_after(request.after_revision);
-    assert_eq!(fresh.config.apply_from_peer(&changes), None);
-    assert_eq!(fresh.config.current(), one.config.current());
-    assert_eq!(fresh.config.request_if_behind(revision), None);
-    assert_eq!(
-        fresh.get("/v1/services/pay").await.body["spec"]["declared_run_ms"],
-        3
-    );
-}
--- /dev/null
+++ b/tests/testsuite/operator_feed.rs
@@ -0,0 +1,86 @@
+//! Instances follow the store by a watch that is cut, or by their peers.
+
+use std::time::Duration;
+
+use tokio::time::timeout;
+use trefoil_fakes::platform::faults::FaultOrder;
+use trefoilbay::sources::platform::etcd::CallKind;
+
+use crate::operator::{IN_FORCE_WAIT, Instance, down, start_platform};
+
+#[tokio::test]
+async fn a_watch_resumes_after_a_cut_without_listing_again() {
+    let platform = start_platform().await;
+    let (one, two) = (
+        Instance::start("one", platform.address),
+        Instance::start("two", platform.address),
+    );
+    one.put("", 1).await;
+    two.run_ms_in_force(1).await;
+    let ranges = two.store.calls().of(CallKind::Range);
+    platform.order(&FaultOrder {
+        block_instances: Some(vec!["two".to_owned()]),
+        ..FaultOrder::default()
+    });
+    one.put("", 2).await;
+    one.run_ms_in_force(2).await;
+    assert_eq!(two.config.current().services["pay"].spec.declared_run_ms, 1);
+    platform.order(&FaultOrder {
+        block_instances: Some(Vec::new()),
+        ..FaultOrder::default()
+    });
+    two.run_ms_in_force(2).await;
+    let after = two.store.calls().of(CallKind::Range);
+    assert_eq!(after, ranges);
+}
+
+#[tokio::test]
+async fn a_fresh_instance_is_fed_by_a_peer_while_the_store_is_down() {
+    let platform = start_platform().await;
+    let one = Instance::start("one", platform.address);
+    one.put("", 3).await;
+    one.run_ms_in_force(3).await;
+    down(&platform, true);
+    let fresh = Instance::start("fresh", platform.address);
+    fresh.config.set_watching(false);
+    let revision = one.config.current().revision;
+    let request = fresh.config.request_if_behind(revision).unwrap();
+    let changes = one.config.changes_after(request.after_revision);
+    assert_eq!(fresh.config.apply_from_peer(&changes), None);
+    assert_eq!(fresh.config.current(), one.config.current());
+    assert_eq!(fresh.config.request_if_behind(revision), None);
+    assert_eq!(
+        fresh.get("/v1/services/pay").await.body["spec"]["declared_run_ms"],
+        3
+    );
+}
+
+#[tokio::test]
+async fn an_instance_that_does_not_watch_follows_its_peers() {
+    let platform = start_platform().await;
+    let one = Instance::start("one", platform.address);
+    let two = Instance::start("two", platform.address);
+    one.put("", 1).await;
+    two.run_ms_in_force(1).await;
+    two.config.set_watching(false);
+    let one_watch = async {
+        while platform.counters().watches_waiting != 1 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(IN_FORCE_WAIT, one_watch).await.unwrap();
+    one.put("", 2).await;
+    one.run_ms_in_force(2).await;
+    let revision = one.config.current().revision;
+    let request = two.config.request_if_behind(revision).unwrap();
+    let changes = one.config.changes_after(request.after_revision);
+    assert_eq!(
+        (changes.from_revision, changes.changes.len()),
+        (request.after_revision, 1)
+    );
+    two.config.apply_from_peer(&changes);
+    two.run_ms_in_force(2).await;
+    one.put("", 3).await;
+    two.config.set_watching(true);
+    two.run_ms_in_force(3).await;
+}
