instances: the platform's list is read only where the switch says so

Cause: each instance read the list each 5 s, so calls to the store grew with the fleet (0.2/s an instance), which the platform's rates do not.

Weighed: a longer period delays what membership learns; the watchers alone reading, by the switch that they have already, costs nothing more.

--- a/src/sources/config.rs
+++ b/src/sources/config.rs
@@ -100,6 +100,12 @@
             .send_if_modified(|held| std::mem::replace(held, watching) != watching);
     }
 
+    /// The switch of [`Self::set_watching`], for other reads of the store that
+    /// the same instances make.
+    pub fn watching(&self) -> watch::Receiver<bool> {
+        self.shared.watching.subscribe()
+    }
+
     /// Whether the last call to the store was answered.
     pub fn store_reachable(&self) -> bool {
         self.shared.store.reachable()
--- a/src/sources/instances.rs
+++ b/src/sources/instances.rs
@@ -52,8 +52,21 @@
 
 /// Reads the list at intervals until every receiver is dropped.
 pub fn start(store: Arc<dyn PlatformStore>, settings: &Settings, log: Logger) -> InstanceList {
+    let always = watch::Sender::new(true).subscribe();
+    start_while(always, store, settings, log)
+}
+
+/// As [`start`], but reads only while `polling` holds, so that calls to the
+/// store need not grow with the fleet; the last list is kept meanwhile.
+pub fn start_while(
+    polling: watch::Receiver<bool>,
+    store: Arc<dyn PlatformStore>,
+    settings: &Settings,
+    log: Logger,
+) -> InstanceList {
     let (sender, receiver) = watch::channel(Arc::default());
     let poll = Poll {
+        polling,
         store,
         prefix: settings.platform.instance_list_prefix.clone(),
         period: Duration::from_millis(settings.platform.instance_list_poll_ms.max(1)),
@@ -64,6 +77,7 @@
 }
 
 struct Poll {
+    polling: watch::Receiver<bool>,
     store: Arc<dyn PlatformStore>,
     prefix: String,
     period: Duration,
@@ -71,8 +85,12 @@
 }
 
 impl Poll {
-    async fn run(self, sender: watch::Sender<Arc<Vec<PlatformInstance>>>) {
+    async fn run(mut self, sender: watch::Sender<Arc<Vec<PlatformInstance>>>) {
         loop {
+            tokio::select! {
+                () = self.polling_holds() => {}
+                () = sender.closed() => return,
+            }
             self.read(&sender).await;
             tokio::select! {
                 () = tokio::time::sleep(self.period) => {}
@@ -81,6 +99,14 @@
         }
     }
 
+    // A switch whose owner is gone stays as it was last.
+    async fn polling_holds(&mut self) {
+        let held = self.polling.wait_for(|polling| *polling).await.is_ok();
+        if !held && !*self.polling.borrow() {
+            std::future::pending::<()>().await;
+        }
+    }
+
     async fn read(&self, sender: &watch::Sender<Arc<Vec<PlatformInstance>>>) {
         // Whether the store answers is logged where its state is kept.
         let Ok(listing) = self.store.range(&self.prefix).await else {
--- a/tests/testsuite/operator_sources.rs
+++ b/tests/testsuite/operator_sources.rs
@@ -107,6 +107,23 @@
     timeout(WAIT, one).await.unwrap().unwrap();
 }
 
+#[tokio::test]
+async fn the_instance_list_is_read_only_while_switched_on() {
+    let platform = start_platform().await;
+    let (store, settings) = store_of(&platform);
+    let log = Logger::root(Discard, o!());
+    let polling = watch::Sender::new(false);
+    let edge = Arc::new(store.clone());
+    let mut list = instances::start_while(polling.subscribe(), edge, &settings, log);
+    platform.set_instances(vec![json!({"name": "one", "incarnation": 1,
+        "failure_domain": "a", "state": "live"})]);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(store.calls().of(CallKind::Range), 0);
+    polling.send_replace(true);
+    let one = list.wait_for(|list| list.len() == 1);
+    timeout(WAIT, one).await.unwrap().unwrap();
+}
+
 #[tokio::test]
 async fn an_error_tells_whether_a_write_may_have_taken_effect() {
     let platform = start_platform().await;
