--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,15 @@
 //! End-to-end tests by feature, each a small project of real processes.
 
+mod caller;
+mod ctl;
+mod ctl_operator;
+mod ctl_rollout;
+mod daemon;
+mod links;
 mod operator;
 mod operator_feed;
 mod operator_sources;
+mod settings;
 mod support;
+mod telemetry;
+mod workers;
