--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod daemon;
 mod links;
 mod operator;
+mod operator_feed;
 mod operator_sources;
 mod settings;
 mod support;
