--- a/src/server/parts.rs
+++ b/src/server/parts.rs
@@ -1,6 +1,7 @@
 //! The parts of a running instance, and how they are joined.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use poem::http::{Method, StatusCode};
@@ -10,9 +11,10 @@
 };
 use tokio::time::MissedTickBehavior;
 use trefoil_core::drain::DrainState;
-use trefoil_core::engine::{Engine, EngineSettings};
+use trefoil_core::engine::{Engine, EngineSettings, EngineStats};
 use trefoil_core::verdict::Verdict;
 
+use super::stop::Hold;
 use super::{Context, ServerError};
 use crate::http::caller::{self, CallerContext};
 use crate::http::operator::{self, OperatorContext};
@@ -24,6 +26,7 @@
 use crate::sources::instances;
 use crate::sources::platform::PlatformStore;
 use crate::sources::platform::etcd::EtcdJson;
+use crate::util::telemetry::counters::{Direction, Totals, WastedMessage};
 use crate::workers::WorkerClient;
 
 /// Period of looks at the planned stop and the gauges.
@@ -71,10 +74,36 @@
             _ticker: ticker,
         });
         tokio::spawn(follow_config(context.clone(), parts.clone()));
-        tokio::spawn(watch_stop(context.clone(), parts.clone()));
+        let hold = context.stop.hold();
+        tokio::spawn(watch_stop(context.clone(), parts.clone(), hold));
         Ok(parts)
     }
 
+    fn totals(&self, stats: &EngineStats) -> Totals {
+        let workers = self.runtime.workers().counters();
+        let links = self.peers.links().stats();
+        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        Totals {
+            jobs_complete: stats.jobs_complete,
+            jobs_failed: stats.jobs_failed + stats.jobs_cancelled,
+            task_starts: stats.tasks_started,
+            wasted: [
+                (WastedMessage::LateAnswer, stats.outcomes_dropped),
+                (WastedMessage::CrossedAnswer, read(&workers.crossed_answers)),
+                (WastedMessage::NotStarted, read(&workers.not_run)),
+                (WastedMessage::Resubmission, stats.jobs_replayed),
+            ],
+            peer_frames: [
+                (Direction::Sent, links.frames_out),
+                (Direction::Received, links.frames_in),
+            ],
+            peer_bytes: [
+                (Direction::Sent, links.bytes_out),
+                (Direction::Received, links.bytes_in),
+            ],
+        }
+    }
+
     /// Adds the callers' and the operators' routes below `/v1`.
     pub fn routes(&self, context: &Arc<Context>) -> impl Endpoint + use<> {
         let peers = self.peers.clone();
@@ -156,33 +185,37 @@
 
 /// Hands keys over when the planned stop begins, and keeps the stop waiting
 /// while jobs run here.
-async fn watch_stop(context: Arc<Context>, parts: Arc<Parts>) {
+async fn watch_stop(context: Arc<Context>, parts: Arc<Parts>, hold: Hold) {
     let mut ticks = tokio::time::interval(WATCH_PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut jobs = None;
+    let mut hold = Some(hold);
+    let mut has_left = false;
+    let mut has_refused = false;
+    let mut reported = parts.totals(&parts.runtime.engine().stats());
     loop {
         ticks.tick().await;
+        let state = context.stop.state();
+        if state == DrainState::Serving {
+            context.set_in_view(parts.peers.in_force());
+        } else if !has_left {
+            parts.peers.leave();
+            has_left = true;
+        }
         let stats = parts.runtime.engine().stats();
-        context
-            .telemetry
-            .counters()
-            .set_tasks(stats.tasks_queued, stats.tasks_running);
-        match context.stop.state() {
-            DrainState::Serving => context.set_in_view(parts.peers.in_force()),
-            DrainState::Announcing { .. } => {
-                if jobs.is_none() {
-                    jobs = Some(context.stop.track());
-                    parts.peers.leave();
-                }
+        let counters = context.telemetry.counters();
+        counters.set_tasks(stats.tasks_queued, stats.tasks_running);
+        let totals = parts.totals(&stats);
+        counters.advance(&reported, &totals);
+        reported = totals;
+        match state {
+            DrainState::Serving | DrainState::Announcing { .. } => {}
+            // Released one period later, when no admission is under way.
+            DrainState::Refusing { .. } if has_refused && stats.jobs_running == 0 => {
+                drop(hold.take());
             }
             DrainState::Refusing { .. } => {
                 parts.runtime.engine().set_leaving(true);
-                if jobs.is_none() && stats.jobs_running > 0 {
-                    jobs = Some(context.stop.track());
-                }
-                if stats.jobs_running == 0 {
-                    jobs = None;
-                }
+                has_refused = true;
             }
             DrainState::Finished(_) => return,
         }
