--- a/crates/fakes/src/load/job.rs
+++ b/crates/fakes/src/load/job.rs
@@ -9,11 +9,18 @@
 use uuid::Builder;
 
 use super::{LoadOptions, plan::JobPlan};
-use crate::client::{CallError, Reply};
+use crate::{
+    check::history::UNREACHABLE,
+    client::{CallError, Reply},
+};
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 const NOT_RUN: &str = "not_run";
 const COMPLETE: &str = "complete";
+/// Mark of a job's own body in its tokens.
+pub(super) const OWN_BODY: &str = "#";
+/// Mark of another body under the same key.
+pub(super) const OTHER_BODY: &str = "#other#";
 const CANCELLED: &str = "cancelled";
 
 #[derive(Debug, Serialize)]
@@ -59,9 +66,11 @@
     since.as_secs_f64() * MILLIS_PER_SECOND
 }
 
-/// One token a task.
-pub(super) fn tokens(key: &str, tasks: usize) -> Vec<String> {
-    (0..tasks).map(|index| format!("{key}#{index}")).collect()
+/// One token a task; `mark` tells bodies under the same key apart.
+pub(super) fn tokens(key: &str, mark: &str, tasks: usize) -> Vec<String> {
+    (0..tasks)
+        .map(|index| format!("{key}{mark}{index}"))
+        .collect()
 }
 
 /// Body of a submission.
@@ -98,6 +107,9 @@
 pub(super) struct JobAnswer {
     #[serde(skip)]
     pub status: u16,
+    /// Whether the request never left: no verdict of the other side's.
+    #[serde(skip)]
+    pub unsent: bool,
     pub state: String,
     pub verdict: String,
     pub reason: String,
@@ -124,12 +136,12 @@
     }
 
     fn lost(error: &CallError) -> Self {
-        let (verdict, reason) = match error {
-            CallError::Connect { .. } => (NOT_RUN, "unreachable"),
-            CallError::Broken { .. } => ("", "lost"),
+        let (unsent, reason) = match error {
+            CallError::Connect { .. } => (true, UNREACHABLE),
+            CallError::Broken { .. } => (false, "lost"),
         };
         Self {
-            verdict: verdict.to_owned(),
+            unsent,
             reason: reason.to_owned(),
             ..Self::default()
         }
@@ -144,6 +156,7 @@
             return Outcome::Cancelled;
         }
         match (self.status, self.verdict.as_str()) {
+            _ if self.unsent => Outcome::Refused,
             (_, NOT_RUN) => Outcome::Refused,
             (0, _) => Outcome::Lost,
             _ => Outcome::Failed,
