schema: nested settings default to the defaults of their fields

Cause: typify fills the default {} of a nested object with zeros, so Settings::default() had heartbeats of 0 ms. Ruled out: the definitions' own Default, which is right. Change: xtask writes the fields' defaults into the schema before typify reads it.

--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -9,6 +9,8 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
+use serde_json::{Value, json};
+
 type Result<T> = std::result::Result<T, Box<dyn Error>>;
 
 const SCHEMA_NAMES: [&str; 3] = ["settings", "resources", "api"];
@@ -59,7 +61,9 @@
 fn generate_json(name: &str) -> Result<Generated> {
     let path = schema_crate().join(format!("schema/{name}.schema.json"));
     let text = fs::read_to_string(path)?;
-    let schema: schemars::schema::RootSchema = serde_json::from_str(&text)?;
+    let mut schema: Value = serde_json::from_str(&text)?;
+    fill_defaults(&mut schema);
+    let schema: schemars::schema::RootSchema = serde_json::from_value(schema)?;
     let mut settings = typify::TypeSpaceSettings::default();
     settings.with_derive("PartialEq".to_owned());
     let mut space = typify::TypeSpace::new(&settings);
@@ -68,6 +72,32 @@
     Ok(generated(name, &prettyplease::unparse(&file)))
 }
 
+/// Replaces the default `{}` of a nested object by the defaults of its fields:
+/// typify would fill them with zeros.
+fn fill_defaults(schema: &mut Value) {
+    let definitions = schema["definitions"].clone();
+    let Some(properties) = schema["properties"].as_object_mut() else {
+        return;
+    };
+    for property in properties
+        .values_mut()
+        .filter(|p| p["default"] == json!({}))
+    {
+        let reference = property["allOf"][0]["$ref"].as_str().unwrap_or_default();
+        let name = reference.rsplit('/').next().unwrap_or_default();
+        property["default"] = field_defaults(&definitions[name]);
+    }
+}
+
+fn field_defaults(definition: &Value) -> Value {
+    let properties = definition["properties"].as_object();
+    let defaults = properties.into_iter().flatten();
+    defaults
+        .filter_map(|(name, property)| Some((name.clone(), property.get("default")?.clone())))
+        .collect::<serde_json::Map<_, _>>()
+        .into()
+}
+
 fn generated(name: &str, text: &str) -> Generated {
     Generated {
         path: schema_crate().join(format!("src/generated/{name}.rs")),
