callers: a refusal of form says that it started nothing itself

Cause: a malformed resubmission of a key that ran carried that job's verdict in request_verdict as well, though the refused request itself started nothing.

Change: request_verdict is not_run on every refusal of form. The test's new line failed before the change and passes after it.

--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -163,8 +163,11 @@
         self.into_problem(Verdict::NotRun).into_response()
     }
 
-    /// The answer where a key is known.
+    /// The answer where a key is known: this request itself started nothing.
     fn respond_with(self, verdict: Verdict, key: &JobKey) -> Response {
-        self.into_problem(verdict).key(key.as_str()).into_response()
+        self.into_problem(verdict)
+            .request_verdict(Verdict::NotRun)
+            .key(key.as_str())
+            .into_response()
     }
 }
--- a/tests/testsuite/caller.rs
+++ b/tests/testsuite/caller.rs
@@ -329,6 +329,7 @@
     instance.submit(&key, &job(&[json!(1)])).await;
     let after = instance.send(submission(&key, "{")).await;
     assert_eq!((after.status.as_u16(), after.verdict()), (400, "ran"));
+    assert_eq!(after.body["request_verdict"], json!("not_run"));
     assert_eq!(after.body["key"], json!(key));
 }
 
