--- a/tests/testsuite/caller_overhead.rs
+++ b/tests/testsuite/caller_overhead.rs
@@ -305,7 +305,7 @@
         let (states, address) = (callers.clone(), server.clone());
         measure("HTTP, state of an unknown job", at_once, 1, move |run| {
             let (sender, request) = (Arc::clone(&states[run]), state_request(&address));
-            async move { drop(exchange(&sender, request).await) }
+            async move { assert_eq!(exchange(&sender, request).await, StatusCode::NOT_FOUND) }
         })
         .await;
         for tasks in [1, 100] {
