--- a/tests/testsuite/operator.rs
+++ b/tests/testsuite/operator.rs
@@ -37,7 +37,11 @@
 
 pub(crate) async fn start_platform() -> PlatformHandle {
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
-    let options = PlatformOptions::default();
+    // As etcd does.
+    let options = PlatformOptions {
+        omit_defaults: true,
+        ..PlatformOptions::default()
+    };
     platform::start(address, options).await.unwrap()
 }
 
