--- a/src/util/telemetry/counters.rs
+++ b/src/util/telemetry/counters.rs
@@ -1,10 +1,9 @@
 //! The counters, gauges and histograms of one instance.
 
-use std::fmt::Display as DisplayText;
+use std::fmt::Display;
 
-use derive_more::Display;
-use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
+use opentelemetry::{KeyValue, Value};
 use trefoil_core::engine::JobState;
 
 /// Upper bounds of response time buckets, in milliseconds.
@@ -18,76 +17,118 @@
 ];
 
 /// A message that brought no caller nearer to an answer.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WastedMessage {
     /// A backend server's answer after the task was given up.
-    #[display("late_answer")]
     LateAnswer,
     /// A backend server's answer to another task.
-    #[display("crossed_answer")]
     CrossedAnswer,
-    /// A task that a backend server refused before its start.
-    #[display("refused_start")]
-    RefusedStart,
-    /// A task that could not be sent.
-    #[display("failed_send")]
-    FailedSend,
+    /// A task that was refused before its start or could not be sent.
+    NotStarted,
     /// A submission of a key that is known already.
-    #[display("resubmission")]
     Resubmission,
     /// A job forwarded to an instance that does not own it.
-    #[display("misrouted")]
     Misrouted,
     /// A peer's message that nobody waits for any more.
-    #[display("stale_peer_message")]
     StalePeerMessage,
 }
 
+impl WastedMessage {
+    fn name(self) -> &'static str {
+        match self {
+            Self::LateAnswer => "late_answer",
+            Self::CrossedAnswer => "crossed_answer",
+            Self::NotStarted => "not_started",
+            Self::Resubmission => "resubmission",
+            Self::Misrouted => "misrouted",
+            Self::StalePeerMessage => "stale_peer_message",
+        }
+    }
+}
+
 /// How a placement of a task ended.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
     /// A result came back.
-    #[display("done")]
     Done,
     /// The task ran and failed.
-    #[display("failed")]
     Failed,
     /// The task did not start.
-    #[display("not_run")]
     NotRun,
     /// Nothing is known.
-    #[display("may_have_run")]
     MayHaveRun,
 }
 
+impl Outcome {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::NotRun => "not_run",
+            Self::MayHaveRun => "may_have_run",
+        }
+    }
+}
+
 /// A call to the platform's store; a waiting watch counts as one.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoreCall {
     /// A read.
-    #[display("range")]
     Range,
     /// A compare-and-swap.
-    #[display("txn")]
     Txn,
     /// A watch.
-    #[display("watch")]
     Watch,
     /// A lease call.
-    #[display("lease")]
     Lease,
 }
 
+impl StoreCall {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Range => "range",
+            Self::Txn => "txn",
+            Self::Watch => "watch",
+            Self::Lease => "lease",
+        }
+    }
+}
+
 /// Which way a message between instances goes.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Direction {
     /// To a peer.
-    #[display("sent")]
     Sent,
     /// From a peer.
-    #[display("received")]
     Received,
 }
 
+impl Direction {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Sent => "sent",
+            Self::Received => "received",
+        }
+    }
+}
+
+/// What the parts of an instance have counted since its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Totals {
+    /// Jobs that completed here.
+    pub jobs_complete: u64,
+    /// Jobs that failed or were cancelled here.
+    pub jobs_failed: u64,
+    /// Placements of tasks.
+    pub task_starts: u64,
+    /// Wasted messages, the same kinds in the same order in each reading.
+    pub wasted: [(WastedMessage, u64); 4],
+    /// Frames to and from peers.
+    pub peer_frames: [(Direction, u64); 2],
+    /// Bytes of those frames.
+    pub peer_bytes: [(Direction, u64); 2],
+}
+
 /// The instruments; clones share them.
 #[derive(Clone, Debug)]
 pub struct Counters {
@@ -151,20 +192,44 @@
         self.jobs_submitted.add(1, &[]);
     }
 
-    /// A job became final `response_ms` after its submission.
-    pub fn job_finished(&self, state: JobState, response_ms: f64) {
-        match state {
-            JobState::Running => return,
-            JobState::Complete => self.jobs_complete.add(1, &[]),
-            JobState::Failed | JobState::Cancelled => self.jobs_failed.add(1, &[]),
-        }
-        let label = label("state", state);
+    /// A caller had the answer of a final job `response_ms` after it asked.
+    pub fn answered(&self, state: JobState, response_ms: f64) {
+        let label = label("state", state.to_string());
         self.response_time_ms.record(response_ms, &[label]);
     }
 
+    /// Adds what the parts counted between two readings.
+    pub fn advance(&self, from: &Totals, to: &Totals) {
+        let add = |counter: &Counter<u64>, from: u64, to: u64, labels: &[KeyValue]| {
+            if to > from {
+                counter.add(to - from, labels);
+            }
+        };
+        add(
+            &self.jobs_complete,
+            from.jobs_complete,
+            to.jobs_complete,
+            &[],
+        );
+        add(&self.jobs_failed, from.jobs_failed, to.jobs_failed, &[]);
+        add(&self.task_starts, from.task_starts, to.task_starts, &[]);
+        for (&(kind, from), (_, to)) in from.wasted.iter().zip(to.wasted) {
+            let labels = [label("kind", kind.name())];
+            add(&self.wasted_messages, from, to, &labels);
+        }
+        for (&(way, from), (_, to)) in from.peer_frames.iter().zip(to.peer_frames) {
+            let labels = [label("direction", way.name())];
+            add(&self.peer_frames, from, to, &labels);
+        }
+        for (&(way, from), (_, to)) in from.peer_bytes.iter().zip(to.peer_bytes) {
+            let labels = [label("direction", way.name())];
+            add(&self.peer_bytes, from, to, &labels);
+        }
+    }
+
     /// A submission was refused; `reason` is one word.
-    pub fn refused(&self, reason: impl DisplayText) {
-        self.refusals.add(1, &[label("reason", reason)]);
+    pub fn refused(&self, reason: impl Display) {
+        self.refusals.add(1, &[label("reason", reason.to_string())]);
     }
 
     /// Admission took `overhead_us`.
@@ -172,31 +237,20 @@
         self.admission_overhead_us.record(overhead_us, &[]);
     }
 
-    /// A task was sent to a backend server.
-    pub fn task_started(&self) {
-        self.task_starts.add(1, &[]);
-    }
-
     /// A placement of a task ended.
     pub fn task_ended(&self, outcome: Outcome) {
-        self.task_outcomes.add(1, &[label("outcome", outcome)]);
+        self.task_outcomes
+            .add(1, &[label("outcome", outcome.name())]);
     }
 
     /// A message was wasted.
     pub fn wasted(&self, kind: WastedMessage) {
-        self.wasted_messages.add(1, &[label("kind", kind)]);
-    }
-
-    /// A frame of `bytes` went to or came from a peer.
-    pub fn peer_frame(&self, direction: Direction, bytes: u64) {
-        let label = [label("direction", direction)];
-        self.peer_frames.add(1, &label);
-        self.peer_bytes.add(bytes, &label);
+        self.wasted_messages.add(1, &[label("kind", kind.name())]);
     }
 
     /// The platform's store was called.
     pub fn store_called(&self, kind: StoreCall) {
-        self.store_calls.add(1, &[label("kind", kind)]);
+        self.store_calls.add(1, &[label("kind", kind.name())]);
     }
 
     /// The revision in force changed.
@@ -211,6 +265,6 @@
     }
 }
 
-fn label(name: &'static str, value: impl DisplayText) -> KeyValue {
-    KeyValue::new(name, value.to_string())
+fn label(name: &'static str, value: impl Into<Value>) -> KeyValue {
+    KeyValue::new(name, value)
 }
--- a/tests/testsuite/daemon.rs
+++ b/tests/testsuite/daemon.rs
@@ -6,12 +6,14 @@
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Empty};
+use hyper::Request;
 use hyper::body::Bytes;
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
 use hyper_util::rt::TokioExecutor;
 use slog::{Discard, Logger, o};
 use tokio::time::{Instant, sleep, timeout};
 use trefoil_core::drain::Ending;
+use trefoil_fakes::platform::{self, PlatformOptions};
 use trefoil_schema::settings::DrainSettings;
 use trefoilbay::server::stop::{Clock, StopControl};
 
@@ -37,10 +39,17 @@
     }
 
     async fn get(&self, path: &str) -> (u16, String) {
+        self.call("GET", path).await
+    }
+
+    async fn call(&self, method: &str, path: &str) -> (u16, String) {
         let client: Client<HttpConnector, Empty<Bytes>> =
             Client::builder(TokioExecutor::new()).build_http();
-        let uri = format!("http://{}{path}", self.address).parse().unwrap();
-        let Ok(response) = client.get(uri).await else {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address));
+        let request = request.body(Empty::new()).unwrap();
+        let Ok(response) = client.request(request).await else {
             return (0, String::new());
         };
         let status = response.status().as_u16();
@@ -99,8 +108,22 @@
 }
 
 #[tokio::test]
+async fn without_the_store_it_lives_but_is_not_ready() {
+    let platform = format!("platform.address={}", free_address());
+    let daemon = Daemon::start(&[&platform]).await;
+    let (status, body) = daemon.get("/readyz").await;
+    assert_eq!(status, 503);
+    let reasons = r#""reasons":["no_configuration","no_view"]"#;
+    assert!(body.contains(reasons), "{body}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn announces_and_then_exits_with_zero() {
-    let daemon = Daemon::start(&["drain.announce_ms=400"]).await;
+    let any = "127.0.0.1:0".parse().unwrap();
+    let platform = platform::start(any, PlatformOptions::default());
+    let platform = platform.await.unwrap();
+    let address = format!("platform.address={}", platform.address);
+    let daemon = Daemon::start(&["drain.announce_ms=400", &address]).await;
     let ready = daemon.until(|status, _| status == 200, "/readyz").await;
     assert_eq!(ready, r#"{"ready":true,"reasons":[],"in_flight":0}"#);
     assert!(daemon.get("/metrics").await.1.contains("target_info"));
@@ -179,3 +202,34 @@
     assert_eq!(start.elapsed(), Duration::from_millis(1_000));
     assert_eq!(control.budget_left(), Duration::ZERO);
 }
+
+#[tokio::test(start_paused = true)]
+async fn stop_waits_for_holds_which_are_not_counted_as_requests() {
+    let control = control();
+    let hold = control.hold();
+    assert_eq!(control.in_flight(), 0);
+    control.signal();
+    let waiting = control.clone();
+    let stop = tokio::spawn(async move { waiting.finished(&no_log()).await });
+    sleep(Duration::from_millis(700)).await;
+    assert!(!stop.is_finished());
+    drop(hold);
+    assert_eq!(stop.await.unwrap(), Ending::Drained);
+}
+
+#[tokio::test]
+async fn submissions_and_refusals_are_counted() {
+    let platform = format!("platform.address={}", free_address());
+    let daemon = Daemon::start(&[&platform]).await;
+    assert_eq!(daemon.call("POST", "/v1/jobs").await.0, 400);
+    assert_eq!(daemon.call("POST", "/v1/jobs").await.0, 400);
+    let page = daemon.get("/metrics").await.1;
+    let line = |name: &str| page.lines().find(|line| line.starts_with(name)).unwrap();
+    assert!(
+        line("trefoil_jobs_submitted_total{").ends_with(" 2"),
+        "{page}"
+    );
+    let refusals = line("trefoil_refusals_total{");
+    assert!(refusals.contains("reason=\"malformed\""), "{refusals}");
+    assert!(refusals.ends_with(" 2"), "{refusals}");
+}
