--- a/crates/core/src/engine/pool/admit.rs
+++ b/crates/core/src/engine/pool/admit.rs
@@ -20,6 +20,8 @@
 const SIZE_WEIGHT: f64 = 64.0;
 /// Time without a result after which an idle pool's estimates are not trusted.
 const STALE_MS: u64 = 1000;
+/// How wrong an untrusted estimate may be.
+const STALE_DOUBT: f64 = 10.0;
 /// Share of jobs for which the longest task may exceed its estimate.
 const LATE_SHARE: f64 = 0.05;
 /// The median: a job as likely to exceed it as not.
@@ -121,14 +123,18 @@
     ) -> Result<(), Refusal> {
         let idle = self.jobs.is_empty();
         let stale = !self.run_times.is_trusted() || self.last_done_ms + STALE_MS < now.mono_ms;
-        if !self.settings.admission || (idle && stale) {
+        if !self.settings.admission {
             return Ok(());
         }
         let capacity = self.capacity();
         let ideal_ms = self.ideal_ms(capacity, team, plan.tasks);
-        if ideal_ms > timeout_ms as f64 {
+        let doubt = if stale { STALE_DOUBT } else { 1.0 };
+        if ideal_ms > doubt * timeout_ms as f64 {
             return Err(refusal::impossible(ideal_ms));
         }
+        if idle && stale {
+            return Ok(());
+        }
         let starts_at_once =
             self.stats.tasks_queued == 0 && f64::from(plan.tasks) <= capacity.free_slots;
         if starts_at_once && !self.teams.get(team).is_at_slots_max() {
