--- a/crates/core/src/membership/change.rs
+++ b/crates/core/src/membership/change.rs
@@ -53,6 +53,9 @@
     pub roster: &'a Roster,
     pub log: &'a ViewLog,
     pub seals: &'a Seals,
+    /// Whether the word that instances are gone may stand in for seals. Seals
+    /// give the earlier bound, so they are waited for first.
+    pub by_clock: bool,
 }
 
 impl Bounds<'_> {
@@ -135,6 +138,9 @@
 
     fn is_gone(&self, member: &Member) -> bool {
         let (now, params) = (self.now, self.params);
+        if !self.by_clock {
+            return false;
+        }
         if params.mutation == Some(Mutation::SilentIsGone) {
             return !self.roster.heard_within(now, member, params.suspect_ms);
         }
--- a/crates/core/src/membership/proposer.rs
+++ b/crates/core/src/membership/proposer.rs
@@ -273,19 +273,20 @@
         };
         let known = self.own_log();
         let wanted = self.wanted();
+        let waited_ms = self.now.mono_ms.saturating_sub(since_mono_ms);
+        let late = waited_ms >= self.params.seal_wait_ms;
         let bounds = Bounds {
             now: self.now,
             params: &self.params,
             roster: &self.roster,
             log: &known.log,
             seals: &self.proposer.seals,
+            by_clock: late,
         };
         let all = wanted
             .remove
             .iter()
             .all(|member| bounds.free_from_ms(member).is_some());
-        let waited_ms = self.now.mono_ms.saturating_sub(since_mono_ms);
-        let late = waited_ms >= self.params.seal_wait_ms;
         if !all && !late {
             return;
         }
--- a/crates/core/tests/history.rs
+++ b/crates/core/tests/history.rs
@@ -118,7 +118,10 @@
         }
         5 | 6 => cut(world, index, other),
         7 => cut_off(world, index),
-        8 => world.cuts.clear(),
+        8 => {
+            world.cuts.clear();
+            world.store_cuts.clear();
+        }
         9 => world.store.down = true,
         10 => {
             world.store.slow_max_ms = world.rng.random_range(0..1_500);
@@ -148,6 +151,9 @@
 }
 
 fn cut_off(world: &mut World, index: usize) {
+    if world.rng.random() {
+        world.store_cuts.insert(index);
+    }
     for other in 0..world.nodes.len() {
         cut(world, index, other);
     }
@@ -173,6 +179,7 @@
 
 fn heal(world: &mut World, setting: Setting) {
     world.cuts.clear();
+    world.store_cuts.clear();
     world.network = CALM;
     world.store.down = false;
     world.store.slow_max_ms = 0;
@@ -235,13 +242,13 @@
     (Mutation::QuorumOfOne, 1),
     (Mutation::NoSeals, 1),
     (Mutation::FromNow, 14),
-    (Mutation::VouchAfterSeal, 244),
-    (Mutation::UnknownIsFailure, 54),
-    (Mutation::UnknownIsDone, 62),
+    (Mutation::VouchAfterSeal, 357),
+    (Mutation::UnknownIsFailure, 24),
+    (Mutation::UnknownIsDone, 18),
     (Mutation::NoIncarnationCheck, 1),
     (Mutation::NoJoinWait, 1),
-    (Mutation::NewestViewOnly, 208),
-    (Mutation::SilentIsGone, 7),
+    (Mutation::NewestViewOnly, 1079),
+    (Mutation::SilentIsGone, 19),
     (Mutation::NoCompare, 22),
 ];
 
--- a/crates/core/tests/history_support/mod.rs
+++ b/crates/core/tests/history_support/mod.rs
@@ -88,6 +88,8 @@
     pub store: FakeStore,
     /// Pairs of instances that do not reach each other.
     pub cuts: BTreeSet<(usize, usize)>,
+    /// Instances that do not reach the store.
+    pub store_cuts: BTreeSet<usize>,
     /// Whether the platform tells who ended.
     pub platform_tells: bool,
     /// Who started each key.
@@ -109,6 +111,7 @@
             nodes: Vec::new(),
             store: FakeStore::default(),
             cuts: BTreeSet::new(),
+            store_cuts: BTreeSet::new(),
             platform_tells: true,
             starts: BTreeMap::new(),
             queue: BTreeMap::new(),
@@ -382,14 +385,17 @@
 
     fn carry_out(&mut self, index: usize, command: Command) {
         let incarnation = self.nodes[index].member.incarnation;
+        let reached = !self.store_cuts.contains(&index);
         let replies = match command {
             Command::Send { to, body, .. } => return self.send(index, &to, body),
-            Command::ReadStore { domain } => vec![self.store.read(domain, &mut self.rng)],
+            Command::ReadStore { domain } => vec![self.store.read(domain, reached, &mut self.rng)],
             Command::CompareAndSwap {
                 log,
                 expected_mod_revision,
                 ..
-            } => self.store.write(log, expected_mod_revision, &mut self.rng),
+            } => self
+                .store
+                .write(log, expected_mod_revision, reached, &mut self.rng),
             _ => return,
         };
         for (delay_ms, reply) in replies {
--- a/crates/core/tests/history_support/store.rs
+++ b/crates/core/tests/history_support/store.rs
@@ -54,8 +54,8 @@
         4 + rng.random_range(0..=self.slow_max_ms)
     }
 
-    pub fn read(&mut self, domain: String, rng: &mut ChaCha8Rng) -> (u64, Reply) {
-        if self.down {
+    pub fn read(&mut self, domain: String, reached: bool, rng: &mut ChaCha8Rng) -> (u64, Reply) {
+        if self.down || !reached {
             return (TIMEOUT_MS, Reply::Unreachable(domain));
         }
         let (log, revision) = (self.log.clone(), self.revision);
@@ -71,11 +71,12 @@
         &mut self,
         log: ViewLog,
         expected: u64,
+        reached: bool,
         rng: &mut ChaCha8Rng,
     ) -> Vec<(u64, Reply)> {
         let lost = rng.random_range(0..100) < self.lost_percent;
         let unknown = (TIMEOUT_MS, Reply::Write(StoreWrite::Unknown));
-        let reaches = !self.down && (!lost || rng.random());
+        let reaches = reached && !self.down && (!lost || rng.random());
         if !reaches {
             return vec![unknown];
         }
