--- a/crates/core/src/membership/talk.rs
+++ b/crates/core/src/membership/talk.rs
@@ -10,7 +10,7 @@
 impl Membership {
     pub(super) fn on_tick(&mut self, entropy: u64, commands: &mut Vec<Command>) {
         self.extend(commands);
-        self.tell_domain_with(entropy, commands);
+        self.tell_domain_with(Some(entropy), commands);
         self.tell_others(entropy, commands);
         self.read_other_logs(commands);
         self.poll_or_propose(commands);
@@ -28,14 +28,18 @@
 
     /// Heartbeats to the failure domain's instances, at once.
     pub(super) fn tell_domain(&mut self, commands: &mut Vec<Command>) {
-        self.tell_domain_with(0, commands);
+        self.tell_domain_with(None, commands);
     }
 
-    fn tell_domain_with(&mut self, entropy: u64, commands: &mut Vec<Command>) {
+    /// Each period one peer, chosen by `entropy`, is also told of others.
+    fn tell_domain_with(&mut self, entropy: Option<u64>, commands: &mut Vec<Command>) {
         let view = self.newest_view().cloned();
-        for to in self.domain_peers(view.as_ref()) {
-            let heartbeat = self.heartbeat(view.as_ref(), &to, entropy);
-            self.send(&to, Body::Heartbeat(heartbeat), commands);
+        let peers = self.domain_peers(view.as_ref());
+        let chosen = entropy.map(|entropy| entropy as usize % peers.len().max(1));
+        for (index, to) in peers.iter().enumerate() {
+            let entropy = entropy.filter(|_| chosen == Some(index));
+            let heartbeat = self.heartbeat(view.as_ref(), to, entropy);
+            self.send(to, Body::Heartbeat(heartbeat), commands);
         }
     }
 
@@ -68,12 +72,12 @@
             .collect();
         chosen.dedup();
         for index in chosen {
-            let heartbeat = self.heartbeat(None, &others[index], entropy);
+            let heartbeat = self.heartbeat(None, &others[index], Some(entropy));
             self.send(&others[index], Body::Heartbeat(heartbeat), commands);
         }
     }
 
-    fn heartbeat(&self, view: Option<&View>, to: &Member, entropy: u64) -> Heartbeat {
+    fn heartbeat(&self, view: Option<&View>, to: &Member, entropy: Option<u64>) -> Heartbeat {
         let asks = view.is_some_and(|view| {
             let own = self.in_view(view, &self.me) && view.has(to);
             own && self.vouching.self_sealed_version() < view.version
@@ -97,9 +101,10 @@
             config_revision: self.config_revision,
             queued_tasks: self.queued,
             running_tasks: self.running,
-            others: self
-                .roster
-                .sample(self.now, entropy, self.params.gossip_summaries_max),
+            others: entropy.map_or(Vec::new(), |entropy| {
+                let count = self.params.gossip_summaries_max;
+                self.roster.sample(self.now, entropy, count)
+            }),
             older_limit_ms: self.vouching.older_limit_ms(),
             address: self.address.clone(),
             view_revisions: revisions.collect(),
--- a/crates/core/src/membership/types.rs
+++ b/crates/core/src/membership/types.rs
@@ -146,7 +146,8 @@
         /// Whose record was to be read.
         domain: String,
     },
-    /// The platform's list of instances, whole.
+    /// The platform's list of instances, whole. Peers known from the settings
+    /// alone come first, in a list of their own, with incarnation 0.
     PlatformList(Vec<ListedInstance>),
     /// The process of this instance is not there: its host refused the connection.
     ConnectionRefused(Member),
@@ -163,7 +164,8 @@
     },
 }
 
-/// Something to do.
+/// Something to do. Each `ReadStore` is answered by one `StoreRead` or
+/// `StoreUnreachable`, each `CompareAndSwap` by one `StoreWrite`, however late.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
     /// Send a message to an instance.
