--- a/examples/link_rate/links.rs
+++ b/examples/link_rate/links.rs
@@ -208,6 +208,7 @@
             queued_tasks: 1_000,
             running_tasks: 1_000,
             others: vec![summary; others],
+            ..Heartbeat::default()
         };
         let frame = Frame {
             from: Some(reference("instance-000-a")),
