traces: entry and peer spans make a forwarded job one trace

Cause: only `caller` and `backend_server` spans were taken. The way between two instances could not be told from the queue at the owner.

Weighed: one `peer` span round the request, or one at each end. Two cost one more span for a sampled job and show the way between the instances and the owner's part apart, so both are taken, with the kinds client and server.

Change: `entry` round a checked submission, `peer` round the request to the owner and round its serving there. Each goes into the next hop's `traceparent`; where none is taken the given header passes untouched and is read only if there is one. Runtime::submit takes an Arrival, which carries the header and when the request was whole.

--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use poem::http::StatusCode;
+use poem::http::{HeaderMap, StatusCode};
 use poem::web::Data;
 use poem::{
     Body, EndpointExt, IntoEndpoint, IntoResponse, Request, Response, Route, get, handler, post,
@@ -25,9 +25,11 @@
 use trefoil_schema::api::KeysResponse;
 use trefoil_schema::settings::JobSettings;
 
+use crate::runtime::Arrival;
 use crate::runtime::dispatch::Dispatch;
+use crate::util::telemetry::trace::{Hop, note_answer};
 use answer::Asked;
-use request::{FormError, JobSubmission};
+use request::{CheckedJob, FormError, JobSubmission};
 
 /// Most keys minted by one request.
 const KEYS_MAX: u32 = 10_000;
@@ -90,28 +92,48 @@
         Ok(key) => key,
         Err(error) => return error.respond(),
     };
-    let job = match read_job(request, body, &context).await {
-        Ok(job) => job,
+    let (job, whole_at) = match read_job(request, body, &context).await {
+        Ok(read) => read,
         Err(error) => return refuse_form(&context, &key, error).await,
     };
     let job = job.into_checked(key.clone(), &context.jobs, arrived);
-    let traceparent = request::traceparent(request.headers());
-    let answer = context
-        .dispatch
-        .submit(job.submission, job.wait, traceparent)
-        .await;
+    let answer = enter(&context.dispatch, job, request.headers(), whole_at).await;
     answer::respond(&key, Asked::Submit, answer)
 }
 
+/// Submits a checked job, within a span that later hops get as their parent.
+async fn enter(
+    dispatch: &Dispatch,
+    job: CheckedJob,
+    headers: &HeaderMap,
+    whole_at: Instant,
+) -> JobAnswer {
+    let given = request::traceparent(headers);
+    let mut span = dispatch.span(Hop::Entry, given.as_deref());
+    if span.is_taken() {
+        span.set("service", job.submission.service.to_string());
+        span.set("tasks", job.submission.tasks.len() as i64);
+    }
+    let arrival = Arrival {
+        traceparent: span.header(given),
+        whole_at: Some(whole_at),
+    };
+    let answer = dispatch.submit(job.submission, job.wait, arrival).await;
+    note_answer(&mut span, &answer);
+    answer
+}
+
+/// Reads and checks a job; tells also when its body was whole.
 async fn read_job(
     request: &Request,
     body: Body,
     context: &CallerContext,
-) -> Result<JobSubmission, FormError> {
+) -> Result<(JobSubmission, Instant), FormError> {
     let bytes = request::read_body(request.headers(), body, &context.jobs).await?;
+    let whole_at = Instant::now();
     let job = JobSubmission::parse(&bytes)?;
     job.check(&context.jobs, &context.dispatch.config())?;
-    Ok(job)
+    Ok((job, whole_at))
 }
 
 /// Refuses a request under a good key, with what is known of the key.
--- a/src/peers/forward.rs
+++ b/src/peers/forward.rs
@@ -4,7 +4,6 @@
 //! again by key, which costs a small message and never a second start: the
 //! owner knows the key, or it does not and the submission is sent once more.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use trefoil_core::engine::{JobAnswer, Refusal, RefusalReason, Submission};
@@ -17,6 +16,8 @@
 
 use super::{Peers, convert};
 use crate::links::LinkError;
+use crate::runtime::Arrival;
+use crate::util::telemetry::trace::{Hop, note_answer};
 
 /// Period of checks whether the owner is still there.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
@@ -44,24 +45,23 @@
 
 impl Peers {
     /// Submits a job at the owner of its key.
-    pub async fn submit(
-        &self,
-        submission: Submission,
-        wait: bool,
-        traceparent: Option<Arc<str>>,
-    ) -> JobAnswer {
+    pub async fn submit(&self, submission: Submission, wait: bool, arrival: Arrival) -> JobAnswer {
         let owner = match self.route(&submission.key) {
             Route::Here => {
-                return self
-                    .context
-                    .runtime
-                    .submit(submission, wait, traceparent)
-                    .await;
+                return self.context.runtime.submit(submission, wait, arrival).await;
             }
             Route::Peer(owner) => owner,
             Route::OwnerLost => return refused(owner_lost()),
             Route::Unknown { retry_after_ms } => return refused(unknown_owner(retry_after_ms)),
         };
+        let mut span = self
+            .context
+            .runtime
+            .span(Hop::Peer, arrival.traceparent.as_deref());
+        if span.is_taken() {
+            span.set("peer", owner.name.clone());
+        }
+        let traceparent = span.header(arrival.traceparent);
         let traceparent = traceparent.as_deref().unwrap_or_default();
         let limit_ms = submission.timeout_ms + ANSWER_GRACE_MS;
         let ask = Ask::Submit {
@@ -69,7 +69,9 @@
             wait,
             traceparent,
         };
-        self.ask(&owner, &submission.key, &ask, limit_ms).await
+        let answer = self.ask(&owner, &submission.key, &ask, limit_ms).await;
+        note_answer(&mut span, &answer);
+        answer
     }
 
     /// Tells a job's state, or its end if it comes within `wait_ms`.
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -1,6 +1,7 @@
 //! Requests and news from other instances.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use tokio::sync::mpsc;
 use trefoil_core::engine::{JobAnswer, JobState};
@@ -13,6 +14,8 @@
 
 use super::{Peers, convert, forward};
 use crate::links::Incoming;
+use crate::runtime::Arrival;
+use crate::util::telemetry::trace::{Hop, note_answer};
 
 /// When an entry should ask again that came to the wrong owner.
 const WRONG_OWNER_RETRY_MS: u64 = 250;
@@ -84,26 +87,37 @@
         let in_flight = self.context.stop.track();
         tokio::spawn(async move {
             let (request_id, key) = (job.request_id, job.key.clone());
-            let answer = peers.run_job(job).await;
+            let answer = peers.run_job(&from, job).await;
             peers.reply_answer(&from, request_id, &key, &answer);
             drop(in_flight);
         });
     }
 
-    async fn run_job(self: &Arc<Self>, job: ForwardJob) -> JobAnswer {
+    /// Runs a job, within a span below the one of the instance that sent it.
+    async fn run_job(self: &Arc<Self>, from: &InstanceRef, job: ForwardJob) -> JobAnswer {
+        let whole_at = Some(Instant::now());
+        let header = job.traceparent.as_str();
+        let given = (!header.is_empty()).then(|| Arc::<str>::from(header));
+        let mut span = self.context.runtime.span(Hop::PeerServed, given.as_deref());
+        if span.is_taken() {
+            span.set("peer", from.name.clone());
+        }
+        let arrival = Arrival {
+            traceparent: span.header(given),
+            whole_at,
+        };
+        let answer = self.admit_job(job, arrival).await;
+        note_answer(&mut span, &answer);
+        answer
+    }
+
+    async fn admit_job(self: &Arc<Self>, job: ForwardJob, arrival: Arrival) -> JobAnswer {
         let wait = job.wait;
-        let traceparent =
-            (!job.traceparent.is_empty()).then(|| Arc::from(job.traceparent.as_str()));
         let Ok(submission) = convert::submission(job) else {
             return JobAnswer::Refused(forward::unknown_owner(0));
         };
         match self.route(&submission.key) {
-            Route::Here => {
-                self.context
-                    .runtime
-                    .submit(submission, wait, traceparent)
-                    .await
-            }
+            Route::Here => self.context.runtime.submit(submission, wait, arrival).await,
             Route::OwnerLost => JobAnswer::Refused(forward::owner_lost()),
             // Not handed on: two instances that disagree must not play it back
             // and forth.
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -14,7 +14,7 @@
 
 use std::future::Future;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::runtime::Handle;
 use tokio::sync::watch;
@@ -29,6 +29,7 @@
 use trefoil_core::verdict::Verdict;
 
 use crate::util::telemetry::Telemetry;
+use crate::util::telemetry::trace::{Hop, HopSpan};
 use crate::workers::{WorkerCall, WorkerClient};
 use clock::Clock;
 use tasks::Placement;
@@ -40,6 +41,15 @@
 /// Ticks between sweeps of idle connections and old trace contexts.
 const TICKS_PER_SWEEP: u64 = 100;
 
+/// What came with a submission besides the job.
+#[derive(Clone, Debug, Default)]
+pub struct Arrival {
+    /// W3C trace context to pass on.
+    pub traceparent: Option<Arc<str>>,
+    /// When the request was whole here; its admission is timed from then.
+    pub whole_at: Option<Instant>,
+}
+
 /// The engine of this instance with its clock, its waiters and its workers.
 pub struct Runtime {
     engine: Engine,
@@ -104,6 +114,14 @@
         self.clock.now()
     }
 
+    /// A span for one hop of a request; none without telemetry.
+    pub fn span(&self, hop: Hop, header: Option<&str>) -> HopSpan {
+        match &self.telemetry {
+            Some(telemetry) => telemetry.span_below(hop, header),
+            None => HopSpan::default(),
+        }
+    }
+
     /// Answers that are awaited.
     pub fn waiters_len(&self) -> usize {
         self.waiters.len()
@@ -116,12 +134,13 @@
         self: &Arc<Self>,
         submission: Submission,
         wait: bool,
-        traceparent: Option<Arc<str>>,
+        arrival: Arrival,
     ) -> JobAnswer {
         let key = submission.key.clone();
         let forget_ms = self.now().mono_ms + submission.timeout_ms;
-        let traced =
-            traceparent.is_some_and(|traceparent| self.traces.insert(&key, traceparent, forget_ms));
+        let traced = arrival
+            .traceparent
+            .is_some_and(|traceparent| self.traces.insert(&key, traceparent, forget_ms));
         let submit = |waiter, out: &mut Vec<Command>| {
             self.engine
                 .submit(self.now(), submission, waiter, wait, out);
--- a/src/runtime/dispatch.rs
+++ b/src/runtime/dispatch.rs
@@ -7,8 +7,9 @@
 use trefoil_core::key::JobKey;
 use xxhash_rust::xxh3::Xxh3;
 
-use super::Runtime;
+use super::{Arrival, Runtime};
 use crate::peers::Peers;
+use crate::util::telemetry::trace::{Hop, HopSpan};
 
 /// Takes callers' requests to the instance that owns their key.
 #[derive(Clone)]
@@ -35,15 +36,10 @@
     }
 
     /// Submits a job; with `wait` the answer comes when the job is final.
-    pub async fn submit(
-        &self,
-        submission: Submission,
-        wait: bool,
-        traceparent: Option<Arc<str>>,
-    ) -> JobAnswer {
+    pub async fn submit(&self, submission: Submission, wait: bool, arrival: Arrival) -> JobAnswer {
         match &self.peers {
-            Some(peers) => peers.submit(submission, wait, traceparent).await,
-            None => self.runtime.submit(submission, wait, traceparent).await,
+            Some(peers) => peers.submit(submission, wait, arrival).await,
+            None => self.runtime.submit(submission, wait, arrival).await,
         }
     }
 
@@ -63,6 +59,11 @@
         }
     }
 
+    /// A span for one hop of a request here.
+    pub fn span(&self, hop: Hop, header: Option<&str>) -> HopSpan {
+        self.runtime.span(hop, header)
+    }
+
     /// The declarations in force here.
     pub fn config(&self) -> Arc<ConfigSnapshot> {
         self.runtime.config()
--- a/src/util/telemetry.rs
+++ b/src/util/telemetry.rs
@@ -109,6 +109,13 @@
         self.traces.span(hop, parent)
     }
 
+    /// A span for a hop whose parent is in a header; see [`Traces::span`].
+    ///
+    /// The header is read only if there is one.
+    pub fn span_below(&self, hop: Hop, header: Option<&str>) -> HopSpan {
+        self.span(hop, header.and_then(TraceParent::parse))
+    }
+
     /// The metrics as a Prometheus text page.
     pub fn page(&self) -> Result<String, TelemetryError> {
         let mut text = Vec::new();
--- a/src/util/telemetry/trace.rs
+++ b/src/util/telemetry/trace.rs
@@ -5,6 +5,7 @@
 //! no allocation. Later hops follow their parent.
 
 use std::fmt;
+use std::sync::Arc;
 
 use opentelemetry::propagation::{Extractor, TextMapPropagator};
 use opentelemetry::trace::{
@@ -14,6 +15,7 @@
 use opentelemetry::{Context, KeyValue, Value};
 use opentelemetry_sdk::propagation::TraceContextPropagator;
 use opentelemetry_sdk::trace::{SdkTracer, SdkTracerProvider};
+use trefoil_core::engine::JobAnswer;
 
 use super::SCOPE;
 
@@ -28,10 +30,13 @@
 pub enum Hop {
     /// A caller's request, from its arrival to its answer.
     Caller,
-    /// The owner's work on a job, from admission to the final state.
+    /// A checked submission on its way through the instance that took it, up
+    /// to the job's answer.
     Entry,
-    /// A message to another instance and its answer.
+    /// A request to another instance, from its sending to its answer.
     Peer,
+    /// The same at the other instance, from its arrival to the answer's sending.
+    PeerServed,
     /// One placement of a task on a backend server.
     BackendServer,
 }
@@ -41,14 +46,14 @@
         match self {
             Self::Caller => "caller",
             Self::Entry => "entry",
-            Self::Peer => "peer",
+            Self::Peer | Self::PeerServed => "peer",
             Self::BackendServer => "backend_server",
         }
     }
 
     fn kind(self) -> SpanKind {
         match self {
-            Self::Caller => SpanKind::Server,
+            Self::Caller | Self::PeerServed => SpanKind::Server,
             Self::Entry => SpanKind::Internal,
             Self::Peer | Self::BackendServer => SpanKind::Client,
         }
@@ -187,7 +192,7 @@
 }
 
 /// The span of one hop; costs nothing where it is not taken.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct HopSpan {
     parent: Option<TraceParent>,
     span: Option<Box<opentelemetry_sdk::trace::Span>>,
@@ -213,6 +218,15 @@
         self.parent
     }
 
+    /// The header for the next hop; `given` is passed on untouched where this
+    /// span is not taken.
+    pub fn header(&self, given: Option<Arc<str>>) -> Option<Arc<str>> {
+        match self.parent.filter(|_| self.is_taken()) {
+            Some(parent) => Some(parent.to_string().into()),
+            None => given,
+        }
+    }
+
     /// Whether attributes are kept; skip work for them otherwise.
     pub fn is_taken(&self) -> bool {
         self.span.is_some()
@@ -232,3 +246,15 @@
         }
     }
 }
+
+/// Marks a hop whose request was refused or whose job did not complete.
+pub fn note_answer(span: &mut HopSpan, answer: &JobAnswer) {
+    if !span.is_taken() {
+        return;
+    }
+    match answer {
+        JobAnswer::Refused(refusal) => span.fail(&refusal.reason.to_string()),
+        JobAnswer::Known { reason, .. } if !reason.is_empty() => span.fail(reason),
+        JobAnswer::Known { .. } => {}
+    }
+}
--- a/tests/testsuite/caller_overhead.rs
+++ b/tests/testsuite/caller_overhead.rs
@@ -26,9 +26,9 @@
 use trefoil_schema::resources::{BackendServerSpec, BackendServerState, ServiceSpec, TeamSpec};
 use trefoil_schema::settings::{JobSettings, WorkerSettings};
 use trefoilbay::http::caller::{self, CallerContext};
-use trefoilbay::runtime::Runtime;
 use trefoilbay::runtime::clock::Clock;
 use trefoilbay::runtime::dispatch::{Dispatch, fingerprint};
+use trefoilbay::runtime::{Arrival, Runtime};
 use trefoilbay::workers::{WorkerCall, WorkerClient};
 
 const DOMAIN: &str = "kingston-1";
@@ -217,7 +217,9 @@
 }
 
 async fn submit(runtime: &Arc<Runtime>, tasks: usize) {
-    let answer = runtime.submit(submission(tasks), true, None).await;
+    let answer = runtime
+        .submit(submission(tasks), true, Arrival::default())
+        .await;
     let complete =
         matches!(&answer, JobAnswer::Known { state, .. } if *state == JobState::Complete);
     assert!(complete, "{answer:?}");
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,4 +14,5 @@
 mod support;
 mod telemetry;
 mod telemetry_hops;
+mod telemetry_peers;
 mod workers;
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -1,3 +1,4 @@
 //! What the tests share.
 
 pub mod api_stub;
+pub mod pair;
--- /dev/null
+++ b/tests/testsuite/support/pair.rs
@@ -0,0 +1,190 @@
+//! Two instances of one failure domain in this process, with a worker and the
+//! platform's stand-in.
+
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{Method, StatusCode};
+use serde_json::{Value, json};
+use slog::{Discard, Logger, o};
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+use trefoil_fakes::client::{Client, Reply, request};
+use trefoil_fakes::platform::{self, PlatformHandle, PlatformOptions};
+use trefoil_schema::settings::{PeerSettings, Settings};
+use trefoilbay::server;
+use trefoilbay::util::settings;
+use trefoilbay::util::telemetry::Telemetry;
+
+const STEP: Duration = Duration::from_millis(20);
+const STEPS_MAX: u32 = 500;
+const NAMES: [&str; 2] = ["entry-1", "entry-2"];
+
+/// Two instances; dropping it ends both.
+pub struct Pair {
+    pub entries: [SocketAddr; 2],
+    client: Client,
+    servers: Vec<JoinHandle<()>>,
+    _platform: PlatformHandle,
+}
+
+impl Drop for Pair {
+    fn drop(&mut self) {
+        self.servers.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl Pair {
+    /// Starts both and waits until they are ready; `worker` is declared for
+    /// the service `pay`.
+    pub async fn start(worker: SocketAddr, telemetry: impl Fn(&Settings) -> Telemetry) -> Self {
+        let any = "127.0.0.1:0".parse().unwrap();
+        let platform = platform::start(any, PlatformOptions::default());
+        let platform = platform.await.unwrap();
+        let entries = [free_address(), free_address()];
+        let peers = [free_address(), free_address()];
+        let server = |index: usize| {
+            let settings = settings_of(index, &entries, &peers, platform.address);
+            let telemetry = telemetry(&settings);
+            let log = Logger::root(Discard, o!());
+            tokio::spawn(async move {
+                server::run(settings, log, telemetry).await.unwrap();
+            })
+        };
+        let servers = vec![server(0), server(1)];
+        let pair = Self {
+            entries,
+            client: Client::default(),
+            servers,
+            _platform: platform,
+        };
+        pair.declare(worker).await;
+        pair.until_ready().await;
+        pair.until_settled().await;
+        pair
+    }
+
+    async fn declare(&self, worker: SocketAddr) {
+        let server = json!({
+            "service": "pay", "failure_domain": "local", "address": worker, "slots": 4,
+        });
+        self.put("teams", "default", "team", json!({})).await;
+        self.put("services", "pay", "service", json!({})).await;
+        self.put("backend-servers", "worker-1", "backend_server", server)
+            .await;
+    }
+
+    async fn put(&self, collection: &str, name: &str, kind: &str, spec: Value) {
+        let body = json!({"kind": kind, "name": name, "spec": spec}).to_string();
+        let path = format!("/v1/{collection}/{name}");
+        for _ in 0..STEPS_MAX {
+            let put = request(Method::PUT, self.entries[0], &path, body.clone());
+            if let Ok(reply) = self.client.send(put).await {
+                let text = String::from_utf8_lossy(&reply.body);
+                assert!(reply.status.is_success(), "{text}");
+                return;
+            }
+            sleep(STEP).await;
+        }
+        panic!("{path} was not taken");
+    }
+
+    /// Waits until both own keys and know the worker.
+    async fn until_ready(&self) {
+        for entry in self.entries {
+            self.until(entry, "/readyz", |text| text.contains("\"ready\":true"))
+                .await;
+            let revision = "/v1/backend-servers/worker-1";
+            self.until(entry, revision, |text| text.contains("2 of 2 live"))
+                .await;
+        }
+    }
+
+    /// Reads `path` until it answers as wished.
+    pub async fn until(
+        &self,
+        entry: SocketAddr,
+        path: &str,
+        fits: impl Fn(&str) -> bool,
+    ) -> String {
+        let mut last = String::new();
+        for _ in 0..STEPS_MAX {
+            if let Ok(reply) = self.client.get(entry, path).await {
+                last = String::from_utf8_lossy(&reply.body).into_owned();
+                if fits(&last) {
+                    return last;
+                }
+            }
+            sleep(STEP).await;
+        }
+        panic!("{path} never answered as expected: {last}");
+    }
+
+    /// Mints a key at the first instance.
+    pub async fn key(&self) -> String {
+        let minted = self.client.post(self.entries[0], "/v1/keys?count=1", "");
+        let body: Value = serde_json::from_slice(&minted.await.unwrap().body).unwrap();
+        body["keys"][0].as_str().unwrap().to_owned()
+    }
+
+    /// Submits a job of one task under `key` and gives its whole answer.
+    pub async fn submit(&self, entry: SocketAddr, key: &str, traceparent: &str) -> Value {
+        let reply = self.try_submit(entry, key, traceparent).await;
+        let text = String::from_utf8_lossy(&reply.body);
+        assert_eq!(reply.status, StatusCode::OK, "{text}");
+        serde_json::from_str(&text).unwrap()
+    }
+
+    async fn try_submit(&self, entry: SocketAddr, key: &str, traceparent: &str) -> Reply {
+        let body = json!({"service": "pay", "tasks": [{"payload": {}}]}).to_string();
+        let mut submission = request(Method::POST, entry, "/v1/jobs", body);
+        for (name, value) in [("idempotency-key", key), ("traceparent", traceparent)] {
+            let name = HeaderName::from_static(name);
+            let value = HeaderValue::try_from(value).unwrap();
+            submission.headers_mut().insert(name, value);
+        }
+        self.client.send(submission).await.unwrap()
+    }
+
+    /// Waits until a fresh key has an owner that both name.
+    async fn until_settled(&self) {
+        for _ in 0..STEPS_MAX {
+            let key = self.key().await;
+            let mut statuses = Vec::new();
+            for entry in self.entries {
+                statuses.push(self.try_submit(entry, &key, "").await.status);
+            }
+            if statuses == [StatusCode::OK; 2] {
+                return;
+            }
+            sleep(STEP).await;
+        }
+        panic!("keys never had a settled owner");
+    }
+}
+
+fn settings_of(
+    index: usize,
+    entries: &[SocketAddr; 2],
+    peers: &[SocketAddr; 2],
+    platform: SocketAddr,
+) -> Settings {
+    let other = 1 - index;
+    let mut settings = settings::defaults();
+    settings.instance = NAMES[index].to_owned();
+    settings.http_address = entries[index].to_string();
+    settings.peer_address = peers[index].to_string();
+    settings.platform.address = platform.to_string();
+    settings.peers = vec![PeerSettings {
+        failure_domain: settings.failure_domain.clone(),
+        instance: NAMES[other].to_owned(),
+        peer_address: peers[other].to_string(),
+    }];
+    settings
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
--- a/tests/testsuite/telemetry.rs
+++ b/tests/testsuite/telemetry.rs
@@ -15,7 +15,7 @@
 use trefoilbay::util::telemetry::trace::{Hop, TraceParent, Traces};
 
 pub(crate) const SAMPLED: &str = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01";
-const UNSAMPLED: &str = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-00";
+pub(crate) const UNSAMPLED: &str = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-00";
 
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Kept {
--- /dev/null
+++ b/tests/testsuite/telemetry_peers.rs
@@ -0,0 +1,95 @@
+//! One trace from the caller through two instances to the backend server.
+
+use opentelemetry::trace::SpanKind;
+use opentelemetry_sdk::trace::SpanData;
+use poem::listener::{Acceptor, Listener, TcpListener};
+use poem::{Endpoint, Request, endpoint};
+use trefoilbay::util::telemetry::Telemetry;
+use trefoilbay::util::telemetry::trace::TRACEPARENT;
+
+use crate::support::pair::Pair;
+use crate::telemetry::{Kept, SAMPLED, UNSAMPLED};
+
+/// Hops of a job that its owner got from another instance, outermost first.
+const FORWARDED: [(&str, SpanKind); 5] = [
+    ("caller", SpanKind::Server),
+    ("entry", SpanKind::Internal),
+    ("peer", SpanKind::Client),
+    ("peer", SpanKind::Server),
+    ("backend_server", SpanKind::Client),
+];
+
+/// Hops of a job that came to its owner.
+const HERE: [(&str, SpanKind); 3] = [
+    ("caller", SpanKind::Server),
+    ("entry", SpanKind::Internal),
+    ("backend_server", SpanKind::Client),
+];
+/// Each key is the other instance's by even chance.
+const KEYS_MAX: u32 = 40;
+
+/// A worker that answers each task with the trace context it got.
+fn worker() -> impl Endpoint {
+    endpoint::make_sync(|request: Request| {
+        let header = request.header(TRACEPARENT).unwrap_or_default();
+        format!("\"{header}\"")
+    })
+}
+
+/// The spans below `outermost_parent`, each the parent of the next.
+fn chain(spans: &[SpanData], outermost_parent: &str) -> Vec<SpanData> {
+    let mut parent = outermost_parent.to_owned();
+    let mut chain = Vec::new();
+    while let Some(span) = spans
+        .iter()
+        .find(|span| span.parent_span_id.to_string() == parent)
+    {
+        parent = span.span_context.span_id().to_string();
+        chain.push(span.clone());
+    }
+    chain
+}
+
+fn hops(chain: &[SpanData]) -> Vec<(&str, SpanKind)> {
+    chain
+        .iter()
+        .map(|span| (span.name.as_ref(), span.span_kind.clone()))
+        .collect()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_forwarded_job_is_one_trace_in_parent_and_child_order() {
+    let acceptor = TcpListener::bind("127.0.0.1:0").into_acceptor().await;
+    let acceptor = acceptor.unwrap();
+    let address = *acceptor.local_addr()[0].as_socket_addr().unwrap();
+    let worker = tokio::spawn(poem::Server::new_with_acceptor(acceptor).run(worker()));
+    let kept = Kept::default();
+    let telemetry = |settings: &_| Telemetry::with_traces(settings, kept.traces(0)).unwrap();
+    let pair = Pair::start(address, telemetry).await;
+
+    let key = pair.key().await;
+    for entry in pair.entries {
+        pair.submit(entry, &key, UNSAMPLED).await;
+    }
+    assert!(kept.spans.lock().unwrap().is_empty());
+    for _ in 0..KEYS_MAX {
+        kept.spans.lock().unwrap().clear();
+        let key = pair.key().await;
+        let answer = pair.submit(pair.entries[0], &key, SAMPLED).await;
+        let spans = kept.spans.lock().unwrap().clone();
+        let chain = chain(&spans, &SAMPLED[36..52]);
+        assert_eq!(chain.len(), spans.len(), "{spans:?}");
+        let trace = |span: &SpanData| span.span_context.trace_id().to_string();
+        assert!(chain.iter().all(|span| trace(span) == SAMPLED[3..35]));
+        let seen = answer["results"][0].as_str().unwrap();
+        let innermost = chain.last().unwrap().span_context.span_id().to_string();
+        assert_eq!(seen[36..52], innermost);
+        let hops = hops(&chain);
+        if hops == FORWARDED {
+            worker.abort();
+            return;
+        }
+        assert_eq!(hops, HERE);
+    }
+    panic!("no key of {KEYS_MAX} is owned by the other instance");
+}
