metrics: count what the parts already know, and say what to look at

Cause: calls to the store, admission, links, the queue, the membership and half of the kinds of wasted messages were not on the metrics page. The page of metrics said so, and named nothing that an operator should look at.

Weighed: instruments in each part, or atomics in the parts that are read every 50 ms. The latter keeps the telemetry library off the paths of tasks and frames, so it is taken; only admission is timed on its path, by one histogram a job. A retry as a kind of wasted message was ruled out: the refusal before it is the waste, and both would count it twice. It is `trefoil_task_retries_total`.

Change: `Total` names each running total with its label in one place; `server/report.rs` reads them and the gauges. All totals are on the page from the start, with 0. `trefoil_jobs_ended_total{end}` replaces `trefoil_jobs_complete_total` and `trefoil_jobs_failed_total`, which did not tell deadlines and cancellations from failures. Forwarding counts `misrouted`, `reasked` and `stale_peer_message`.

Found: a forwarded job that takes over a second is asked for again each time, which costs two messages; the counter now shows it. Not changed here.

--- a/src/peers.rs
+++ b/src/peers.rs
@@ -14,9 +14,11 @@
 //! * [`serve`]: requests from other instances.
 //! * [`pending`]: who waits for which answer.
 //! * [`record`]: a failure domain's views as the store keeps them.
+//! * [`counters`]: messages that brought no answer.
 //! * [`convert`]: between the engine's types and messages.
 
 pub mod convert;
+pub mod counters;
 mod driver;
 mod forward;
 mod pending;
@@ -41,6 +43,7 @@
 use crate::sources::config::ConfigHandle;
 use crate::sources::instances::InstanceList;
 use crate::sources::platform::PlatformStore;
+use counters::PeerCounters;
 use pending::PendingTable;
 
 /// Part of the store's keys that holds view logs, after the prefix.
@@ -92,6 +95,7 @@
     membership: Mutex<Membership>,
     links: Links,
     pending: PendingTable,
+    counters: PeerCounters,
     context: PeersContext,
 }
 
@@ -123,6 +127,7 @@
             me,
             links,
             pending: PendingTable::default(),
+            counters: PeerCounters::default(),
             context,
         });
         tokio::spawn(Arc::clone(&peers).receive(incoming));
@@ -150,13 +155,29 @@
         &self.links
     }
 
+    /// Counts of messages that brought no answer.
+    pub fn counters(&self) -> &PeerCounters {
+        &self.counters
+    }
+
+    /// How far the key issue times that may be admitted reach beyond now, in
+    /// milliseconds.
+    pub fn admission_lead_ms(&self) -> i64 {
+        let limit_ms = self.membership().admission_limit();
+        let now_ms = self.context.runtime.now().wall_ms;
+        i64::try_from(i128::from(limit_ms) - i128::from(now_ms)).unwrap_or(i64::MAX)
+    }
+
+    /// Version of the newest view of the own failure domain.
+    pub fn view_version(&self) -> u64 {
+        newest_version(&self.membership(), &self.domain)
+    }
+
     /// The deployment as this instance sees it.
     pub fn status(&self) -> StatusResponse {
         let config_revision = self.context.config.current().revision;
         let membership = self.membership();
-        let view_version = membership
-            .view_log(&self.domain)
-            .map_or(0, |known| known.log.version());
+        let view_version = newest_version(&membership, &self.domain);
         let others = membership.status();
         let leaving = membership.leaving();
         drop(membership);
@@ -194,6 +215,11 @@
     }
 }
 
+fn newest_version(membership: &Membership, domain: &str) -> u64 {
+    let known = membership.view_log(domain);
+    known.map_or(0, |known| known.log.version())
+}
+
 fn membership(me: &Member, settings: &Settings) -> Membership {
     let timing = &settings.membership;
     let params = MembershipParams {
--- a/src/peers/forward.rs
+++ b/src/peers/forward.rs
@@ -117,6 +117,7 @@
                 if !(ask.is_submission() && is_unknown_job(&answer)) {
                     return answer;
                 }
+                self.counters.count_reasked();
                 let _ = self.send_ask(owner, ask.body(request.id(), key, started));
                 continue;
             }
@@ -126,6 +127,7 @@
             checks += 1;
             if checks == reask_at {
                 reask_at *= 2;
+                self.counters.count_reasked();
                 let _ = self.send_ask(owner, ask.again(request.id(), key));
             }
         }
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -45,7 +45,9 @@
             }
             Body::JobAnswer(answer) => {
                 // An answer to a request that is closed is late or doubled.
-                self.pending.answer(answer);
+                if !self.pending.answer(answer) {
+                    self.counters.count_stale_answer();
+                }
             }
             Body::ConfigRequest(request) => {
                 let changes = self.context.config.changes_after(request.after_revision);
@@ -121,7 +123,10 @@
             Route::OwnerLost => JobAnswer::Refused(forward::owner_lost()),
             // Not handed on: two instances that disagree must not play it back
             // and forth.
-            Route::Peer(_) => JobAnswer::Refused(forward::unknown_owner(WRONG_OWNER_RETRY_MS)),
+            Route::Peer(_) => {
+                self.counters.count_misrouted();
+                JobAnswer::Refused(forward::unknown_owner(WRONG_OWNER_RETRY_MS))
+            }
             Route::Unknown { retry_after_ms } => {
                 JobAnswer::Refused(forward::unknown_owner(retry_after_ms))
             }
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -144,6 +144,7 @@
         let submit = |waiter, out: &mut Vec<Command>| {
             self.engine
                 .submit(self.now(), submission, waiter, wait, out);
+            self.time_admission(arrival.whole_at);
         };
         let answer = self.answer(key.clone(), submit).await;
         if traced && !is_running(&answer) {
@@ -152,6 +153,13 @@
         answer
     }
 
+    fn time_admission(&self, whole_at: Option<Instant>) {
+        if let (Some(telemetry), Some(whole_at)) = (&self.telemetry, whole_at) {
+            let overhead_us = whole_at.elapsed().as_secs_f64() * 1e6;
+            telemetry.counters().admitted(overhead_us);
+        }
+    }
+
     /// Tells a job's state, or its end if it comes within `wait_ms`.
     pub async fn fetch(self: &Arc<Self>, key: &JobKey, wait_ms: u64) -> JobAnswer {
         if wait_ms > 0 {
--- a/src/server.rs
+++ b/src/server.rs
@@ -6,6 +6,7 @@
 pub mod health;
 mod observe;
 pub mod parts;
+mod report;
 pub mod stop;
 
 use std::sync::Arc;
--- a/src/server/parts.rs
+++ b/src/server/parts.rs
@@ -1,7 +1,6 @@
 //! The parts of a running instance, and how they are joined.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use poem::http::{Method, StatusCode};
@@ -11,9 +10,10 @@
 };
 use tokio::time::MissedTickBehavior;
 use trefoil_core::drain::DrainState;
-use trefoil_core::engine::{Engine, EngineSettings, EngineStats};
+use trefoil_core::engine::{Engine, EngineSettings};
 use trefoil_core::verdict::Verdict;
 
+use super::report::Report;
 use super::stop::Hold;
 use super::{Context, ServerError};
 use crate::http::caller::{self, CallerContext};
@@ -26,7 +26,6 @@
 use crate::sources::instances;
 use crate::sources::platform::PlatformStore;
 use crate::sources::platform::etcd::EtcdJson;
-use crate::util::telemetry::counters::{Direction, Totals, WastedMessage};
 use crate::workers::WorkerClient;
 
 /// Period of looks at the planned stop and the gauges.
@@ -36,10 +35,11 @@
 
 /// Everything that serves requests.
 pub struct Parts {
+    pub(super) etcd: EtcdJson,
+    pub(super) runtime: Arc<Runtime>,
+    pub(super) peers: Arc<Peers>,
     store: Arc<dyn PlatformStore>,
     config: ConfigHandle,
-    runtime: Arc<Runtime>,
-    peers: Arc<Peers>,
     _ticker: TickerGuard,
 }
 
@@ -51,7 +51,8 @@
     /// The peer address cannot be listened on.
     pub fn start(context: &Arc<Context>) -> Result<Arc<Self>, ServerError> {
         let settings = &context.settings;
-        let store: Arc<dyn PlatformStore> = Arc::new(EtcdJson::new(settings));
+        let etcd = EtcdJson::new(settings);
+        let store: Arc<dyn PlatformStore> = Arc::new(etcd.clone());
         let config = ConfigSync::start(store.clone(), settings, context.log.clone());
         let engine = Engine::new(EngineSettings::from(settings));
         let workers = WorkerClient::new(&settings.workers);
@@ -69,10 +70,11 @@
         let peers = peers.map_err(|source| ServerError::Peers { source })?;
         let ticker = runtime.start_ticker();
         let parts = Arc::new(Self {
-            store,
-            config,
+            etcd,
             runtime,
             peers,
+            store,
+            config,
             _ticker: ticker,
         });
         tokio::spawn(follow_config(context.clone(), parts.clone()));
@@ -81,31 +83,6 @@
         Ok(parts)
     }
 
-    fn totals(&self, stats: &EngineStats) -> Totals {
-        let workers = self.runtime.workers().counters();
-        let links = self.peers.links().stats();
-        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
-        Totals {
-            jobs_complete: stats.jobs_complete,
-            jobs_failed: stats.jobs_failed + stats.jobs_cancelled,
-            task_starts: stats.tasks_started,
-            wasted: [
-                (WastedMessage::LateAnswer, stats.outcomes_dropped),
-                (WastedMessage::CrossedAnswer, read(&workers.crossed_answers)),
-                (WastedMessage::NotStarted, read(&workers.not_run)),
-                (WastedMessage::Resubmission, stats.jobs_replayed),
-            ],
-            peer_frames: [
-                (Direction::Sent, links.frames_out),
-                (Direction::Received, links.frames_in),
-            ],
-            peer_bytes: [
-                (Direction::Sent, links.bytes_out),
-                (Direction::Received, links.bytes_in),
-            ],
-        }
-    }
-
     /// Adds the callers' and the operators' routes below `/v1`.
     pub fn routes(&self, context: &Arc<Context>) -> impl Endpoint + use<> {
         let peers = self.peers.clone();
@@ -193,7 +170,7 @@
     let mut hold = Some(hold);
     let mut has_left = false;
     let mut has_refused = false;
-    let mut reported = parts.totals(&parts.runtime.engine().stats());
+    let mut report = Report::default();
     loop {
         ticks.tick().await;
         let state = context.stop.state();
@@ -204,11 +181,7 @@
             has_left = true;
         }
         let stats = parts.runtime.engine().stats();
-        let counters = context.telemetry.counters();
-        counters.set_tasks(stats.tasks_queued, stats.tasks_running);
-        let totals = parts.totals(&stats);
-        counters.advance(&reported, &totals);
-        reported = totals;
+        report.send(&parts, &stats, context.telemetry.counters());
         match state {
             DrainState::Serving | DrainState::Announcing { .. } => {}
             // Released one period later, when no admission is under way.
--- a/src/util/telemetry.rs
+++ b/src/util/telemetry.rs
@@ -5,6 +5,7 @@
 
 pub mod counters;
 mod otlp;
+pub mod totals;
 pub mod trace;
 
 use std::time::Duration;
--- a/src/util/telemetry/counters.rs
+++ b/src/util/telemetry/counters.rs
@@ -6,6 +6,8 @@
 use opentelemetry::{KeyValue, Value};
 use trefoil_core::engine::{JobState, TaskOutcome};
 
+use super::totals::{TOTAL_NAMES, Totals};
+
 /// Upper bounds of response time buckets, in milliseconds.
 const RESPONSE_BOUNDS_MS: [f64; 16] = [
     5.0, 10.0, 25.0, 50.0, 75.0, 100.0, 150.0, 250.0, 400.0, 600.0, 1_000.0, 1_500.0, 2_500.0,
@@ -31,10 +33,12 @@
     Misrouted,
     /// A peer's message that nobody waits for any more.
     StalePeerMessage,
+    /// A request sent to a key's owner once more.
+    Reasked,
 }
 
 impl WastedMessage {
-    fn name(self) -> &'static str {
+    pub(super) fn name(self) -> &'static str {
         match self {
             Self::LateAnswer => "late_answer",
             Self::CrossedAnswer => "crossed_answer",
@@ -42,6 +46,7 @@
             Self::Resubmission => "resubmission",
             Self::Misrouted => "misrouted",
             Self::StalePeerMessage => "stale_peer_message",
+            Self::Reasked => "reasked",
         }
     }
 }
@@ -91,17 +96,14 @@
     Txn,
     /// A watch.
     Watch,
-    /// A lease call.
-    Lease,
 }
 
 impl StoreCall {
-    fn name(self) -> &'static str {
+    pub(super) fn name(self) -> &'static str {
         match self {
             Self::Range => "range",
             Self::Txn => "txn",
             Self::Watch => "watch",
-            Self::Lease => "lease",
         }
     }
 }
@@ -116,7 +118,7 @@
 }
 
 impl Direction {
-    fn name(self) -> &'static str {
+    pub(super) fn name(self) -> &'static str {
         match self {
             Self::Sent => "sent",
             Self::Received => "received",
@@ -124,39 +126,40 @@
     }
 }
 
-/// What the parts of an instance have counted since its start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Totals {
-    /// Jobs that completed here.
-    pub jobs_complete: u64,
-    /// Jobs that failed or were cancelled here.
-    pub jobs_failed: u64,
-    /// Placements of tasks.
-    pub task_starts: u64,
-    /// Wasted messages, the same kinds in the same order in each reading.
-    pub wasted: [(WastedMessage, u64); 4],
-    /// Frames to and from peers.
-    pub peer_frames: [(Direction, u64); 2],
-    /// Bytes of those frames.
-    pub peer_bytes: [(Direction, u64); 2],
+/// Gauges of an instance, as read at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Levels {
+    /// Keys remembered, running and final.
+    pub keys: u64,
+    /// Jobs admitted and not final.
+    pub jobs_running: u64,
+    /// Tasks that wait for a slot.
+    pub tasks_queued: u64,
+    /// Tasks at backend servers.
+    pub tasks_running: u64,
+    /// Bytes of results kept for resubmissions.
+    pub results_bytes: u64,
+    /// Slots of backend servers that this instance may use.
+    pub slots_owned: u64,
+    /// Backend servers ejected here, or on trial.
+    pub workers_ejected: u64,
+    /// Version of the newest view of the own failure domain.
+    pub view_version: u64,
+    /// How far the issue times that may be admitted reach into the future, in
+    /// milliseconds; negative once admission has ended.
+    pub admission_lead_ms: i64,
 }
 
 /// The instruments; clones share them.
 #[derive(Clone, Debug)]
 pub struct Counters {
     jobs_submitted: Counter<u64>,
-    jobs_complete: Counter<u64>,
-    jobs_failed: Counter<u64>,
     refusals: Counter<u64>,
-    task_starts: Counter<u64>,
     task_outcomes: Counter<u64>,
-    wasted_messages: Counter<u64>,
-    peer_frames: Counter<u64>,
-    peer_bytes: Counter<u64>,
-    store_calls: Counter<u64>,
+    totals: [Counter<u64>; TOTAL_NAMES.len()],
     config_revision: Gauge<u64>,
-    tasks_queued: Gauge<u64>,
-    tasks_running: Gauge<u64>,
+    levels: [Gauge<i64>; LEVEL_NAMES.len()],
+    instances: Gauge<u64>,
     response_time_ms: Histogram<f64>,
     admission_overhead_us: Histogram<f64>,
 }
@@ -168,24 +171,15 @@
         let gauge = |name, text| meter.u64_gauge(name).with_description(text).build();
         Self {
             jobs_submitted: counter("trefoil_jobs_submitted", "Submissions that arrived."),
-            jobs_complete: counter("trefoil_jobs_complete", "Jobs answered whole."),
-            jobs_failed: counter("trefoil_jobs_failed", "Jobs final without a whole answer."),
             refusals: counter("trefoil_refusals", "Submissions refused, by reason."),
-            task_starts: counter("trefoil_task_starts", "Tasks sent to a backend server."),
             task_outcomes: counter("trefoil_task_outcomes", "Ends of placements, by outcome."),
-            wasted_messages: counter(
-                "trefoil_wasted_messages",
-                "Messages that brought no caller nearer to an answer, by kind.",
-            ),
-            peer_frames: counter("trefoil_peer_frames", "Frames between instances."),
-            peer_bytes: counter("trefoil_peer_bytes", "Bytes between instances."),
-            store_calls: counter(
-                "trefoil_store_calls",
-                "Calls to the platform's store, by kind.",
-            ),
+            totals: TOTAL_NAMES.map(|total| counter(total.name, total.text)),
             config_revision: gauge("trefoil_config_revision", "Store revision in force."),
-            tasks_queued: gauge("trefoil_tasks_queued", "Tasks that wait for a slot."),
-            tasks_running: gauge("trefoil_tasks_running", "Tasks at backend servers."),
+            levels: LEVEL_NAMES.map(|(name, text)| {
+                let gauge = meter.i64_gauge(name).with_description(text);
+                gauge.build()
+            }),
+            instances: gauge("trefoil_instances", "Instances known, by state."),
             response_time_ms: meter
                 .f64_histogram("trefoil_response_time_ms")
                 .with_description("Milliseconds from submission to answer, by final state.")
@@ -212,30 +206,9 @@
 
     /// Adds what the parts counted between two readings.
     pub fn advance(&self, from: &Totals, to: &Totals) {
-        let add = |counter: &Counter<u64>, from: u64, to: u64, labels: &[KeyValue]| {
-            if to > from {
-                counter.add(to - from, labels);
-            }
-        };
-        add(
-            &self.jobs_complete,
-            from.jobs_complete,
-            to.jobs_complete,
-            &[],
-        );
-        add(&self.jobs_failed, from.jobs_failed, to.jobs_failed, &[]);
-        add(&self.task_starts, from.task_starts, to.task_starts, &[]);
-        for (&(kind, from), (_, to)) in from.wasted.iter().zip(to.wasted) {
-            let labels = [label("kind", kind.name())];
-            add(&self.wasted_messages, from, to, &labels);
-        }
-        for (&(way, from), (_, to)) in from.peer_frames.iter().zip(to.peer_frames) {
-            let labels = [label("direction", way.name())];
-            add(&self.peer_frames, from, to, &labels);
-        }
-        for (&(way, from), (_, to)) in from.peer_bytes.iter().zip(to.peer_bytes) {
-            let labels = [label("direction", way.name())];
-            add(&self.peer_bytes, from, to, &labels);
+        for (total, growth) in to.since(from) {
+            let labels = total.label().map(|(name, value)| label(name, value));
+            self.totals[total.position()].add(growth, labels.as_slice());
         }
     }
 
@@ -255,25 +228,54 @@
             .add(1, &[label("outcome", outcome.name())]);
     }
 
-    /// A message was wasted.
-    pub fn wasted(&self, kind: WastedMessage) {
-        self.wasted_messages.add(1, &[label("kind", kind.name())]);
+    /// The revision in force changed.
+    pub fn set_config_revision(&self, revision: u64) {
+        self.config_revision.record(revision, &[]);
     }
 
-    /// The platform's store was called.
-    pub fn store_called(&self, kind: StoreCall) {
-        self.store_calls.add(1, &[label("kind", kind.name())]);
+    /// Sets the gauges.
+    pub fn set_levels(&self, levels: &Levels) {
+        for (gauge, value) in self.levels.iter().zip(levels.values()) {
+            gauge.record(value, &[]);
+        }
     }
 
-    /// The revision in force changed.
-    pub fn set_config_revision(&self, revision: u64) {
-        self.config_revision.record(revision, &[]);
+    /// Instances known in one state, this one among them.
+    pub fn set_instances(&self, state: &'static str, count: u64) {
+        self.instances.record(count, &[label("state", state)]);
     }
+}
+
+/// Gauges in the order of [`Levels::values`].
+const LEVEL_NAMES: [(&str, &str); 9] = [
+    ("trefoil_keys", "Keys remembered, running and final."),
+    ("trefoil_jobs_running", "Jobs admitted and not final."),
+    ("trefoil_tasks_queued", "Tasks that wait for a slot."),
+    ("trefoil_tasks_running", "Tasks at backend servers."),
+    ("trefoil_results_bytes", "Bytes of results kept."),
+    ("trefoil_slots_owned", "Slots that this instance may use."),
+    ("trefoil_workers_ejected", "Backend servers ejected here."),
+    ("trefoil_view_version", "Version of the newest view."),
+    (
+        "trefoil_admission_lead_ms",
+        "Milliseconds that admission reaches ahead of now.",
+    ),
+];
 
-    /// Tasks that wait and tasks at backend servers.
-    pub fn set_tasks(&self, queued: u64, running: u64) {
-        self.tasks_queued.record(queued, &[]);
-        self.tasks_running.record(running, &[]);
+impl Levels {
+    fn values(&self) -> [i64; LEVEL_NAMES.len()] {
+        let whole = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        [
+            whole(self.keys),
+            whole(self.jobs_running),
+            whole(self.tasks_queued),
+            whole(self.tasks_running),
+            whole(self.results_bytes),
+            whole(self.slots_owned),
+            whole(self.workers_ejected),
+            whole(self.view_version),
+            self.admission_lead_ms,
+        ]
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod ctl_rollout;
 mod daemon;
 mod links;
+mod metrics;
 mod operator;
 mod operator_feed;
 mod operator_sources;
--- /dev/null
+++ b/tests/testsuite/metrics.rs
@@ -0,0 +1,235 @@
+//! The metrics page of running instances, and the operators' page about it.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use expect_test::expect;
+use poem::listener::{Acceptor, Listener, TcpListener};
+use poem::{Request, endpoint};
+use serde_json::{Value, json};
+use slog::{Discard, Logger, o};
+use tokio::task::JoinHandle;
+use trefoil_fakes::client::Client;
+use trefoil_schema::peer::message::Body;
+use trefoil_schema::peer::{ForwardJob, InstanceRef, JobAnswer, TaskSpec};
+use trefoilbay::links::{LinkSettings, Links};
+use trefoilbay::util::telemetry::Telemetry;
+
+use crate::support::pair::Pair;
+
+const OPERATING: &str = include_str!("../../docs/OPERATING.md");
+/// Past the second after which an entry asks a key's owner again.
+const SLOW_MS: u64 = 1_300;
+const STEP: Duration = Duration::from_millis(20);
+const STEPS_MAX: u32 = 250;
+
+/// A worker that takes the milliseconds that a payload names.
+struct Worker {
+    address: SocketAddr,
+    server: JoinHandle<std::io::Result<()>>,
+}
+
+impl Worker {
+    async fn start() -> Self {
+        let acceptor = TcpListener::bind("127.0.0.1:0").into_acceptor().await;
+        let acceptor = acceptor.unwrap();
+        let address = *acceptor.local_addr()[0].as_socket_addr().unwrap();
+        let server = poem::Server::new_with_acceptor(acceptor).run(endpoint::make(run));
+        Self {
+            address,
+            server: tokio::spawn(server),
+        }
+    }
+}
+
+impl Drop for Worker {
+    fn drop(&mut self) {
+        self.server.abort();
+    }
+}
+
+async fn run(mut request: Request) -> poem::Result<&'static str> {
+    let payload: Value = request.take_body().into_json().await?;
+    let run_ms = payload["run_ms"].as_u64().unwrap_or(0);
+    tokio::time::sleep(Duration::from_millis(run_ms)).await;
+    Ok("1")
+}
+
+async fn pair(worker: &Worker) -> Pair {
+    Pair::start(worker.address, |settings| {
+        Telemetry::start(settings).unwrap()
+    })
+    .await
+}
+
+/// Value of the series `name` with `label` on a page.
+fn value(page: &str, name: &str, label: &str) -> Option<f64> {
+    let start = format!("{name}{{");
+    let mut lines = page.lines();
+    let line = lines.find(|line| line.starts_with(&start) && line.contains(label))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
+
+/// Sum of a series over both pages.
+fn sum(pages: &[String; 2], name: &str, label: &str) -> f64 {
+    let values = pages.iter().filter_map(|page| value(page, name, label));
+    values.sum()
+}
+
+/// Both pages, once they are as wished.
+async fn pages_when(pair: &Pair, fits: impl Fn(&[String; 2]) -> bool) -> [String; 2] {
+    for _ in 0..STEPS_MAX {
+        let pages = [pair.page(0).await, pair.page(1).await];
+        if fits(&pages) {
+            return pages;
+        }
+        tokio::time::sleep(STEP).await;
+    }
+    panic!("the pages never showed what was expected");
+}
+
+/// Names and kinds of all metrics on a page, without their values.
+fn kinds(page: &str) -> String {
+    let lines = page.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    let ours: BTreeSet<_> = lines.filter(|line| line.starts_with("trefoil_")).collect();
+    ours.into_iter().map(|line| format!("{line}\n")).collect()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn page_of_an_instance_that_took_a_job() {
+    let worker = Worker::start().await;
+    let pair = pair(&worker).await;
+    let client = Client::default();
+    let refused = client.post(pair.entries[0], "/v1/jobs", "{}");
+    assert_eq!(refused.await.unwrap().status.as_u16(), 400, "without a key");
+    let key = pair.key().await;
+    for entry in pair.entries {
+        pair.submit(entry, &key, "").await;
+    }
+    let resubmitted = |pages: &[String; 2]| {
+        let resubmission = sum(pages, "trefoil_wasted_messages_total", "resubmission");
+        let serving = sum(pages, "trefoil_instances", "state=\"serving\"");
+        resubmission >= 1.0 && serving == 4.0
+    };
+    let pages = pages_when(&pair, resubmitted).await;
+    for page in &pages {
+        for (name, label, least) in [
+            ("trefoil_store_calls_total", "range", 1.0),
+            ("trefoil_store_calls_total", "watch", 1.0),
+            ("trefoil_peer_messages_total", "sent", 1.0),
+            ("trefoil_peer_messages_total", "received", 1.0),
+            ("trefoil_peer_connections_total", "opened", 1.0),
+            ("trefoil_view_version", "", 1.0),
+            ("trefoil_slots_owned", "", 1.0),
+            ("trefoil_admission_lead_ms", "", 1.0),
+        ] {
+            let found = value(page, name, label);
+            assert!(found >= Some(least), "{name} {label}: {found:?}\n{page}");
+        }
+    }
+    for (name, label) in [
+        ("trefoil_store_calls_total", "txn"),
+        ("trefoil_jobs_ended_total", "complete"),
+        ("trefoil_keys", ""),
+        ("trefoil_results_bytes", ""),
+        ("trefoil_admission_overhead_us_count", ""),
+    ] {
+        assert!(sum(&pages, name, label) >= 1.0, "{name} {label}");
+    }
+    let kinds = kinds(&pages.concat());
+    for name in kinds.lines().filter_map(|line| line.split(' ').next()) {
+        assert!(OPERATING.contains(&format!("`{name}`")), "{name}");
+    }
+    expect![[r#"
+        trefoil_admission_lead_ms gauge
+        trefoil_admission_overhead_us histogram
+        trefoil_config_revision gauge
+        trefoil_instances gauge
+        trefoil_jobs_ended_total counter
+        trefoil_jobs_running gauge
+        trefoil_jobs_submitted_total counter
+        trefoil_keys gauge
+        trefoil_peer_bytes_total counter
+        trefoil_peer_connections_total counter
+        trefoil_peer_dropped_total counter
+        trefoil_peer_frames_total counter
+        trefoil_peer_gaps_total counter
+        trefoil_peer_messages_total counter
+        trefoil_refusals_total counter
+        trefoil_response_time_ms histogram
+        trefoil_results_bytes gauge
+        trefoil_slots_owned gauge
+        trefoil_store_calls_total counter
+        trefoil_store_failures_total counter
+        trefoil_task_outcomes_total counter
+        trefoil_task_retries_total counter
+        trefoil_task_starts_total counter
+        trefoil_tasks_queued gauge
+        trefoil_tasks_running gauge
+        trefoil_view_version gauge
+        trefoil_wasted_messages_total counter
+        trefoil_workers_ejected gauge
+    "#]]
+    .assert_eq(&kinds);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn messages_between_instances_that_bring_nothing_are_counted() {
+    let worker = Worker::start().await;
+    let pair = pair(&worker).await;
+    let me = InstanceRef {
+        name: "stranger".to_owned(),
+        incarnation: 1,
+    };
+    let settings = LinkSettings {
+        me,
+        ..LinkSettings::default()
+    };
+    let log = Logger::root(Discard, o!());
+    let (links, _incoming) = Links::start(settings, log).unwrap();
+    let key = pair.key().await;
+    let job = ForwardJob {
+        request_id: 1,
+        key: key.clone(),
+        service: "pay".to_owned(),
+        team: "default".to_owned(),
+        timeout_ms: 5_000,
+        tasks: vec![TaskSpec::default()],
+        wait: true,
+        ..ForwardJob::default()
+    };
+    let unasked = JobAnswer {
+        request_id: u64::MAX,
+        key,
+        ..JobAnswer::default()
+    };
+    for (index, address) in pair.peers.into_iter().enumerate() {
+        let name = format!("entry-{}", index + 1);
+        links.set_peer(&name, address);
+        links.send(&name, Body::ForwardJob(job.clone())).unwrap();
+        links.send(&name, Body::JobAnswer(unasked.clone())).unwrap();
+    }
+    let wasted = |page: &str, kind| value(page, "trefoil_wasted_messages_total", kind);
+    let mut misrouted = 0.0;
+    for entry in pair.entries {
+        let stale = |page: &str| wasted(page, "stale_peer_message") >= Some(1.0);
+        let page = pair.until(entry, "/metrics", stale).await;
+        misrouted += wasted(&page, "misrouted").unwrap();
+    }
+    assert_eq!(misrouted, 1.0, "the key has one owner of the two");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_forwarded_job_of_over_a_second_is_asked_for_again() {
+    let worker = Worker::start().await;
+    let pair = pair(&worker).await;
+    let key = pair.key().await;
+    let slow = |entry| pair.submit_payload(entry, &key, json!({"run_ms": SLOW_MS}));
+    tokio::join!(slow(pair.entries[0]), slow(pair.entries[1]));
+    let name = "trefoil_wasted_messages_total";
+    let pages = pages_when(&pair, |pages| sum(pages, name, "reasked") >= 1.0).await;
+    let mut reasked = pages.map(|page| value(&page, name, "reasked").unwrap());
+    reasked.sort_by(f64::total_cmp);
+    assert_eq!(reasked, [0.0, 1.0]);
+}
--- a/tests/testsuite/support/pair.rs
+++ b/tests/testsuite/support/pair.rs
@@ -20,10 +20,13 @@
 const STEP: Duration = Duration::from_millis(20);
 const STEPS_MAX: u32 = 500;
 const NAMES: [&str; 2] = ["entry-1", "entry-2"];
+/// Start of the line of completed jobs on the metrics page.
+const COMPLETE: &str = "trefoil_jobs_ended_total{end=\"complete\"";
 
 /// Two instances; dropping it ends both.
 pub struct Pair {
     pub entries: [SocketAddr; 2],
+    pub peers: [SocketAddr; 2],
     client: Client,
     servers: Vec<JoinHandle<()>>,
     _platform: PlatformHandle,
@@ -55,6 +58,7 @@
         let servers = vec![server(0), server(1)];
         let pair = Self {
             entries,
+            peers,
             client: Client::default(),
             servers,
             _platform: platform,
@@ -128,16 +132,37 @@
         body["keys"][0].as_str().unwrap().to_owned()
     }
 
-    /// Submits a job of one task under `key` and gives its whole answer.
+    /// Submits a job of one task of `payload` and gives its whole answer.
+    pub async fn submit_payload(&self, entry: SocketAddr, key: &str, payload: Value) -> Value {
+        self.submitted(entry, key, "", payload).await
+    }
+
+    /// Submits a job of one task within a trace and gives its whole answer.
     pub async fn submit(&self, entry: SocketAddr, key: &str, traceparent: &str) -> Value {
-        let reply = self.try_submit(entry, key, traceparent).await;
+        self.submitted(entry, key, traceparent, json!({})).await
+    }
+
+    async fn submitted(
+        &self,
+        entry: SocketAddr,
+        key: &str,
+        traceparent: &str,
+        payload: Value,
+    ) -> Value {
+        let reply = self.try_submit(entry, key, traceparent, payload).await;
         let text = String::from_utf8_lossy(&reply.body);
         assert_eq!(reply.status, StatusCode::OK, "{text}");
         serde_json::from_str(&text).unwrap()
     }
 
-    async fn try_submit(&self, entry: SocketAddr, key: &str, traceparent: &str) -> Reply {
-        let body = json!({"service": "pay", "tasks": [{"payload": {}}]}).to_string();
+    async fn try_submit(
+        &self,
+        entry: SocketAddr,
+        key: &str,
+        traceparent: &str,
+        payload: Value,
+    ) -> Reply {
+        let body = json!({"service": "pay", "tasks": [{"payload": payload}]}).to_string();
         let mut submission = request(Method::POST, entry, "/v1/jobs", body);
         for (name, value) in [("idempotency-key", key), ("traceparent", traceparent)] {
             let name = HeaderName::from_static(name);
@@ -147,21 +172,29 @@
         self.client.send(submission).await.unwrap()
     }
 
-    /// Waits until a fresh key has an owner that both name.
+    /// Submits jobs until each of the two has run one: then the view that has
+    /// both is in force, and every later key has a settled owner.
     async fn until_settled(&self) {
         for _ in 0..STEPS_MAX {
             let key = self.key().await;
-            let mut statuses = Vec::new();
-            for entry in self.entries {
-                statuses.push(self.try_submit(entry, &key, "").await.status);
-            }
-            if statuses == [StatusCode::OK; 2] {
+            self.try_submit(self.entries[0], &key, "", json!({})).await;
+            let pages = [self.page(0).await, self.page(1).await];
+            let has_run = |page: &String| {
+                let mut lines = page.lines();
+                lines.any(|line| line.starts_with(COMPLETE) && !line.ends_with(" 0"))
+            };
+            if pages.iter().all(has_run) {
                 return;
             }
             sleep(STEP).await;
         }
         panic!("keys never had a settled owner");
     }
+
+    /// The metrics page of an instance.
+    pub async fn page(&self, index: usize) -> String {
+        self.until(self.entries[index], "/metrics", |_| true).await
+    }
 }
 
 fn settings_of(
--- a/tests/testsuite/telemetry.rs
+++ b/tests/testsuite/telemetry.rs
@@ -8,10 +8,12 @@
 use opentelemetry_sdk::trace::{Sampler, SdkTracerProvider, SpanData, SpanExporter};
 use poem::listener::{Acceptor, Listener, TcpListener};
 use poem::{Endpoint, Request, Response, endpoint};
-use trefoil_core::engine::{JobState, RefusalReason};
+use trefoil_core::engine::{EngineStats, JobState, RefusalReason};
+use trefoilbay::links::{self, LinkStats};
 use trefoilbay::util::settings;
 use trefoilbay::util::telemetry::Telemetry;
-use trefoilbay::util::telemetry::counters::{Direction, Outcome, StoreCall, Totals, WastedMessage};
+use trefoilbay::util::telemetry::counters::{Levels, Outcome, StoreCall, WastedMessage};
+use trefoilbay::util::telemetry::totals::{Total, Totals};
 use trefoilbay::util::telemetry::trace::{Hop, TraceParent, Traces};
 
 pub(crate) const SAMPLED: &str = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01";
@@ -54,19 +56,40 @@
 }
 
 fn totals(count: u64) -> Totals {
-    Totals {
+    let mut totals = Totals::default();
+    totals.push_engine(&EngineStats {
         jobs_complete: count,
-        jobs_failed: count,
-        task_starts: count,
-        wasted: [
-            (WastedMessage::LateAnswer, count - 1),
-            (WastedMessage::CrossedAnswer, 0),
-            (WastedMessage::NotStarted, 5 * count),
-            (WastedMessage::Resubmission, 3),
-        ],
-        peer_frames: [(Direction::Sent, count), (Direction::Received, 0)],
-        peer_bytes: [(Direction::Sent, 300 * count), (Direction::Received, 0)],
+        jobs_failed: 3 * count,
+        jobs_past_deadline: count,
+        jobs_cancelled: 3,
+        tasks_started: count,
+        tasks_retried: 4 * count,
+        outcomes_dropped: 2 * count,
+        jobs_replayed: 3,
+        ..EngineStats::default()
+    });
+    totals.push_links(&LinkStats {
+        frames_out: count,
+        bytes_out: 300 * count,
+        messages_in: 7 * count,
+        gaps: 6 * count,
+        connects: 8 * count,
+        dropped: links::Dropped {
+            queue_full: 9 * count,
+            ..links::Dropped::default()
+        },
+        ..LinkStats::default()
+    });
+    for (total, count) in [
+        (Total::Wasted(WastedMessage::CrossedAnswer), count),
+        (Total::Wasted(WastedMessage::NotStarted), 5 * count),
+        (Total::Wasted(WastedMessage::Misrouted), 0),
+        (Total::StoreCalls(StoreCall::Watch), count),
+        (Total::StoreFailures, 2 * count),
+    ] {
+        totals.push(total, count);
     }
+    totals
 }
 
 #[test]
@@ -80,18 +103,25 @@
     counters.refused(RefusalReason::UnknownTeam);
     counters.admitted(12.0);
     counters.task_ended(Outcome::MayHaveRun);
-    counters.wasted(WastedMessage::CrossedAnswer);
-    counters.wasted(WastedMessage::LateAnswer);
-    counters.store_called(StoreCall::Watch);
     counters.set_config_revision(9);
-    counters.set_tasks(5, 3);
+    counters.set_levels(&Levels {
+        tasks_queued: 5,
+        tasks_running: 3,
+        workers_ejected: 2,
+        view_version: 11,
+        admission_lead_ms: -40,
+        ..Levels::default()
+    });
+    counters.set_instances("silent", 4);
     let page = telemetry.page().unwrap();
     for (name, label, value) in [
         ("trefoil_jobs_submitted_total", "", "2"),
-        ("trefoil_jobs_complete_total", "", "1"),
-        ("trefoil_jobs_failed_total", "", "1"),
+        ("trefoil_jobs_ended_total", "end=\"complete\"", "1"),
+        ("trefoil_jobs_ended_total", "end=\"failed\"", "2"),
+        ("trefoil_jobs_ended_total", "end=\"deadline\"", "1"),
         ("trefoil_refusals_total", "reason=\"unknown_team\"", "1"),
         ("trefoil_task_starts_total", "", "1"),
+        ("trefoil_task_retries_total", "", "4"),
         (
             "trefoil_task_outcomes_total",
             "outcome=\"may_have_run\"",
@@ -106,10 +136,19 @@
         ),
         ("trefoil_peer_frames_total", "direction=\"sent\"", "1"),
         ("trefoil_peer_bytes_total", "direction=\"sent\"", "300"),
+        ("trefoil_peer_messages_total", "direction=\"received\"", "7"),
+        ("trefoil_peer_gaps_total", "", "6"),
+        ("trefoil_peer_connections_total", "event=\"opened\"", "8"),
+        ("trefoil_peer_dropped_total", "reason=\"queue_full\"", "9"),
         ("trefoil_store_calls_total", "kind=\"watch\"", "1"),
+        ("trefoil_store_failures_total", "", "2"),
         ("trefoil_config_revision", "", "9"),
         ("trefoil_tasks_queued", "", "5"),
         ("trefoil_tasks_running", "", "3"),
+        ("trefoil_workers_ejected", "", "2"),
+        ("trefoil_view_version", "", "11"),
+        ("trefoil_admission_lead_ms", "", "-40"),
+        ("trefoil_instances", "state=\"silent\"", "4"),
         ("trefoil_response_time_ms_count", "state=\"complete\"", "1"),
         ("trefoil_admission_overhead_us_sum", "", "12"),
     ] {
@@ -121,7 +160,7 @@
         assert!(page.lines().any(fits), "{name} {label} {value}\n{page}");
     }
     assert!(
-        !page.contains("resubmission"),
+        !page.contains("resubmission") && !page.contains("cancelled"),
         "unchanged totals add nothing"
     );
 }
