--- a/crates/core/tests/engine_load.rs
+++ b/crates/core/tests/engine_load.rs
@@ -107,3 +107,19 @@
     assert_eq!(one.slowdowns, two.slowdowns);
     assert_eq!(one.starts_by_worker, two.starts_by_worker);
 }
+
+#[test]
+fn declared_run_times_wrong_by_ten_change_nothing_once_learned() {
+    let declared = |declared_run_ms| Load {
+        declared_run_ms,
+        timeout_ms: 10_000,
+        ..load()
+    };
+    let right = run(&declared(334));
+    for declared_run_ms in [33, 3340] {
+        let wrong = run(&declared(declared_run_ms));
+        assert_eq!(wrong.late, right.late);
+        assert!(wrong.refused.abs_diff(right.refused) <= 2);
+        assert!((wrong.mean() - right.mean()).abs() < 0.02);
+    }
+}
--- a/crates/core/tests/engine_support/virtual_load.rs
+++ b/crates/core/tests/engine_support/virtual_load.rs
@@ -37,6 +37,8 @@
     pub arrivals_ms: u64,
     pub warm_up_ms: u64,
     pub timeout_ms: u64,
+    /// Run time that the service's declaration claims.
+    pub declared_run_ms: u64,
     /// Workers that take five times as long.
     pub slow_workers: usize,
     /// Workers that fail whatever they start.
@@ -58,6 +60,7 @@
             arrivals_ms: 60_000,
             warm_up_ms: 5_000,
             timeout_ms: 30_000,
+            declared_run_ms: 200,
             slow_workers: 0,
             failing_workers: 0,
             failing_refuse: false,
@@ -183,6 +186,9 @@
             .map(|number| format!("i{number}"))
             .collect();
         let mut config = config(load.workers, load.slots);
+        for service in config.services.values_mut() {
+            service.spec.declared_run_ms = load.declared_run_ms;
+        }
         for team in 0..load.teams {
             let name = format!("team-{team}");
             config
