--- a/crates/core/tests/engine_policy.rs
+++ b/crates/core/tests/engine_policy.rs
@@ -71,6 +71,28 @@
     assert_eq!(bench.answers.len(), 3);
 }
 
+#[test]
+fn a_job_set_aside_goes_on_when_the_one_before_it_is_cancelled() {
+    let mut bench = Bench::new(without_admission(), 2, 1);
+    let mut bounded = config(2, 1);
+    bounded.teams.get_mut("red").unwrap().spec.slots_max = 1;
+    bench.declare(&bounded);
+    for name in ["first", "second", "third"] {
+        bench.submit(submission(&key(0, name), 1, 60_000), true);
+    }
+    let urgent = Submission {
+        team: "blue".into(),
+        ..submission(&key(0, "urgent"), 2, 3000)
+    };
+    bench.submit(urgent, true);
+    let first = bench.starts.pop_front().unwrap();
+    bench.finish(first.task, TaskOutcome::Done(Bytes::new()));
+    bench.cancel(&key(0, "second"));
+    assert_eq!(bench.finish_all(), 3);
+    // The cancelled job answers its submitter and whoever cancelled it.
+    assert_eq!(bench.answers.len(), 5);
+}
+
 #[test]
 fn a_team_beyond_its_queue_is_refused_alone() {
     let mut bench = Bench::new(without_admission(), 1, 1);
