--- a/crates/core/src/engine/command.rs
+++ b/crates/core/src/engine/command.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use derive_more::Display;
+use derive_more::{Display, FromStr};
 
 use super::event::{TaskId, WaiterId, WorkerId};
 use crate::key::JobKey;
@@ -98,9 +98,24 @@
     pub retry_after_ms: u64,
 }
 
+impl Refusal {
+    /// What this request alone may have started, whatever earlier requests
+    /// under the same key did.
+    ///
+    /// A caller all of whose requests under a key say `not_run` here can
+    /// safely submit the work under a new key.
+    pub fn request_verdict(&self) -> Verdict {
+        match self.reason {
+            RefusalReason::AnswerLost => Verdict::MayHaveRun,
+            _ => Verdict::NotRun,
+        }
+    }
+}
+
 /// Why a submission is refused.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, Display, FromStr, PartialEq, Eq, Hash)]
 #[display(rename_all = "snake_case")]
+#[from_str(rename_all = "snake_case")]
 pub enum RefusalReason {
     /// The body or the key is malformed.
     Malformed,
@@ -120,8 +135,10 @@
     KeyAhead,
     /// The instance that owned the key is lost, and its memory with it.
     OwnerLost,
-    /// The instance that owns the key cannot be reached now.
+    /// The instance that owns the key cannot be reached now; nothing was sent.
     OwnerUnreachable,
+    /// The request was handed to the key's owner, whose answer did not come.
+    AnswerLost,
     /// This instance may not admit keys of this time yet.
     NotVouched,
     /// This instance is leaving.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,3 +1,17 @@
 //! End-to-end tests by feature, each a small project of real processes.
 
+mod caller;
+mod caller_overhead;
+mod ctl;
+mod ctl_operator;
+mod ctl_rollout;
+mod daemon;
+mod links;
+mod operator;
+mod operator_feed;
+mod operator_sources;
+mod settings;
 mod support;
+mod telemetry;
+mod telemetry_hops;
+mod workers;
