core: membership's limits from the settings, views as JSON

Cause: the shell has to make the limits from the settings file and to keep the record of views as JSON in the store.

Change: MembershipParams::new(settings, jobs); Member, View and ViewLog derive serde; a log read from the store is checked before it is taken up, as before. The test support's faults have a file of their own.

--- a/crates/core/src/membership/types.rs
+++ b/crates/core/src/membership/types.rs
@@ -1,6 +1,7 @@
 //! What goes into the membership decisions and what comes out.
 
 use trefoil_schema::peer;
+use trefoil_schema::settings::{JobSettings, MembershipSettings};
 
 use crate::view::{Member, ViewLog};
 
@@ -60,6 +61,22 @@
     }
 }
 
+impl MembershipParams {
+    /// Time limits as set; the window of keys is a setting of jobs.
+    pub fn new(settings: &MembershipSettings, jobs: &JobSettings) -> Self {
+        Self {
+            heartbeat_ms: settings.heartbeat_ms,
+            gossip_fanout: settings.gossip_fanout as usize,
+            suspect_ms: settings.suspect_ms,
+            vouch_ahead_ms: settings.vouch_ahead_ms,
+            view_change_margin_ms: settings.view_change_margin_ms,
+            gone_clock_bound_ms: settings.gone_clock_bound_ms,
+            key_window_ms: jobs.key_window_ms,
+            ..Self::default()
+        }
+    }
+}
+
 /// Rules that tests break on purpose.
 #[doc(hidden)]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -15,12 +15,13 @@
 //! issued at `from_ms` or later.
 
 use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
 use trefoil_schema::peer;
 
 use crate::key::{JobKey, rendezvous};
 
 /// An instance and the number of its start.
-#[derive(Clone, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[display("{name}#{incarnation}")]
 pub struct Member {
     /// Configured name of the instance.
@@ -30,7 +31,7 @@
 }
 
 /// The members that own keys from one key time on.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct View {
     /// Position in the failure domain's history, from 1.
     pub version: u64,
@@ -41,7 +42,7 @@
 }
 
 /// The views of a failure domain, oldest first.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ViewLog {
     views: Vec<View>,
 }
--- a/crates/core/tests/history_support/mod.rs
+++ b/crates/core/tests/history_support/mod.rs
@@ -1,6 +1,7 @@
 //! A failure domain in virtual time: instances, a network, a store, a platform
 //! list, and faults in all of them. It records which instance starts each key.
 
+mod faults;
 pub mod store;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -166,44 +167,6 @@
         older.unwrap_or(&self.lists[0]).1.clone()
     }
 
-    /// Ends a process.
-    pub fn kill(&mut self, index: usize) {
-        self.nodes[index].alive = false;
-        self.waiting.remove(&index);
-        self.note_list();
-    }
-
-    /// Starts a process anew; ends the former one first.
-    pub fn restart(&mut self, index: usize) {
-        self.kill(index);
-        let mut member = self.nodes[index].member.clone();
-        member.incarnation += 1;
-        let node = Node {
-            membership: self.membership(&member),
-            alive: true,
-            frozen_until_ms: 0,
-            clock_offset_ms: self.nodes[index].clock_offset_ms,
-            seen: BTreeSet::new(),
-            introduced: false,
-            member: member.clone(),
-        };
-        self.nodes[index] = node;
-        self.note_list();
-        self.after(0, Happening::Tick(index, member.incarnation));
-    }
-
-    /// Stops a process for a time; what reaches it waits.
-    pub fn freeze(&mut self, index: usize, for_ms: u64) {
-        let until_ms = self.now_ms + for_ms;
-        self.nodes[index].frozen_until_ms = until_ms;
-        self.after(for_ms, Happening::Thaw(index));
-    }
-
-    /// Tells an instance to leave.
-    pub fn leave(&mut self, index: usize) {
-        self.deliver(index, Event::Leave);
-    }
-
     /// Wall clock of an instance.
     pub fn wall_ms(&self, index: usize) -> u64 {
         (EPOCH_MS + self.now_ms).saturating_add_signed(self.nodes[index].clock_offset_ms)
