peers: a leaving instance keeps its slots until it has finished

Cause: membership takes a leaving instance out of the domain's list at once, and the shell passed that list to the engine, which then had no slots left for what it had admitted: 31 jobs of 274 were refused with no_workers in a drain under load, and jobs in flight could have starved until their deadline. Ruled out: the announce phase (keys moved to the new view in time). Also: 13 jobs ended with owner_lost, because the load tool minted all keys before the run; a key is now minted right before its job, and an instance mints only keys whose owner serves.

--- a/crates/fakes/src/load.rs
+++ b/crates/fakes/src/load.rs
@@ -11,7 +11,6 @@
 mod waste;
 
 use std::{
-    collections::VecDeque,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -180,7 +179,6 @@
     options: LoadOptions,
     client: Client,
     dispatchers: Vec<Dispatcher>,
-    keys: Mutex<VecDeque<String>>,
     stats: Mutex<Stats>,
     history: Mutex<Vec<HistoryEntry>>,
 }
@@ -194,7 +192,6 @@
             options: options.clone(),
             client: Client::default(),
             dispatchers,
-            keys: Mutex::default(),
             stats: Mutex::default(),
             history: Mutex::default(),
         }
@@ -204,10 +201,6 @@
         lock(&self.stats)
     }
 
-    fn take_key(&self) -> Option<String> {
-        lock(&self.keys).pop_front()
-    }
-
     fn entry(&self, number: usize) -> SocketAddr {
         self.options.entries[number % self.options.entries.len()]
     }
@@ -234,10 +227,6 @@
 pub async fn run(options: &LoadOptions) -> (LoadReport, Vec<HistoryEntry>) {
     let run = Arc::new(Run::new(options));
     let plan: Vec<_> = Plan::new(options).collect();
-    if options.key_kind == KeyKind::Minted {
-        let keys = entries::mint(&run, plan.len()).await;
-        lock(&run.keys).extend(keys);
-    }
     let before = run.reading().await;
     let mut jobs = send_all(&run, plan).await;
     let drained = timeout(options.drain(), async {
--- a/crates/fakes/src/load/entries.rs
+++ b/crates/fakes/src/load/entries.rs
@@ -30,8 +30,8 @@
 const ASK_AGAIN_MS: u64 = 20;
 /// Reason of a request that had no answer when the run was cut off.
 const CUT_OFF: &str = "cut_off";
-/// Most keys minted by one call.
-const MINT_MAX: usize = 10_000;
+/// Mints one key.
+const MINT_PATH: &str = "/v1/keys?count=1";
 
 /// A submission that can be made more than once.
 #[derive(Clone, Debug)]
@@ -44,7 +44,7 @@
 
 /// Runs one job to its last answer.
 pub(super) async fn run_job(run: Arc<Run>, plan: JobPlan) {
-    let key = key(&run, &plan);
+    let key = key(&run, &plan).await;
     let own = submission_of(&run, &plan, &key, job::OWN_BODY);
     let other = plan
         .reuse
@@ -72,11 +72,13 @@
     run.stats().ended(&answer, end);
 }
 
-fn key(run: &Run, plan: &JobPlan) -> String {
+/// The job's key. One is minted for each job, as late as can be: a key's owner
+/// can be lost between its issue and its first submission.
+async fn key(run: &Run, plan: &JobPlan) -> String {
     let minted = match run.options.key_kind {
         KeyKind::Uuid7 => None,
         KeyKind::Minted => {
-            let key = run.take_key();
+            let key = mint(run, plan.number).await;
             run.stats().keys_not_minted += u64::from(key.is_none());
             key
         }
@@ -227,28 +229,24 @@
     since.elapsed().as_secs_f64() * 1e3
 }
 
-/// Mints `count` keys, spread over the entries; fewer where some refuse.
-pub(super) async fn mint(run: &Run, count: usize) -> Vec<String> {
+/// Mints one key at the first entry that answers.
+async fn mint(run: &Run, number: usize) -> Option<String> {
     #[derive(serde::Deserialize)]
     struct Keys {
         keys: Vec<String>,
     }
-    let entries = &run.options.entries;
-    let share = count.div_ceil(entries.len().max(1));
-    let mut minted = Vec::with_capacity(count);
-    for &entry in entries {
-        let mut missing = share;
-        while missing > 0 {
-            let path = format!("/v1/keys?count={}", missing.min(MINT_MAX));
-            let reply = run.client.post(entry, &path, "").await.ok();
-            let keys: Option<Keys> =
-                reply.and_then(|reply| serde_json::from_slice(&reply.body).ok());
-            let Some(Keys { keys }) = keys.filter(|answer| !answer.keys.is_empty()) else {
-                break;
-            };
-            missing = missing.saturating_sub(keys.len());
-            minted.extend(keys);
+    for turn in 0..run.options.entries.len() {
+        let reply = run
+            .client
+            .post(run.entry(number + turn), MINT_PATH, "")
+            .await;
+        let Ok(reply) = reply else {
+            continue;
+        };
+        let keys = serde_json::from_slice(&reply.body).map(|answer: Keys| answer.keys);
+        if let Some(key) = keys.ok().and_then(|keys| keys.into_iter().next()) {
+            return Some(key);
         }
     }
-    minted
+    None
 }
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -31,6 +31,8 @@
 
 /// Most keys minted by one request.
 const KEYS_MAX: u32 = 10_000;
+/// Draws of a key before one is given out whose owner does not serve.
+const MINT_DRAWS: usize = 8;
 
 /// What the callers' handlers share.
 #[derive(Clone)]
@@ -78,9 +80,21 @@
         Err(error) => return FormError::malformed(error.to_string()).respond(),
     };
     let issued_ms = context.dispatch.wall_ms();
-    let mint = |_| JobKey::mint(&context.failure_domain, issued_ms, rand::random()).to_string();
-    let keys = (0..count).map(mint).collect();
-    answer::json(StatusCode::OK, &KeysResponse { keys })
+    let keys = (0..count).map(|_| mint_key(&context, issued_ms).to_string());
+    answer::json(
+        StatusCode::OK,
+        &KeysResponse {
+            keys: keys.collect(),
+        },
+    )
+}
+
+/// A key whose owner serves now, as far as a few draws find one.
+fn mint_key(context: &CallerContext, issued_ms: u64) -> JobKey {
+    let draw = || JobKey::mint(&context.failure_domain, issued_ms, rand::random());
+    let mut draws = std::iter::repeat_with(draw).take(MINT_DRAWS);
+    let owned = draws.find(|key| context.dispatch.is_owned(key));
+    owned.unwrap_or_else(draw)
 }
 
 #[handler]
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -195,17 +195,7 @@
 }
 
 fn membership(me: &Member, settings: &Settings) -> Membership {
-    let timing = &settings.membership;
-    let params = MembershipParams {
-        heartbeat_ms: timing.heartbeat_ms,
-        gossip_fanout: timing.gossip_fanout as usize,
-        suspect_ms: timing.suspect_ms,
-        vouch_ahead_ms: timing.vouch_ahead_ms,
-        view_change_margin_ms: timing.view_change_margin_ms,
-        gone_clock_bound_ms: timing.gone_clock_bound_ms,
-        key_window_ms: settings.jobs.key_window_ms,
-        ..MembershipParams::default()
-    };
+    let params = MembershipParams::new(&settings.membership, &settings.jobs);
     let domains = &settings.failure_domains;
     Membership::new(
         params,
--- a/src/peers/driver.rs
+++ b/src/peers/driver.rs
@@ -143,8 +143,17 @@
         let _ = self.links.send(&to.name, body);
     }
 
+    /// Divides the workers' slots among the instances that use them.
+    ///
+    /// A leaving instance keeps its share until it has finished: what it has
+    /// admitted must still run. Its peers divide all slots among themselves at
+    /// once, and a worker that is asked for too much refuses before start.
     fn members_changed(&self, members: &[Member]) {
-        let names: Vec<String> = members.iter().map(|member| member.name.clone()).collect();
+        let mut names: Vec<String> = members.iter().map(|member| member.name.clone()).collect();
+        if !names.contains(&self.me.name) {
+            names.push(self.me.name.clone());
+            names.sort();
+        }
         info!(self.context.log, "instances of the failure domain changed"; "members" => names.join(" "));
         let runtime = &self.context.runtime;
         let share = self.connections_max / u32::try_from(names.len().max(1)).unwrap_or(u32::MAX);
--- a/src/runtime/dispatch.rs
+++ b/src/runtime/dispatch.rs
@@ -5,6 +5,7 @@
 use trefoil_core::config::ConfigSnapshot;
 use trefoil_core::engine::{JobAnswer, Submission, Task};
 use trefoil_core::key::JobKey;
+use trefoil_core::membership::Route;
 use xxhash_rust::xxh3::Xxh3;
 
 use super::Runtime;
@@ -63,6 +64,14 @@
         }
     }
 
+    /// Whether a job under `key` would find its owner now.
+    pub fn is_owned(&self, key: &JobKey) -> bool {
+        let Some(peers) = &self.peers else {
+            return true;
+        };
+        matches!(peers.route(key), Route::Here | Route::Peer(_))
+    }
+
     /// The declarations in force here.
     pub fn config(&self) -> Arc<ConfigSnapshot> {
         self.runtime.config()
