--- a/src/workers.rs
+++ b/src/workers.rs
@@ -67,7 +67,7 @@
 
 impl WorkerClient {
     /// A client whose worker connections are all its own; see
-    /// [`Self::set_instances`].
+    /// [`Self::set_connections_max`].
     pub fn new(settings: &WorkerSettings) -> Self {
         Self {
             shards: std::array::from_fn(|_| Shard::default()),
