--- a/src/runtime/dispatch.rs
+++ b/src/runtime/dispatch.rs
@@ -5,6 +5,7 @@
 use trefoil_core::config::ConfigSnapshot;
 use trefoil_core::engine::{JobAnswer, Submission, Task};
 use trefoil_core::key::JobKey;
+use trefoil_core::membership::Route;
 use xxhash_rust::xxh3::Xxh3;
 
 use super::{Arrival, Runtime};
@@ -64,6 +65,14 @@
         self.runtime.span(hop, header)
     }
 
+    /// Whether a job under `key` would find its owner now.
+    pub fn is_owned(&self, key: &JobKey) -> bool {
+        let Some(peers) = &self.peers else {
+            return true;
+        };
+        matches!(peers.route(key), Route::Here | Route::Peer(_))
+    }
+
     /// The declarations in force here.
     pub fn config(&self) -> Arc<ConfigSnapshot> {
         self.runtime.config()
