conditions: health of backend servers, workers and targets of services

Cause: an instance knows which backend servers it has ejected and how late its answers are, and told operators neither: `describe` showed only whether a declaration is in force.

Weighed: conditions gathered from all instances, or as seen here.

Not measured: the cost of the window, one lock and one histogram entry a job at the instance that answers the caller.

Test: targets by virtual answers, the window's forgetting, failure domains and states, two instances that show them; in core, unseen, serving, slow and ejected workers.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -9,6 +9,7 @@
 pub mod command;
 mod ejection;
 pub mod event;
+pub mod health;
 mod job;
 mod job_table;
 mod placement;
--- a/crates/core/src/engine/ejection.rs
+++ b/crates/core/src/engine/ejection.rs
@@ -8,6 +8,9 @@
 
 use trefoil_schema::settings::WorkerSettings;
 
+use super::health::{WorkerHealth, WorkerStanding, typical_ms};
+use crate::time::Now;
+
 /// Weight of a new outcome in a worker's failure rate.
 const FAILURE_GAIN: f64 = 0.1;
 /// Weight of a new run time in a worker's mean.
@@ -205,9 +208,28 @@
         self.standing != Standing::Serving
     }
 
+    /// The record for people.
+    pub fn shown(&self, now: Now, run_log2: f64, slots_owned: u32) -> WorkerHealth {
+        let is_seen = self.samples > 0 || self.failures_in_row > 0;
+        let is_slow = self.is_reluctant(run_log2);
+        let typical = match self.samples {
+            0 => 0,
+            _ => typical_ms(self.run_log2),
+        };
+        WorkerHealth {
+            standing: WorkerStanding::of(self.standing, now, is_seen, is_slow),
+            slots_owned,
+            typical_ms: typical,
+            service_typical_ms: typical_ms(run_log2),
+        }
+    }
+
+    fn is_reluctant(&self, run_log2: f64) -> bool {
+        self.samples >= TRIAL_SAMPLES && self.run_log2 > run_log2 + RELUCTANT_LOG2
+    }
+
     /// Order of choice; workers of a lower one go first.
     pub fn reluctance(&self, run_log2: f64) -> u8 {
-        let slow = self.samples >= TRIAL_SAMPLES && self.run_log2 > run_log2 + RELUCTANT_LOG2;
-        u8::from(slow) + 2 * u8::from(self.failures_in_row > 0)
+        u8::from(self.is_reluctant(run_log2)) + 2 * u8::from(self.failures_in_row > 0)
     }
 }
--- a/crates/core/src/engine/pool.rs
+++ b/crates/core/src/engine/pool.rs
@@ -13,6 +13,7 @@
 
 use super::command::{Command, JobState};
 use super::event::{TaskId, WorkerId};
+use super::health::{ServiceHealth, WorkerHealth};
 use super::job::{EndedJob, JobId, JobWork};
 use super::queue::JobQueue;
 use super::retry_budget::RetryBudget;
@@ -184,6 +185,20 @@
         }
     }
 
+    /// A worker as seen here.
+    pub fn worker_health(&self, now: Now, id: WorkerId) -> Option<WorkerHealth> {
+        self.workers.health(now, self.run_times.mean_log2(), id)
+    }
+
+    /// All workers as seen here.
+    pub fn service_health(&self) -> ServiceHealth {
+        ServiceHealth {
+            workers: self.workers.open() as u32,
+            workers_ejected: self.workers.ejected() as u32,
+            slots_owned: self.workers.slots(),
+        }
+    }
+
     /// Counters and sizes of this pool.
     pub fn stats(&self) -> EngineStats {
         EngineStats {
--- a/crates/core/src/engine/registry.rs
+++ b/crates/core/src/engine/registry.rs
@@ -48,6 +48,13 @@
         &self.pools
     }
 
+    /// The pool and id of a declared worker that this instance knows.
+    pub fn worker(&self, name: &str) -> Option<(&Arc<Pool>, WorkerId)> {
+        let declared = self.config.backend_servers.get(name)?;
+        let pool = self.pool(&declared.spec.service)?;
+        Some((pool, *self.worker_ids.get(name)?))
+    }
+
     /// A team's terms, with this instance's part of its bounds.
     pub fn team(&self, team: &str) -> Option<TeamSpec> {
         let spec = &self.config.teams.get(team)?.spec;
--- a/crates/core/src/engine/worker_set.rs
+++ b/crates/core/src/engine/worker_set.rs
@@ -8,7 +8,9 @@
 
 use super::ejection::{Health, Peers, Showing};
 use super::event::{Worker, WorkerId};
+use super::health::WorkerHealth;
 use super::placement::pick;
+use crate::time::Now;
 
 /// A worker as this instance sees it.
 #[derive(Debug)]
@@ -133,6 +135,17 @@
         self.slots as f64 * serving / open
     }
 
+    /// Workers that may take work, ejected ones included.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// A worker as seen here; `None` where no slot of it is used.
+    pub fn health(&self, now: Now, run_log2: f64, id: WorkerId) -> Option<WorkerHealth> {
+        let state = self.workers.get(&id)?;
+        Some(state.health.shown(now, run_log2, state.share))
+    }
+
     /// Placements out.
     pub fn running(&self) -> u64 {
         self.running
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -3,11 +3,13 @@
 //! * [`clock`]: the instant handed to the engine.
 //! * [`waiters`]: who waits for an answer.
 //! * [`tasks`]: placements on their way to workers.
+//! * [`service_windows`]: how each service's jobs were answered lately.
 //! * [`traces`]: trace contexts of running jobs.
 //! * [`dispatch`]: where callers' requests enter.
 
 pub mod clock;
 pub mod dispatch;
+pub mod service_windows;
 pub mod tasks;
 pub mod traces;
 pub mod waiters;
@@ -32,6 +34,7 @@
 use crate::util::telemetry::trace::{Hop, HopSpan};
 use crate::workers::{WorkerCall, WorkerClient};
 use clock::Clock;
+use service_windows::ServiceWindows;
 use tasks::Placement;
 use traces::TraceContexts;
 use waiters::{WaiterGuard, Waiters};
@@ -57,6 +60,7 @@
     waiters: Waiters,
     workers: WorkerClient,
     traces: TraceContexts,
+    service_windows: ServiceWindows,
     config: watch::Sender<Arc<ConfigSnapshot>>,
     handle: Handle,
     telemetry: Option<Telemetry>,
@@ -88,6 +92,7 @@
             waiters: Waiters::default(),
             workers,
             traces: TraceContexts::default(),
+            service_windows: ServiceWindows::default(),
             config: watch::Sender::default(),
             handle: Handle::current(),
             telemetry,
@@ -104,6 +109,11 @@
         &self.workers
     }
 
+    /// How each service's jobs were answered here lately.
+    pub fn service_windows(&self) -> &ServiceWindows {
+        &self.service_windows
+    }
+
     /// The declarations in force.
     pub fn config(&self) -> Arc<ConfigSnapshot> {
         Arc::clone(&self.config.borrow())
@@ -220,6 +230,7 @@
             if count.is_multiple_of(TICKS_PER_SWEEP) {
                 self.workers.sweep();
                 self.traces.sweep(self.now().mono_ms);
+                self.service_windows.sweep(self.now().mono_ms);
             }
         }
     }
--- a/src/runtime/dispatch.rs
+++ b/src/runtime/dispatch.rs
@@ -1,6 +1,7 @@
 //! Where callers' requests enter, and which instance they go to.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use trefoil_core::config::ConfigSnapshot;
 use trefoil_core::engine::{JobAnswer, Submission, Task};
@@ -38,10 +39,16 @@
 
     /// Submits a job; with `wait` the answer comes when the job is final.
     pub async fn submit(&self, submission: Submission, wait: bool, arrival: Arrival) -> JobAnswer {
-        match &self.peers {
+        let started = Instant::now();
+        let service = Arc::clone(&submission.service);
+        let answer = match &self.peers {
             Some(peers) => peers.submit(submission, wait, arrival).await,
             None => self.runtime.submit(submission, wait, arrival).await,
-        }
+        };
+        let windows = self.runtime.service_windows();
+        let mono_ms = self.runtime.now().mono_ms;
+        windows.record(mono_ms, &service, started.elapsed(), &answer);
+        answer
     }
 
     /// Tells a job's state, or its end if it comes within `wait_ms`.
--- a/src/server.rs
+++ b/src/server.rs
@@ -3,6 +3,7 @@
 //! [`run`] starts the parts, [`routes`] is where HTTP routes are added, and
 //! [`Context`] is what handlers and tasks share.
 
+pub mod conditions;
 pub mod health;
 mod observe;
 pub mod parts;
--- /dev/null
+++ b/src/server/conditions.rs
@@ -0,0 +1,203 @@
+//! Conditions of resources that only a running instance knows: each speaks of
+//! what was seen here.
+
+use std::sync::Arc;
+
+use trefoil_core::config::{ConfigSnapshot, ResourceKey};
+use trefoil_core::engine::health::{ServiceHealth, WorkerHealth, WorkerStanding};
+use trefoil_schema::resources::{
+    BackendServerState, Condition, ConditionStatus, Kind, ServiceSpec, Targets,
+};
+
+use crate::runtime::Runtime;
+use crate::runtime::service_windows::{Recent, WINDOW_MS};
+
+const PERCENT: u64 = 100;
+const SECOND_MS: u64 = 1_000;
+
+/// What the conditions are read from.
+#[derive(Clone)]
+pub struct Conditions {
+    /// The engine, and the answers of late.
+    pub runtime: Arc<Runtime>,
+    /// Failure domain of this instance.
+    pub failure_domain: Arc<str>,
+}
+
+impl Conditions {
+    /// The conditions of a resource as seen here.
+    pub fn of(&self, key: &ResourceKey) -> Vec<Condition> {
+        let config = self.runtime.config();
+        match key.kind {
+            Kind::Team => Vec::new(),
+            Kind::Service => self.service(&config, &key.name),
+            Kind::BackendServer => self.healthy(&config, &key.name).into_iter().collect(),
+        }
+    }
+
+    fn service(&self, config: &ConfigSnapshot, name: &str) -> Vec<Condition> {
+        let Some(declared) = config.services.get(name) else {
+            return Vec::new();
+        };
+        vec![
+            self.has_workers(config, name),
+            self.meets_targets(&declared.spec, name),
+        ]
+    }
+
+    fn healthy(&self, config: &ConfigSnapshot, name: &str) -> Option<Condition> {
+        let spec = &config.backend_servers.get(name)?.spec;
+        if spec.failure_domain != *self.failure_domain {
+            let message = format!(
+                "instances of the failure domain {} use it; ask one of them",
+                spec.failure_domain
+            );
+            return Some(healthy(ConditionStatus::Unknown, "OtherDomain", message));
+        }
+        let now = self.runtime.now();
+        let health = self.runtime.engine().worker_health(now, name);
+        Some(health.map_or_else(unused, judged))
+    }
+
+    fn has_workers(&self, config: &ConfigSnapshot, service: &str) -> Condition {
+        let (mut declared, mut leaving) = (0, 0);
+        for server in config.backend_servers.values() {
+            let spec = &server.spec;
+            if spec.service == service && spec.failure_domain == *self.failure_domain {
+                declared += 1;
+                leaving += u32::from(spec.state == BackendServerState::Leaving);
+            }
+        }
+        let domain = &self.failure_domain;
+        if declared == 0 {
+            let message = format!("no backend server of {domain} is declared for it");
+            return has_workers(ConditionStatus::False, "NoServers", message);
+        }
+        if declared == leaving {
+            let message = format!("all {declared} backend servers of {domain} are leaving");
+            return has_workers(ConditionStatus::False, "AllLeaving", message);
+        }
+        let health = self.runtime.engine().service_health(service);
+        used_here(health.unwrap_or_default(), declared, domain)
+    }
+
+    fn meets_targets(&self, spec: &ServiceSpec, service: &str) -> Condition {
+        let mono_ms = self.runtime.now().mono_ms;
+        let recent = self.runtime.service_windows().recent(mono_ms, service);
+        against(&spec.targets, recent)
+    }
+}
+
+fn unused() -> Condition {
+    let message = "this instance uses no slot of it".to_owned();
+    healthy(ConditionStatus::Unknown, "NotUsedHere", message)
+}
+
+fn judged(health: WorkerHealth) -> Condition {
+    let WorkerHealth {
+        typical_ms,
+        service_typical_ms,
+        ..
+    } = health;
+    let times = format!("its tasks take {typical_ms} ms here, the service's {service_typical_ms}");
+    match health.standing {
+        WorkerStanding::Unseen => {
+            let message = "no task has ended on it here yet".to_owned();
+            healthy(ConditionStatus::Unknown, "NoCalls", message)
+        }
+        WorkerStanding::Serving => healthy(ConditionStatus::True, "Serving", times),
+        WorkerStanding::Slow => {
+            let message = format!("{times}; it is chosen after its peers");
+            healthy(ConditionStatus::False, "Slow", message)
+        }
+        WorkerStanding::Probation => {
+            let message = "it was ejected, and gets one task at a time here".to_owned();
+            healthy(ConditionStatus::False, "Probation", message)
+        }
+        WorkerStanding::Ejected { for_ms } => {
+            let message = format!(
+                "it failed, or took far longer than its peers; no task here for {for_ms} ms"
+            );
+            healthy(ConditionStatus::False, "Ejected", message)
+        }
+    }
+}
+
+fn used_here(health: ServiceHealth, declared: u32, domain: &str) -> Condition {
+    let ServiceHealth {
+        workers,
+        workers_ejected,
+        slots_owned,
+    } = health;
+    let message = format!(
+        "{slots_owned} slots on {workers} of {declared} backend servers of {domain} are this \
+         instance's; {workers_ejected} of these are ejected"
+    );
+    match workers {
+        0 => has_workers(ConditionStatus::False, "NoSlots", message),
+        _ if workers_ejected == workers => {
+            has_workers(ConditionStatus::False, "AllEjected", message)
+        }
+        _ => has_workers(ConditionStatus::True, "Serving", message),
+    }
+}
+
+/// Compares what callers of this instance had with what is declared.
+fn against(targets: &Targets, recent: Recent) -> Condition {
+    let has_time_target = targets.response_p99_ms > 0;
+    let refused_max = u64::from(targets.refused_percent_max);
+    if !has_time_target && refused_max >= PERCENT {
+        let message = "it declares no targets".to_owned();
+        return meets_targets(ConditionStatus::True, "NoTargets", message);
+    }
+    let window_s = WINDOW_MS / SECOND_MS;
+    if recent.jobs == 0 {
+        let message = format!("no job was answered here in the last {window_s} s");
+        return meets_targets(ConditionStatus::Unknown, "NoJobs", message);
+    }
+    let message = format!(
+        "of {} jobs here in the last {window_s} s, {} were refused (at most {refused_max} %); \
+         p99 of {} response times {} ms (target {})",
+        recent.jobs,
+        recent.refused,
+        recent.timed,
+        recent.response_p99_ms,
+        target_text(targets.response_p99_ms),
+    );
+    let too_slow = has_time_target && recent.response_p99_ms > targets.response_p99_ms;
+    let too_many = recent.refused * PERCENT > refused_max * recent.jobs;
+    match (too_slow, too_many) {
+        (false, false) => meets_targets(ConditionStatus::True, "Met", message),
+        (true, false) => meets_targets(ConditionStatus::False, "TooSlow", message),
+        (false, true) => meets_targets(ConditionStatus::False, "TooManyRefused", message),
+        (true, true) => meets_targets(ConditionStatus::False, "TooSlowAndRefused", message),
+    }
+}
+
+fn target_text(response_p99_ms: u64) -> String {
+    match response_p99_ms {
+        0 => "none".to_owned(),
+        target_ms => format!("{target_ms} ms"),
+    }
+}
+
+fn healthy(status: ConditionStatus, reason: &str, message: String) -> Condition {
+    condition("Healthy", status, reason, message)
+}
+
+fn has_workers(status: ConditionStatus, reason: &str, message: String) -> Condition {
+    condition("HasWorkers", status, reason, message)
+}
+
+fn meets_targets(status: ConditionStatus, reason: &str, message: String) -> Condition {
+    condition("MeetsTargets", status, reason, message)
+}
+
+fn condition(kind: &str, status: ConditionStatus, reason: &str, message: String) -> Condition {
+    Condition {
+        type_: kind.to_owned(),
+        status,
+        reason: reason.to_owned(),
+        message,
+    }
+}
--- a/src/server/parts.rs
+++ b/src/server/parts.rs
@@ -13,6 +13,7 @@
 use trefoil_core::engine::{Engine, EngineSettings};
 use trefoil_core::verdict::Verdict;
 
+use super::conditions::Conditions;
 use super::report::Report;
 use super::stop::Hold;
 use super::{Context, ServerError};
@@ -86,12 +87,16 @@
     /// Adds the callers' and the operators' routes below `/v1`.
     pub fn routes(&self, context: &Arc<Context>) -> impl Endpoint + use<> {
         let peers = self.peers.clone();
+        let conditions = Conditions {
+            runtime: self.runtime.clone(),
+            failure_domain: Arc::from(context.settings.failure_domain.as_str()),
+        };
         let operator = OperatorContext {
             config: self.config.clone(),
             store: self.store.clone(),
             platform: context.settings.platform.clone(),
             status: Arc::new(move || peers.status()),
-            conditions: Arc::new(|_| Vec::new()),
+            conditions: Arc::new(move |key| conditions.of(key)),
         };
         let caller = CallerContext {
             dispatch: Dispatch::with_peers(self.runtime.clone(), self.peers.clone()),
--- /dev/null
+++ b/tests/testsuite/conditions.rs
@@ -0,0 +1,214 @@
+//! Conditions that an instance sees for itself, by virtual answers, and that
+//! its operators' API shows them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use trefoil_core::config::{ConfigSnapshot, Declared, ResourceKey};
+use trefoil_core::engine::{Engine, EngineSettings, JobAnswer, JobState, Refusal, RefusalReason};
+use trefoil_core::verdict::Verdict;
+use trefoil_schema::resources::{
+    BackendServerSpec, BackendServerState, ConditionStatus, Kind, ServiceSpec, StoredResource,
+    Targets, TeamSpec,
+};
+use trefoil_schema::settings::WorkerSettings;
+use trefoilbay::runtime::Runtime;
+use trefoilbay::runtime::service_windows::{Recent, ServiceWindows, WINDOW_MS};
+use trefoilbay::server::conditions::Conditions;
+use trefoilbay::util::telemetry::Telemetry;
+use trefoilbay::workers::WorkerClient;
+
+use crate::metrics::Worker;
+use crate::support::pair::Pair;
+
+const DOMAIN: &str = "local";
+const TARGET_MS: u64 = 400;
+
+fn declared<T>(spec: T) -> Declared<T> {
+    Declared { spec, revision: 1 }
+}
+
+fn server(service: &str, domain: &str, state: BackendServerState) -> Declared<BackendServerSpec> {
+    declared(BackendServerSpec {
+        service: service.to_owned(),
+        failure_domain: domain.to_owned(),
+        address: "127.0.0.1:9".to_owned(),
+        slots: 4,
+        state,
+    })
+}
+
+fn service(response_p99_ms: u64, refused_percent_max: u32) -> Declared<ServiceSpec> {
+    declared(ServiceSpec {
+        targets: Targets {
+            response_p99_ms,
+            refused_percent_max,
+        },
+        ..ServiceSpec::default()
+    })
+}
+
+fn config() -> ConfigSnapshot {
+    use BackendServerState::{Leaving, Serving};
+    ConfigSnapshot {
+        revision: 1,
+        teams: [("default".into(), declared(TeamSpec::default()))].into(),
+        services: [
+            ("pay".into(), service(TARGET_MS, 10)),
+            ("free".into(), service(0, 100)),
+            ("bare".into(), service(0, 100)),
+            ("going".into(), service(0, 100)),
+        ]
+        .into(),
+        backend_servers: [
+            ("here".into(), server("pay", DOMAIN, Serving)),
+            ("there".into(), server("bare", "other", Serving)),
+            ("leaving".into(), server("going", DOMAIN, Leaving)),
+        ]
+        .into(),
+    }
+}
+
+fn conditions() -> Conditions {
+    let engine = Engine::new(EngineSettings {
+        failure_domain: DOMAIN.to_owned(),
+        ..EngineSettings::default()
+    });
+    let workers = WorkerClient::new(&WorkerSettings::default());
+    let runtime = Runtime::new(engine, workers);
+    runtime.set_domain_members("entry-1", &["entry-1".to_owned()]);
+    runtime.set_config(Arc::new(config()));
+    Conditions {
+        runtime,
+        failure_domain: DOMAIN.into(),
+    }
+}
+
+fn complete(replayed: bool) -> JobAnswer {
+    JobAnswer::Known {
+        state: JobState::Complete,
+        verdict: Verdict::Ran,
+        results: vec![Bytes::from_static(b"1")].into(),
+        reason: "",
+        detail: String::new(),
+        replayed,
+        tasks_done: 1,
+        tasks_total: 1,
+    }
+}
+
+fn refused(reason: RefusalReason) -> JobAnswer {
+    JobAnswer::Refused(Refusal {
+        reason,
+        detail: String::new(),
+        verdict: Verdict::NotRun,
+        retry_after_ms: 0,
+    })
+}
+
+/// Status and reason of one condition.
+fn reason(
+    conditions: &Conditions,
+    kind: Kind,
+    name: &str,
+    aspect: &str,
+) -> (ConditionStatus, String) {
+    let found = conditions.of(&ResourceKey::new(kind, name));
+    let one = found.into_iter().find(|one| one.type_ == aspect).unwrap();
+    (one.status, one.reason)
+}
+
+#[tokio::test]
+async fn targets_are_judged_by_the_answers_of_late() {
+    let conditions = conditions();
+    let meets = |name| reason(&conditions, Kind::Service, name, "MeetsTargets");
+    let is = |status, reason: &str| (status, reason.to_owned());
+    assert_eq!(meets("free"), is(ConditionStatus::True, "NoTargets"));
+    assert_eq!(meets("pay"), is(ConditionStatus::Unknown, "NoJobs"));
+    let mono_ms = conditions.runtime.now().mono_ms;
+    let answer = |response_ms, answer: &JobAnswer| {
+        let windows = conditions.runtime.service_windows();
+        let elapsed = Duration::from_millis(response_ms);
+        windows.record(mono_ms, &"pay".into(), elapsed, answer);
+    };
+    (0..99).for_each(|_| answer(TARGET_MS / 2, &complete(false)));
+    answer(10 * TARGET_MS, &complete(false));
+    assert_eq!(meets("pay"), is(ConditionStatus::True, "Met"));
+    // Neither a replay nor a caller's own fault says anything of the service.
+    (0..50).for_each(|_| answer(10 * TARGET_MS, &complete(true)));
+    (0..50).for_each(|_| answer(0, &refused(RefusalReason::KeyReused)));
+    assert_eq!(meets("pay"), is(ConditionStatus::True, "Met"));
+    answer(10 * TARGET_MS, &complete(false));
+    assert_eq!(meets("pay"), is(ConditionStatus::False, "TooSlow"));
+    (0..12).for_each(|_| answer(0, &refused(RefusalReason::Overload)));
+    assert_eq!(
+        meets("pay"),
+        is(ConditionStatus::False, "TooSlowAndRefused")
+    );
+    (0..500).for_each(|_| answer(1, &complete(false)));
+    assert_eq!(meets("pay"), is(ConditionStatus::True, "Met"));
+}
+
+#[test]
+fn a_window_forgets() {
+    let windows = ServiceWindows::default();
+    let record = |mono_ms, response_ms| {
+        let elapsed = Duration::from_millis(response_ms);
+        windows.record(mono_ms, &"pay".into(), elapsed, &complete(false));
+    };
+    record(0, 900);
+    record(WINDOW_MS / 2, 100);
+    let recent = windows.recent(WINDOW_MS - 1, "pay");
+    assert_eq!(recent.jobs, 2);
+    assert!(recent.response_p99_ms.abs_diff(900) <= 9, "{recent:?}");
+    let expected = Recent {
+        jobs: 1,
+        timed: 1,
+        response_p99_ms: 100,
+        refused: 0,
+    };
+    assert_eq!(windows.recent(WINDOW_MS, "pay"), expected);
+    windows.sweep(2 * WINDOW_MS);
+    assert_eq!(windows.recent(WINDOW_MS, "pay"), Recent::default());
+}
+
+#[tokio::test]
+async fn workers_are_told_by_failure_domain_and_state() {
+    let conditions = conditions();
+    let healthy = |name| reason(&conditions, Kind::BackendServer, name, "Healthy");
+    let unknown = |reason: &str| (ConditionStatus::Unknown, reason.to_owned());
+    assert_eq!(healthy("here"), unknown("NoCalls"));
+    assert_eq!(healthy("there"), unknown("OtherDomain"));
+    assert_eq!(healthy("leaving"), unknown("NotUsedHere"));
+    let has = |name| reason(&conditions, Kind::Service, name, "HasWorkers");
+    let serving = (ConditionStatus::True, "Serving".to_owned());
+    assert_eq!(has("pay"), serving);
+    for (name, reason) in [
+        ("free", "NoServers"),
+        ("bare", "NoServers"),
+        ("going", "AllLeaving"),
+    ] {
+        assert_eq!(has(name), (ConditionStatus::False, reason.to_owned()));
+    }
+    assert!(conditions.of(&ResourceKey::new(Kind::Team, "x")).is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_instance_shows_the_conditions_that_it_sees() {
+    let worker = Worker::start().await;
+    let telemetry = |settings: &_| Telemetry::start(settings).unwrap();
+    let pair = Pair::start(worker.address, telemetry).await;
+    for (path, aspect) in [
+        ("/v1/backend-servers/worker-1", "Healthy"),
+        ("/v1/services/pay", "HasWorkers"),
+        ("/v1/services/pay", "MeetsTargets"),
+    ] {
+        let has_it = |text: &str| text.contains(aspect);
+        let text = pair.until(pair.entries[0], path, has_it).await;
+        let found: StoredResource = serde_json::from_str(&text).unwrap();
+        let mut conditions = found.status.conditions.iter();
+        let one = conditions.find(|one| one.type_ == aspect).unwrap();
+        assert_eq!(one.status, ConditionStatus::True, "{one:?}");
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod caller_overhead;
+mod conditions;
 mod ctl;
 mod ctl_operator;
 mod ctl_rollout;
--- a/tests/testsuite/metrics.rs
+++ b/tests/testsuite/metrics.rs
@@ -25,13 +25,13 @@
 const STEPS_MAX: u32 = 250;
 
 /// A worker that takes the milliseconds that a payload names.
-struct Worker {
-    address: SocketAddr,
+pub(crate) struct Worker {
+    pub(crate) address: SocketAddr,
     server: JoinHandle<std::io::Result<()>>,
 }
 
 impl Worker {
-    async fn start() -> Self {
+    pub(crate) async fn start() -> Self {
         let acceptor = TcpListener::bind("127.0.0.1:0").into_acceptor().await;
         let acceptor = acceptor.unwrap();
         let address = *acceptor.local_addr()[0].as_socket_addr().unwrap();
