--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -1,13 +1,11 @@
 //! Drives the engine: events in, commands out to workers and waiters.
 //!
-//! * [`clock`]: the instant handed to the engine.
 //! * [`waiters`]: who waits for an answer.
 //! * [`tasks`]: placements on their way to workers.
 //! * [`service_windows`]: how each service's jobs were answered lately.
 //! * [`traces`]: trace contexts of running jobs.
 //! * [`dispatch`]: where callers' requests enter.
 
-pub mod clock;
 pub mod dispatch;
 pub mod service_windows;
 pub mod tasks;
@@ -30,10 +28,10 @@
 use trefoil_core::time::Now;
 use trefoil_core::verdict::Verdict;
 
+use crate::util::clock::Clock;
 use crate::util::telemetry::Telemetry;
 use crate::util::telemetry::trace::{Hop, HopSpan};
 use crate::workers::{WorkerCall, WorkerClient};
-use clock::Clock;
 use service_windows::ServiceWindows;
 use tasks::Placement;
 use traces::TraceContexts;
@@ -88,7 +86,7 @@
     ) -> Arc<Self> {
         Arc::new(Self {
             engine,
-            clock: Clock::default(),
+            clock: Clock::start(),
             waiters: Waiters::default(),
             workers,
             traces: TraceContexts::default(),
--- a/src/server.rs
+++ b/src/server.rs
@@ -24,9 +24,10 @@
 use trefoil_schema::settings::Settings;
 
 use crate::peers::PeersError;
+use crate::util::clock::Clock;
 use crate::util::telemetry::Telemetry;
 use parts::Parts;
-use stop::{Clock, StopControl};
+use stop::StopControl;
 
 /// Longest wait for connections to close once nothing is in flight.
 const CLOSE_MAX: Duration = Duration::from_millis(500);
--- a/src/server/stop.rs
+++ b/src/server/stop.rs
@@ -2,48 +2,15 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use slog::{Logger, info};
 use tokio::sync::Notify;
-use tokio::time::Instant;
 use trefoil_core::drain::{Drain, DrainState, Ending};
 use trefoil_core::time::Now;
 use trefoil_schema::settings::DrainSettings;
 
-/// The clocks of one instance.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    start: Instant,
-}
-
-impl Clock {
-    /// A clock whose monotonic time starts now.
-    pub fn start() -> Self {
-        Self {
-            start: Instant::now(),
-        }
-    }
-
-    /// The current instant.
-    pub fn now(&self) -> Now {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH);
-        Now {
-            mono_ms: whole_ms(self.start.elapsed()),
-            wall_ms: whole_ms(wall.unwrap_or_default()),
-        }
-    }
-
-    /// Waits until the monotonic clock shows `mono_ms`.
-    pub async fn sleep_until_ms(&self, mono_ms: u64) {
-        let at = self.start + Duration::from_millis(mono_ms);
-        tokio::time::sleep_until(at).await;
-    }
-}
-
-fn whole_ms(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
+use crate::util::clock::Clock;
 
 /// Counts work in flight and steps the drain.
 #[derive(Debug)]
--- a/tests/testsuite/caller_overhead.rs
+++ b/tests/testsuite/caller_overhead.rs
@@ -26,9 +26,9 @@
 use trefoil_schema::resources::{BackendServerSpec, BackendServerState, ServiceSpec, TeamSpec};
 use trefoil_schema::settings::{JobSettings, WorkerSettings};
 use trefoilbay::http::caller::{self, CallerContext};
-use trefoilbay::runtime::clock::Clock;
 use trefoilbay::runtime::dispatch::{Dispatch, fingerprint};
 use trefoilbay::runtime::{Arrival, Runtime};
+use trefoilbay::util::clock::Clock;
 use trefoilbay::workers::{WorkerCall, WorkerClient};
 
 const DOMAIN: &str = "kingston-1";
@@ -205,7 +205,7 @@
 
 /// The decisions alone: each placement is done as soon as it is made.
 fn engine_alone(engine: &Engine, tasks: usize) {
-    let now = Clock::default().now();
+    let now = Clock::start().now();
     let mut out = Vec::new();
     engine.submit(now, submission(tasks), WaiterId(1), true, &mut out);
     while let Some(command) = out.pop() {
--- a/tests/testsuite/daemon.rs
+++ b/tests/testsuite/daemon.rs
@@ -15,7 +15,8 @@
 use trefoil_core::drain::Ending;
 use trefoil_fakes::platform::{self, PlatformOptions};
 use trefoil_schema::settings::DrainSettings;
-use trefoilbay::server::stop::{Clock, StopControl};
+use trefoilbay::server::stop::StopControl;
+use trefoilbay::util::clock::Clock;
 
 const STEP: Duration = Duration::from_millis(20);
 const STEPS_MAX: u32 = 250;
