--- a/tests/testsuite/caller_overhead.rs
+++ b/examples/caller_overhead.rs
@@ -1,5 +1,5 @@
 //! What a task costs beyond its call: a measurement, run by hand with
-//! `cargo test --release --test testsuite overhead -- --ignored --nocapture`.
+//! `cargo run --release --example caller_overhead`.
 //!
 //! Workers, instance and callers share one process and the machine's loopback.
 //! Each layer adds one part to the layer before it.
@@ -260,9 +260,8 @@
         .unwrap()
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-#[ignore = "a measurement, not a check"]
-async fn overhead_of_a_task() {
+#[tokio::main(flavor = "multi_thread", worker_threads = 4)]
+async fn main() {
     let mut workers = Vec::new();
     for _ in 0..WORKERS {
         workers.push(worker().await);
