engine: a team ahead of its share leaves room for the others' jobs

Cause: where one team submitted four fifths of the jobs at twice the capacity, the other 19 were refused 66 % of theirs: its admitted jobs filled the queue up to their latest start, and no job may pass one that it would make late. Change: 2.4 for a team ahead.

--- a/crates/core/examples/engine_load.rs
+++ b/crates/core/examples/engine_load.rs
@@ -85,6 +85,32 @@
         };
         print(name, &load);
     }
+    flood(seed);
+}
+
+/// One team submits four fifths of the jobs at twice the capacity.
+fn flood(seed: u64) {
+    let load = Load {
+        seed,
+        offered: 2.0,
+        greedy_share: 0.8,
+        timeout_ms: 10_000,
+        ..Load::default()
+    };
+    let outcome = run(&load);
+    let (greedy, others) = outcome.by_team.split_first().expect("has teams");
+    let submitted: u64 = others.iter().map(|team| team.0).sum();
+    let refused: u64 = others.iter().map(|team| team.1).sum();
+    println!(
+        "one team floods: it is refused {} of {} jobs",
+        greedy.1, greedy.0
+    );
+    println!("the others are refused {refused} of {submitted}");
+    println!(
+        "goodput {:.3}, late {:.4}",
+        outcome.goodput(&load),
+        outcome.late_share()
+    );
 }
 
 fn policies() -> Vec<(&'static str, EngineSettings)> {
--- a/crates/core/src/engine/admission.rs
+++ b/crates/core/src/engine/admission.rs
@@ -10,6 +10,9 @@
 
 /// Allowance for estimates that are too short.
 const SAFETY: f64 = 1.2;
+/// The same for a team ahead of its fair share, so that its jobs leave room
+/// for those of others.
+const SAFETY_AHEAD: f64 = 2.4;
 
 /// What the service can do now.
 #[derive(Clone, Copy, Debug)]
@@ -29,6 +32,8 @@
     pub tasks: u32,
     /// Latest start of its last task, from now.
     pub slack_ms: f64,
+    /// Whether its team is ahead of its fair share.
+    pub ahead: bool,
 }
 
 impl Capacity {
@@ -45,14 +50,15 @@
     capacity: Capacity,
     demand: Demand,
 ) -> Option<f64> {
+    let safety = if demand.ahead { SAFETY_AHEAD } else { SAFETY };
     let own_position = queue.tasks_up_to(demand.rank_ms) + u64::from(demand.tasks);
-    let own = SAFETY * capacity.wait_ms(own_position as f64) - demand.slack_ms;
+    let own = safety * capacity.wait_ms(own_position as f64) - demand.slack_ms;
     let mut position = own_position;
     let mut worst = own;
     for level in queue.levels_after(demand.rank_ms) {
         position += level.tasks;
         let slack_ms = level.latest_start_ms.saturating_sub(now_ms) as f64;
-        worst = worst.max(SAFETY * capacity.wait_ms(position as f64) - slack_ms);
+        worst = worst.max(safety * capacity.wait_ms(position as f64) - slack_ms);
     }
     (worst > 0.0).then_some(worst)
 }
--- a/crates/core/src/engine/pool/admit.rs
+++ b/crates/core/src/engine/pool/admit.rs
@@ -168,6 +168,7 @@
             rank_ms: plan.rank_ms,
             tasks: plan.tasks,
             slack_ms,
+            ahead: self.teams.lead_ms(team, now.mono_ms) > 0.0,
         };
         let team = self.teams.get(team);
         let slots = team.slots_of(capacity.slots);
--- a/crates/core/src/engine/settings.rs
+++ b/crates/core/src/engine/settings.rs
@@ -31,14 +31,7 @@
 
 impl Default for EngineSettings {
     fn default() -> Self {
-        Self {
-            failure_domain: Settings::default().failure_domain,
-            jobs: JobSettings::default(),
-            placement: PlacementSettings::default(),
-            workers: WorkerSettings::default(),
-            order: QueueOrder::default(),
-            admission: true,
-        }
+        Self::from(&Settings::default())
     }
 }
 
--- a/crates/core/tests/engine_load.rs
+++ b/crates/core/tests/engine_load.rs
@@ -123,3 +123,19 @@
         assert!((wrong.mean() - right.mean()).abs() < 0.02);
     }
 }
+
+#[test]
+fn a_team_that_floods_leaves_room_for_the_others() {
+    let load = Load {
+        offered: 2.0,
+        greedy_share: 0.8,
+        timeout_ms: 10_000,
+        ..load()
+    };
+    let outcome = run(&load);
+    let (greedy, others) = outcome.by_team.split_first().unwrap();
+    let submitted: u64 = others.iter().map(|team| team.0).sum();
+    let refused: u64 = others.iter().map(|team| team.1).sum();
+    assert!(greedy.1 * 4 > greedy.0, "{greedy:?}");
+    assert!(refused * 10 < submitted, "{refused} of {submitted}");
+}
--- a/crates/core/tests/engine_support/virtual_load.rs
+++ b/crates/core/tests/engine_support/virtual_load.rs
@@ -31,6 +31,8 @@
     pub workers: usize,
     pub slots: u32,
     pub teams: usize,
+    /// Share of the jobs that the first team submits beyond its own.
+    pub greedy_share: f64,
     /// Work offered, as a share of what the workers can do.
     pub offered: f64,
     /// Time during which jobs arrive, after `warm_up_ms` that does not count.
@@ -56,6 +58,7 @@
             workers: 50,
             slots: 8,
             teams: 20,
+            greedy_share: 0.0,
             offered: 0.8,
             arrivals_ms: 60_000,
             warm_up_ms: 5_000,
@@ -86,8 +89,8 @@
     /// Starts that a worker refused.
     pub wasted: u64,
     pub starts_by_worker: HashMap<String, u64>,
-    /// Completed slot time by team.
-    pub useful_by_team_ms: Vec<u64>,
+    /// Jobs submitted and refused, by team.
+    pub by_team: Vec<(u64, u64)>,
 }
 
 impl Outcome {
@@ -212,7 +215,7 @@
             events: BinaryHeap::new(),
             sequence: 0,
             outcome: Outcome {
-                useful_by_team_ms: vec![0; load.teams],
+                by_team: vec![(0, 0); load.teams],
                 ..Outcome::default()
             },
         }
@@ -229,7 +232,7 @@
         let random = self.rng.random();
         let key = JobKey::mint("local", now(now_ms).wall_ms, random);
         let instance = self.rng.random_range(0..self.load.instances);
-        let team = self.rng.random_range(0..self.load.teams);
+        let team = self.draw_team();
         let counted = now_ms >= self.load.warm_up_ms;
         self.sequence += 1;
         let waiter = WaiterId(self.sequence);
@@ -258,6 +261,13 @@
         self.push(now_ms + gap_ms.round() as u64, Event::Arrival);
     }
 
+    fn draw_team(&mut self) -> usize {
+        match self.rng.random_bool(self.load.greedy_share) {
+            true => 0,
+            false => self.rng.random_range(0..self.load.teams),
+        }
+    }
+
     /// Half the jobs have 1 to 4 tasks, four in ten 5 to 40, the rest 50 to 200.
     fn draw_tasks(&mut self) -> usize {
         match self.rng.random_range(0..10) {
@@ -368,8 +378,12 @@
             return;
         }
         let outcome = &mut self.outcome;
+        outcome.by_team[job.team].0 += 1;
         match answer {
-            JobAnswer::Refused(_) => outcome.refused += 1,
+            JobAnswer::Refused(_) => {
+                outcome.refused += 1;
+                outcome.by_team[job.team].1 += 1;
+            }
             JobAnswer::Known {
                 state: JobState::Complete,
                 ..
@@ -380,7 +394,6 @@
                 outcome.slowdowns.push(response_ms as f64 / ideal_ms as f64);
                 let useful_ms: u64 = job.run_ms.iter().sum();
                 outcome.useful_ms += useful_ms;
-                outcome.useful_by_team_ms[job.team] += useful_ms;
             }
             JobAnswer::Known {
                 reason: "deadline", ..
