engine: slots gained count after a second; teams' charges follow learned run times

Change: a larger share counts 1000 ms after it was given, also for an instance that joins others. Tests: loss of an instance, gained and joined shares.

--- a/crates/core/src/engine/pool/outcome.rs
+++ b/crates/core/src/engine/pool/outcome.rs
@@ -37,8 +37,7 @@
             TaskOutcome::NotRun(_) => Showing::Refused,
         };
         if matches!(showing, Showing::Done { .. }) {
-            self.run_times.record(run_ms);
-            self.last_done_ms = now.mono_ms;
+            self.learn(now, run_ms);
         }
         self.teams.get(placement.team).running -= 1;
         let run_log2 = self.run_times.mean_log2();
@@ -46,6 +45,18 @@
             .finish(now.mono_ms, run_log2, placement.worker, showing);
     }
 
+    /// Takes a run time; once they are trusted, what teams were charged by
+    /// declared ones is put right.
+    fn learn(&mut self, now: Now, run_ms: u64) {
+        let (was_trusted, mean_ms) = (self.run_times.is_trusted(), self.run_times.mean_ms());
+        self.run_times.record(run_ms);
+        self.last_done_ms = now.mono_ms;
+        if !was_trusted && self.run_times.is_trusted() {
+            let ratio = self.run_times.mean_ms() / mean_ms;
+            self.teams.rescale(now.mono_ms, ratio);
+        }
+    }
+
     fn apply_outcome(&mut self, placement: Placement, outcome: TaskOutcome) -> Option<EndedJob> {
         let Some(work) = self.jobs.get_mut(placement.job) else {
             self.stats.outcomes_dropped += 1;
--- a/crates/core/src/engine/registry.rs
+++ b/crates/core/src/engine/registry.rs
@@ -29,6 +29,8 @@
     by_service: HashMap<Arc<str>, usize>,
     worker_ids: HashMap<Arc<str>, WorkerId>,
     last_worker_id: u32,
+    /// Whether this instance joins others that may be using the workers.
+    joining: bool,
 }
 
 impl Registry {
@@ -68,9 +70,12 @@
         config: &ConfigSnapshot,
         out: &mut Vec<Command>,
     ) {
+        let first = self.config.backend_servers.is_empty();
+        self.joining = first && self.members.len() > 1;
         self.config = config.clone();
         self.forget_workers();
         self.apply(settings, now, out);
+        self.joining = false;
     }
 
     /// Takes the failure domain's instances.
@@ -86,7 +91,9 @@
         self.members = members.to_vec();
         self.members.sort_unstable();
         self.members.dedup();
+        self.joining = self.members.len() > 1;
         self.apply(settings, now, out);
+        self.joining = false;
     }
 
     fn forget_workers(&mut self) {
@@ -107,6 +114,7 @@
             let deal = WorkerDeal {
                 workers: workers.remove(&service).unwrap_or_default(),
                 draw_seed: xxh3_64(self.me.as_bytes()) >> DRAW_SEED_SHIFT,
+                joining: self.joining,
             };
             let pool = self.pool_or_new(settings, &service, &terms);
             pool.lock().configure(now, terms, deal, out);
--- a/crates/core/src/engine/teams.rs
+++ b/crates/core/src/engine/teams.rs
@@ -116,6 +116,15 @@
         team.used_until_ms = from_ms + size_ms * self.active_weight / team.weight;
     }
 
+    /// Multiplies what every team is ahead by `ratio`.
+    pub fn rescale(&mut self, now_ms: u64, ratio: f64) {
+        let now_ms = now_ms as f64;
+        for team in &mut self.teams {
+            let ahead_ms = (team.used_until_ms - now_ms).max(0.0);
+            team.used_until_ms = now_ms + ahead_ms * ratio;
+        }
+    }
+
     /// Notes that one of a team's jobs is over.
     pub fn job_ended(&mut self, index: TeamIndex) {
         let team = &mut self.teams[index.0];
--- a/crates/core/src/engine/worker_set.rs
+++ b/crates/core/src/engine/worker_set.rs
@@ -1,7 +1,7 @@
 //! The workers of one service, and which of their slots this instance may use.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap, HashMap};
+use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet};
 use std::sync::Arc;
 
 use trefoil_schema::settings::{PlacementPolicy, WorkerSettings};
@@ -10,12 +10,18 @@
 use super::event::{Worker, WorkerId};
 use super::placement::pick;
 
+/// Time after which a slot gained from another instance is taken to be free:
+/// nearly all tasks are shorter.
+const SETTLE_MS: u64 = 1000;
+
 /// A worker as this instance sees it.
 #[derive(Debug)]
 pub(crate) struct WorkerState {
     pub worker: Worker,
     /// Slots that this instance may use.
     pub share: u32,
+    /// Until the other instances' tasks on slots just gained have finished.
+    settling: Option<Settling>,
     /// Placements out from here.
     pub running: u32,
     health: Health,
@@ -23,12 +29,23 @@
     ready_as: Option<ReadyKey>,
 }
 
+/// A larger share that does not count yet.
+#[derive(Clone, Copy, Debug)]
+struct Settling {
+    /// Slots that may be used before.
+    share_before: u32,
+    until_ms: u64,
+}
+
 /// A service's workers as declared, each with this instance's share.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct WorkerDeal {
     pub workers: Vec<(WorkerId, Worker, u32)>,
     /// Start of this instance's draws, so that instances draw differently.
     pub draw_seed: u64,
+    /// Whether other instances may still use the slots of workers not known
+    /// here yet.
+    pub joining: bool,
 }
 
 /// Order among workers with a free slot: the smallest gets the next task.
@@ -73,23 +90,25 @@
     /// declared get no new work and vanish with their last placement.
     pub fn replace(&mut self, now_ms: u64, run_log2: f64, deal: WorkerDeal) {
         self.draws = self.draws.max(deal.draw_seed);
-        for state in self.workers.values_mut() {
-            state.share = 0;
+        let declared: HashSet<_> = deal.workers.iter().map(|(id, _, _)| *id).collect();
+        for (id, state) in &mut self.workers {
+            if !declared.contains(id) {
+                state.share = 0;
+            }
         }
         for (id, worker, share) in deal.workers {
             let share = match self.policy {
                 PlacementPolicy::OwnedSlots => share,
                 PlacementPolicy::TwoChoices | PlacementPolicy::Random => worker.open_slots(),
             };
-            match self.workers.get_mut(&id) {
-                Some(state) => {
-                    state.worker = worker;
-                    state.share = share;
-                }
-                None => {
-                    self.workers.insert(id, WorkerState::new(worker, share));
-                }
-            }
+            let known = self.workers.contains_key(&id);
+            let state = self
+                .workers
+                .entry(id)
+                .or_insert_with(|| WorkerState::new(worker.clone()));
+            state.worker = worker;
+            let others_may_run = known || deal.joining;
+            state.set_share(share, others_may_run.then_some(now_ms + SETTLE_MS));
         }
         self.workers
             .retain(|_, state| state.share > 0 || state.running > 0);
@@ -252,7 +271,8 @@
         let Some(state) = self.workers.get_mut(&id) else {
             return;
         };
-        if let Some(due_ms) = state.health.wake(now_ms) {
+        let due_ms = [state.health.wake(now_ms), state.settled_at(now_ms)];
+        if let Some(due_ms) = due_ms.into_iter().flatten().min() {
             state.schedule(due_ms, id, &mut self.wakes);
         }
         let ready_as = state.ready_key(now_ms, run_log2, id);
@@ -268,18 +288,50 @@
 }
 
 impl WorkerState {
-    fn new(worker: Worker, share: u32) -> Self {
+    fn new(worker: Worker) -> Self {
         Self {
             worker,
-            share,
+            share: 0,
+            settling: None,
             running: 0,
             health: Health::default(),
             ready_as: None,
         }
     }
 
+    /// Takes a new share; what it gains counts from `gains_at_ms` on.
+    fn set_share(&mut self, share: u32, gains_at_ms: Option<u64>) {
+        let usable = self.usable_share();
+        self.settling = match gains_at_ms {
+            Some(until_ms) if share > usable => Some(Settling {
+                share_before: usable,
+                until_ms: self.settling.map_or(until_ms, |settling| settling.until_ms),
+            }),
+            _ => None,
+        };
+        self.share = share;
+    }
+
+    /// When a larger share counts, if it does not yet.
+    fn settled_at(&mut self, now_ms: u64) -> Option<u64> {
+        let until_ms = self.settling?.until_ms;
+        if until_ms > now_ms {
+            return Some(until_ms);
+        }
+        self.settling = None;
+        None
+    }
+
+    /// Slots that may be used now.
+    fn usable_share(&self) -> u32 {
+        match self.settling {
+            Some(settling) => settling.share_before.min(self.share),
+            None => self.share,
+        }
+    }
+
     fn ready_key(&self, now_ms: u64, run_log2: f64, id: WorkerId) -> Option<ReadyKey> {
-        let free = self.running < self.health.slots(now_ms, self.share);
+        let free = self.running < self.health.slots(now_ms, self.usable_share());
         free.then(|| (self.health.reluctance(run_log2), self.running, id))
     }
 
--- a/crates/core/tests/engine_policy.rs
+++ b/crates/core/tests/engine_policy.rs
@@ -37,10 +37,33 @@
         assert!(bench.engine.stats().tasks_running >= 4);
         assert!(bench.starts.len() <= 8 - finished.min(4));
     }
+    assert_eq!(bench.engine.stats().tasks_running, 4);
+}
+
+#[test]
+fn a_larger_share_waits_for_the_tasks_of_whoever_had_it() {
+    let mut bench = Bench::new(without_admission(), 2, 4);
+    bench.members(&["a", "b"]);
+    bench.submit(submission(&key(0, "one"), 100, 60_000), true);
+    assert_eq!(bench.starts.len(), 4);
     bench.members(&["a"]);
+    bench.pass_ms(999);
+    assert_eq!(bench.engine.stats().tasks_running, 4);
+    bench.pass_ms(1);
     assert_eq!(bench.engine.stats().tasks_running, 8);
 }
 
+#[test]
+fn an_instance_that_joins_waits_for_the_tasks_of_the_others() {
+    let mut bench = Bench::new(without_admission(), 2, 4);
+    bench.members(&["b"]);
+    bench.members(&["a", "b"]);
+    bench.submit(submission(&key(0, "one"), 100, 60_000), true);
+    assert!(bench.starts.is_empty());
+    bench.pass_ms(1000);
+    assert_eq!(bench.starts.len(), 4);
+}
+
 #[test]
 fn an_instance_that_is_not_a_member_starts_nothing() {
     let mut bench = Bench::new(without_admission(), 2, 4);
