--- a/src/peers.rs
+++ b/src/peers.rs
@@ -23,6 +23,8 @@
 pub mod record;
 mod serve;
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use derive_more::{Display, Error};
@@ -89,6 +91,8 @@
     domain: String,
     views_prefix: String,
     connections_max: u32,
+    /// Addresses dialled whatever is told, by name.
+    dial_addresses: HashMap<String, SocketAddr>,
     membership: Mutex<Membership>,
     links: Links,
     pending: PendingTable,
@@ -119,6 +123,7 @@
             domain: settings.failure_domain.clone(),
             views_prefix: format!("{}{VIEWS_PART}", settings.platform.prefix),
             connections_max: settings.workers.connections_max,
+            dial_addresses: dial_addresses(settings),
             membership: Mutex::new(membership(&me, settings)),
             me,
             links,
@@ -187,6 +192,12 @@
         }
     }
 
+    /// Where to dial an instance that is said to be at `told`.
+    fn dial_address(&self, member: &Member, told: &str) -> Option<SocketAddr> {
+        let set = self.dial_addresses.get(&member.name).copied();
+        set.or_else(|| told.parse().ok())
+    }
+
     fn membership(&self) -> MutexGuard<'_, Membership> {
         self.membership
             .lock()
@@ -194,6 +205,15 @@
     }
 }
 
+fn dial_addresses(settings: &Settings) -> HashMap<String, SocketAddr> {
+    let peers = settings.peers.iter();
+    let parsed = peers.filter_map(|peer| {
+        let address = peer.dial_address.parse().ok()?;
+        Some((peer.instance.clone(), address))
+    });
+    parsed.collect()
+}
+
 fn membership(me: &Member, settings: &Settings) -> Membership {
     let timing = &settings.membership;
     let params = MembershipParams {
--- a/src/peers/driver.rs
+++ b/src/peers/driver.rs
@@ -87,7 +87,7 @@
             .into_iter()
             .filter(|peer| peer.state == PeerState::Silent);
         for peer in silent {
-            let Ok(address) = peer.address.parse() else {
+            let Some(address) = self.dial_address(&peer.member, &peer.address) else {
                 continue;
             };
             let peers = Arc::clone(self);
@@ -136,7 +136,7 @@
 
     /// Sends a message that may be lost.
     fn send(&self, to: &Member, address: &str, body: Body) {
-        if let Ok(address) = address.parse() {
+        if let Some(address) = self.dial_address(to, address) {
             self.links.set_peer(&to.name, address);
         }
         // A lost message costs a heartbeat period; the links count it.
--- a/src/peers/forward.rs
+++ b/src/peers/forward.rs
@@ -131,7 +131,7 @@
 
     fn send_ask(&self, owner: &Member, body: Body) -> Result<(), LinkError> {
         let address = self.membership().address(owner);
-        if let Ok(address) = address.parse() {
+        if let Some(address) = self.dial_address(owner, &address) {
             self.links.set_peer(&owner.name, address);
         }
         self.links.send(&owner.name, body)
--- a/src/util/settings/limits.rs
+++ b/src/util/settings/limits.rs
@@ -151,6 +151,9 @@
     fn peer(&mut self, path: &str, peer: &PeerSettings, settings: &Settings) {
         self.name(&format!("{path}.instance"), &peer.instance);
         self.reachable(&format!("{path}.peer_address"), &peer.peer_address);
+        if !peer.dial_address.is_empty() {
+            self.reachable(&format!("{path}.dial_address"), &peer.dial_address);
+        }
         let domain = format!("{path}.failure_domain");
         self.listed_domain(&domain, &peer.failure_domain, settings);
     }
--- /dev/null
+++ b/tests/testsuite/faults_domain.rs
@@ -0,0 +1,157 @@
+//! Failure domains cut off from each other, over real processes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+use trefoil_fakes::platform::faults::FaultOrder;
+use trefoil_fakes::relay::LinkState;
+
+use crate::support::callers::{Callers, reason_of};
+use crate::support::deployment::{Deployment, Size};
+
+const PERIOD_MS: u64 = 50;
+const CUT: Duration = Duration::from_millis(1_500);
+
+async fn two_domains() -> Deployment {
+    let size = Size {
+        domains: 2,
+        ..Size::default()
+    };
+    Deployment::start(size).await
+}
+
+/// Each side serves keys minted there, through each of its instances.
+async fn assert_both_sides_serve(deployment: &Deployment, frozen: Option<usize>) {
+    for domain in 0..2 {
+        let serving = deployment.of_domain(domain);
+        for &entry in serving.iter().filter(|entry| Some(**entry) != frozen) {
+            let key = deployment.world.fresh_key(entry, true).await.unwrap();
+            let job = deployment.world.job(&key, 2, 20);
+            let complete = deployment.world.submit_until_final(entry, &job).await;
+            assert!(complete, "domain {domain}, entry {entry}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn domains_cut_off_from_each_other_both_serve_and_refuse_truthfully() {
+    let deployment = two_domains().await;
+    let all = (0..deployment.instances.len()).collect();
+    let callers = Callers::start(&deployment.world, all, PERIOD_MS);
+    for state in [LinkState::Silent, LinkState::Closed] {
+        // Running across the cut: started over there, asked for from here.
+        let key = deployment.key_owned_by(3, true).await;
+        let crossing = deployment.world.job(&key, 3, 400);
+        let world = Arc::clone(&deployment.world);
+        let job = crossing.clone();
+        let crossed = tokio::spawn(async move { world.submit(0, &job).await });
+        sleep(Duration::from_millis(150)).await;
+        deployment.cut_domains(state);
+        assert_both_sides_serve(&deployment, None).await;
+        let key = deployment.key_owned_by(4, true).await;
+        let answer = deployment
+            .world
+            .submit(1, &deployment.world.job(&key, 2, 20))
+            .await;
+        assert_ne!(answer["state"], "complete", "{answer}");
+        assert_ne!(answer["verdict"], "ran", "{answer}");
+        sleep(CUT).await;
+        deployment.cut_domains(LinkState::Whole);
+        crossed.await.unwrap();
+        deployment.until_served().await;
+        // The job that ran over there is found again, whole.
+        let found = deployment.world.submit_until_final(0, &crossing).await;
+        assert!(found, "{state:?}");
+    }
+    assert!(callers.finish().await > 20);
+    let tally = deployment.verdict();
+    assert!(
+        tally.of(&["answer_lost", "owner_unreachable"]) > 0,
+        "{tally:?}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cut_and_a_frozen_owner_together_start_nothing_twice() {
+    const FROZEN: usize = 4;
+    let deployment = two_domains().await;
+    let all = (0..deployment.instances.len()).collect();
+    let callers = Callers::start(&deployment.world, all, PERIOD_MS);
+    deployment.cut_domains(LinkState::Silent);
+    deployment.instances[FROZEN].freeze();
+    sleep(CUT).await;
+    assert_both_sides_serve(&deployment, Some(FROZEN)).await;
+    // Here nobody has heard of the view without the frozen instance.
+    let key = deployment.key_owned_by(FROZEN, true).await;
+    let job = deployment.world.job(&key, 2, 20);
+    let here = Arc::clone(&deployment.world);
+    let from_here = job.clone();
+    let from_here = tokio::spawn(async move { here.submit(0, &from_here).await });
+    deployment.world.submit(3, &job).await;
+    deployment.instances[FROZEN].thaw();
+    sleep(Duration::from_millis(100)).await;
+    deployment.cut_domains(LinkState::Whole);
+    from_here.await.unwrap();
+    deployment.until_served().await;
+    deployment.world.submit_until_final(1, &job).await;
+    assert!(callers.finish().await > 20);
+    deployment.verdict();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_domain_cut_off_from_the_others_and_the_store_goes_on() {
+    let deployment = two_domains().await;
+    let all = (0..deployment.instances.len()).collect();
+    let callers = Callers::start(&deployment.world, all, PERIOD_MS);
+    let blocked = |names| FaultOrder {
+        block_instances: Some(names),
+        ..FaultOrder::default()
+    };
+    deployment.order_platform(&blocked(deployment.names(1)));
+    deployment.cut_domains(LinkState::Silent);
+    sleep(CUT).await;
+    assert_both_sides_serve(&deployment, None).await;
+    // An operator is told on the cut side that the store can't be reached.
+    let team = serde_json::json!({"kind": "team", "name": "late", "spec": {"weight": 1}});
+    assert_eq!(deployment.try_put(4, &team).await, 503);
+    assert_eq!(deployment.try_put(1, &team).await, 200);
+    deployment.cut_domains(LinkState::Whole);
+    // Configuration and views pass between instances while the store is
+    // still out of reach.
+    deployment.until_served().await;
+    deployment.order_platform(&blocked(Vec::new()));
+    deployment.until_served().await;
+    assert!(callers.finish().await > 20);
+    deployment.verdict();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_domain_that_dies_whole_is_lost_alone() {
+    let mut deployment = two_domains().await;
+    let here = deployment.of_domain(0);
+    let callers = Callers::start(&deployment.world, here.clone(), PERIOD_MS);
+    let there = deployment.of_domain(1);
+    for &index in &there {
+        deployment.instances[index].kill();
+    }
+    sleep(CUT).await;
+    for &entry in &here {
+        let key = deployment.world.fresh_key(entry, true).await.unwrap();
+        let job = deployment.world.job(&key, 2, 20);
+        assert!(deployment.world.submit_until_final(entry, &job).await);
+        let key = deployment.key_owned_by(there[0], true).await;
+        let answer = deployment
+            .world
+            .submit(entry, &deployment.world.job(&key, 2, 20))
+            .await;
+        assert_ne!(answer["state"], "complete", "{}", reason_of(&answer));
+    }
+    for &index in &there {
+        deployment.instances[index].restart();
+    }
+    deployment.list_instances().await;
+    deployment.until_served().await;
+    assert!(callers.finish().await > 20);
+    deployment.verdict();
+}
--- /dev/null
+++ b/tests/testsuite/faults_store.rs
@@ -0,0 +1,182 @@
+//! The platform's store down, slow, or losing answers, and its instance list
+//! late, over real processes.
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::time::sleep;
+use trefoil_fakes::platform::faults::FaultOrder;
+
+use crate::support::callers::Callers;
+use crate::support::deployment::{Deployment, Size, until};
+
+const PERIOD_MS: u64 = 40;
+
+fn down(down: bool) -> FaultOrder {
+    FaultOrder {
+        down: Some(down),
+        ..FaultOrder::default()
+    }
+}
+
+fn team(name: &str) -> Value {
+    json!({"kind": "team", "name": name, "spec": {"weight": 7}})
+}
+
+/// Waits until the revision in force is the same everywhere and not older
+/// than `floor`; it.
+async fn settled_revision(deployment: &Deployment, floor: u64) -> u64 {
+    let revisions = async || {
+        let mut revisions = Vec::new();
+        for entry in 0..deployment.instances.len() {
+            let status = deployment.status(entry).await;
+            let revision = status.and_then(|status| status["config_revision"].as_u64());
+            revisions.push(revision.unwrap_or(0));
+        }
+        revisions
+    };
+    until("one revision is in force everywhere", async || {
+        let revisions = revisions().await;
+        revisions
+            .iter()
+            .all(|revision| *revision == revisions[0] && *revision >= floor)
+    })
+    .await;
+    revisions().await[0]
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn work_goes_on_while_the_store_is_down_and_a_newcomer_waits() {
+    let mut deployment = Deployment::start(Size::default()).await;
+    let before = settled_revision(&deployment, 1).await;
+    let callers = Callers::start(&deployment.world, vec![0, 1], PERIOD_MS);
+    deployment.order_platform(&down(true));
+    deployment.until_served().await;
+    assert_eq!(deployment.try_put(0, &team("refused")).await, 503);
+    deployment.instances[2].restart();
+    until("the newcomer lives", async || {
+        deployment.status(2).await.is_some()
+    })
+    .await;
+    sleep(Duration::from_millis(1_500)).await;
+    // Told by its peers of the configuration, but member of no view.
+    assert!(!deployment.is_ready(2).await);
+    let status = deployment.status(2).await.unwrap();
+    assert_eq!(status["config_revision"], before, "{status}");
+    // Keys of the two that stayed are served, through the newcomer too.
+    for owner in [0, 1] {
+        let key = deployment.key_owned_by(owner, true).await;
+        let job = deployment.world.job(&key, 2, 20);
+        assert!(
+            deployment.world.submit_until_final(2, &job).await,
+            "owner {owner}"
+        );
+    }
+    deployment.order_platform(&down(false));
+    deployment.until_served().await;
+    assert_eq!(deployment.try_put(2, &team("accepted")).await, 200);
+    let after = settled_revision(&deployment, before + 1).await;
+    assert!(after > before);
+    assert!(callers.finish().await > 20);
+    deployment.verdict();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_lost_after_the_write_change_nothing_twice() {
+    let mut deployment = Deployment::start(Size::default()).await;
+    let callers = Callers::start(&deployment.world, vec![0, 1], PERIOD_MS);
+    let lose = |count| FaultOrder {
+        drop_answers: Some(count),
+        ..FaultOrder::default()
+    };
+    let dropped = |deployment: &Deployment| deployment.platform.counters().dropped_answers;
+    // A declaration.
+    let before = settled_revision(&deployment, 1).await;
+    deployment.order_platform(&lose(1));
+    let status = deployment.try_put(0, &team("once")).await;
+    assert_eq!(status, 200);
+    assert_eq!(dropped(&deployment), 1);
+    let after = settled_revision(&deployment, before + 1).await;
+    assert_eq!(deployment.try_put(1, &team("once")).await, 412);
+    assert_eq!(settled_revision(&deployment, after).await, after);
+    // The removal of a dead member, and its successor's entry.
+    for _ in 0..2 {
+        let before = dropped(&deployment);
+        deployment.order_platform(&lose(1));
+        deployment.instances[2].kill();
+        until("the removal's answer is lost", async || {
+            dropped(&deployment) > before
+        })
+        .await;
+        deployment.until_served_at(&[0, 1]).await;
+        deployment.order_platform(&lose(1));
+        deployment.instances[2].restart();
+        until("the entry's answer is lost", async || {
+            dropped(&deployment) > before + 1
+        })
+        .await;
+        deployment.until_served().await;
+    }
+    assert!(callers.finish().await > 20);
+    deployment.verdict();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_slow_store_and_a_late_list_delay_no_work() {
+    let mut deployment = Deployment::start(Size::default()).await;
+    let callers = Callers::start(&deployment.world, vec![0, 1], PERIOD_MS);
+    let slow = |slow_ms, lag_ms| FaultOrder {
+        slow_ms: Some(slow_ms),
+        instance_list_lag_ms: Some(lag_ms),
+        ..FaultOrder::default()
+    };
+    // Just within the limit of a call, so that some are given up.
+    deployment.order_platform(&slow(450, 3_000));
+    deployment.until_served().await;
+    // The list goes on naming the former incarnation for a while.
+    deployment.instances[2].restart();
+    deployment.list_instances().await;
+    deployment.until_served().await;
+    deployment.instances[2].kill();
+    deployment.until_served().await;
+    deployment.order_platform(&slow(0, 0));
+    deployment.instances[2].restart();
+    deployment.list_instances().await;
+    deployment.until_served().await;
+    assert!(callers.finish().await > 20);
+    deployment.verdict();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn racing_operators_leave_one_declaration_in_force_everywhere() {
+    let deployment = Deployment::start(Size::default()).await;
+    let before = settled_revision(&deployment, 1).await;
+    for round in 0..5 {
+        let name = format!("raced-{round}");
+        let weighed = |weight| json!({"kind": "team", "name": name, "spec": {"weight": weight}});
+        let (one, two, three) = (weighed(1), weighed(2), weighed(3));
+        let statuses = tokio::join!(
+            deployment.try_put(0, &one),
+            deployment.try_put(1, &two),
+            deployment.try_put(2, &three),
+        );
+        let statuses = [statuses.0, statuses.1, statuses.2];
+        let won = statuses.iter().filter(|status| **status == 200).count();
+        assert_eq!(won, 1, "{statuses:?}");
+        let lost = |status: &&u16| [409, 412].contains(*status);
+        assert_eq!(statuses.iter().filter(lost).count(), 2, "{statuses:?}");
+    }
+    let after = settled_revision(&deployment, before + 5).await;
+    let mut shown = Vec::new();
+    for &entry in &deployment.world.entries {
+        let reply = deployment
+            .world
+            .client
+            .get(entry, "/v1/teams")
+            .await
+            .unwrap();
+        shown.push(serde_json::from_slice::<Value>(&reply.body).unwrap());
+    }
+    assert!(shown.iter().all(|teams| *teams == shown[0]), "{shown:#?}");
+    assert_eq!(settled_revision(&deployment, after).await, after);
+}
--- /dev/null
+++ b/tests/testsuite/faults_work.rs
@@ -0,0 +1,145 @@
+//! Workers that misbehave, bursts, cancellations and reused keys, over real
+//! processes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+use trefoil_fakes::worker::faults::WorkerFaultOrder;
+
+use crate::support::callers::{Callers, reason_of};
+use crate::support::deployment::{Deployment, Size};
+
+const PERIOD_MS: u64 = 30;
+const FAULT: Duration = Duration::from_millis(1_200);
+
+fn first_worker() -> WorkerFaultOrder {
+    WorkerFaultOrder {
+        worker: Some(0),
+        ..WorkerFaultOrder::default()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn workers_that_misbehave_start_nothing_twice_and_cross_no_answers() {
+    let deployment = Deployment::start(Size::default()).await;
+    let callers = Callers::start(&deployment.world, vec![0, 1, 2], PERIOD_MS);
+    let fault = |set: fn(&mut WorkerFaultOrder)| {
+        let mut order = first_worker();
+        set(&mut order);
+        order
+    };
+    let faults = [
+        (
+            fault(|order| order.fail_all = Some(true)),
+            fault(|order| order.fail_all = Some(false)),
+        ),
+        (
+            fault(|order| order.wrong_task = Some(true)),
+            fault(|order| order.wrong_task = Some(false)),
+        ),
+        (
+            fault(|order| order.drop_after_start = Some(true)),
+            fault(|order| order.drop_after_start = Some(false)),
+        ),
+        (
+            fault(|order| order.late_ms = Some(1_500)),
+            fault(|order| order.late_ms = Some(0)),
+        ),
+        (
+            fault(|order| order.refuse_all = Some(true)),
+            fault(|order| order.refuse_all = Some(false)),
+        ),
+        // Last: the hung tasks hold their slots for good.
+        (
+            fault(|order| order.hang = Some(true)),
+            fault(|order| order.hang = Some(false)),
+        ),
+    ];
+    for (order, end) in faults {
+        deployment.order_workers(&order);
+        sleep(FAULT).await;
+        deployment.order_workers(&end);
+        deployment.until_served().await;
+    }
+    assert!(callers.finish().await > 50);
+    let tally = deployment.verdict();
+    assert!(tally.of(&["task_failed"]) > 0, "{tally:?}");
+    let counters = deployment.workers[0].counters();
+    assert!(counters.failed > 0 && counters.dropped > 0, "{counters:?}");
+    assert!(counters.refused_ordered > 0, "{counters:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_key_reused_with_another_body_runs_the_first_alone() {
+    let deployment = Deployment::start(Size::default()).await;
+    let world = &deployment.world;
+    for entry in 0..3 {
+        let key = world.fresh_key(entry, entry != 1).await.unwrap();
+        let first = world.job(&key, 3, 100);
+        let other = world.other_job(&key, 2, 10);
+        assert!(world.submit_until_final(entry, &first).await);
+        for turn in 0..3 {
+            let answer = world.submit((entry + turn) % 3, &other).await;
+            assert_eq!(reason_of(&answer), "key_reused", "{answer}");
+        }
+        for answer in world.resubmit_through_others(entry, &first).await {
+            assert_eq!(answer["state"], "complete", "{answer}");
+            assert_eq!(answer["replayed"], true, "{answer}");
+        }
+    }
+    // Both bodies at once, through every instance: whichever comes first.
+    for round in 0..6 {
+        let key = world.fresh_key(round % 3, round % 2 == 0).await.unwrap();
+        let mut submissions = JoinSet::new();
+        for entry in 0..3 {
+            for job in [world.job(&key, 3, 50), world.other_job(&key, 3, 50)] {
+                let world = Arc::clone(world);
+                submissions.spawn(async move { world.submit(entry, &job).await });
+            }
+        }
+        let answers = submissions.join_all().await;
+        let complete = answers
+            .iter()
+            .filter(|answer| answer["state"] == "complete");
+        assert_eq!(complete.count(), 3, "{answers:?}");
+        let reused = answers
+            .iter()
+            .filter(|answer| reason_of(answer) == "key_reused");
+        assert_eq!(reused.count(), 3, "{answers:?}");
+    }
+    deployment.verdict();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_burst_and_a_wave_of_cancellations_are_answered_truthfully() {
+    const JOBS: usize = 150;
+    let deployment = Deployment::start(Size::default()).await;
+    let mut jobs = JoinSet::new();
+    for number in 0..JOBS {
+        let world = Arc::clone(&deployment.world);
+        jobs.spawn(async move {
+            let entry = number % 3;
+            let key = world.fresh_key(entry, number % 2 == 0).await.unwrap();
+            let job = world.job(&key, 10, 100);
+            let submitted = world.submit(entry, &job);
+            let cancelled = async {
+                if number % 3 == 0 {
+                    sleep(Duration::from_millis(400)).await;
+                    world.cancel((entry + 1) % 3, &job).await;
+                }
+            };
+            let (answer, ()) = tokio::join!(submitted, cancelled);
+            world.resubmit_through_others(entry, &job).await;
+            answer
+        });
+    }
+    let answers = jobs.join_all().await;
+    assert!(answers.iter().all(|answer| !answer.is_null()));
+    deployment.until_served().await;
+    let tally = deployment.verdict();
+    assert!(tally.of(&["complete"]) > 0, "{tally:?}");
+    assert!(tally.of(&["overload", "quota"]) > 0, "{tally:?}");
+    assert!(tally.of(&["cancelled"]) > 0, "{tally:?}");
+}
--- /dev/null
+++ b/tests/testsuite/support/callers.rs
@@ -0,0 +1,354 @@
+//! Callers: jobs submitted, and submitted again with the same key through
+//! every instance until a final word; every request is recorded.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use hyper::Method;
+use hyper::header::{HeaderName, HeaderValue};
+use serde_json::{Value, json};
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::{sleep, timeout};
+use trefoil_core::key::{JobKey, rendezvous};
+use trefoil_fakes::check::history::{HistoryEntry, RequestKind, UNREACHABLE};
+use trefoil_fakes::client::{CallError, Client, Reply, request};
+use trefoil_fakes::worker::record::{Start, body_hash, wall_ms};
+
+use super::deployment::{SERVICE, TEAM};
+
+const KEY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
+/// Time that a job has.
+const DEADLINE_MS: u64 = 2_500;
+/// Longest wait for an answer: the deadline and the entry's grace are shorter.
+const CALL_LIMIT: Duration = Duration::from_secs(8);
+/// How long a caller goes on until it has a final word.
+const CALLER_LIMIT: Duration = Duration::from_secs(20);
+const PAUSE: Duration = Duration::from_millis(25);
+/// Reason recorded where no answer came.
+const LOST: &str = "lost";
+const NOT_RUN: &str = "not_run";
+/// Refusals after which the same key is never served.
+const FINAL_REASONS: [&str; 7] = [
+    "owner_lost",
+    "cancelled",
+    "key_expired",
+    "task_failed",
+    "deadline",
+    "key_reused",
+    "result_dropped",
+];
+
+/// One job as its caller holds it.
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub key: String,
+    pub tokens: Vec<String>,
+    body: String,
+}
+
+/// A recorded request, with what the answer said of it alone.
+#[derive(Clone, Debug)]
+struct Recorded {
+    entry: HistoryEntry,
+    request_verdict: String,
+}
+
+/// What all callers share.
+pub struct World {
+    pub entries: Vec<SocketAddr>,
+    pub client: Client,
+    domains: Vec<String>,
+    recorded: Mutex<Vec<Recorded>>,
+}
+
+impl World {
+    pub fn new(entries: Vec<SocketAddr>, domains: Vec<&str>) -> Self {
+        Self {
+            entries,
+            client: Client::default(),
+            domains: domains.into_iter().map(str::to_owned).collect(),
+            recorded: Mutex::default(),
+        }
+    }
+
+    /// A job of `tasks` tasks that run `run_ms` each.
+    pub fn job(&self, key: &str, tasks: usize, run_ms: u64) -> Job {
+        self.marked_job(key, "#", tasks, run_ms)
+    }
+
+    /// As [`Self::job`], with another body under the same key.
+    pub fn other_job(&self, key: &str, tasks: usize, run_ms: u64) -> Job {
+        self.marked_job(key, "#other#", tasks, run_ms)
+    }
+
+    fn marked_job(&self, key: &str, mark: &str, tasks: usize, run_ms: u64) -> Job {
+        let tokens: Vec<String> = (0..tasks).map(|i| format!("{key}{mark}{i}")).collect();
+        let tasks: Vec<Value> = tokens
+            .iter()
+            .map(|token| json!({"payload": {"run_ms": run_ms, "result": {"token": token}}}))
+            .collect();
+        let body = json!({
+            "service": SERVICE, "team": TEAM, "deadline_ms": DEADLINE_MS, "tasks": tasks,
+        });
+        Job {
+            key: key.to_owned(),
+            tokens,
+            body: body.to_string(),
+        }
+    }
+
+    /// A key that `entry` mints, or a UUID of version 7 of the caller's own.
+    pub async fn fresh_key(&self, entry: usize, minted: bool) -> Option<String> {
+        if !minted {
+            return Some(uuid::Uuid::now_v7().to_string());
+        }
+        let path = "/v1/keys?count=1";
+        let reply = self.client.post(self.entries[entry], path, "");
+        let reply = timeout(CALL_LIMIT, reply).await.ok()?.ok()?;
+        let keys: Value = serde_json::from_slice(&reply.body).ok()?;
+        Some(keys["keys"][0].as_str()?.to_owned())
+    }
+
+    /// A fresh key homed in `domain` that `owner` owns among `members`.
+    pub fn key_owned_by(
+        &self,
+        domain: &str,
+        members: &[String],
+        owner: &str,
+        minted: bool,
+    ) -> String {
+        loop {
+            let key = match minted {
+                true => JobKey::mint(domain, wall_ms(), rand::random()),
+                false => JobKey::parse(&uuid::Uuid::now_v7().to_string()).unwrap(),
+            };
+            let weight = |name: &&String| rendezvous(key.hash(), name);
+            let owns = members.iter().max_by_key(weight).unwrap() == owner;
+            if owns && key.home(&self.domains) == Some(domain) {
+                return key.as_str().to_owned();
+            }
+        }
+    }
+
+    /// Submits a job and records it; the answer's body, `Null` for none.
+    pub async fn submit(&self, entry: usize, job: &Job) -> Value {
+        let address = self.entries[entry];
+        let request = request(Method::POST, address, "/v1/jobs", job.body.clone());
+        self.call(entry, RequestKind::Submit, job, request).await
+    }
+
+    /// Cancels a job and records it.
+    pub async fn cancel(&self, entry: usize, job: &Job) -> Value {
+        let path = format!("/v1/jobs/{}", job.key);
+        let request = request(Method::DELETE, self.entries[entry], &path, "");
+        self.call(entry, RequestKind::Cancel, job, request).await
+    }
+
+    async fn call(
+        &self,
+        entry: usize,
+        kind: RequestKind,
+        job: &Job,
+        mut request: hyper::Request<http_body_util::Full<hyper::body::Bytes>>,
+    ) -> Value {
+        let key = HeaderValue::from_str(&job.key).unwrap();
+        request.headers_mut().insert(KEY_HEADER, key);
+        let mut history = HistoryEntry {
+            kind,
+            key: job.key.clone(),
+            body_hash: body_hash(job.body.as_bytes()),
+            entry: self.entries[entry].to_string(),
+            sent_ms: wall_ms() as f64,
+            reason: LOST.to_owned(),
+            tokens: job.tokens.clone(),
+            ..HistoryEntry::default()
+        };
+        let reply = timeout(CALL_LIMIT, self.client.send(request)).await;
+        let answer = read_answer(reply.ok(), &mut history);
+        history.answered_ms = wall_ms() as f64;
+        let request_verdict = match history.reason == UNREACHABLE {
+            true => NOT_RUN.to_owned(),
+            false => text(&answer, "request_verdict"),
+        };
+        self.recorded.lock().unwrap().push(Recorded {
+            entry: history,
+            request_verdict,
+        });
+        answer
+    }
+
+    /// Submits a job, from `entry` on through all instances in turn, until a
+    /// final word or the caller's limit; true if it completed.
+    pub async fn submit_until_final(&self, entry: usize, job: &Job) -> bool {
+        let begun = Instant::now();
+        for turn in 0.. {
+            let answer = self.submit((entry + turn) % self.entries.len(), job).await;
+            if answer["state"] == "complete" {
+                return true;
+            }
+            if is_final(&answer) || begun.elapsed() > CALLER_LIMIT {
+                return false;
+            }
+            let retry_ms = answer["retry_after_ms"].as_u64().unwrap_or(0).min(500);
+            sleep(PAUSE.max(Duration::from_millis(retry_ms))).await;
+        }
+        false
+    }
+
+    /// Submits a job once more through every instance but `entry`.
+    pub async fn resubmit_through_others(&self, entry: usize, job: &Job) -> Vec<Value> {
+        let mut answers = Vec::new();
+        for turn in 1..self.entries.len() {
+            answers.push(self.submit((entry + turn) % self.entries.len(), job).await);
+        }
+        answers
+    }
+
+    /// All requests so far.
+    pub fn requests(&self) -> Vec<HistoryEntry> {
+        let recorded = self.recorded.lock().unwrap();
+        recorded.iter().map(|item| item.entry.clone()).collect()
+    }
+
+    /// Keys with starts all of whose submissions were told that they
+    /// themselves had started nothing.
+    pub fn false_request_verdicts(&self, starts: &[Start]) -> Vec<String> {
+        let recorded = self.recorded.lock().unwrap();
+        let mut may_have_run: BTreeMap<&str, bool> = BTreeMap::new();
+        for item in recorded.iter() {
+            if item.entry.kind == RequestKind::Submit {
+                let open = item.request_verdict != NOT_RUN;
+                *may_have_run.entry(&item.entry.key).or_default() |= open;
+            }
+        }
+        let started: BTreeSet<&str> = starts
+            .iter()
+            .filter_map(|start| start.task.split('/').next())
+            .collect();
+        let denied = may_have_run.into_iter().filter(|(_, open)| !open);
+        denied
+            .filter(|(key, _)| started.contains(key))
+            .map(|(key, _)| key.to_owned())
+            .collect()
+    }
+}
+
+fn read_answer(reply: Option<Result<Reply, CallError>>, history: &mut HistoryEntry) -> Value {
+    let reply = match reply {
+        Some(Ok(reply)) => reply,
+        Some(Err(CallError::Connect { .. })) => {
+            history.reason = UNREACHABLE.to_owned();
+            return Value::Null;
+        }
+        Some(Err(CallError::Broken { .. })) | None => return Value::Null,
+    };
+    let answer: Value = serde_json::from_slice(&reply.body).unwrap_or_default();
+    history.status = reply.status.as_u16();
+    history.verdict = text(&answer, "verdict");
+    history.state = text(&answer, "state");
+    history.reason = reason_of(&answer);
+    history.results = answer["results"].as_array().cloned().unwrap_or_default();
+    answer
+}
+
+fn text(answer: &Value, field: &str) -> String {
+    answer[field].as_str().unwrap_or_default().to_owned()
+}
+
+/// The reason of a refusal or failure; empty where there is none.
+pub fn reason_of(answer: &Value) -> String {
+    let problem = text(answer, "type");
+    match problem.rsplit_once(':') {
+        Some((_, reason)) => reason.to_owned(),
+        None => text(answer, "reason"),
+    }
+}
+
+fn is_final(answer: &Value) -> bool {
+    let reason = reason_of(answer);
+    let no_use = answer["verdict"] == NOT_RUN && answer["retry_after_ms"] == 0;
+    FINAL_REASONS.contains(&reason.as_str()) || no_use || answer["verdict"] == "ran"
+}
+
+/// Callers at a steady pace, each of whose jobs is submitted until a final
+/// word and then once more through every other instance.
+pub struct Callers {
+    stop: Arc<AtomicBool>,
+    task: JoinHandle<usize>,
+}
+
+impl Callers {
+    /// Starts a job each `period_ms`, through `entries` in turn.
+    pub fn start(world: &Arc<World>, entries: Vec<usize>, period_ms: u64) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let task = tokio::spawn(call_steadily(
+            Arc::clone(world),
+            entries,
+            Duration::from_millis(period_ms),
+            Arc::clone(&stop),
+        ));
+        Self { stop, task }
+    }
+
+    /// Starts no more jobs and waits for the last word on each; how many
+    /// completed.
+    pub async fn finish(self) -> usize {
+        self.stop.store(true, Relaxed);
+        self.task.await.unwrap()
+    }
+}
+
+async fn call_steadily(
+    world: Arc<World>,
+    entries: Vec<usize>,
+    period: Duration,
+    stop: Arc<AtomicBool>,
+) -> usize {
+    let mut jobs = JoinSet::new();
+    for number in 0_usize.. {
+        if stop.load(Relaxed) {
+            break;
+        }
+        let entry = entries[number % entries.len()];
+        let world = Arc::clone(&world);
+        let minted = (number / entries.len()).is_multiple_of(2);
+        jobs.spawn(async move {
+            let Some(key) = world.fresh_key(entry, minted).await else {
+                return false;
+            };
+            let job = world.job(&key, 4, 40);
+            let complete = world.submit_until_final(entry, &job).await;
+            world.resubmit_through_others(entry, &job).await;
+            complete
+        });
+        sleep(period).await;
+    }
+    let ends = jobs.join_all().await;
+    ends.into_iter().filter(|complete| *complete).count()
+}
+
+/// Answers counted by state or reason, to show that a fault was felt.
+#[derive(Clone, Debug, Default)]
+pub struct Tally(BTreeMap<String, usize>);
+
+impl Tally {
+    pub fn new(requests: &[HistoryEntry]) -> Self {
+        let mut counts = BTreeMap::new();
+        for entry in requests {
+            let name = match entry.reason.is_empty() {
+                true => &entry.state,
+                false => &entry.reason,
+            };
+            *counts.entry(name.clone()).or_default() += 1;
+        }
+        Self(counts)
+    }
+
+    /// Answers with one of these reasons or states.
+    pub fn of(&self, names: &[&str]) -> usize {
+        names.iter().filter_map(|name| self.0.get(*name)).sum()
+    }
+}
--- /dev/null
+++ b/tests/testsuite/support/instance.rs
@@ -0,0 +1,122 @@
+//! One `trefoild` process, ended with its handle.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+
+use trefoil_schema::settings::PeerSettings;
+
+/// Directory for the log lines of instances, where they are wanted.
+const LOG_DIRECTORY: &str = "TREFOIL_FAULT_LOGS";
+
+/// What one process is started with.
+#[derive(Clone, Debug)]
+pub struct InstanceOptions {
+    pub name: String,
+    pub domain: String,
+    pub domains: Vec<String>,
+    pub http_address: SocketAddr,
+    pub peer_address: SocketAddr,
+    pub platform: SocketAddr,
+    pub peers: Vec<PeerSettings>,
+}
+
+/// One instance, running or not.
+pub struct Instance {
+    pub options: InstanceOptions,
+    child: Option<Child>,
+}
+
+impl Instance {
+    pub fn start(options: InstanceOptions) -> Self {
+        let mut instance = Self {
+            options,
+            child: None,
+        };
+        instance.restart();
+        instance
+    }
+
+    /// Starts the process anew, which makes it another incarnation.
+    pub fn restart(&mut self) {
+        self.kill();
+        self.child = Some(command(&self.options).spawn().unwrap());
+    }
+
+    /// Ends the process at once, as `kill -9` does.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    pub fn is_running(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// Stops the process where it stands.
+    pub fn freeze(&self) {
+        self.signal("STOP");
+    }
+
+    /// Lets a stopped process go on.
+    pub fn thaw(&self) {
+        self.signal("CONT");
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.child.as_ref().unwrap().id().to_string();
+        let sent = Command::new("kill").args(["-s", name, &id]).status();
+        assert!(sent.unwrap().success());
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            drop(child.kill());
+            drop(child.wait());
+        }
+    }
+}
+
+fn command(options: &InstanceOptions) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_trefoild"));
+    let domains = serde_json::to_string(&options.domains).unwrap();
+    let peers = serde_json::to_string(&options.peers).unwrap();
+    let overrides = [
+        format!("instance={}", options.name),
+        format!("failure_domain={}", options.domain),
+        format!("failure_domains={domains}"),
+        format!("peers={peers}"),
+        format!("http_address={}", options.http_address),
+        format!("peer_address={}", options.peer_address),
+        format!("platform.address={}", options.platform),
+        "platform.call_timeout_ms=500".to_owned(),
+        "platform.backoff_min_ms=20".to_owned(),
+        "platform.backoff_max_ms=200".to_owned(),
+        "platform.instance_list_poll_ms=200".to_owned(),
+        "membership.heartbeat_ms=50".to_owned(),
+        "membership.suspect_ms=400".to_owned(),
+        "membership.vouch_ahead_ms=300".to_owned(),
+        "membership.view_change_margin_ms=200".to_owned(),
+        "membership.gone_clock_bound_ms=1000".to_owned(),
+        "workers.probation_ms=300".to_owned(),
+        "drain.announce_ms=200".to_owned(),
+    ];
+    for item in overrides {
+        command.args(["--set", &item]);
+    }
+    command.stderr(log_lines(options)).stdout(Stdio::null());
+    command
+}
+
+fn log_lines(options: &InstanceOptions) -> Stdio {
+    let Ok(directory) = std::env::var(LOG_DIRECTORY) else {
+        return Stdio::null();
+    };
+    let path = format!("{directory}/{}-{}.log", options.http_address, options.name);
+    let file = File::options().create(true).append(true).open(path);
+    file.map_or_else(|_| Stdio::null(), Stdio::from)
+}
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -1,3 +1,6 @@
 //! What the tests share.
 
 pub mod api_stub;
+pub mod callers;
+pub mod deployment;
+pub mod instance;
