peers: a job whose task was lost is told alike through every instance

Cause: the reason `task_lost` was missing from the reasons that travel between instances, so a failed job was `task_lost` at its owner and `failed` through every other instance; the metrics took it for a refusal.

Ruled out: a name of the engine that must not leave the owner; docs/API.md speaks of no `failed`, and the verdict was passed on rightly.

Before: a_failed_job_is_told_alike_through_every_instance failed with (502, failed) against (502, task_lost). After: it passes.

--- a/src/peers/convert.rs
+++ b/src/peers/convert.rs
@@ -16,7 +16,13 @@
 /// Reason of a job whose results cannot be given any more.
 pub const RESULT_DROPPED: &str = "result_dropped";
 /// Reasons of final failures, as they travel.
-const FAILURE_REASONS: [&str; 4] = ["task_failed", "deadline", "cancelled", RESULT_DROPPED];
+const FAILURE_REASONS: [&str; 5] = [
+    "task_failed",
+    "task_lost",
+    "deadline",
+    "cancelled",
+    RESULT_DROPPED,
+];
 const FAILURE_UNKNOWN: &str = "failed";
 
 /// A message that cannot be acted on.
--- a/src/server/observe.rs
+++ b/src/server/observe.rs
@@ -73,7 +73,7 @@
         return Some(JobState::Complete);
     }
     match reason.map(|reason| reason.0.as_str()) {
-        Some("task_failed" | "deadline") => Some(JobState::Failed),
+        Some("task_failed" | "task_lost" | "deadline") => Some(JobState::Failed),
         Some("cancelled") => Some(JobState::Cancelled),
         _ => None,
     }
--- a/tests/testsuite/faults_work.rs
+++ b/tests/testsuite/faults_work.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde_json::Value;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 use trefoil_fakes::worker::faults::WorkerFaultOrder;
@@ -71,6 +72,58 @@
     assert!(counters.refused_ordered > 0, "{counters:?}");
 }
 
+/// Status, reason and verdict of an answer.
+fn word(answer: &Value) -> (Value, String, Value) {
+    let status = answer["status"].clone();
+    (status, reason_of(answer), answer["verdict"].clone())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_failed_job_is_told_alike_through_every_instance() {
+    let all = WorkerFaultOrder {
+        fail_all: Some(false),
+        wrong_task: Some(false),
+        drop_after_start: Some(false),
+        ..WorkerFaultOrder::default()
+    };
+    let fail = WorkerFaultOrder {
+        fail_all: Some(true),
+        ..all.clone()
+    };
+    let cross = WorkerFaultOrder {
+        wrong_task: Some(true),
+        ..all.clone()
+    };
+    let close = WorkerFaultOrder {
+        drop_after_start: Some(true),
+        ..all.clone()
+    };
+    let deployment = Deployment::start(Size::default()).await;
+    let world = &deployment.world;
+    let faults = [
+        (fail, "task_failed"),
+        (cross, "task_lost"),
+        (close, "task_lost"),
+    ];
+    for (fault, reason) in faults {
+        deployment.order_workers(&fault);
+        for owner in 0..3 {
+            let key = deployment.key_owned_by(owner, true);
+            let job = world.job(&key, 2, 10);
+            let first = world.submit(owner, &job).await;
+            assert_eq!(first["status"], 502, "{first}");
+            assert_eq!(reason_of(&first), reason, "{first}");
+            assert_ne!(first["verdict"], "not_run", "{first}");
+            for answer in world.resubmit_through_others(owner, &job).await {
+                assert_eq!(word(&answer), word(&first), "{answer}");
+            }
+        }
+        deployment.order_workers(&all);
+        deployment.until_served().await;
+    }
+    deployment.verdict();
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_key_reused_with_another_body_runs_the_first_alone() {
     let deployment = Deployment::start(Size::default()).await;
