tests: faults over real processes; a peer's dial address

Cause: the promises were shown in virtual time and through single parts, never over sockets and signals with whole instances.

Weighed for cuts between failure domains: announcing a relay's address cuts an instance off from all at once, and settings that win over what is told keep a replaced instance out of reach.

Change: tests/testsuite/support/{deployment,instance,callers}.rs start trefoild processes with the stand-ins in this process; faults_*.rs kill, freeze, cut and restart, stop and slow the store, lose its answers, and hold all that callers got against all starts. Requests that were told that they started nothing are checked beside the checker's own rules.

--- a/tests/testsuite/faults_domain.rs
+++ b/tests/testsuite/faults_domain.rs
@@ -8,7 +8,7 @@
 use trefoil_fakes::relay::LinkState;
 
 use crate::support::callers::{Callers, reason_of};
-use crate::support::deployment::{Deployment, Size};
+use crate::support::deployment::{Deployment, Size, until};
 
 const PERIOD_MS: u64 = 50;
 const CUT: Duration = Duration::from_millis(1_500);
@@ -21,6 +21,14 @@
     Deployment::start(size).await
 }
 
+/// Waits until each side has noticed the cut.
+async fn until_cut(deployment: &Deployment) {
+    until("both sides miss the other", async || {
+        deployment.silent_elsewhere(0).await == 3 && deployment.silent_elsewhere(3).await == 3
+    })
+    .await;
+}
+
 /// Each side serves keys minted there, through each of its instances.
 async fn assert_both_sides_serve(deployment: &Deployment, frozen: Option<usize>) {
     for domain in 0..2 {
@@ -41,15 +49,16 @@
     let callers = Callers::start(&deployment.world, all, PERIOD_MS);
     for state in [LinkState::Silent, LinkState::Closed] {
         // Running across the cut: started over there, asked for from here.
-        let key = deployment.key_owned_by(3, true).await;
+        let key = deployment.key_owned_by(3, true);
         let crossing = deployment.world.job(&key, 3, 400);
         let world = Arc::clone(&deployment.world);
         let job = crossing.clone();
         let crossed = tokio::spawn(async move { world.submit(0, &job).await });
         sleep(Duration::from_millis(150)).await;
         deployment.cut_domains(state);
+        until_cut(&deployment).await;
         assert_both_sides_serve(&deployment, None).await;
-        let key = deployment.key_owned_by(4, true).await;
+        let key = deployment.key_owned_by(4, true);
         let answer = deployment
             .world
             .submit(1, &deployment.world.job(&key, 2, 20))
@@ -80,10 +89,11 @@
     let callers = Callers::start(&deployment.world, all, PERIOD_MS);
     deployment.cut_domains(LinkState::Silent);
     deployment.instances[FROZEN].freeze();
+    until_cut(&deployment).await;
     sleep(CUT).await;
     assert_both_sides_serve(&deployment, Some(FROZEN)).await;
     // Here nobody has heard of the view without the frozen instance.
-    let key = deployment.key_owned_by(FROZEN, true).await;
+    let key = deployment.key_owned_by(FROZEN, true);
     let job = deployment.world.job(&key, 2, 20);
     let here = Arc::clone(&deployment.world);
     let from_here = job.clone();
@@ -110,6 +120,7 @@
     };
     deployment.order_platform(&blocked(deployment.names(1)));
     deployment.cut_domains(LinkState::Silent);
+    until_cut(&deployment).await;
     sleep(CUT).await;
     assert_both_sides_serve(&deployment, None).await;
     // An operator is told on the cut side that the store can't be reached.
@@ -140,7 +151,7 @@
         let key = deployment.world.fresh_key(entry, true).await.unwrap();
         let job = deployment.world.job(&key, 2, 20);
         assert!(deployment.world.submit_until_final(entry, &job).await);
-        let key = deployment.key_owned_by(there[0], true).await;
+        let key = deployment.key_owned_by(there[0], true);
         let answer = deployment
             .world
             .submit(entry, &deployment.world.job(&key, 2, 20))
--- a/tests/testsuite/faults_owner.rs
+++ b/tests/testsuite/faults_owner.rs
@@ -22,7 +22,7 @@
     let mut jobs = Vec::new();
     let mut callers = JoinSet::new();
     for number in 0..6 {
-        let key = deployment.key_owned_by(VICTIM, number % 2 == 0).await;
+        let key = deployment.key_owned_by(VICTIM, number % 2 == 0);
         let job = world.job(&key, 3, 600);
         jobs.push(job.clone());
         let world = Arc::clone(world);
@@ -101,7 +101,7 @@
     for _ in 0..2 {
         deployment.instances[VICTIM].freeze();
         // Sent to the frozen owner, and read by it long after it was replaced.
-        let late = deployment.key_owned_by(VICTIM, true).await;
+        let late = deployment.key_owned_by(VICTIM, true);
         let late = deployment.world.job(&late, 3, 20);
         let world = Arc::clone(&deployment.world);
         let late = tokio::spawn(async move { world.submit_until_final(VICTIM, &late).await });
@@ -139,7 +139,7 @@
     // Keys of the two that are left go on without the store.
     for owner in [0, 2] {
         for entry in [0, 2] {
-            let key = deployment.key_owned_by(owner, true).await;
+            let key = deployment.key_owned_by(owner, true);
             let job = deployment.world.job(&key, 2, 20);
             let complete = deployment.world.submit_until_final(entry, &job).await;
             assert!(complete, "owner {owner} through {entry}");
--- a/tests/testsuite/faults_store.rs
+++ b/tests/testsuite/faults_store.rs
@@ -65,7 +65,7 @@
     assert_eq!(status["config_revision"], before, "{status}");
     // Keys of the two that stayed are served, through the newcomer too.
     for owner in [0, 1] {
-        let key = deployment.key_owned_by(owner, true).await;
+        let key = deployment.key_owned_by(owner, true);
         let job = deployment.world.job(&key, 2, 20);
         assert!(
             deployment.world.submit_until_final(2, &job).await,
@@ -151,6 +151,7 @@
 async fn racing_operators_leave_one_declaration_in_force_everywhere() {
     let deployment = Deployment::start(Size::default()).await;
     let before = settled_revision(&deployment, 1).await;
+    let mut accepted = Vec::new();
     for round in 0..5 {
         let name = format!("raced-{round}");
         let weighed = |weight| json!({"kind": "team", "name": name, "spec": {"weight": weight}});
@@ -161,22 +162,29 @@
             deployment.try_put(2, &three),
         );
         let statuses = [statuses.0, statuses.1, statuses.2];
-        let won = statuses.iter().filter(|status| **status == 200).count();
-        assert_eq!(won, 1, "{statuses:?}");
         let lost = |status: &&u16| [409, 412].contains(*status);
         assert_eq!(statuses.iter().filter(lost).count(), 2, "{statuses:?}");
+        let won = statuses.iter().position(|status| *status == 200);
+        accepted.push(weighed(won.unwrap() + 1));
     }
     let after = settled_revision(&deployment, before + 5).await;
-    let mut shown = Vec::new();
-    for &entry in &deployment.world.entries {
-        let reply = deployment
-            .world
-            .client
-            .get(entry, "/v1/teams")
-            .await
-            .unwrap();
-        shown.push(serde_json::from_slice::<Value>(&reply.body).unwrap());
+    for _ in 0..2 {
+        for entry in 0..3 {
+            assert_eq!(raced_teams(&deployment, entry).await, accepted);
+        }
+        assert_eq!(settled_revision(&deployment, after).await, after);
     }
-    assert!(shown.iter().all(|teams| *teams == shown[0]), "{shown:#?}");
-    assert_eq!(settled_revision(&deployment, after).await, after);
+}
+
+/// Declarations of the race as an instance shows them, without their status.
+async fn raced_teams(deployment: &Deployment, entry: usize) -> Vec<Value> {
+    let address = deployment.world.entries[entry];
+    let reply = deployment.world.client.get(address, "/v1/teams").await;
+    let shown: Vec<Value> = serde_json::from_slice(&reply.unwrap().body).unwrap();
+    let raced = shown
+        .into_iter()
+        .filter(|team| team["name"].as_str().unwrap().starts_with("raced-"));
+    raced
+        .map(|team| json!({"kind": team["kind"], "name": team["name"], "spec": team["spec"]}))
+        .collect()
 }
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -89,6 +89,10 @@
         ("http_address=127.0.0.1:0", "http_address"),
         ("peer_address=0.0.0.0:7401", "peer_address"),
         ("peer_address=127.0.0.1:7400", "peer_address"),
+        (
+            r#"peers=[{"instance":"b","failure_domain":"local","peer_address":"127.0.0.1:9","dial_address":"0.0.0.0:9"}]"#,
+            "peers.0.dial_address",
+        ),
         ("failure_domain=elsewhere", "failure_domain"),
         ("failure_domains=[\"local\",\"local\"]", "failure_domains.1"),
         ("jobs.shards=1025", "jobs.shards"),
--- a/tests/testsuite/support/callers.rs
+++ b/tests/testsuite/support/callers.rs
@@ -31,11 +31,12 @@
 const LOST: &str = "lost";
 const NOT_RUN: &str = "not_run";
 /// Refusals after which the same key is never served.
-const FINAL_REASONS: [&str; 7] = [
+const FINAL_REASONS: [&str; 8] = [
     "owner_lost",
     "cancelled",
     "key_expired",
     "task_failed",
+    "task_lost",
     "deadline",
     "key_reused",
     "result_dropped",
--- a/tests/testsuite/support/deployment.rs
+++ b/tests/testsuite/support/deployment.rs
@@ -271,11 +271,16 @@
         }
     }
 
-    /// Holds back what one failure domain sends to an instance of another.
-    pub fn cut_link(&self, from_domain: usize, to: usize, state: LinkState) {
-        let mut links = self.links.iter();
-        let link = links.find(|link| link.from_domain == from_domain && link.to == to);
-        link.unwrap().relay.set(state);
+    /// How many instances of another failure domain an instance calls silent.
+    pub async fn silent_elsewhere(&self, entry: usize) -> usize {
+        let domain = &self.instances[entry].options.domain;
+        let status = self.status(entry).await.unwrap_or_default();
+        let instances = status["instances"].as_array().cloned();
+        let instances = instances.unwrap_or_default().into_iter();
+        let silent = instances.filter(|other| other["state"] == "silent");
+        silent
+            .filter(|other| other["failure_domain"] != **domain)
+            .count()
     }
 
     pub fn order_platform(&self, order: &FaultOrder) {
@@ -302,7 +307,7 @@
     }
 
     /// A fresh key that `owner` owns while its whole failure domain serves.
-    pub async fn key_owned_by(&self, owner: usize, minted: bool) -> String {
+    pub fn key_owned_by(&self, owner: usize, minted: bool) -> String {
         let domain = owner / self.size.instances_per_domain;
         let name = &self.instances[owner].options.name;
         self.world
@@ -314,7 +319,7 @@
         starts.flatten().collect()
     }
 
-    /// Ends the faults, then holds all that callers got against all starts.
+    /// Holds all that callers got against all starts.
     ///
     /// # Panics
     ///
--- a/tests/testsuite/support/instance.rs
+++ b/tests/testsuite/support/instance.rs
@@ -9,6 +9,9 @@
 /// Directory for the log lines of instances, where they are wanted.
 const LOG_DIRECTORY: &str = "TREFOIL_FAULT_LOGS";
 
+/// Another build of `trefoild` to test, as one with a mechanism switched off.
+const PROGRAM: &str = "TREFOIL_FAULT_PROGRAM";
+
 /// What one process is started with.
 #[derive(Clone, Debug)]
 pub struct InstanceOptions {
@@ -82,7 +85,8 @@
 }
 
 fn command(options: &InstanceOptions) -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_trefoild"));
+    let built = env!("CARGO_BIN_EXE_trefoild").to_owned();
+    let mut command = Command::new(std::env::var(PROGRAM).unwrap_or(built));
     let domains = serde_json::to_string(&options.domains).unwrap();
     let peers = serde_json::to_string(&options.peers).unwrap();
     let overrides = [
