--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -1,4 +1,7 @@
 //! What the tests share.
 
 pub mod api_stub;
+pub mod callers;
+pub mod deployment;
+pub mod instance;
 pub mod pair;
