peers: hand over the memory of ended jobs at a planned stop

Until now a resubmission of a key of a drained instance got owner_lost and may_have_run although the job had completed.

A leaving instance, once new keys are refused and nothing runs, sends what it remembers to the instances that answer for these keys next: after each owner the rendezvous member of the first view without it. They answer from that memory and never start such a key. With the last part comes a scope (way, issue times, newest view known): within it a key that was not handed over never started, and is refused as owner_left with the verdict not_run.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -16,6 +16,7 @@
 mod queue;
 mod refusal;
 mod registry;
+mod remembered;
 mod retry_budget;
 mod run_times;
 pub mod settings;
@@ -31,6 +32,7 @@
 
 pub use command::{Command, JobAnswer, JobState, Refusal, RefusalReason};
 pub use event::{Submission, Task, TaskId, TaskOutcome, WaiterId, Worker, WorkerId};
+pub use remembered::{Memory, RememberedJob};
 pub use settings::{EngineSettings, QueueOrder};
 pub use stats::EngineStats;
 
--- a/crates/core/src/engine/command.rs
+++ b/crates/core/src/engine/command.rs
@@ -135,6 +135,8 @@
     KeyAhead,
     /// The instance that owned the key is lost, and its memory with it.
     OwnerLost,
+    /// The instance that owned the key left before it took the job.
+    OwnerLeft,
     /// The instance that owns the key cannot be reached now; nothing was sent.
     OwnerUnreachable,
     /// The request was handed to the key's owner, whose answer did not come.
--- a/crates/core/src/engine/job_table.rs
+++ b/crates/core/src/engine/job_table.rs
@@ -14,6 +14,7 @@
 use super::event::WaiterId;
 use super::job::{EndedJob, JobEnd, JobId};
 use super::pool::Pool;
+use super::remembered::RememberedJob;
 use crate::key::JobKey;
 
 /// Why an end without results is not the whole answer.
@@ -87,6 +88,47 @@
         self.running += 1;
     }
 
+    /// Keys issued before this time are refused, Unix milliseconds.
+    pub fn horizon_ms(&self) -> u64 {
+        self.horizon_ms
+    }
+
+    /// Remembers a job that ended elsewhere.
+    pub fn insert_ended(
+        &mut self,
+        key: Arc<JobKey>,
+        fingerprint: u64,
+        end: JobEnd,
+        results_bytes_max: u64,
+    ) {
+        self.by_issue_time
+            .insert((key.issued_ms(), Arc::clone(&key)));
+        let bytes = results_bytes(&end.results);
+        let state = KeyState::Ended(Box::new(end));
+        self.entries
+            .insert(Arc::clone(&key), KeyEntry { fingerprint, state });
+        if bytes > 0 {
+            self.results_bytes += bytes;
+            self.with_results.push_back(key);
+            self.drop_results(results_bytes_max);
+        }
+    }
+
+    /// Adds all ended jobs to `jobs`; `None` if one still runs.
+    pub fn copy_ended(&self, jobs: &mut Vec<RememberedJob>) -> Option<()> {
+        for (key, entry) in &self.entries {
+            let KeyState::Ended(end) = &entry.state else {
+                return None;
+            };
+            jobs.push(RememberedJob {
+                key: JobKey::clone(key),
+                fingerprint: entry.fingerprint,
+                answer: end.answer(true),
+            });
+        }
+        Some(())
+    }
+
     /// Records a job's end, answers its waiters and keeps results within
     /// `results_bytes_max`.
     pub fn end(&mut self, ended: EndedJob, results_bytes_max: u64, out: &mut Vec<Command>) {
--- /dev/null
+++ b/crates/core/src/engine/remembered.rs
@@ -0,0 +1,136 @@
+//! Memory of ended jobs that passes from instance to instance.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use super::command::{Command, JobAnswer, JobState, Refusal};
+use super::event::WaiterId;
+use super::job::JobEnd;
+use super::{Engine, attach, lock, refusal, refused};
+use crate::key::JobKey;
+use crate::time::Now;
+
+/// An ended job as one instance hands it to another.
+#[derive(Clone, Debug)]
+pub struct RememberedJob {
+    /// Its key.
+    pub key: JobKey,
+    /// Hash of its body.
+    pub fingerprint: u64,
+    /// How it ended; always [`JobAnswer::Known`].
+    pub answer: JobAnswer,
+}
+
+/// All that an instance remembers.
+#[derive(Clone, Debug, Default)]
+pub struct Memory {
+    /// Ended jobs, newest keys first.
+    pub jobs: Vec<RememberedJob>,
+    /// Keys issued before this time may have been forgotten, Unix milliseconds.
+    pub from_ms: u64,
+}
+
+impl Engine {
+    /// All that is remembered, for the instances that answer for these keys
+    /// next; `None` while new keys are taken or a job runs.
+    ///
+    /// After `Some`, no key is admitted any more: each shard is read under its
+    /// lock, and whoever admits checks under it that the instance stays.
+    pub fn memory(&self, now: Now) -> Option<Memory> {
+        if !self.leaving.load(Ordering::Acquire) {
+            return None;
+        }
+        let mut memory = Memory::default();
+        for shard in &self.shards {
+            let mut shard = lock(shard);
+            shard.raise_horizon(self.horizon_ms(now));
+            memory.from_ms = memory.from_ms.max(shard.horizon_ms());
+            shard.copy_ended(&mut memory.jobs)?;
+        }
+        let newest_first = |job: &RememberedJob| std::cmp::Reverse(job.key.issued_ms());
+        memory.jobs.sort_by_key(newest_first);
+        Some(memory)
+    }
+
+    /// Remembers a job that another instance ran; false where there is no room.
+    pub fn remember(&self, now: Now, job: RememberedJob) -> bool {
+        let RememberedJob {
+            key,
+            fingerprint,
+            answer,
+        } = job;
+        let Some(end) = job_end(answer) else {
+            return true;
+        };
+        let mut shard = self.shard(&key);
+        shard.raise_horizon(self.horizon_ms(now));
+        if shard.get(&key).is_some() || shard.is_expired(&key) {
+            return true;
+        }
+        if self.keys.load(Ordering::Relaxed) >= self.settings.jobs.keys_max {
+            return false;
+        }
+        shard.insert_ended(
+            Arc::new(key),
+            fingerprint,
+            end,
+            self.shard_results_bytes_max(),
+        );
+        self.keys.fetch_add(1, Ordering::Relaxed);
+        true
+    }
+
+    /// Answers for a key that this instance may never start: from memory, or
+    /// with `absent`. A submission gives its body's `fingerprint`.
+    pub fn recall(
+        &self,
+        now: Now,
+        key: &JobKey,
+        fingerprint: Option<u64>,
+        absent: Refusal,
+        waiter: WaiterId,
+        out: &mut Vec<Command>,
+    ) {
+        let mut shard = self.shard(key);
+        shard.raise_horizon(self.horizon_ms(now));
+        let expired = shard.is_expired(key);
+        let Some(entry) = shard.get(key) else {
+            let refusal = match expired {
+                true => refusal::key_expired(),
+                false => absent,
+            };
+            return self.refuse(waiter, refusal, out);
+        };
+        if fingerprint.is_some() {
+            self.replayed.fetch_add(1, Ordering::Relaxed);
+        }
+        match fingerprint.is_none_or(|fingerprint| fingerprint == entry.fingerprint) {
+            true => attach(entry, waiter, false, true, out),
+            false => out.push(refused(waiter, refusal::key_reused())),
+        }
+    }
+}
+
+fn job_end(answer: JobAnswer) -> Option<JobEnd> {
+    match answer {
+        JobAnswer::Known {
+            state: state @ (JobState::Complete | JobState::Failed | JobState::Cancelled),
+            verdict,
+            results,
+            reason,
+            detail,
+            replayed: _,
+            tasks_done,
+            tasks_total,
+        } => Some(JobEnd {
+            state,
+            verdict,
+            results,
+            reason,
+            detail: detail.into(),
+            tasks_done,
+            tasks_total,
+        }),
+        JobAnswer::Known { .. } | JobAnswer::Refused(_) => None,
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,11 +12,13 @@
 //! * [`membership`]: who is live, and up to which key time this instance may admit.
 //! * [`config`]: the declarations in force.
 //! * [`drain`]: a planned stop under one budget.
+//! * [`handover`]: what the memory of an instance that left proves.
 //! * [`engine`]: jobs and tasks of one instance, from submission to answer.
 
 pub mod config;
 pub mod drain;
 pub mod engine;
+pub mod handover;
 pub mod key;
 pub mod membership;
 pub mod time;
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -25,7 +25,7 @@
 
 use crate::key::JobKey;
 use crate::time::Now;
-use crate::view::{Member, View, ViewLog};
+use crate::view::{Member, Succession, View, ViewLog};
 use proposer::Proposer;
 use roster::Roster;
 use vouching::{Admission, Vouching};
@@ -48,6 +48,7 @@
     domains: Vec<String>,
     address: String,
     leaving: bool,
+    ended: bool,
     config_revision: u64,
     queued: u32,
     running: u32,
@@ -77,6 +78,7 @@
             domains: domains.to_vec(),
             address: address.to_owned(),
             leaving: false,
+            ended: false,
             config_revision: 0,
             queued: 0,
             running: 0,
@@ -304,6 +306,28 @@
         }
     }
 
+    /// Who answers for `key` from memory, where [`Self::route`] says that its
+    /// owner is lost; with the newest view known of the key's home.
+    pub fn succession(&self, key: &JobKey) -> Option<(Succession, u64)> {
+        let home = key.home(&self.domains)?;
+        let log = &self.logs.get(home)?.log;
+        let succession = log.succession(key, |member| self.is_gone(member))?;
+        Some((succession, log.version()))
+    }
+
+    fn is_gone(&self, member: &Member) -> bool {
+        self.roster.has_left(member)
+            || self.roster.superseded(member)
+            || self.roster.certainly_gone(self.now, member, &self.params)
+    }
+
+    /// Tells others that this instance has handed its memory over and ends.
+    pub fn say_gone(&mut self, commands: &mut Vec<Command>) {
+        self.ended = true;
+        self.tell_domain(commands);
+        self.tell_all_others(commands);
+    }
+
     fn is_me(&self, owner: &Member) -> bool {
         match self.params.mutation {
             Some(Mutation::NoIncarnationCheck) => owner.name == self.me.name,
@@ -333,9 +357,7 @@
         let heard = self
             .roster
             .heard_within(self.now, owner, self.params.suspect_ms);
-        let gone = self.roster.superseded(owner)
-            || self.roster.certainly_gone(self.now, owner, &self.params);
-        match gone || (!in_newest && !heard) {
+        match self.is_gone(owner) || (!in_newest && !heard) {
             true => Route::OwnerLost,
             false => Route::Peer(owner.clone()),
         }
--- a/crates/core/src/membership/roster.rs
+++ b/crates/core/src/membership/roster.rs
@@ -27,6 +27,8 @@
 pub(super) struct Roster {
     peers: BTreeMap<String, Peer>,
     gone: BTreeSet<Member>,
+    /// Instances that said themselves that they end, at what time.
+    left: BTreeMap<Member, u64>,
     listed: BTreeMap<String, u64>,
     /// When the platform's list was last read.
     list_mono_ms: u64,
@@ -42,6 +44,9 @@
         if newest.is_some_and(|incarnation| incarnation > from.incarnation) {
             return;
         }
+        if heartbeat.state() == InstanceState::Gone {
+            self.left.insert(from.clone(), now.mono_ms);
+        }
         let peer = self.entry(from, &heartbeat.domain, now);
         if !heartbeat.address.is_empty() {
             peer.address.clone_from(&heartbeat.address);
@@ -104,6 +109,9 @@
             recent || listed.contains_key(name) || known.contains(name.as_str())
         });
         self.gone.retain(|member| watched.contains(member));
+        let recent = |at_ms: u64| now.mono_ms.saturating_sub(at_ms) < FORGET_MS;
+        self.left
+            .retain(|member, at_ms| recent(*at_ms) || watched.contains(member));
     }
 
     /// Records that an instance's process has ended.
@@ -153,6 +161,11 @@
             .is_some_and(|heard| now.mono_ms.saturating_sub(heard) <= within_ms)
     }
 
+    /// Whether the instance said itself that it ends.
+    pub fn has_left(&self, member: &Member) -> bool {
+        self.left.contains_key(member)
+    }
+
     /// Whether a later start of the same name was heard of.
     pub fn superseded(&self, member: &Member) -> bool {
         self.peers
--- a/crates/core/src/membership/talk.rs
+++ b/crates/core/src/membership/talk.rs
@@ -7,6 +7,10 @@
 use super::types::Command;
 use crate::view::{Member, View};
 
+/// Most instances of other failure domains told at once that this one ends;
+/// the others notice its silence.
+const FAREWELLS_MAX: usize = 64;
+
 impl Membership {
     pub(super) fn on_tick(&mut self, entropy: u64, commands: &mut Vec<Command>) {
         self.extend(commands);
@@ -77,14 +81,25 @@
         }
     }
 
+    /// Heartbeats to instances of other failure domains, many at once.
+    pub(super) fn tell_all_others(&self, commands: &mut Vec<Command>) {
+        let known = self.roster.members();
+        let others = known.filter(|(_, peer)| peer.domain != self.domain);
+        for (to, _) in others.take(FAREWELLS_MAX) {
+            let heartbeat = self.heartbeat(None, &to, None);
+            self.send(&to, Body::Heartbeat(heartbeat), commands);
+        }
+    }
+
     fn heartbeat(&self, view: Option<&View>, to: &Member, entropy: Option<u64>) -> Heartbeat {
         let asks = view.is_some_and(|view| {
             let own = self.in_view(view, &self.me) && view.has(to);
             own && self.vouching.self_sealed_version() < view.version
         });
-        let state = match self.leaving {
-            true => InstanceState::Leaving,
-            false => InstanceState::Serving,
+        let state = match (self.ended, self.leaving) {
+            (true, _) => InstanceState::Gone,
+            (false, true) => InstanceState::Leaving,
+            (false, false) => InstanceState::Serving,
         };
         let revisions = self.logs.iter().map(|(domain, known)| ViewRevision {
             domain: domain.clone(),
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -76,6 +76,17 @@
     }
 }
 
+/// Who answers for a key whose owner is gone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Succession {
+    /// The key's owner, then those that answered for it since, all gone.
+    pub path: Vec<Member>,
+    /// Who answers for it now; it never starts it.
+    pub holder: Member,
+    /// Whether each step was made by a stored view.
+    pub stored: bool,
+}
+
 /// A message or record that breaks a rule of view logs.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 pub enum ViewError {
@@ -169,6 +180,51 @@
             .map(|view| view.version)
     }
 
+    /// Who answers for a key after its owner, and others after that, left.
+    ///
+    /// After each of them it is the rendezvous member of the first view
+    /// without it: later changes of members do not move the memory again. One
+    /// that is `gone` while the newest view still has it is followed by the
+    /// rendezvous member of the others. `None` while the owner stays.
+    pub fn succession(&self, key: &JobKey, gone: impl Fn(&Member) -> bool) -> Option<Succession> {
+        let mut view = self.covering(key.issued_ms())?;
+        let mut holder = view.owner(key)?;
+        let mut path = Vec::new();
+        let mut stored = true;
+        while let Some(next) = self.first_without(holder, view.version) {
+            path.push(holder.clone());
+            view = next;
+            holder = next.owner(key)?;
+        }
+        if gone(holder) {
+            path.push(holder.clone());
+            holder = self.newest()?.owner_but(key, holder)?;
+            stored = false;
+        }
+        let holder = holder.clone();
+        (!path.is_empty()).then_some(Succession {
+            path,
+            holder,
+            stored,
+        })
+    }
+
+    fn first_without(&self, member: &Member, after_version: u64) -> Option<&View> {
+        let mut later = self.views.iter();
+        later.find(|view| view.version > after_version && !view.has(member))
+    }
+
+    /// Members that answer for keys of `member` after it, by
+    /// [`Self::succession`].
+    pub fn heirs(&self, member: &Member) -> Vec<Member> {
+        let pairs = self.views.windows(2);
+        let removals = pairs.filter(|pair| pair[0].has(member) && !pair[1].has(member));
+        let mut heirs: Vec<Member> = removals.flat_map(|pair| pair[1].members.clone()).collect();
+        heirs.sort();
+        heirs.dedup();
+        heirs
+    }
+
     /// Checks the rules that every stored log obeys.
     pub fn check(&self) -> Result<(), ViewError> {
         for view in &self.views {
@@ -227,6 +283,13 @@
         (!repeated).then_some(()).ok_or(ViewError::RepeatedName)
     }
 
+    /// The member that would own `key` were `without` no member.
+    fn owner_but(&self, key: &JobKey, without: &Member) -> Option<&Member> {
+        let hash = key.hash();
+        let others = self.members.iter().filter(|member| *member != without);
+        others.max_by_key(|member| rendezvous(hash, &member.name))
+    }
+
     /// The member that owns `key` within this view.
     pub fn owner(&self, key: &JobKey) -> Option<&Member> {
         let hash = key.hash();
--- a/src/http/caller/answer.rs
+++ b/src/http/caller/answer.rs
@@ -158,7 +158,7 @@
             StatusCode::NOT_FOUND
         }
         RefusalReason::KeyReused => StatusCode::CONFLICT,
-        RefusalReason::KeyExpired => StatusCode::GONE,
+        RefusalReason::KeyExpired | RefusalReason::OwnerLeft => StatusCode::GONE,
         RefusalReason::TooManyTasks | RefusalReason::KeyAhead | RefusalReason::Impossible => {
             StatusCode::UNPROCESSABLE_ENTITY
         }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -12,6 +12,9 @@
 //! * [`driver`]: the shell round the membership decisions.
 //! * [`forward`]: requests to a key's owner.
 //! * [`serve`]: requests from other instances.
+//! * [`handover`]: a leaving instance's memory, sent and taken over.
+//! * [`parts`]: that memory in parts of bounded size.
+//! * [`recall`]: keys whose owner is gone.
 //! * [`pending`]: who waits for which answer.
 //! * [`record`]: a failure domain's views as the store keeps them.
 //! * [`convert`]: between the engine's types and messages.
@@ -19,7 +22,10 @@
 pub mod convert;
 mod driver;
 mod forward;
+mod handover;
+pub mod parts;
 mod pending;
+mod recall;
 pub mod record;
 mod serve;
 
@@ -27,6 +33,7 @@
 
 use derive_more::{Display, Error};
 use slog::Logger;
+use trefoil_core::handover::Scopes;
 use trefoil_core::key::JobKey;
 use trefoil_core::membership::{
     Event, MemberStatus, Membership, MembershipParams, PeerState, Route,
@@ -41,6 +48,8 @@
 use crate::sources::config::ConfigHandle;
 use crate::sources::instances::InstanceList;
 use crate::sources::platform::PlatformStore;
+use handover::AckTable;
+pub use handover::HandoverReport;
 use pending::PendingTable;
 
 /// Part of the store's keys that holds view logs, after the prefix.
@@ -92,6 +101,8 @@
     membership: Mutex<Membership>,
     links: Links,
     pending: PendingTable,
+    acks: Mutex<AckTable>,
+    scopes: Mutex<Scopes>,
     context: PeersContext,
 }
 
@@ -123,6 +134,8 @@
             me,
             links,
             pending: PendingTable::default(),
+            acks: Mutex::default(),
+            scopes: Mutex::default(),
             context,
         });
         tokio::spawn(Arc::clone(&peers).receive(incoming));
@@ -187,6 +200,14 @@
         }
     }
 
+    fn acks(&self) -> MutexGuard<'_, AckTable> {
+        self.acks.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn scopes(&self) -> MutexGuard<'_, Scopes> {
+        self.scopes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn membership(&self) -> MutexGuard<'_, Membership> {
         self.membership
             .lock()
--- a/src/peers/convert.rs
+++ b/src/peers/convert.rs
@@ -5,8 +5,11 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use derive_more::{Display, Error};
-use trefoil_core::engine::{JobAnswer, JobState, Refusal, RefusalReason, Submission, Task};
+use trefoil_core::engine::{
+    JobAnswer, JobState, Refusal, RefusalReason, RememberedJob, Submission, Task,
+};
 use trefoil_core::key::{JobKey, KeyError};
 use trefoil_core::verdict::Verdict;
 use trefoil_schema::peer;
@@ -184,3 +187,49 @@
         peer::Verdict::MayHaveRun | peer::Verdict::Unspecified => Verdict::MayHaveRun,
     }
 }
+
+/// A remembered job as it is handed over.
+pub fn remembered_key(job: &RememberedJob) -> peer::RememberedKey {
+    peer::RememberedKey {
+        fingerprint: job.fingerprint,
+        answer: Some(answer_message(0, job.key.as_str(), &job.answer)),
+    }
+}
+
+/// The job behind a key handed over; its results no longer share the memory of
+/// their frame. `None` where the message makes no sense.
+pub fn remembered_job(message: peer::RememberedKey) -> Option<RememberedJob> {
+    let mut ended = message.answer?;
+    let key = JobKey::parse(&ended.key).ok()?;
+    for result in &mut ended.results {
+        *result = Bytes::copy_from_slice(result);
+    }
+    Some(RememberedJob {
+        key,
+        fingerprint: message.fingerprint,
+        answer: answer(ended),
+    })
+}
+
+/// The answer without results: a job that completed says that they are gone.
+pub fn without_results(answer: &JobAnswer) -> JobAnswer {
+    match answer.clone() {
+        JobAnswer::Known {
+            state: JobState::Complete,
+            replayed,
+            tasks_done,
+            tasks_total,
+            ..
+        } => JobAnswer::Known {
+            state: JobState::Failed,
+            verdict: Verdict::Ran,
+            results: Vec::new().into(),
+            reason: RESULT_DROPPED,
+            detail: "the job completed; its results cannot be passed on".to_owned(),
+            replayed,
+            tasks_done,
+            tasks_total,
+        },
+        other => other,
+    }
+}
--- a/src/peers/driver.rs
+++ b/src/peers/driver.rs
@@ -113,7 +113,7 @@
         }
     }
 
-    fn execute(self: &Arc<Self>, command: Command) {
+    pub(super) fn execute(self: &Arc<Self>, command: Command) {
         match command {
             Command::Send { to, address, body } => self.send(&to, &address, body),
             Command::ReadStore { domain } => self.read_store(domain),
--- a/src/peers/forward.rs
+++ b/src/peers/forward.rs
@@ -30,7 +30,7 @@
 const UNREACHABLE_RETRY_MS: u64 = 500;
 
 /// What is asked of a key's owner.
-enum Ask<'a> {
+pub(super) enum Ask<'a> {
     Submit {
         submission: &'a Submission,
         wait: bool,
@@ -59,7 +59,15 @@
                     .await;
             }
             Route::Peer(owner) => owner,
-            Route::OwnerLost => return refused(owner_lost()),
+            Route::OwnerLost => {
+                let fingerprint = submission.fingerprint;
+                let ask = Ask::Submit {
+                    submission: &submission,
+                    wait,
+                    traceparent: "",
+                };
+                return self.recall(&submission.key, Some(fingerprint), &ask).await;
+            }
             Route::Unknown { retry_after_ms } => return refused(unknown_owner(retry_after_ms)),
         };
         let traceparent = traceparent.as_deref().unwrap_or_default();
@@ -76,7 +84,7 @@
     pub async fn fetch(&self, key: &JobKey, wait_ms: u64) -> JobAnswer {
         let owner = match self.route(key) {
             Route::Peer(owner) => owner,
-            Route::OwnerLost => return refused(owner_lost()),
+            Route::OwnerLost => return self.recall(key, None, &Ask::Fetch { wait_ms }).await,
             Route::Here | Route::Unknown { .. } => {
                 return self.context.runtime.fetch(key, wait_ms).await;
             }
@@ -90,7 +98,7 @@
     pub async fn cancel(&self, key: &JobKey) -> JobAnswer {
         let owner = match self.route(key) {
             Route::Peer(owner) => owner,
-            Route::OwnerLost => return refused(owner_lost()),
+            Route::OwnerLost => return self.recall(key, None, &Ask::Cancel).await,
             Route::Here | Route::Unknown { .. } => return self.context.runtime.cancel(key).await,
         };
         self.ask(&owner, key, &Ask::Cancel, SHORT_REQUEST_MS).await
@@ -118,9 +126,14 @@
                 let _ = self.send_ask(owner, ask.body(request.id(), key, started));
                 continue;
             }
-            if started.elapsed() >= limit || self.route(key) != Route::Peer(owner.clone()) {
+            if started.elapsed() >= limit {
                 return refused(answer_lost(owner));
             }
+            if self.route(key) != Route::Peer(owner.clone()) {
+                // It may have left and handed its memory over.
+                let answer = self.recall(key, ask.fingerprint(), ask).await;
+                return unless_lost(answer, owner);
+            }
             checks += 1;
             if checks == reask_at {
                 reask_at *= 2;
@@ -129,7 +142,7 @@
         }
     }
 
-    fn send_ask(&self, owner: &Member, body: Body) -> Result<(), LinkError> {
+    pub(super) fn send_ask(&self, owner: &Member, body: Body) -> Result<(), LinkError> {
         let address = self.membership().address(owner);
         if let Ok(address) = address.parse() {
             self.links.set_peer(&owner.name, address);
@@ -143,7 +156,14 @@
         matches!(self, Self::Submit { .. })
     }
 
-    fn body(&self, request_id: u64, key: &JobKey, started: Instant) -> Body {
+    fn fingerprint(&self) -> Option<u64> {
+        match self {
+            Self::Submit { submission, .. } => Some(submission.fingerprint),
+            Self::Fetch { .. } | Self::Cancel => None,
+        }
+    }
+
+    pub(super) fn body(&self, request_id: u64, key: &JobKey, started: Instant) -> Body {
         let key = key.as_str().to_owned();
         match self {
             Self::Submit {
@@ -193,11 +213,22 @@
     }
 }
 
-fn is_unknown_job(answer: &JobAnswer) -> bool {
+/// A request that reached `owner` may have started something there, unless
+/// its successor knows more.
+fn unless_lost(answer: JobAnswer, owner: &Member) -> JobAnswer {
+    match answer {
+        JobAnswer::Refused(refusal) if refusal.verdict != Verdict::NotRun => {
+            refused(answer_lost(owner))
+        }
+        answer => answer,
+    }
+}
+
+pub(super) fn is_unknown_job(answer: &JobAnswer) -> bool {
     matches!(answer, JobAnswer::Refused(refusal) if refusal.reason == RefusalReason::UnknownJob)
 }
 
-fn refused(refusal: Refusal) -> JobAnswer {
+pub(super) fn refused(refusal: Refusal) -> JobAnswer {
     JobAnswer::Refused(refusal)
 }
 
@@ -210,6 +241,16 @@
     }
 }
 
+/// The owner left and handed all over that it knew; the key was not there.
+pub(super) fn owner_left() -> Refusal {
+    Refusal {
+        reason: RefusalReason::OwnerLeft,
+        detail: "the key's owner left before it took the job; submit it under a new key".to_owned(),
+        verdict: Verdict::NotRun,
+        retry_after_ms: 0,
+    }
+}
+
 pub(super) fn unknown_owner(retry_after_ms: u64) -> Refusal {
     Refusal {
         reason: RefusalReason::NotVouched,
--- /dev/null
+++ b/src/peers/parts.rs
@@ -0,0 +1,65 @@
+//! Remembered jobs in parts of bounded size.
+
+use trefoil_core::engine::{JobAnswer, RememberedJob};
+use trefoil_schema::peer::RememberedKey;
+
+use super::convert;
+
+/// Bounds of a hand-over to one successor.
+#[derive(Clone, Copy, Debug)]
+pub struct PartLimits {
+    /// Largest part, in bytes; a single job may be larger.
+    pub part_bytes_max: usize,
+    /// Most keys of a part.
+    pub part_keys_max: usize,
+    /// Bytes of results passed on, newest keys first; the other jobs are
+    /// handed over as ended, their results dropped.
+    pub results_bytes_max: usize,
+}
+
+impl Default for PartLimits {
+    fn default() -> Self {
+        Self {
+            part_bytes_max: 1 << 20,
+            part_keys_max: 4_096,
+            results_bytes_max: 64 << 20,
+        }
+    }
+}
+
+/// Room for a key's other fields, in bytes.
+const KEY_BYTES: usize = 300;
+
+/// The parts that hand `jobs` over, in order; at least one, which may be empty.
+pub fn parts(jobs: Vec<RememberedJob>, limits: &PartLimits) -> Vec<Vec<RememberedKey>> {
+    let mut parts = vec![Vec::new()];
+    let mut part_bytes = 0;
+    let mut results_bytes = 0;
+    for mut job in jobs {
+        let bytes = result_bytes(&job);
+        if results_bytes + bytes > limits.results_bytes_max || bytes > limits.part_bytes_max {
+            job.answer = convert::without_results(&job.answer);
+        } else {
+            results_bytes += bytes;
+        }
+        let bytes = KEY_BYTES + result_bytes(&job);
+        let part = parts.last().map_or(0, Vec::len);
+        if part == limits.part_keys_max || (part > 0 && part_bytes + bytes > limits.part_bytes_max)
+        {
+            parts.push(Vec::new());
+            part_bytes = 0;
+        }
+        part_bytes += bytes;
+        if let Some(part) = parts.last_mut() {
+            part.push(convert::remembered_key(&job));
+        }
+    }
+    parts
+}
+
+fn result_bytes(job: &RememberedJob) -> usize {
+    match &job.answer {
+        JobAnswer::Known { results, .. } => results.iter().map(|result| result.len()).sum(),
+        JobAnswer::Refused(_) => 0,
+    }
+}
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -3,10 +3,9 @@
 use std::sync::Arc;
 
 use tokio::sync::mpsc;
-use trefoil_core::engine::{JobAnswer, JobState};
+use trefoil_core::engine::JobAnswer;
 use trefoil_core::key::JobKey;
 use trefoil_core::membership::{Event, Route};
-use trefoil_core::verdict::Verdict;
 use trefoil_core::view::Member;
 use trefoil_schema::peer::message::Body;
 use trefoil_schema::peer::{ForwardJob, InstanceRef};
@@ -30,20 +29,21 @@
             Body::ForwardJob(job) => self.serve_job(from.clone(), job),
             Body::FetchJob(request) => {
                 let serve = move |peers: Arc<Self>, key: JobKey| async move {
-                    peers.context.runtime.fetch(&key, request.wait_ms).await
+                    peers.serve_fetch(&key, request.wait_ms).await
                 };
                 self.serve_key(from.clone(), request.request_id, &request.key, serve);
             }
             Body::CancelJob(request) => {
-                let serve = |peers: Arc<Self>, key: JobKey| async move {
-                    peers.context.runtime.cancel(&key).await
-                };
+                let serve =
+                    |peers: Arc<Self>, key: JobKey| async move { peers.serve_cancel(&key).await };
                 self.serve_key(from.clone(), request.request_id, &request.key, serve);
             }
             Body::JobAnswer(answer) => {
                 // An answer to a request that is closed is late or doubled.
                 self.pending.answer(answer);
             }
+            Body::KeyHandover(part) => self.take_part(from, part),
+            Body::KeyHandoverAck(ack) => self.take_ack(from, ack),
             Body::ConfigRequest(request) => {
                 let changes = self.context.config.changes_after(request.after_revision);
                 self.reply(from, Body::ConfigChanges(changes));
@@ -104,7 +104,10 @@
                     .submit(submission, wait, traceparent)
                     .await
             }
-            Route::OwnerLost => JobAnswer::Refused(forward::owner_lost()),
+            Route::OwnerLost => {
+                let fingerprint = Some(submission.fingerprint);
+                self.recall_here(&submission.key, fingerprint).await
+            }
             // Not handed on: two instances that disagree must not play it back
             // and forth.
             Route::Peer(_) => JobAnswer::Refused(forward::unknown_owner(WRONG_OWNER_RETRY_MS)),
@@ -114,6 +117,35 @@
         }
     }
 
+    async fn serve_fetch(&self, key: &JobKey, wait_ms: u64) -> JobAnswer {
+        let answer = match self.route(key) {
+            Route::OwnerLost => return self.recall_here(key, None).await,
+            Route::Here | Route::Peer(_) | Route::Unknown { .. } => {
+                self.context.runtime.fetch(key, wait_ms).await
+            }
+        };
+        self.unless_owner_unsettled(key, answer)
+    }
+
+    async fn serve_cancel(&self, key: &JobKey) -> JobAnswer {
+        let answer = match self.route(key) {
+            Route::OwnerLost => return self.recall_here(key, None).await,
+            Route::Here | Route::Peer(_) | Route::Unknown { .. } => {
+                self.context.runtime.cancel(key).await
+            }
+        };
+        self.unless_owner_unsettled(key, answer)
+    }
+
+    /// Only the owner can say that it does not know a job.
+    fn unless_owner_unsettled(&self, key: &JobKey, answer: JobAnswer) -> JobAnswer {
+        match self.route(key) {
+            Route::Here => answer,
+            _ if !forward::is_unknown_job(&answer) => answer,
+            _ => JobAnswer::Refused(forward::unknown_owner(WRONG_OWNER_RETRY_MS)),
+        }
+    }
+
     fn serve_key<F>(
         self: &Arc<Self>,
         from: InstanceRef,
@@ -138,30 +170,9 @@
         let message = convert::answer_message(request_id, key, answer);
         if self.links.send(&to.name, Body::JobAnswer(message)).is_err() {
             // Too large, or too much queued: say at least how the job ended.
-            let message = convert::answer_message(request_id, key, &without_results(answer));
+            let message =
+                convert::answer_message(request_id, key, &convert::without_results(answer));
             let _ = self.links.send(&to.name, Body::JobAnswer(message));
         }
     }
 }
-
-fn without_results(answer: &JobAnswer) -> JobAnswer {
-    match answer.clone() {
-        JobAnswer::Known {
-            state: JobState::Complete,
-            replayed,
-            tasks_done,
-            tasks_total,
-            ..
-        } => JobAnswer::Known {
-            state: JobState::Failed,
-            verdict: Verdict::Ran,
-            results: Vec::new().into(),
-            reason: convert::RESULT_DROPPED,
-            detail: "the job completed; its results cannot be passed on".to_owned(),
-            replayed,
-            tasks_done,
-            tasks_total,
-        },
-        other => other,
-    }
-}
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -160,6 +160,21 @@
         .await
     }
 
+    /// Answers for a key that may not start here: from memory, or `absent`.
+    pub async fn recall(
+        self: &Arc<Self>,
+        key: &JobKey,
+        fingerprint: Option<u64>,
+        absent: Refusal,
+    ) -> JobAnswer {
+        self.answer(key.clone(), |waiter, out| {
+            let now = self.now();
+            self.engine
+                .recall(now, key, fingerprint, absent, waiter, out);
+        })
+        .await
+    }
+
     /// Puts declarations in force.
     pub fn set_config(self: &Arc<Self>, config: Arc<ConfigSnapshot>) {
         let mut out = Vec::new();
--- a/src/server/parts.rs
+++ b/src/server/parts.rs
@@ -31,6 +31,10 @@
 
 /// Period of looks at the planned stop and the gauges.
 const WATCH_PERIOD: Duration = Duration::from_millis(50);
+/// Longest hand-over of memory, which a frozen successor may spend.
+const HANDOVER_MAX: Duration = Duration::from_secs(5);
+/// Part of the stop's budget kept for closing connections and telemetry.
+const CLOSE_RESERVE: Duration = Duration::from_millis(1_500);
 /// When a client of a leaving instance should ask another one.
 const LEAVING_RETRY_MS: u64 = 100;
 
@@ -213,7 +217,9 @@
             DrainState::Serving | DrainState::Announcing { .. } => {}
             // Released one period later, when no admission is under way.
             DrainState::Refusing { .. } if has_refused && stats.jobs_running == 0 => {
-                drop(hold.take());
+                if let Some(hold) = hold.take() {
+                    tokio::spawn(hand_over(context.clone(), parts.clone(), hold));
+                }
             }
             DrainState::Refusing { .. } => {
                 parts.runtime.engine().set_leaving(true);
@@ -223,3 +229,11 @@
         }
     }
 }
+
+/// Hands the memory of ended jobs over, then lets the stop finish.
+async fn hand_over(context: Arc<Context>, parts: Arc<Parts>, hold: Hold) {
+    let left = context.stop.budget_left().saturating_sub(CLOSE_RESERVE);
+    parts.peers.hand_over(left.min(HANDOVER_MAX)).await;
+    parts.peers.say_gone();
+    drop(hold);
+}
