--- a/src/peers/handover.rs
+++ b/src/peers/handover.rs
@@ -179,11 +179,8 @@
         let number = part.part;
         loop {
             let address = self.membership().address(to);
-            if let Ok(address) = address.parse() {
-                self.links.set_peer(&to.name, address);
-            }
-            // A part that is not queued now is sent again like a lost one.
-            let _ = self.links.send(&to.name, Body::KeyHandover(part.clone()));
+            // A part that is lost, or not even queued, is sent again.
+            self.send(to, &address, Body::KeyHandover(part.clone()));
             let answered = timeout(RESEND, async {
                 loop {
                     match acks.recv().await {
