--- a/crates/core/src/handover.rs
+++ b/crates/core/src/handover.rs
@@ -42,6 +42,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Scopes {
     by_path: BTreeMap<Vec<Member>, Scope>,
+    closed: bool,
 }
 
 impl Scopes {
@@ -73,6 +74,16 @@
         self.by_path.retain(|_, scope| scope.until_ms >= horizon_ms);
     }
 
+    /// Ends taking over: this instance is about to hand on what it has.
+    pub fn close(&mut self) {
+        self.closed = true;
+    }
+
+    /// Whether nothing more may be taken over.
+    pub fn is_closed(&self) -> bool {
+        self.closed
+    }
+
     /// What is known of a key that is not remembered here. `view_version` is
     /// the newest view known here, by which `succession` was found.
     pub fn absence(&self, key: &JobKey, succession: &Succession, view_version: u64) -> Absence {
--- a/src/peers/handover.rs
+++ b/src/peers/handover.rs
@@ -11,10 +11,11 @@
 use derive_more::Display;
 use slog::info;
 use tokio::sync::mpsc;
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use trefoil_core::engine::{Memory, RememberedJob};
 use trefoil_core::handover::Scope;
-use trefoil_core::view::Member;
+use trefoil_core::view::{Member, ViewLog};
 use trefoil_schema::peer::message::Body;
 use trefoil_schema::peer::{HandoverScope, InstanceRef, KeyHandover, KeyHandoverAck};
 
@@ -54,6 +55,16 @@
     scopes: Vec<HandoverScope>,
 }
 
+/// How an errand ended.
+enum ErrandEnd {
+    /// The successor has all.
+    Done,
+    /// The successor left meanwhile; these are for whoever follows it.
+    Left(Vec<RememberedJob>),
+    /// The deadline came, or the successor had no room.
+    Unfinished,
+}
+
 impl Peers {
     /// Hands this instance's memory over; takes until `limit` at most.
     ///
@@ -61,28 +72,24 @@
     pub async fn hand_over(self: &Arc<Self>, limit: Duration) -> HandoverReport {
         let deadline = Instant::now() + limit;
         let proof = self.wait_for_removal(limit.min(VIEW_WAIT)).await;
+        // From here on no part is taken that could not be handed on.
+        self.scopes().close();
         let now = self.context.runtime.now();
         let Some(memory) = self.context.runtime.engine().memory(now) else {
             return HandoverReport::default();
         };
-        let keys = memory.jobs.len();
-        let errands = self.errands(memory, proof);
-        let successors = errands.len();
-        let sends = errands.into_iter().map(|errand| {
-            let peers = Arc::clone(self);
-            tokio::spawn(async move { peers.run_errand(errand, deadline).await })
-        });
-        let sends: Vec<_> = sends.collect();
-        let mut unfinished = 0;
-        for send in sends {
-            unfinished += usize::from(!send.await.unwrap_or(false));
-        }
-        let report = HandoverReport {
-            keys,
-            successors,
-            unfinished,
+        let mut report = HandoverReport {
+            keys: memory.jobs.len(),
             proof,
+            ..HandoverReport::default()
         };
+        let mut errands = self.first_errands(memory, proof);
+        report.successors = errands.len();
+        while !errands.is_empty() {
+            let (left, unfinished) = self.run_errands(errands, deadline).await;
+            report.unfinished += unfinished;
+            errands = self.later_errands(left);
+        }
         info!(self.context.log, "memory handed over"; "report" => %report);
         report
     }
@@ -106,33 +113,26 @@
         timeout(limit, removed).await.is_ok()
     }
 
-    fn errands(&self, memory: Memory, proof: bool) -> Vec<Errand> {
+    /// One errand to each successor, also where it gets no key: the word that
+    /// this is all counts for the keys that it did not get.
+    fn first_errands(&self, memory: Memory, proof: bool) -> Vec<Errand> {
         let membership = self.membership();
         let Some(known) = membership.view_log(&self.domain) else {
             return Vec::new();
         };
-        let mut by_holder: BTreeMap<Member, Vec<RememberedJob>> = BTreeMap::new();
-        for heir in known.log.heirs(&self.me) {
-            by_holder.insert(heir, Vec::new());
-        }
-        for job in memory.jobs {
-            let succession = known.log.succession(&job.key, |member| *member == self.me);
-            if let Some(succession) = succession {
-                by_holder.entry(succession.holder).or_default().push(job);
-            }
-        }
-        by_holder.remove(&self.me);
+        let own = Scope {
+            from_ms: memory.from_ms,
+            until_ms: membership.admission_limit(),
+            view_version: known.log.version(),
+        };
         let scopes = match proof {
-            true => self.scopes().handed_on(
-                &self.me,
-                Scope {
-                    from_ms: memory.from_ms,
-                    until_ms: membership.admission_limit(),
-                    view_version: known.log.version(),
-                },
-            ),
+            true => self.scopes().handed_on(&self.me, own),
             false => Vec::new(),
         };
+        let mut by_holder = by_holder(&known.log, &self.me, memory.jobs);
+        for heir in known.log.heirs(&self.me) {
+            by_holder.entry(heir).or_default();
+        }
         let errand = |(to, jobs)| Errand {
             to,
             jobs,
@@ -141,12 +141,51 @@
         by_holder.into_iter().map(errand).collect()
     }
 
-    /// Whether the successor took all before the deadline.
-    async fn run_errand(&self, errand: Errand, deadline: Instant) -> bool {
+    /// Errands of keys whose first successor left; without the word that this
+    /// is all, which counts for the way through the first.
+    fn later_errands(&self, jobs: Vec<RememberedJob>) -> Vec<Errand> {
+        let membership = self.membership();
+        let Some(known) = membership.view_log(&self.domain) else {
+            return Vec::new();
+        };
+        let errand = |(to, jobs)| Errand {
+            to,
+            jobs,
+            scopes: Vec::new(),
+        };
+        let by_holder = by_holder(&known.log, &self.me, jobs);
+        by_holder.into_iter().map(errand).collect()
+    }
+
+    /// Runs errands side by side: keys of successors that left, and how many
+    /// errands were not finished.
+    async fn run_errands(
+        self: &Arc<Self>,
+        errands: Vec<Errand>,
+        deadline: Instant,
+    ) -> (Vec<RememberedJob>, usize) {
+        let mut sends = JoinSet::new();
+        for errand in errands {
+            let peers = Arc::clone(self);
+            sends.spawn(async move { peers.run_errand(errand, deadline).await });
+        }
+        let mut left = Vec::new();
+        let mut unfinished = 0;
+        for end in sends.join_all().await {
+            match end {
+                ErrandEnd::Done => {}
+                ErrandEnd::Left(jobs) => left.extend(jobs),
+                ErrandEnd::Unfinished => unfinished += 1,
+            }
+        }
+        (left, unfinished)
+    }
+
+    async fn run_errand(&self, errand: Errand, deadline: Instant) -> ErrandEnd {
         let Errand { to, jobs, scopes } = errand;
         let (sender, mut acks) = mpsc::channel(ACKS_MAX);
         self.acks().insert(to.clone(), sender);
-        let mut parts = parts(jobs, &PartLimits::default()).into_iter().peekable();
+        let mut parts = parts(&jobs, &PartLimits::default()).into_iter().peekable();
         let mut accepted = true;
         let mut number = 0;
         while let Some(keys) = parts.next() {
@@ -163,21 +202,26 @@
                 },
             };
             match timeout_at(deadline, self.send_part(&to, part, &mut acks)).await {
-                Ok(taken) => accepted &= taken,
-                Err(_) => return false,
+                Ok(Some(taken)) => accepted &= taken,
+                Ok(None) => return ErrandEnd::Left(jobs),
+                Err(_) => return ErrandEnd::Unfinished,
             }
         }
-        accepted
+        match accepted {
+            true => ErrandEnd::Done,
+            false => ErrandEnd::Unfinished,
+        }
     }
 
+    /// Whether the successor took the part; `None` if it left meanwhile.
     async fn send_part(
         &self,
         to: &Member,
         part: KeyHandover,
         acks: &mut mpsc::Receiver<KeyHandoverAck>,
-    ) -> bool {
+    ) -> Option<bool> {
         let number = part.part;
-        loop {
+        while !self.was_removed(to) {
             let address = self.membership().address(to);
             // A part that is lost, or not even queued, is sent again.
             self.send(to, &address, Body::KeyHandover(part.clone()));
@@ -191,9 +235,17 @@
                 }
             });
             if let Ok(accepted) = answered.await {
-                return accepted;
+                return Some(accepted);
             }
         }
+        None
+    }
+
+    fn was_removed(&self, member: &Member) -> bool {
+        let membership = self.membership();
+        let known = membership.view_log(&self.domain);
+        let newest = known.and_then(|known| known.log.newest());
+        newest.is_some_and(|view| !view.has(member))
     }
 
     /// Takes an acknowledgement.
@@ -212,6 +264,12 @@
         if part.to.as_ref().map(Member::from).as_ref() != Some(&self.me) {
             return;
         }
+        // Held throughout: a hand-over of one's own closes the scopes first.
+        let mut scopes = self.scopes();
+        if scopes.is_closed() {
+            // Not acknowledged: the sender finds out who follows.
+            return;
+        }
         let now = self.context.runtime.now();
         let engine = self.context.runtime.engine();
         // Results share their frame's memory: copied, as they are kept.
@@ -222,11 +280,11 @@
             .count();
         let accepted = refused == 0;
         if accepted && part.last {
-            let mut scopes = self.scopes();
             let window_ms = self.context.settings.jobs.key_window_ms;
             scopes.forget_before(now.wall_ms.saturating_sub(window_ms));
             part.scopes.iter().for_each(|scope| scopes.insert(scope));
         }
+        drop(scopes);
         let ack = KeyHandoverAck {
             to: Some(from.clone()),
             part: part.part,
@@ -235,3 +293,20 @@
         let _ = self.links.send(&from.name, Body::KeyHandoverAck(ack));
     }
 }
+
+/// Jobs by who answers for them once `me` is gone.
+fn by_holder(
+    log: &ViewLog,
+    me: &Member,
+    jobs: Vec<RememberedJob>,
+) -> BTreeMap<Member, Vec<RememberedJob>> {
+    let mut by_holder: BTreeMap<Member, Vec<RememberedJob>> = BTreeMap::new();
+    for job in jobs {
+        let succession = log.succession(&job.key, |member| member == me);
+        let holder = succession.map(|succession| succession.holder);
+        if let Some(holder) = holder.filter(|holder| holder != me) {
+            by_holder.entry(holder).or_default().push(job);
+        }
+    }
+    by_holder
+}
--- a/src/peers/parts.rs
+++ b/src/peers/parts.rs
@@ -31,11 +31,12 @@
 const KEY_BYTES: usize = 300;
 
 /// The parts that hand `jobs` over, in order; at least one, which may be empty.
-pub fn parts(jobs: Vec<RememberedJob>, limits: &PartLimits) -> Vec<Vec<RememberedKey>> {
+pub fn parts(jobs: &[RememberedJob], limits: &PartLimits) -> Vec<Vec<RememberedKey>> {
     let mut parts = vec![Vec::new()];
     let mut part_bytes = 0;
     let mut results_bytes = 0;
-    for mut job in jobs {
+    for job in jobs {
+        let mut job = job.clone();
         let bytes = result_bytes(&job);
         if results_bytes + bytes > limits.results_bytes_max || bytes > limits.part_bytes_max {
             job.answer = convert::without_results(&job.answer);
--- a/tests/testsuite/leaving.rs
+++ b/tests/testsuite/leaving.rs
@@ -111,6 +111,10 @@
     stop(&mut deployment, &[1, 2]).await;
     deployment.until_served_at(&[0, 3]).await;
     assert_remembered(&resubmitted(&deployment, &ended, &[0, 3]).await);
+    until("callers went on", async || {
+        deployment.world.requests().len() > 300
+    })
+    .await;
     assert!(callers.finish().await > 20);
     let tally = deployment.verdict();
     assert_eq!(cut_off(&deployment), 0, "{tally:?}");
