--- a/src/peers.rs
+++ b/src/peers.rs
@@ -12,6 +12,9 @@
 //! * [`driver`]: the shell round the membership decisions.
 //! * [`forward`]: requests to a key's owner.
 //! * [`serve`]: requests from other instances.
+//! * [`handover`]: a leaving instance's memory, sent and taken over.
+//! * [`parts`]: that memory in parts of bounded size.
+//! * [`recall`]: keys whose owner is gone.
 //! * [`pending`]: who waits for which answer.
 //! * [`record`]: a failure domain's views as the store keeps them.
 //! * [`counters`]: messages that brought no answer.
@@ -21,7 +24,10 @@
 pub mod counters;
 mod driver;
 mod forward;
+mod handover;
+pub mod parts;
 mod pending;
+mod recall;
 pub mod record;
 mod serve;
 
@@ -31,6 +37,7 @@
 
 use derive_more::{Display, Error};
 use slog::Logger;
+use trefoil_core::handover::Scopes;
 use trefoil_core::key::JobKey;
 use trefoil_core::membership::{
     Event, MemberStatus, Membership, MembershipParams, PeerState, Route,
@@ -46,6 +53,8 @@
 use crate::sources::instances::InstanceList;
 use crate::sources::platform::PlatformStore;
 use counters::PeerCounters;
+use handover::AckTable;
+pub use handover::HandoverReport;
 use pending::PendingTable;
 
 /// Part of the store's keys that holds view logs, after the prefix.
@@ -100,6 +109,8 @@
     links: Links,
     pending: PendingTable,
     counters: PeerCounters,
+    acks: Mutex<AckTable>,
+    scopes: Mutex<Scopes>,
     context: PeersContext,
 }
 
@@ -133,6 +144,8 @@
             links,
             pending: PendingTable::default(),
             counters: PeerCounters::default(),
+            acks: Mutex::default(),
+            scopes: Mutex::default(),
             context,
         });
         tokio::spawn(Arc::clone(&peers).receive(incoming));
@@ -213,6 +226,14 @@
         }
     }
 
+    fn acks(&self) -> MutexGuard<'_, AckTable> {
+        self.acks.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn scopes(&self) -> MutexGuard<'_, Scopes> {
+        self.scopes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Where to dial an instance that is said to be at `told`.
     fn dial_address(&self, member: &Member, told: &str) -> Option<SocketAddr> {
         let set = self.dial_addresses.get(&member.name).copied();
--- a/src/peers/driver.rs
+++ b/src/peers/driver.rs
@@ -113,7 +113,7 @@
         }
     }
 
-    fn execute(self: &Arc<Self>, command: Command) {
+    pub(super) fn execute(self: &Arc<Self>, command: Command) {
         match command {
             Command::Send { to, address, body } => self.send(&to, &address, body),
             Command::ReadStore { domain } => self.read_store(domain),
@@ -135,7 +135,7 @@
     }
 
     /// Sends a message that may be lost.
-    fn send(&self, to: &Member, address: &str, body: Body) {
+    pub(super) fn send(&self, to: &Member, address: &str, body: Body) {
         if let Some(address) = self.dial_address(to, address) {
             self.links.set_peer(&to.name, address);
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,8 @@
 mod faults_owner;
 mod faults_store;
 mod faults_work;
+mod leaving;
+mod leaving_servers;
 mod links;
 mod metrics;
 mod operator;
--- a/tests/testsuite/support/instance.rs
+++ b/tests/testsuite/support/instance.rs
@@ -3,6 +3,9 @@
 use std::fs::File;
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use tokio::time::sleep;
 
 use trefoil_schema::settings::PeerSettings;
 
@@ -54,6 +57,26 @@
         }
     }
 
+    /// Sends `SIGTERM`, which starts the planned stop.
+    pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Waits for the process to end by itself; its exit code, or `None` if it
+    /// still runs after `limit`.
+    pub async fn exit_code(&mut self, limit: Duration) -> Option<i32> {
+        let begun = Instant::now();
+        while begun.elapsed() < limit {
+            let ended = self.child.as_mut().unwrap().try_wait().unwrap();
+            if let Some(status) = ended {
+                self.child = None;
+                return status.code();
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+        None
+    }
+
     pub fn is_running(&self) -> bool {
         self.child.is_some()
     }
