scripts/measure: loads over real processes, with tables and plots

Cause: the targets of response time, goodput and control cost were measured in virtual time only. Weighed: a test of cargo (a build per change of a load, and no second shape of deployment) against a script that shares the demo's start-up: the script. Change: scripts/measure runs named sets and writes a JSON file a run; cargo xtask figures reads them into Markdown tables and SVG plots (plotters, SVG back end only). The load tool can mint keys elsewhere (--mint-at), so that all jobs are forwarded, and reports the time to the last answer: goodput over the time of arrivals alone counts what was done after it.

--- a/crates/fakes/src/bin/trefoil-load/args.rs
+++ b/crates/fakes/src/bin/trefoil-load/args.rs
@@ -70,7 +70,7 @@
     ]
 }
 
-fn callers() -> [Arg; 10] {
+fn callers() -> [Arg; 11] {
     [
         number(
             "reuse-percent",
@@ -101,6 +101,11 @@
             .value_parser(value_parser!(usize)),
         number("seed", "1", "seed of the plan").value_parser(value_parser!(u64)),
         number("key-kind", "uuid7", "who makes the keys").value_parser(["uuid7", "minted"]),
+        Arg::new("mint-at")
+            .long("mint-at")
+            .value_name("IP:PORT,...")
+            .help("entry instances that mint the keys, in place of --entries")
+            .value_parser(addresses),
         number("path-ms", "0", "path time that the ideal includes")
             .value_parser(value_parser!(f64)),
         number("in-flight-max", "20000", "most jobs in flight").value_parser(value_parser!(usize)),
@@ -191,6 +196,7 @@
             "minted" => KeyKind::Minted,
             _ => KeyKind::Uuid7,
         },
+        mint_at: get(matches, "mint-at").unwrap_or_default(),
         path_ms: get(matches, "path-ms").unwrap_or_default(),
         in_flight_max: get(matches, "in-flight-max").unwrap_or(default.in_flight_max),
         history: matches.contains_id("history"),
--- a/crates/fakes/src/load.rs
+++ b/crates/fakes/src/load.rs
@@ -27,8 +27,8 @@
 pub use direct::Policy;
 use law::Law;
 use plan::{JobPlan, Plan};
-use stats::Stats;
 pub use stats::{LoadReport, Summary};
+use stats::{RunTimes, Stats};
 use waste::Reading;
 pub use waste::Waste;
 
@@ -104,6 +104,8 @@
     pub seed: u64,
     /// Who makes the keys.
     pub key_kind: KeyKind,
+    /// Entries that mint the keys; those that take the jobs where empty.
+    pub mint_at: Vec<SocketAddr>,
     /// Path time that the ideal includes, in milliseconds.
     pub path_ms: f64,
     /// Most jobs in flight; those beyond are counted and not sent.
@@ -136,6 +138,7 @@
             ask_again_max: 0,
             seed: 1,
             key_kind: KeyKind::default(),
+            mint_at: Vec::new(),
             path_ms: 0.0,
             in_flight_max: 20_000,
             history: false,
@@ -239,16 +242,21 @@
         lock(&run.keys).extend(keys);
     }
     let before = run.reading().await;
+    let started = Instant::now();
     let mut jobs = send_all(&run, plan).await;
     let drained = timeout(options.drain(), async {
         while jobs.join_next().await.is_some() {}
     });
     let _ = drained.await;
+    let whole_s = started.elapsed().as_secs_f64();
     let cut_off = jobs.len() as u64;
     jobs.shutdown().await;
     let waste = run.reading().await.since(&before);
-    let run_s = Duration::from_millis(options.duration_ms).as_secs_f64();
-    let report = run.stats().report(run_s, cut_off, waste);
+    let times = RunTimes {
+        arrivals_s: Duration::from_millis(options.duration_ms).as_secs_f64(),
+        whole_s,
+    };
+    let report = run.stats().report(times, cut_off, waste);
     let history = std::mem::take(&mut *lock(&run.history));
     (report, history)
 }
--- a/crates/fakes/src/load/entries.rs
+++ b/crates/fakes/src/load/entries.rs
@@ -233,7 +233,10 @@
     struct Keys {
         keys: Vec<String>,
     }
-    let entries = &run.options.entries;
+    let entries = match run.options.mint_at.is_empty() {
+        true => &run.options.entries,
+        false => &run.options.mint_at,
+    };
     let share = count.div_ceil(entries.len().max(1));
     let mut minted = Vec::with_capacity(count);
     for &entry in entries {
--- a/crates/fakes/src/load/stats.rs
+++ b/crates/fakes/src/load/stats.rs
@@ -180,10 +180,12 @@
     }
 
     /// The whole run in figures.
-    pub fn report(&self, run_s: f64, cut_off: u64, waste: Waste) -> LoadReport {
+    pub fn report(&self, times: RunTimes, cut_off: u64, waste: Waste) -> LoadReport {
         let on_time = self.complete - self.complete_late;
+        let run_s = times.arrivals_s;
         LoadReport {
             run_s,
+            whole_s: times.whole_s,
             jobs: self.jobs,
             not_sent: self.not_sent,
             requests: self.requests,
@@ -214,11 +216,21 @@
     }
 }
 
+/// How long a run took.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RunTimes {
+    pub arrivals_s: f64,
+    /// Until the last answer.
+    pub whole_s: f64,
+}
+
 /// Figures of a run.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct LoadReport {
     /// Time of arrivals, in seconds; figures a second are over this.
     pub run_s: f64,
+    /// Time from the first arrival to the last answer, in seconds.
+    pub whole_s: f64,
     /// Jobs sent.
     pub jobs: u64,
     /// Jobs planned but not sent, because too many were in flight.
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,10 +1,13 @@
-//! Repository tasks: `cargo xtask codegen [--check]`.
+//! Repository tasks: `cargo xtask codegen [--check]` and
+//! `cargo xtask figures DIR [PLOTS]` (see [`figures`]).
 //!
-//! Generates the Rust types of messages (prost, from `.proto` files compiled by
+//! `codegen` generates the Rust types of messages (prost, from `.proto` files compiled by
 //! protox, so that no protoc is needed) and of settings, resources and the HTTP
 //! API (typify, from JSON Schema). The output is committed; `--check` fails
 //! when it is not current.
 
+mod figures;
+
 use std::error::Error;
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -22,7 +25,9 @@
     match args.as_slice() {
         ["codegen"] => write_all(&generate()?),
         ["codegen", "--check"] => check_all(&generate()?),
-        _ => Err("usage: cargo xtask codegen [--check]".into()),
+        ["figures", dir] => figures::run(Path::new(dir), None),
+        ["figures", dir, plots] => figures::run(Path::new(dir), Some(Path::new(plots))),
+        _ => Err("usage: cargo xtask codegen [--check] | figures DIR [PLOTS]".into()),
     }
 }
 
