--- a/crates/core/tests/engine_support/virtual_load.rs
+++ b/crates/core/tests/engine_support/virtual_load.rs
@@ -31,6 +31,8 @@
     pub workers: usize,
     pub slots: u32,
     pub teams: usize,
+    /// Share of the jobs that the first team submits beyond its own.
+    pub greedy_share: f64,
     /// Work offered, as a share of what the workers can do.
     pub offered: f64,
     /// Time during which jobs arrive, after `warm_up_ms` that does not count.
@@ -39,6 +41,8 @@
     pub timeout_ms: u64,
     /// Run time that the service's declaration claims.
     pub declared_run_ms: u64,
+    /// When the last instance is lost; its tasks run on, its jobs do not count.
+    pub lost_at_ms: Option<u64>,
     /// Workers that take five times as long.
     pub slow_workers: usize,
     /// Workers that fail whatever they start.
@@ -56,11 +60,13 @@
             workers: 50,
             slots: 8,
             teams: 20,
+            greedy_share: 0.0,
             offered: 0.8,
             arrivals_ms: 60_000,
             warm_up_ms: 5_000,
             timeout_ms: 30_000,
             declared_run_ms: 200,
+            lost_at_ms: None,
             slow_workers: 0,
             failing_workers: 0,
             failing_refuse: false,
@@ -86,8 +92,8 @@
     /// Starts that a worker refused.
     pub wasted: u64,
     pub starts_by_worker: HashMap<String, u64>,
-    /// Completed slot time by team.
-    pub useful_by_team_ms: Vec<u64>,
+    /// Jobs submitted and refused, by team.
+    pub by_team: Vec<(u64, u64)>,
 }
 
 impl Outcome {
@@ -136,6 +142,7 @@
 }
 
 struct RunningJob {
+    instance: usize,
     submitted_ms: u64,
     run_ms: Vec<u64>,
     team: usize,
@@ -182,9 +189,7 @@
 
 impl<'a> Domain<'a> {
     fn new(load: &'a Load) -> Self {
-        let names: Vec<String> = (0..load.instances)
-            .map(|number| format!("i{number}"))
-            .collect();
+        let names = instance_names(load.instances);
         let mut config = config(load.workers, load.slots);
         for service in config.services.values_mut() {
             service.spec.declared_run_ms = load.declared_run_ms;
@@ -212,7 +217,7 @@
             events: BinaryHeap::new(),
             sequence: 0,
             outcome: Outcome {
-                useful_by_team_ms: vec![0; load.teams],
+                by_team: vec![(0, 0); load.teams],
                 ..Outcome::default()
             },
         }
@@ -228,8 +233,10 @@
         let run_ms: Vec<u64> = (0..tasks).map(|_| self.draw_run_ms()).collect();
         let random = self.rng.random();
         let key = JobKey::mint("local", now(now_ms).wall_ms, random);
-        let instance = self.rng.random_range(0..self.load.instances);
-        let team = self.rng.random_range(0..self.load.teams);
+        let lost = self.is_lost(now_ms, self.load.instances - 1);
+        let serving = self.load.instances - usize::from(lost);
+        let instance = self.rng.random_range(0..serving);
+        let team = self.draw_team();
         let counted = now_ms >= self.load.warm_up_ms;
         self.sequence += 1;
         let waiter = WaiterId(self.sequence);
@@ -239,6 +246,7 @@
         }
         self.by_key.insert(key.to_string(), waiter);
         let job = RunningJob {
+            instance,
             submitted_ms: now_ms,
             run_ms,
             team,
@@ -258,6 +266,13 @@
         self.push(now_ms + gap_ms.round() as u64, Event::Arrival);
     }
 
+    fn draw_team(&mut self) -> usize {
+        match self.rng.random_bool(self.load.greedy_share) {
+            true => 0,
+            false => self.rng.random_range(0..self.load.teams),
+        }
+    }
+
     /// Half the jobs have 1 to 4 tasks, four in ten 5 to 40, the rest 50 to 200.
     fn draw_tasks(&mut self) -> usize {
         match self.rng.random_range(0..10) {
@@ -274,7 +289,31 @@
         (50.0 * 20_f64.powf(self.rng.random::<f64>())) as u64
     }
 
+    /// The last instance is lost: the others divide its slots.
+    fn lose(&mut self, now_ms: u64) {
+        let names = instance_names(self.load.instances - 1);
+        for (instance, me) in names.iter().enumerate() {
+            self.call(now_ms, instance, |engine, now, out| {
+                engine.set_domain_members(now, me, &names, out)
+            });
+        }
+        let lost = self.load.instances - 1;
+        let of_lost = self.jobs.values_mut().filter(|job| job.instance == lost);
+        for job in of_lost.filter(|job| job.counted) {
+            job.counted = false;
+            self.outcome.submitted -= 1;
+        }
+    }
+
+    fn is_lost(&self, now_ms: u64, instance: usize) -> bool {
+        let lost = self.load.lost_at_ms.is_some_and(|at_ms| now_ms >= at_ms);
+        lost && instance + 1 == self.load.instances
+    }
+
     fn tick(&mut self, now_ms: u64) {
+        if self.load.lost_at_ms == Some(now_ms) {
+            self.lose(now_ms);
+        }
         for instance in 0..self.load.instances {
             self.call(now_ms, instance, |engine, now, out| engine.tick(now, out));
         }
@@ -301,6 +340,9 @@
         instance: usize,
         call: impl FnOnce(&Engine, Now, &mut Vec<Command>),
     ) {
+        if self.is_lost(now_ms, instance) {
+            return;
+        }
         let mut out = Vec::new();
         call(&self.engines[instance], now(now_ms), &mut out);
         for command in out {
@@ -368,8 +410,12 @@
             return;
         }
         let outcome = &mut self.outcome;
+        outcome.by_team[job.team].0 += 1;
         match answer {
-            JobAnswer::Refused(_) => outcome.refused += 1,
+            JobAnswer::Refused(_) => {
+                outcome.refused += 1;
+                outcome.by_team[job.team].1 += 1;
+            }
             JobAnswer::Known {
                 state: JobState::Complete,
                 ..
@@ -380,7 +426,6 @@
                 outcome.slowdowns.push(response_ms as f64 / ideal_ms as f64);
                 let useful_ms: u64 = job.run_ms.iter().sum();
                 outcome.useful_ms += useful_ms;
-                outcome.useful_by_team_ms[job.team] += useful_ms;
             }
             JobAnswer::Known {
                 reason: "deadline", ..
@@ -399,6 +444,10 @@
     0.995 * short_ms + 0.005 * 3500.0
 }
 
+fn instance_names(instances: usize) -> Vec<String> {
+    (0..instances).map(|number| format!("i{number}")).collect()
+}
+
 fn worker_number(address: &str) -> usize {
     let host = address.split(':').next().expect("has a host");
     let number = host.rsplit('.').next().expect("has four parts");
--- a/crates/fakes/src/load/entries.rs
+++ b/crates/fakes/src/load/entries.rs
@@ -235,12 +235,13 @@
     struct Keys {
         keys: Vec<String>,
     }
-    for turn in 0..run.options.entries.len() {
-        let reply = run
-            .client
-            .post(run.entry(number + turn), MINT_PATH, "")
-            .await;
-        let Ok(reply) = reply else {
+    let entries = match run.options.mint_at.is_empty() {
+        true => &run.options.entries,
+        false => &run.options.mint_at,
+    };
+    for turn in 0..entries.len() {
+        let entry = entries[(number + turn) % entries.len()];
+        let Ok(reply) = run.client.post(entry, MINT_PATH, "").await else {
             continue;
         };
         let keys = serde_json::from_slice(&reply.body).map(|answer: Keys| answer.keys);
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -12,6 +12,9 @@
 //! * [`driver`]: the shell round the membership decisions.
 //! * [`forward`]: requests to a key's owner.
 //! * [`serve`]: requests from other instances.
+//! * [`handover`]: a leaving instance's memory, sent and taken over.
+//! * [`parts`]: that memory in parts of bounded size.
+//! * [`recall`]: keys whose owner is gone.
 //! * [`pending`]: who waits for which answer.
 //! * [`record`]: a failure domain's views as the store keeps them.
 //! * [`counters`]: messages that brought no answer.
@@ -21,14 +24,20 @@
 pub mod counters;
 mod driver;
 mod forward;
+mod handover;
+pub mod parts;
 mod pending;
+mod recall;
 pub mod record;
 mod serve;
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use derive_more::{Display, Error};
 use slog::Logger;
+use trefoil_core::handover::Scopes;
 use trefoil_core::key::JobKey;
 use trefoil_core::membership::{
     Event, MemberStatus, Membership, MembershipParams, PeerState, Route,
@@ -44,6 +53,8 @@
 use crate::sources::instances::InstanceList;
 use crate::sources::platform::PlatformStore;
 use counters::PeerCounters;
+use handover::AckTable;
+pub use handover::HandoverReport;
 use pending::PendingTable;
 
 /// Part of the store's keys that holds view logs, after the prefix.
@@ -92,10 +103,14 @@
     domain: String,
     views_prefix: String,
     connections_max: u32,
+    /// Addresses dialled whatever is told, by name.
+    dial_addresses: HashMap<String, SocketAddr>,
     membership: Mutex<Membership>,
     links: Links,
     pending: PendingTable,
     counters: PeerCounters,
+    acks: Mutex<AckTable>,
+    scopes: Mutex<Scopes>,
     context: PeersContext,
 }
 
@@ -123,11 +138,14 @@
             domain: settings.failure_domain.clone(),
             views_prefix: format!("{}{VIEWS_PART}", settings.platform.prefix),
             connections_max: settings.workers.connections_max,
+            dial_addresses: dial_addresses(settings),
             membership: Mutex::new(membership(&me, settings)),
             me,
             links,
             pending: PendingTable::default(),
             counters: PeerCounters::default(),
+            acks: Mutex::default(),
+            scopes: Mutex::default(),
             context,
         });
         tokio::spawn(Arc::clone(&peers).receive(incoming));
@@ -208,6 +226,20 @@
         }
     }
 
+    fn acks(&self) -> MutexGuard<'_, AckTable> {
+        self.acks.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn scopes(&self) -> MutexGuard<'_, Scopes> {
+        self.scopes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Where to dial an instance that is said to be at `told`.
+    fn dial_address(&self, member: &Member, told: &str) -> Option<SocketAddr> {
+        let set = self.dial_addresses.get(&member.name).copied();
+        set.or_else(|| told.parse().ok())
+    }
+
     fn membership(&self) -> MutexGuard<'_, Membership> {
         self.membership
             .lock()
@@ -220,6 +252,15 @@
     known.map_or(0, |known| known.log.version())
 }
 
+fn dial_addresses(settings: &Settings) -> HashMap<String, SocketAddr> {
+    let peers = settings.peers.iter();
+    let parsed = peers.filter_map(|peer| {
+        let address = peer.dial_address.parse().ok()?;
+        Some((peer.instance.clone(), address))
+    });
+    parsed.collect()
+}
+
 fn membership(me: &Member, settings: &Settings) -> Membership {
     let params = MembershipParams::new(&settings.membership, &settings.jobs);
     let domains = &settings.failure_domains;
--- a/tests/testsuite/support/pair.rs
+++ b/tests/testsuite/support/pair.rs
@@ -213,6 +213,7 @@
         failure_domain: settings.failure_domain.clone(),
         instance: NAMES[other].to_owned(),
         peer_address: peers[other].to_string(),
+        dial_address: String::new(),
     }];
     settings
 }
