api: the page names every reason, each with its status, and a test holds it

Cause: the page lacked eleven reasons that the code sends, among them all of the operators' and those of a task that was refused too often. Found on the way: `task_refused` and `retry_budget` lost their names between instances and reached the caller as `failed`, and were counted as refusals instead of failed jobs, because each place had its own list of names.

Weighed: a longer list at each place, or one enum. The enum is taken; a new reason no longer compiles until it is counted.

Change: `FailureReason` in core, used by the engine, the links, the HTTP answers and the counters; the operators' refusals have an enum as well. The page has each reason by status, what the verdict speaks of for a change of a resource, and the conditions.

Test: reads the variants of the three enums from their source and finds each in its section's row of the status; every failure keeps its name between instances.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -9,6 +9,7 @@
 pub mod command;
 mod ejection;
 pub mod event;
+pub mod failure;
 pub mod health;
 mod job;
 mod job_table;
@@ -33,6 +34,7 @@
 
 pub use command::{Command, JobAnswer, JobState, Refusal, RefusalReason};
 pub use event::{Submission, Task, TaskId, TaskOutcome, WaiterId, Worker, WorkerId};
+pub use failure::FailureReason;
 pub use remembered::{Memory, RememberedJob};
 pub use settings::{EngineSettings, QueueOrder};
 pub use stats::EngineStats;
--- a/crates/core/src/engine/job.rs
+++ b/crates/core/src/engine/job.rs
@@ -7,6 +7,7 @@
 
 use super::command::{JobAnswer, JobState};
 use super::event::WorkerId;
+use super::failure::FailureReason;
 use super::teams::TeamIndex;
 use crate::key::JobKey;
 use crate::verdict::Verdict;
@@ -136,14 +137,14 @@
     pub fn cut_short(
         work: &JobWork,
         state: JobState,
-        reason: &'static str,
+        reason: FailureReason,
         detail: String,
     ) -> Self {
         Self {
             state,
             verdict: work.verdict(),
             results: Arc::default(),
-            reason,
+            reason: reason.name(),
             detail: detail.into(),
             tasks_done: work.done,
             tasks_total: work.total(),
--- a/crates/core/src/engine/job_table.rs
+++ b/crates/core/src/engine/job_table.rs
@@ -12,13 +12,12 @@
 
 use super::command::{Command, JobState};
 use super::event::WaiterId;
+use super::failure::FailureReason;
 use super::job::{EndedJob, JobEnd, JobId};
 use super::pool::Pool;
 use super::remembered::RememberedJob;
 use crate::key::JobKey;
 
-/// Why an end without results is not the whole answer.
-const RESULT_DROPPED: &str = "result_dropped";
 /// Most keys forgotten by one call, so that a call stays short.
 const FORGET_BATCH: usize = 256;
 
@@ -163,7 +162,7 @@
             };
             self.results_bytes -= results_bytes(&end.results);
             end.results = Arc::default();
-            end.reason = RESULT_DROPPED;
+            end.reason = FailureReason::ResultDropped.name();
             end.detail = "the job completed; its results are no longer kept".into();
         }
     }
--- a/crates/core/src/engine/pool.rs
+++ b/crates/core/src/engine/pool.rs
@@ -13,6 +13,7 @@
 
 use super::command::{Command, JobState};
 use super::event::{TaskId, WorkerId};
+use super::failure::FailureReason;
 use super::health::{ServiceHealth, WorkerHealth};
 use super::job::{EndedJob, JobId, JobWork};
 use super::queue::JobQueue;
@@ -150,7 +151,7 @@
     /// Ends a job at its caller's wish, or `None` if it just ended.
     pub fn cancel(&mut self, now: Now, job: JobId, out: &mut Vec<Command>) -> Option<EndedJob> {
         let why = "the caller cancelled the job".to_owned();
-        let ended = self.cut_short(job, JobState::Cancelled, "cancelled", why)?;
+        let ended = self.cut_short(job, JobState::Cancelled, FailureReason::Cancelled, why)?;
         self.stats.jobs_cancelled += 1;
         self.dispatch(now, out);
         Some(ended)
@@ -165,7 +166,7 @@
             }
             self.deadlines.pop();
             let late = "the deadline passed before the last result";
-            let Some(job) = self.fail(job, "deadline", late.to_owned()) else {
+            let Some(job) = self.fail(job, FailureReason::Deadline, late.to_owned()) else {
                 continue;
             };
             self.stats.jobs_past_deadline += 1;
--- a/crates/core/src/engine/pool/outcome.rs
+++ b/crates/core/src/engine/pool/outcome.rs
@@ -6,6 +6,7 @@
 use crate::engine::command::{Command, JobState};
 use crate::engine::ejection::Showing;
 use crate::engine::event::{TaskId, TaskOutcome};
+use crate::engine::failure::FailureReason;
 use crate::engine::job::{EndedJob, JobEnd, JobId, ReturnedTask};
 use crate::time::Now;
 
@@ -67,8 +68,8 @@
         match outcome {
             TaskOutcome::Done(result) => self.task_done(placement, result),
             TaskOutcome::NotRun(why) => self.task_refused(placement, why),
-            TaskOutcome::Failed(why) => self.fail(placement.job, "task_failed", why),
-            TaskOutcome::MayHaveRun(why) => self.fail(placement.job, "task_lost", why),
+            TaskOutcome::Failed(why) => self.fail(placement.job, FailureReason::TaskFailed, why),
+            TaskOutcome::MayHaveRun(why) => self.fail(placement.job, FailureReason::TaskLost, why),
         }
     }
 
@@ -91,10 +92,10 @@
     /// Queues a refused task again, within the bounds on retries.
     fn task_refused(&mut self, placement: Placement, why: String) -> Option<EndedJob> {
         if placement.attempt >= self.settings.placement.attempts_max {
-            return self.fail(placement.job, "task_refused", why);
+            return self.fail(placement.job, FailureReason::TaskRefused, why);
         }
         if !self.retries.try_retry() {
-            return self.fail(placement.job, "retry_budget", why);
+            return self.fail(placement.job, FailureReason::RetryBudget, why);
         }
         let work = self.jobs.get_mut(placement.job)?;
         work.returned.push(ReturnedTask {
@@ -115,7 +116,7 @@
     pub(super) fn fail(
         &mut self,
         job: JobId,
-        reason: &'static str,
+        reason: FailureReason,
         why: String,
     ) -> Option<EndedJob> {
         let ended = self.cut_short(job, JobState::Failed, reason, why)?;
@@ -128,7 +129,7 @@
         &mut self,
         job: JobId,
         state: JobState,
-        reason: &'static str,
+        reason: FailureReason,
         why: String,
     ) -> Option<EndedJob> {
         let work = self.jobs.remove(job)?;
--- a/src/http/caller/answer.rs
+++ b/src/http/caller/answer.rs
@@ -5,7 +5,7 @@
 use poem::{IntoResponse, Response};
 use serde::Serialize;
 use serde_json::value::RawValue;
-use trefoil_core::engine::{JobAnswer, JobState, Refusal, RefusalReason};
+use trefoil_core::engine::{FailureReason, JobAnswer, JobState, Refusal, RefusalReason};
 use trefoil_core::key::JobKey;
 use trefoil_core::verdict::Verdict;
 use trefoil_schema::api;
@@ -16,7 +16,7 @@
 /// The caller closed the request: the status of jobs that were cancelled.
 const CLIENT_CLOSED: u16 = 499;
 /// The job completed and its results are no longer kept.
-const RESULT_DROPPED: &str = "result_dropped";
+const RESULT_DROPPED: &str = FailureReason::ResultDropped.name();
 
 /// What the caller asked, which decides how a job's end is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/http/operator/refuse.rs
+++ b/src/http/operator/refuse.rs
@@ -1,5 +1,6 @@
 //! Problems of the operators' API.
 
+use derive_more::Display;
 use poem::http::StatusCode;
 use serde_json::Value;
 use trefoil_core::config::ResourceKey;
@@ -15,10 +16,43 @@
 /// When to come back after a failure of the store, drawn from this range.
 const RETRY_MS: std::ops::RangeInclusive<u64> = 500..=1500;
 
+/// Why a request about resources is refused.
+#[derive(Clone, Copy, Debug, Display)]
+#[display(rename_all = "snake_case")]
+enum Reason {
+    /// The body or a header is malformed.
+    Malformed,
+    /// The body exceeds the size bound.
+    TooLarge,
+    /// No such resource is declared.
+    UnknownResource,
+    /// The store has something else under the resource's key.
+    UnreadableResource,
+    /// The resource has wrong fields.
+    InvalidResource,
+    /// `If-Match` or `If-None-Match` does not hold.
+    PreconditionFailed,
+    /// Another change was accepted first.
+    LostRace,
+    /// The store could not be reached; nothing was written.
+    StoreUnreachable,
+    /// The write was sent and its end is not known.
+    WriteUnsettled,
+}
+
+fn refused(
+    status: StatusCode,
+    reason: Reason,
+    detail: impl Into<String>,
+    verdict: Verdict,
+) -> Problem {
+    Problem::new(status, &reason.to_string(), detail, verdict)
+}
+
 pub(super) fn malformed(detail: impl Into<String>) -> Problem {
-    Problem::new(
+    refused(
         StatusCode::BAD_REQUEST,
-        "malformed",
+        Reason::Malformed,
         detail,
         Verdict::NotRun,
     )
@@ -31,13 +65,13 @@
 pub(super) fn too_large(bytes_max: usize) -> Problem {
     let detail = format!("a declaration has at most {bytes_max} bytes");
     let status = StatusCode::PAYLOAD_TOO_LARGE;
-    Problem::new(status, "too_large", detail, Verdict::NotRun)
+    refused(status, Reason::TooLarge, detail, Verdict::NotRun)
 }
 
 pub(super) fn unknown(key: &ResourceKey) -> Problem {
     let detail = format!("{key} is not declared");
     let status = StatusCode::NOT_FOUND;
-    Problem::new(status, "unknown_resource", detail, Verdict::NotRun)
+    refused(status, Reason::UnknownResource, detail, Verdict::NotRun)
 }
 
 /// The store holds something else under the resource's key.
@@ -45,7 +79,7 @@
     let detail =
         format!("the stored text of {key} at revision {revision} cannot be read; declare it again");
     let status = StatusCode::INTERNAL_SERVER_ERROR;
-    Problem::new(status, "unreadable_resource", detail, Verdict::NotRun)
+    refused(status, Reason::UnreadableResource, detail, Verdict::NotRun)
 }
 
 pub(super) fn invalid(key: &ResourceKey, errors: Vec<FieldError>) -> Problem {
@@ -54,7 +88,7 @@
         errors.len()
     );
     let status = StatusCode::UNPROCESSABLE_ENTITY;
-    Problem::new(status, "invalid_resource", detail, Verdict::NotRun).errors(errors)
+    refused(status, Reason::InvalidResource, detail, Verdict::NotRun).errors(errors)
 }
 
 /// The precondition does not hold of what the store has.
@@ -65,13 +99,13 @@
 ) -> Problem {
     let detail = differs(key, current, wanted);
     let status = StatusCode::PRECONDITION_FAILED;
-    Problem::new(status, "precondition_failed", detail, Verdict::NotRun)
+    refused(status, Reason::PreconditionFailed, detail, Verdict::NotRun)
 }
 
 /// The store could not be read, before anything was written.
 pub(super) fn unreadable(error: &StoreError) -> Problem {
     let detail = format!("nothing was stored: {error}; try again when the store is back");
-    unavailable("store_unreachable", detail, Verdict::NotRun)
+    unavailable(Reason::StoreUnreachable, detail, Verdict::NotRun)
 }
 
 /// The write was not acknowledged.
@@ -80,11 +114,11 @@
         WriteError::Conflict { current } => lost_race(key, current.as_ref(), wanted),
         WriteError::NotApplied { .. } => {
             let detail = format!("{key}: {error}; try again when the store is back");
-            unavailable("store_unreachable", detail, Verdict::NotRun)
+            unavailable(Reason::StoreUnreachable, detail, Verdict::NotRun)
         }
         WriteError::MayHaveApplied { .. } => {
             let detail = format!("{key}: {error}; read it before you try again");
-            unavailable("write_unsettled", detail, Verdict::MayHaveRun)
+            unavailable(Reason::WriteUnsettled, detail, Verdict::MayHaveRun)
         }
     }
 }
@@ -94,13 +128,17 @@
         "another change came first: {}",
         differs(key, current, wanted)
     );
-    Problem::new(StatusCode::CONFLICT, "lost_race", detail, Verdict::NotRun)
+    refused(
+        StatusCode::CONFLICT,
+        Reason::LostRace,
+        detail,
+        Verdict::NotRun,
+    )
 }
 
-fn unavailable(reason: &str, detail: String, verdict: Verdict) -> Problem {
+fn unavailable(reason: Reason, detail: String, verdict: Verdict) -> Problem {
     let retry_after_ms = rand::random_range(RETRY_MS);
-    Problem::new(StatusCode::SERVICE_UNAVAILABLE, reason, detail, verdict)
-        .retry_after_ms(retry_after_ms)
+    refused(StatusCode::SERVICE_UNAVAILABLE, reason, detail, verdict).retry_after_ms(retry_after_ms)
 }
 
 // Where the resource stands and in which fields it differs from the request.
--- a/src/peers/convert.rs
+++ b/src/peers/convert.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use trefoil_core::engine::{
-    JobAnswer, JobState, Refusal, RefusalReason, RememberedJob, Submission, Task,
+    FailureReason, JobAnswer, JobState, Refusal, RefusalReason, RememberedJob, Submission, Task,
 };
 use trefoil_core::key::{JobKey, KeyError};
 use trefoil_core::verdict::Verdict;
@@ -16,17 +16,8 @@
 
 use crate::runtime::dispatch::fingerprint;
 
-/// Reason of a job whose results cannot be given any more.
-pub const RESULT_DROPPED: &str = "result_dropped";
-/// Reasons of final failures, as they travel.
-const FAILURE_REASONS: [&str; 5] = [
-    "task_failed",
-    "task_lost",
-    "deadline",
-    "cancelled",
-    RESULT_DROPPED,
-];
-const FAILURE_UNKNOWN: &str = "failed";
+/// Reason of a failure that this version does not know.
+pub const FAILURE_UNKNOWN: &str = "failed";
 
 /// A message that cannot be acted on.
 #[derive(Clone, Debug, Display, Error)]
@@ -153,10 +144,8 @@
     if name.is_empty() {
         return "";
     }
-    FAILURE_REASONS
-        .into_iter()
-        .find(|known| *known == name)
-        .unwrap_or(FAILURE_UNKNOWN)
+    let known = name.parse::<FailureReason>();
+    known.map_or(FAILURE_UNKNOWN, FailureReason::name)
 }
 
 fn state_to_wire(state: JobState) -> peer::JobState {
@@ -230,7 +219,7 @@
             state: JobState::Failed,
             verdict: Verdict::Ran,
             results: Vec::new().into(),
-            reason: RESULT_DROPPED,
+            reason: FailureReason::ResultDropped.name(),
             detail: "the job completed; its results cannot be passed on".to_owned(),
             replayed,
             tasks_done,
--- a/src/runtime/service_windows.rs
+++ b/src/runtime/service_windows.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
-use trefoil_core::engine::{JobAnswer, JobState, RefusalReason};
+use trefoil_core::engine::{FailureReason, JobAnswer, JobState, RefusalReason};
 use xxhash_rust::xxh3::xxh3_64;
 
 const SHARDS: usize = 8;
@@ -146,7 +146,7 @@
         JobAnswer::Known { replayed: true, .. } => None,
         JobAnswer::Known { state, reason, .. } => match state {
             JobState::Complete => Some(Seen::Timed),
-            JobState::Failed if *reason == "deadline" => Some(Seen::Timed),
+            JobState::Failed if *reason == FailureReason::Deadline.name() => Some(Seen::Timed),
             JobState::Failed | JobState::Cancelled | JobState::Running => Some(Seen::Untimed),
         },
         JobAnswer::Refused(refusal) => is_ours(refusal.reason).then_some(Seen::Refused),
--- a/src/server/observe.rs
+++ b/src/server/observe.rs
@@ -5,10 +5,11 @@
 use poem::http::{HeaderValue, Method, StatusCode};
 use poem::{Endpoint, Request, Response};
 use tokio::time::Instant;
-use trefoil_core::engine::JobState;
+use trefoil_core::engine::{FailureReason, JobState};
 
 use super::Context;
 use crate::http::problem::Reason;
+use crate::peers::convert::FAILURE_UNKNOWN;
 use crate::util::telemetry::counters::Counters;
 use crate::util::telemetry::trace::{Hop, HopSpan, TRACEPARENT, TraceParent};
 
@@ -72,9 +73,18 @@
     if status.is_success() {
         return Some(JobState::Complete);
     }
-    match reason.map(|reason| reason.0.as_str()) {
-        Some("task_failed" | "task_lost" | "deadline") => Some(JobState::Failed),
-        Some("cancelled") => Some(JobState::Cancelled),
-        _ => None,
+    let reason = reason?.0.as_str();
+    if reason == FAILURE_UNKNOWN {
+        return Some(JobState::Failed);
+    }
+    match reason.parse().ok()? {
+        FailureReason::Cancelled => Some(JobState::Cancelled),
+        // The job completed; this caller cannot have its results.
+        FailureReason::ResultDropped => None,
+        FailureReason::TaskFailed
+        | FailureReason::TaskLost
+        | FailureReason::TaskRefused
+        | FailureReason::RetryBudget
+        | FailureReason::Deadline => Some(JobState::Failed),
     }
 }
--- a/src/server/parts.rs
+++ b/src/server/parts.rs
@@ -10,7 +10,7 @@
 };
 use tokio::time::MissedTickBehavior;
 use trefoil_core::drain::DrainState;
-use trefoil_core::engine::{Engine, EngineSettings};
+use trefoil_core::engine::{Engine, EngineSettings, RefusalReason};
 use trefoil_core::verdict::Verdict;
 
 use super::conditions::Conditions;
@@ -144,7 +144,7 @@
     let detail = "this instance is leaving; ask another with the same key";
     Problem::new(
         StatusCode::SERVICE_UNAVAILABLE,
-        "leaving",
+        &RefusalReason::Leaving.to_string(),
         detail,
         Verdict::MayHaveRun,
     )
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! End-to-end tests by feature, each a small project of real processes.
 
+mod api_page;
 mod caller;
 mod conditions;
 mod ctl;
