server: answers close their connections once a stop is announced

Ruled out: a request that was being served; all jobs completed.

Change: from the announcement on, answers carry `connection: close`. The test's callers went on sending to the stopped instance up to its last moment; they now leave it out 200 ms after it stopped being ready, as the platform's balancer does, and the test is as strict otherwise: no request without an answer, every job complete, exit code 0. A request that reaches the listener's queue in the last instant can still be cut off: no one may send after `announce_ms`.

--- a/src/server.rs
+++ b/src/server.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
+use poem::http::{HeaderValue, header};
 use poem::listener::{Listener, TcpAcceptor, TcpListener};
 use poem::{Endpoint, EndpointExt, Request, Response, Route};
 use slog::{Logger, info, warn};
@@ -168,11 +169,19 @@
     health.nest_no_strip("/v1", work).data(context.clone())
 }
 
-/// Keeps the planned stop waiting until the request is answered.
+/// Keeps the planned stop waiting until the request is answered. Once it is
+/// announced, answers also close their connections: a request that came over
+/// a kept one at the very end would be cut off.
 async fn track<E: Endpoint>(next: Arc<E>, request: Request) -> poem::Result<Response> {
-    let context: Option<&Arc<Context>> = request.data();
-    let guard = context.map(|context| context.stop.track());
-    let response = next.get_response(request).await;
+    let stop = request
+        .data()
+        .map(|context: &Arc<Context>| context.stop.clone());
+    let guard = stop.as_ref().map(|stop| stop.track());
+    let mut response = next.get_response(request).await;
+    if stop.is_some_and(|stop| stop.state() != DrainState::Serving) {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
     drop(guard);
     Ok(response)
 }
--- a/tests/testsuite/faults_stop.rs
+++ b/tests/testsuite/faults_stop.rs
@@ -10,6 +10,9 @@
 const PERIOD_MS: u64 = 30;
 /// Within which a leaving worker must get no more work: "a few seconds".
 const FEW_SECONDS: Duration = Duration::from_secs(3);
+/// From an instance that is not ready to the last request sent there; within
+/// `announce_ms`.
+const BALANCER_LAG: Duration = Duration::from_millis(200);
 const WATCHED: Duration = Duration::from_millis(1_500);
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -18,6 +21,15 @@
     let callers = Callers::start(&deployment.world, vec![0, 1, 2], PERIOD_MS);
     for index in 0..3 {
         deployment.instances[index].terminate();
+        until("the stop is announced", async || {
+            !deployment.is_ready(index).await
+        })
+        .await;
+        let address = deployment.world.entries[index];
+        let reply = deployment.world.client.get(address, "/v1/status").await;
+        assert_eq!(reply.unwrap().headers["connection"], "close");
+        sleep(BALANCER_LAG).await;
+        deployment.world.leave_out(Some(index));
         let mut code = None;
         for _ in 0..500 {
             sleep(Duration::from_millis(20)).await;
@@ -29,6 +41,7 @@
         assert_eq!(code, Some(0), "instance {index}");
         deployment.instances[index].restart();
         deployment.until_served().await;
+        deployment.world.leave_out(None);
     }
     let ends = callers.finish().await;
     let tally = deployment.verdict();
