--- a/tests/testsuite/faults_work.rs
+++ b/tests/testsuite/faults_work.rs
@@ -10,56 +10,61 @@
 use trefoil_fakes::worker::faults::WorkerFaultOrder;
 
 use crate::support::callers::{Callers, reason_of};
-use crate::support::deployment::{Deployment, Size};
+use crate::support::deployment::{Deployment, Size, until};
 
 const PERIOD_MS: u64 = 30;
 const FAULT: Duration = Duration::from_millis(1_200);
 
-fn first_worker() -> WorkerFaultOrder {
-    WorkerFaultOrder {
-        worker: Some(0),
+/// One fault of one worker, and its end.
+fn faults() -> [(WorkerFaultOrder, WorkerFaultOrder); 6] {
+    let none = WorkerFaultOrder {
+        fail_all: Some(false),
+        wrong_task: Some(false),
+        drop_after_start: Some(false),
+        late_ms: Some(0),
+        refuse_all: Some(false),
+        hang: Some(false),
         ..WorkerFaultOrder::default()
-    }
+    };
+    let fault = |worker, set: fn(&mut WorkerFaultOrder)| {
+        let mut end = none.clone();
+        end.worker = Some(worker);
+        let mut order = end.clone();
+        set(&mut order);
+        (order, end)
+    };
+    // A worker that was ejected may get no work for a while, so each fault has
+    // one of its own.
+    [
+        fault(0, |order| order.fail_all = Some(true)),
+        fault(1, |order| order.wrong_task = Some(true)),
+        fault(2, |order| order.drop_after_start = Some(true)),
+        fault(3, |order| order.refuse_all = Some(true)),
+        fault(4, |order| order.late_ms = Some(1_500)),
+        // Its hung tasks hold their slots for good.
+        fault(5, |order| order.hang = Some(true)),
+    ]
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn workers_that_misbehave_start_nothing_twice_and_cross_no_answers() {
-    let deployment = Deployment::start(Size::default()).await;
+    let size = Size {
+        workers_per_domain: faults().len(),
+        ..Size::default()
+    };
+    let deployment = Deployment::start(size).await;
     let callers = Callers::start(&deployment.world, vec![0, 1, 2], PERIOD_MS);
-    let fault = |set: fn(&mut WorkerFaultOrder)| {
-        let mut order = first_worker();
-        set(&mut order);
-        order
+    let requests_at = |worker: usize| {
+        let name = deployment.workers[0].addresses[worker].to_string();
+        let starts = deployment.starts();
+        let starts = starts.iter().filter(|start| start.worker == name).count();
+        starts as u64 + deployment.workers[0].counters().refused_ordered
     };
-    let faults = [
-        (
-            fault(|order| order.fail_all = Some(true)),
-            fault(|order| order.fail_all = Some(false)),
-        ),
-        (
-            fault(|order| order.wrong_task = Some(true)),
-            fault(|order| order.wrong_task = Some(false)),
-        ),
-        (
-            fault(|order| order.drop_after_start = Some(true)),
-            fault(|order| order.drop_after_start = Some(false)),
-        ),
-        (
-            fault(|order| order.late_ms = Some(1_500)),
-            fault(|order| order.late_ms = Some(0)),
-        ),
-        (
-            fault(|order| order.refuse_all = Some(true)),
-            fault(|order| order.refuse_all = Some(false)),
-        ),
-        // Last: the hung tasks hold their slots for good.
-        (
-            fault(|order| order.hang = Some(true)),
-            fault(|order| order.hang = Some(false)),
-        ),
-    ];
-    for (order, end) in faults {
+    for (order, end) in faults() {
+        let worker = order.worker.unwrap();
+        let before = requests_at(worker);
         deployment.order_workers(&order);
+        until("the fault is felt", async || requests_at(worker) > before).await;
         sleep(FAULT).await;
         deployment.order_workers(&end);
         deployment.until_served().await;
@@ -67,6 +72,7 @@
     assert!(callers.finish().await.complete > 50);
     let tally = deployment.verdict();
     assert!(tally.of(&["task_failed"]) > 0, "{tally:?}");
+    assert!(tally.of(&["task_lost"]) > 0, "{tally:?}");
     let counters = deployment.workers[0].counters();
     assert!(counters.failed > 0 && counters.dropped > 0, "{counters:?}");
     assert!(counters.refused_ordered > 0, "{counters:?}");
