core: what a successor calls never started is checked in random histories

Scopes now begin where the owner alone may have admitted its keys.

The faults of histories moved to the support module, unchanged.

--- a/crates/core/src/handover.rs
+++ b/crates/core/src/handover.rs
@@ -5,7 +5,9 @@
 //! end a scope: for keys of these issue times that came this way, this was all.
 //! A key within a scope that was not handed over never started, and never
 //! will: its owner refuses new keys before it hands its memory over, and a
-//! later owner begins behind the former one's admission limit. The reasons are
+//! later owner begins behind the former one's admission limit. Scopes begin
+//! where the owner alone may have admitted its keys: earlier ones may have been
+//! admitted by former owners, before it joined. The reasons are
 //! in `docs/design/leaving.md`.
 
 use std::collections::BTreeMap;
@@ -99,13 +101,14 @@
     }
 
     /// The scopes that `me` hands on when it leaves: those that it took over,
-    /// now one step longer, and that of its `own` keys.
-    pub fn handed_on(&self, me: &Member, own: Scope) -> Vec<HandoverScope> {
+    /// now one step longer, and that of its `own` keys. It remembers keys
+    /// issued from `remembered_ms` on.
+    pub fn handed_on(&self, me: &Member, own: Scope, remembered_ms: u64) -> Vec<HandoverScope> {
         let taken = self.by_path.iter().map(|(path, scope)| {
             let mut path = path.clone();
             path.push(me.clone());
             let scope = Scope {
-                from_ms: scope.from_ms.max(own.from_ms),
+                from_ms: scope.from_ms.max(remembered_ms),
                 until_ms: scope.until_ms,
                 view_version: scope.view_version.max(own.view_version),
             };
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -23,6 +23,7 @@
     StoreWrite,
 };
 
+use crate::handover::Scope;
 use crate::key::JobKey;
 use crate::time::Now;
 use crate::view::{Member, Succession, View, ViewLog};
@@ -254,6 +255,16 @@
         self.vouching.limit_ms()
     }
 
+    /// What this instance can vouch for of the keys that it owns when it hands
+    /// its memory over, the engine remembering keys from `remembered_ms` on.
+    pub fn handover_scope(&self, remembered_ms: u64) -> Scope {
+        Scope {
+            from_ms: self.vouching.alone_from_ms().max(remembered_ms),
+            until_ms: self.vouching.limit_ms(),
+            view_version: self.own_log().log.version(),
+        }
+    }
+
     /// Whether this instance was told to leave.
     pub fn leaving(&self) -> bool {
         self.leaving
--- a/crates/core/src/membership/vouching.rs
+++ b/crates/core/src/membership/vouching.rs
@@ -215,6 +215,17 @@
         self.self_sealed_version
     }
 
+    /// First key time from which on this instance alone may have admitted the
+    /// keys that it owns; former owners may have admitted earlier ones.
+    pub fn alone_from_ms(&self) -> u64 {
+        let settled = self.runs.len() < RUNS_MAX && self.runs.iter().all(|r| r.waiting.is_empty());
+        let floor_ms = self.runs.iter().map(|run| run.floor_ms).max();
+        match floor_ms.filter(|_| settled) {
+            Some(floor_ms) => floor_ms + 1,
+            None => u64::MAX,
+        }
+    }
+
     /// Whether a key of `issued_ms`, owned here by the view `version`, may start.
     pub fn admission(&self, version: u64, issued_ms: u64) -> Admission {
         let covers = |run: &&Run| (run.first_version..=run.last_version).contains(&version);
--- a/crates/core/tests/history_support/mod.rs
+++ b/crates/core/tests/history_support/mod.rs
@@ -1,10 +1,15 @@
 //! A failure domain in virtual time: instances, a network, a store, a platform
 //! list, and faults in all of them. It records which instance starts each key.
 
+#![allow(dead_code)]
+
+pub mod faults;
+pub mod handover;
 pub mod store;
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use handover::Memory;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use store::{FakeStore, Reply};
@@ -41,7 +46,9 @@
     pub frozen_until_ms: u64,
     pub clock_offset_ms: i64,
     pub membership: Membership,
+    /// Keys admitted here.
     seen: BTreeSet<JobKey>,
+    memory: Memory,
     introduced: bool,
 }
 
@@ -92,6 +99,10 @@
     pub store_cuts: BTreeSet<usize>,
     /// Whether the platform tells who ended.
     pub platform_tells: bool,
+    /// How leavers hand their memory over; `None` for not at all.
+    pub handover: Option<handover::Rules>,
+    /// Keys of which a successor said that they never started.
+    pub denied: BTreeSet<JobKey>,
     /// Who started each key.
     pub starts: BTreeMap<JobKey, BTreeSet<Member>>,
     queue: BTreeMap<(u64, u64), Happening>,
@@ -113,6 +124,8 @@
             cuts: BTreeSet::new(),
             store_cuts: BTreeSet::new(),
             platform_tells: true,
+            handover: None,
+            denied: BTreeSet::new(),
             starts: BTreeMap::new(),
             queue: BTreeMap::new(),
             waiting: BTreeMap::new(),
@@ -129,6 +142,7 @@
                 clock_offset_ms: 0,
                 membership,
                 seen: BTreeSet::new(),
+                memory: Memory::default(),
                 introduced: false,
             });
             let first_ms = world.rng.random_range(0..200);
@@ -184,6 +198,7 @@
             frozen_until_ms: 0,
             clock_offset_ms: self.nodes[index].clock_offset_ms,
             seen: BTreeSet::new(),
+            memory: Memory::default(),
             introduced: false,
             member: member.clone(),
         };
@@ -315,6 +330,7 @@
         }
         let entropy = self.rng.random();
         self.deliver(at, Event::Tick { entropy });
+        self.hand_over_if_removed(at);
         let period_ms = self.params.heartbeat_ms;
         self.after(period_ms, Happening::Tick(at, incarnation));
     }
@@ -346,6 +362,7 @@
     fn route(&mut self, at: usize, key: JobKey, hops: u32) {
         let incarnation = self.nodes[at].member.incarnation;
         match self.nodes[at].membership.route(&key) {
+            Route::Here if self.nodes[at].memory.refuses_new(self.handover) => {}
             Route::Here if self.nodes[at].seen.insert(key.clone()) => {
                 let delay_ms = self.rng.random_range(0..50);
                 let start = Happening::Start {
@@ -355,6 +372,7 @@
                 };
                 self.after(delay_ms, start);
             }
+            Route::OwnerLost => self.recall(at, &key),
             Route::Peer(member) if hops == 0 => {
                 let mut nodes = self.nodes.iter();
                 let to = nodes.position(|node| node.member.name == member.name);
--- a/src/peers/handover.rs
+++ b/src/peers/handover.rs
@@ -14,7 +14,6 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use trefoil_core::engine::{Memory, RememberedJob};
-use trefoil_core::handover::Scope;
 use trefoil_core::view::{Member, ViewLog};
 use trefoil_schema::peer::message::Body;
 use trefoil_schema::peer::{HandoverScope, InstanceRef, KeyHandover, KeyHandoverAck};
@@ -120,13 +119,9 @@
         let Some(known) = membership.view_log(&self.domain) else {
             return Vec::new();
         };
-        let own = Scope {
-            from_ms: memory.from_ms,
-            until_ms: membership.admission_limit(),
-            view_version: known.log.version(),
-        };
+        let own = membership.handover_scope(memory.from_ms);
         let scopes = match proof {
-            true => self.scopes().handed_on(&self.me, own),
+            true => self.scopes().handed_on(&self.me, own, memory.from_ms),
             false => Vec::new(),
         };
         let mut by_holder = by_holder(&known.log, &self.me, memory.jobs);
