--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests by feature, each a small project of real processes.
 
 mod caller;
+mod conditions;
 mod ctl;
 mod ctl_operator;
 mod ctl_rollout;
