engine: idle slots are lent within a failure domain

Cause: an instance uses only its share of each worker's slots, so an uneven arrival leaves slots idle while tasks wait elsewhere. Weighed: sharing all slots and finding busy workers by their refusals (0.4 wasted messages a task); shares dealt anew at each heartbeat (too slow for tasks of 200 ms). Change: an instance with queued tasks and no free slot asks one peer each tick; a peer without a queue lends up to half of its free slots for loan_ms. Idle borrowed slots go back. Not yet carried by the daemon.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -11,6 +11,8 @@
 pub mod event;
 mod job;
 mod job_table;
+pub mod lending;
+mod loans;
 mod placement;
 mod pool;
 mod queue;
@@ -31,6 +33,7 @@
 
 pub use command::{Command, JobAnswer, JobState, Refusal, RefusalReason};
 pub use event::{Submission, Task, TaskId, TaskOutcome, WaiterId, Worker, WorkerId};
+pub use lending::{SlotMessage, SlotMessageBody, WorkerSlots};
 pub use settings::{EngineSettings, QueueOrder};
 pub use stats::EngineStats;
 
--- a/crates/core/src/engine/pool.rs
+++ b/crates/core/src/engine/pool.rs
@@ -1,6 +1,7 @@
 //! The jobs and workers of one service, under one lock.
 
 mod admit;
+mod lend;
 mod outcome;
 mod place;
 
@@ -14,6 +15,7 @@
 use super::command::{Command, JobState};
 use super::event::{TaskId, WorkerId};
 use super::job::{EndedJob, JobId, JobWork};
+use super::lending::Lending;
 use super::queue::JobQueue;
 use super::retry_budget::RetryBudget;
 use super::run_times::RunTimes;
@@ -68,6 +70,7 @@
     settings: Arc<EngineSettings>,
     terms: ServiceTerms,
     workers: WorkerSet,
+    lending: Lending,
     jobs: SlotMap<JobId, JobWork>,
     queue: JobQueue,
     teams: Teams,
@@ -88,6 +91,7 @@
         let state = PoolState {
             number,
             workers,
+            lending: Lending::default(),
             jobs: SlotMap::with_key(),
             queue: JobQueue::default(),
             teams: Teams::default(),
--- /dev/null
+++ b/crates/core/src/engine/pool/lend.rs
@@ -0,0 +1,144 @@
+//! Slots lent to and borrowed from the failure domain's other instances.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use trefoil_schema::settings::PlacementPolicy;
+
+use super::PoolState;
+use crate::engine::command::Command;
+use crate::engine::event::{Worker, WorkerId};
+use crate::engine::lending::{Loan, SlotMessageBody, WorkerSlots};
+use crate::time::Now;
+
+/// What to tell which peer.
+pub(crate) type SlotNews = (Arc<str>, SlotMessageBody);
+
+impl PoolState {
+    /// Takes the failure domain's instances.
+    pub fn set_members(&mut self, me: &str, members: &[String]) {
+        self.lending.set_members(me, members);
+    }
+
+    fn lends(&self) -> bool {
+        let placement = &self.settings.placement;
+        placement.lending && placement.policy == PlacementPolicy::OwnedSlots
+    }
+
+    /// Returns what is idle, takes back what is overdue, asks for what lacks.
+    pub fn balance(&mut self, now: Now, out: &mut Vec<Command>) -> Vec<SlotNews> {
+        let run_log2 = self.run_times.mean_log2();
+        for loan in self.lending.overdue(now.mono_ms) {
+            self.workers
+                .take_back(now.mono_ms, run_log2, loan.worker, loan.slots);
+        }
+        self.dispatch(now, out);
+        let mut news = self.return_idle(now);
+        if self.lends() && self.queue.first().is_some() && !self.workers.has_ready() {
+            let ask = self.lending.ask(now.mono_ms, self.stats.tasks_queued);
+            news.extend(ask.map(|(peer, slots)| (peer, SlotMessageBody::Ask(slots))));
+        }
+        news
+    }
+
+    /// Closes the loans whose time is over, and returns slots without a task.
+    fn return_idle(&mut self, now: Now) -> Vec<SlotNews> {
+        let run_log2 = self.run_times.mean_log2();
+        let is_wanted = self.queue.first().is_some();
+        let mut returned: BTreeMap<Arc<str>, Vec<WorkerSlots>> = BTreeMap::new();
+        for loan in &mut self.lending.borrowed {
+            if !loan.closed && loan.until_ms <= now.mono_ms {
+                loan.closed = true;
+                self.workers
+                    .close(now.mono_ms, run_log2, loan.worker, loan.slots);
+            }
+            if is_wanted && !loan.closed {
+                continue;
+            }
+            let idle = loan.slots.min(self.workers.idle_borrowed(loan.worker));
+            let worker = self.workers.name(loan.worker);
+            if let Some(worker) = worker.filter(|_| idle > 0) {
+                loan.slots -= idle;
+                self.workers
+                    .give_back(now.mono_ms, run_log2, loan.worker, idle, loan.closed);
+                let peer = Arc::clone(&loan.peer);
+                returned.entry(peer).or_default().push(WorkerSlots {
+                    worker,
+                    slots: idle,
+                });
+            }
+        }
+        self.lending.borrowed.retain(|loan| loan.slots > 0);
+        let returned = returned.into_iter();
+        returned
+            .map(|(peer, slots)| (peer, SlotMessageBody::Return(slots)))
+            .collect()
+    }
+
+    /// Lends up to `slots` free slots, half of the free ones at most.
+    pub fn lend(&mut self, now: Now, borrower: &str, slots: u32) -> Vec<WorkerSlots> {
+        self.lending.asked_by(now.mono_ms, borrower);
+        if !self.lends() || self.queue.first().is_some() {
+            return Vec::new();
+        }
+        let run_log2 = self.run_times.mean_log2();
+        self.workers.wake(now.mono_ms, run_log2);
+        let lent = self.workers.lend(now.mono_ms, run_log2, slots);
+        let loan_ms = self.settings.placement.loan_ms;
+        for worker in &lent {
+            self.lending.lend(now.mono_ms, borrower, *worker, loan_ms);
+        }
+        self.stats.slots_lent += lent.len() as u64;
+        let mut by_worker: BTreeMap<Arc<str>, u32> = BTreeMap::new();
+        for worker in lent.into_iter().filter_map(|id| self.workers.name(id)) {
+            *by_worker.entry(worker).or_default() += 1;
+        }
+        let by_worker = by_worker.into_iter();
+        by_worker
+            .map(|(worker, slots)| WorkerSlots { worker, slots })
+            .collect()
+    }
+
+    /// Takes a peer's answer and starts tasks on what it lent.
+    pub fn borrow(
+        &mut self,
+        now: Now,
+        lender: &str,
+        lent: Vec<(WorkerId, Worker, u32)>,
+        loan_ms: u64,
+        out: &mut Vec<Command>,
+    ) {
+        self.lending.answered(now.mono_ms, lender, !lent.is_empty());
+        let run_log2 = self.run_times.mean_log2();
+        for (worker, declared, slots) in lent {
+            self.workers
+                .borrow(now.mono_ms, run_log2, worker, declared, slots);
+            self.stats.slots_borrowed += u64::from(slots);
+            self.lending.borrowed.push(Loan {
+                peer: lender.into(),
+                worker,
+                slots,
+                until_ms: now.mono_ms + loan_ms,
+                closed: false,
+            });
+        }
+        self.dispatch(now, out);
+    }
+
+    /// Takes returned slots and starts queued tasks on them.
+    pub fn take_back(
+        &mut self,
+        now: Now,
+        borrower: &str,
+        returned: &[(WorkerId, u32)],
+        out: &mut Vec<Command>,
+    ) {
+        let run_log2 = self.run_times.mean_log2();
+        for (worker, slots) in returned {
+            let taken = self.lending.take_back(borrower, *worker, *slots);
+            self.workers
+                .take_back(now.mono_ms, run_log2, *worker, taken);
+        }
+        self.dispatch(now, out);
+    }
+}
--- a/crates/core/src/engine/registry.rs
+++ b/crates/core/src/engine/registry.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use trefoil_schema::resources::{BackendServerState, TeamSpec};
+use trefoil_schema::resources::{BackendServerSpec, BackendServerState, TeamSpec};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::command::Command;
@@ -109,7 +109,9 @@
                 draw_seed: xxh3_64(self.me.as_bytes()) >> DRAW_SEED_SHIFT,
             };
             let pool = self.pool_or_new(settings, &service, &terms);
-            pool.lock().configure(now, terms, deal, out);
+            let mut pool = pool.lock();
+            pool.set_members(&self.me, &self.members);
+            pool.configure(now, terms, deal, out);
         }
         for (service, number) in &self.by_service {
             if !self.config.services.contains_key(service) {
@@ -147,17 +149,9 @@
             if spec.failure_domain != settings.failure_domain {
                 continue;
             }
-            let service: Arc<str> = spec.service.as_str().into();
-            by_service
-                .entry(Arc::clone(&service))
-                .or_default()
-                .push(Worker {
-                    name: Arc::clone(name),
-                    service,
-                    address: spec.address.as_str().into(),
-                    slots: spec.slots,
-                    leaving: spec.state == BackendServerState::Leaving,
-                });
+            let worker = worker(name, spec);
+            let service = Arc::clone(&worker.service);
+            by_service.entry(service).or_default().push(worker);
         }
         by_service
             .into_iter()
@@ -175,6 +169,19 @@
             .collect()
     }
 
+    /// Services with their pools.
+    pub fn services(&self) -> impl Iterator<Item = (&Arc<str>, &Arc<Pool>)> {
+        let services = self.by_service.iter();
+        services.map(|(service, number)| (service, &self.pools[*number]))
+    }
+
+    /// A worker of this failure domain, by name.
+    pub fn worker(&self, name: &str) -> Option<(WorkerId, Worker)> {
+        let id = *self.worker_ids.get(name)?;
+        let (name, declared) = self.config.backend_servers.get_key_value(name)?;
+        Some((id, worker(name, &declared.spec)))
+    }
+
     fn worker_id(&mut self, name: &Arc<str>) -> WorkerId {
         if let Some(id) = self.worker_ids.get(name) {
             return *id;
@@ -185,3 +192,13 @@
         id
     }
 }
+
+fn worker(name: &Arc<str>, spec: &BackendServerSpec) -> Worker {
+    Worker {
+        name: Arc::clone(name),
+        service: spec.service.as_str().into(),
+        address: spec.address.as_str().into(),
+        slots: spec.slots,
+        leaving: spec.state == BackendServerState::Leaving,
+    }
+}
--- a/crates/core/src/engine/stats.rs
+++ b/crates/core/src/engine/stats.rs
@@ -35,6 +35,10 @@
     pub tasks_started: u64,
     /// Placements after a refusal of an earlier one.
     pub tasks_retried: u64,
+    /// Slots lent to other instances, each loan counted.
+    pub slots_lent: u64,
+    /// Slots borrowed from other instances, each loan counted.
+    pub slots_borrowed: u64,
     /// Outcomes that came after their job was final, or for no known placement.
     pub outcomes_dropped: u64,
 }
@@ -58,6 +62,8 @@
         self.jobs_replayed += other.jobs_replayed;
         self.tasks_started += other.tasks_started;
         self.tasks_retried += other.tasks_retried;
+        self.slots_lent += other.slots_lent;
+        self.slots_borrowed += other.slots_borrowed;
         self.outcomes_dropped += other.outcomes_dropped;
     }
 }
--- a/crates/core/src/engine/worker_set.rs
+++ b/crates/core/src/engine/worker_set.rs
@@ -16,6 +16,12 @@
     pub worker: Worker,
     /// Slots that this instance may use.
     pub share: u32,
+    /// Slots of the share that are lent to other instances.
+    lent: u32,
+    /// Slots of other instances' shares that are lent to this one.
+    borrowed: u32,
+    /// Slots of these whose loan is over: they get no new task.
+    closed: u32,
     /// Placements out from here.
     pub running: u32,
     health: Health,
@@ -47,6 +53,7 @@
     failure_rate_sum: f64,
     ejected: usize,
     slots: u64,
+    lent: u64,
     running: u64,
     draws: u64,
 }
@@ -64,6 +71,7 @@
             failure_rate_sum: 0.0,
             ejected: 0,
             slots: 0,
+            lent: 0,
             running: 0,
             draws: 0,
         }
@@ -75,6 +83,7 @@
         self.draws = self.draws.max(deal.draw_seed);
         for state in self.workers.values_mut() {
             state.share = 0;
+            state.worker.leaving = true;
         }
         for (id, worker, share) in deal.workers {
             let share = match self.policy {
@@ -91,8 +100,7 @@
                 }
             }
         }
-        self.workers
-            .retain(|_, state| state.share > 0 || state.running > 0);
+        self.workers.retain(|_, state| !state.is_unused());
         self.recount(now_ms, run_log2);
     }
 
@@ -187,6 +195,12 @@
         Some(Arc::clone(&state.worker.address))
     }
 
+    /// The name of a worker.
+    pub fn name(&self, id: WorkerId) -> Option<Arc<str>> {
+        let state = self.workers.get(&id)?;
+        Some(Arc::clone(&state.worker.name))
+    }
+
     /// Takes a slot.
     pub fn start(&mut self, now_ms: u64, run_log2: f64, id: WorkerId) {
         if let Some(state) = self.workers.get_mut(&id) {
@@ -210,12 +224,98 @@
         self.failure_rate_sum += state.health.failure_rate - rate_before;
         self.ejected += usize::from(state.health.is_ejected());
         self.ejected -= usize::from(ejected_before);
-        if state.running == 0 && state.share == 0 {
+        if state.is_unused() {
             return self.vanish(id);
         }
         self.refresh(now_ms, run_log2, id);
     }
 
+    /// Whether some worker has a free slot for the next task.
+    pub fn has_ready(&self) -> bool {
+        !self.ready.is_empty()
+    }
+
+    /// Lends up to `slots_max` free slots, half of the free ones at most.
+    pub fn lend(&mut self, now_ms: u64, run_log2: f64, slots_max: u32) -> Vec<WorkerId> {
+        let free = self.slots.saturating_sub(self.running + self.lent);
+        let count = free.div_ceil(2).min(u64::from(slots_max));
+        let mut lent = Vec::new();
+        while (lent.len() as u64) < count {
+            let Some(id) = self.best(None) else {
+                break;
+            };
+            let Some(state) = self.workers.get_mut(&id) else {
+                break;
+            };
+            if state.running + state.lent >= state.share {
+                break;
+            }
+            state.lent += 1;
+            self.lent += 1;
+            self.refresh(now_ms, run_log2, id);
+            lent.push(id);
+        }
+        lent
+    }
+
+    /// Takes lent slots back.
+    pub fn take_back(&mut self, now_ms: u64, run_log2: f64, id: WorkerId, slots: u32) {
+        if let Some(state) = self.workers.get_mut(&id) {
+            let taken = slots.min(state.lent);
+            state.lent -= taken;
+            self.lent -= u64::from(taken);
+        }
+        self.refresh(now_ms, run_log2, id);
+    }
+
+    /// Adds borrowed slots of a worker, which may be one without a share.
+    pub fn borrow(&mut self, now_ms: u64, run_log2: f64, id: WorkerId, worker: Worker, slots: u32) {
+        let state = self.workers.entry(id);
+        let state = state.or_insert_with(|| WorkerState::new(worker, 0));
+        state.borrowed += slots;
+        self.refresh(now_ms, run_log2, id);
+    }
+
+    /// Borrowed slots of a worker that no task uses.
+    pub fn idle_borrowed(&self, id: WorkerId) -> u32 {
+        let Some(state) = self.workers.get(&id) else {
+            return u32::MAX;
+        };
+        let usable = (state.share + state.borrowed).saturating_sub(state.lent);
+        usable.saturating_sub(state.running).min(state.borrowed)
+    }
+
+    /// Ends a loan's time: its slots get no new task.
+    pub fn close(&mut self, now_ms: u64, run_log2: f64, id: WorkerId, slots: u32) {
+        if let Some(state) = self.workers.get_mut(&id) {
+            state.closed += slots;
+        }
+        self.refresh(now_ms, run_log2, id);
+    }
+
+    /// Removes borrowed slots, of a loan that is closed or not.
+    pub fn give_back(
+        &mut self,
+        now_ms: u64,
+        run_log2: f64,
+        id: WorkerId,
+        slots: u32,
+        closed: bool,
+    ) {
+        let Some(state) = self.workers.get_mut(&id) else {
+            return;
+        };
+        state.borrowed = state.borrowed.saturating_sub(slots);
+        if closed {
+            state.closed = state.closed.saturating_sub(slots);
+        }
+        let is_unused = state.is_unused();
+        self.refresh(now_ms, run_log2, id);
+        if is_unused {
+            self.vanish(id);
+        }
+    }
+
     fn vanish(&mut self, id: WorkerId) {
         let Some(state) = self.workers.remove(&id) else {
             return;
@@ -272,6 +372,9 @@
         Self {
             worker,
             share,
+            lent: 0,
+            borrowed: 0,
+            closed: 0,
             running: 0,
             health: Health::default(),
             ready_as: None,
@@ -279,8 +382,23 @@
     }
 
     fn ready_key(&self, now_ms: u64, run_log2: f64, id: WorkerId) -> Option<ReadyKey> {
-        let free = self.running < self.health.slots(now_ms, self.share);
-        free.then(|| (self.health.reluctance(run_log2), self.running, id))
+        let free = self.running < self.health.slots(now_ms, self.usable());
+        free.then(|| {
+            let load = self.running + self.lent;
+            (self.health.reluctance(run_log2), load, id)
+        })
+    }
+
+    /// Slots on which tasks may start.
+    fn usable(&self) -> u32 {
+        match self.worker.leaving {
+            true => 0,
+            false => (self.share + self.borrowed).saturating_sub(self.lent + self.closed),
+        }
+    }
+
+    fn is_unused(&self) -> bool {
+        self.share + self.lent + self.borrowed + self.running == 0
     }
 
     fn schedule(
--- a/crates/core/tests/engine_support/virtual_load.rs
+++ b/crates/core/tests/engine_support/virtual_load.rs
@@ -82,6 +82,10 @@
     pub starts: u64,
     /// Starts that a worker refused.
     pub wasted: u64,
+    /// Messages between instances about slots.
+    pub slot_messages: u64,
+    /// Asked for slots in vain.
+    pub slot_refusals: u64,
     pub starts_by_worker: HashMap<String, u64>,
     /// Completed slot time by team.
     pub useful_by_team_ms: Vec<u64>,
@@ -271,10 +275,40 @@
     fn tick(&mut self, now_ms: u64) {
         for instance in 0..self.load.instances {
             self.call(now_ms, instance, |engine, now, out| engine.tick(now, out));
+            self.balance(now_ms, instance);
         }
         self.push(now_ms + TICK_MS, Event::Tick);
     }
 
+    /// Delivers an instance's messages about slots at once.
+    fn balance(&mut self, now_ms: u64, instance: usize) {
+        let mut messages = Vec::new();
+        self.call(now_ms, instance, |engine, now, out| {
+            messages = engine.balance(now, out);
+        });
+        let me = format!("i{instance}");
+        for SlotMessage { to, service, body } in messages {
+            self.outcome.slot_messages += 1;
+            let peer: usize = to[1..].parse().expect("is a number");
+            match body {
+                SlotMessageBody::Ask(slots) => {
+                    self.outcome.slot_messages += 1;
+                    let lent = self.engines[peer].lend(now(now_ms), &me, &service, slots);
+                    self.outcome.slot_refusals += u64::from(lent.is_empty());
+                    let loan_ms = self.load.engine.placement.loan_ms;
+                    self.call(now_ms, instance, |engine, now, out| {
+                        engine.borrow_slots(now, &to, &service, &lent, loan_ms, out);
+                    });
+                }
+                SlotMessageBody::Return(returned) => {
+                    self.call(now_ms, peer, |engine, now, out| {
+                        engine.take_back_slots(now, &me, &service, &returned, out);
+                    });
+                }
+            }
+        }
+    }
+
     fn finish(&mut self, now_ms: u64, instance: usize, task: TaskId, worker: usize, ends: End) {
         if ends != End::Refused {
             self.busy[worker] -= 1;
