--- a/crates/core/src/engine/pool/lend.rs
+++ b/crates/core/src/engine/pool/lend.rs
@@ -108,6 +108,7 @@
         loan_ms: u64,
         out: &mut Vec<Command>,
     ) {
+        self.stats.slots_refused += u64::from(lent.is_empty());
         self.lending.answered(now.mono_ms, lender, !lent.is_empty());
         let run_log2 = self.run_times.mean_log2();
         for (worker, declared, slots) in lent {
--- a/crates/core/src/engine/stats.rs
+++ b/crates/core/src/engine/stats.rs
@@ -39,6 +39,8 @@
     pub slots_lent: u64,
     /// Slots borrowed from other instances, each loan counted.
     pub slots_borrowed: u64,
+    /// Requests for slots that a peer answered with none.
+    pub slots_refused: u64,
     /// Outcomes that came after their job was final, or for no known placement.
     pub outcomes_dropped: u64,
 }
@@ -63,6 +65,7 @@
         self.tasks_started += other.tasks_started;
         self.tasks_retried += other.tasks_retried;
         self.slots_lent += other.slots_lent;
+        self.slots_refused += other.slots_refused;
         self.slots_borrowed += other.slots_borrowed;
         self.outcomes_dropped += other.outcomes_dropped;
     }
--- a/crates/core/src/engine/worker_set.rs
+++ b/crates/core/src/engine/worker_set.rs
@@ -1,7 +1,9 @@
 //! The workers of one service, and which of their slots this instance may use.
 
+mod loans;
+
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap, HashMap};
+use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet};
 use std::sync::Arc;
 
 use trefoil_schema::settings::{PlacementPolicy, WorkerSettings};
@@ -10,6 +12,10 @@
 use super::event::{Worker, WorkerId};
 use super::placement::pick;
 
+/// Time after which a slot gained from another instance is taken to be free:
+/// nearly all tasks are shorter.
+const SETTLE_MS: u64 = 1000;
+
 /// A worker as this instance sees it.
 #[derive(Debug)]
 pub(crate) struct WorkerState {
@@ -22,6 +28,8 @@
     borrowed: u32,
     /// Slots of these whose loan is over: they get no new task.
     closed: u32,
+    /// Until the other instances' tasks on slots just gained have finished.
+    settling: Option<Settling>,
     /// Placements out from here.
     pub running: u32,
     health: Health,
@@ -29,12 +37,23 @@
     ready_as: Option<ReadyKey>,
 }
 
+/// A larger share that does not count yet.
+#[derive(Clone, Copy, Debug)]
+struct Settling {
+    /// Slots that may be used before.
+    share_before: u32,
+    until_ms: u64,
+}
+
 /// A service's workers as declared, each with this instance's share.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct WorkerDeal {
     pub workers: Vec<(WorkerId, Worker, u32)>,
     /// Start of this instance's draws, so that instances draw differently.
     pub draw_seed: u64,
+    /// Whether other instances may still use the slots of workers not known
+    /// here yet.
+    pub joining: bool,
 }
 
 /// Order among workers with a free slot: the smallest gets the next task.
@@ -81,24 +100,26 @@
     /// declared get no new work and vanish with their last placement.
     pub fn replace(&mut self, now_ms: u64, run_log2: f64, deal: WorkerDeal) {
         self.draws = self.draws.max(deal.draw_seed);
-        for state in self.workers.values_mut() {
-            state.share = 0;
-            state.worker.leaving = true;
+        let declared: HashSet<_> = deal.workers.iter().map(|(id, _, _)| *id).collect();
+        for (id, state) in &mut self.workers {
+            if !declared.contains(id) {
+                state.share = 0;
+                state.worker.leaving = true;
+            }
         }
         for (id, worker, share) in deal.workers {
             let share = match self.policy {
                 PlacementPolicy::OwnedSlots => share,
                 PlacementPolicy::TwoChoices | PlacementPolicy::Random => worker.open_slots(),
             };
-            match self.workers.get_mut(&id) {
-                Some(state) => {
-                    state.worker = worker;
-                    state.share = share;
-                }
-                None => {
-                    self.workers.insert(id, WorkerState::new(worker, share));
-                }
-            }
+            let known = self.workers.contains_key(&id);
+            let state = self
+                .workers
+                .entry(id)
+                .or_insert_with(|| WorkerState::new(worker.clone()));
+            state.worker = worker;
+            let others_may_run = known || deal.joining;
+            state.set_share(share, others_may_run.then_some(now_ms + SETTLE_MS));
         }
         self.workers.retain(|_, state| !state.is_unused());
         self.recount(now_ms, run_log2);
@@ -230,92 +251,6 @@
         self.refresh(now_ms, run_log2, id);
     }
 
-    /// Whether some worker has a free slot for the next task.
-    pub fn has_ready(&self) -> bool {
-        !self.ready.is_empty()
-    }
-
-    /// Lends up to `slots_max` free slots, half of the free ones at most.
-    pub fn lend(&mut self, now_ms: u64, run_log2: f64, slots_max: u32) -> Vec<WorkerId> {
-        let free = self.slots.saturating_sub(self.running + self.lent);
-        let count = free.div_ceil(2).min(u64::from(slots_max));
-        let mut lent = Vec::new();
-        while (lent.len() as u64) < count {
-            let Some(id) = self.best(None) else {
-                break;
-            };
-            let Some(state) = self.workers.get_mut(&id) else {
-                break;
-            };
-            if state.running + state.lent >= state.share {
-                break;
-            }
-            state.lent += 1;
-            self.lent += 1;
-            self.refresh(now_ms, run_log2, id);
-            lent.push(id);
-        }
-        lent
-    }
-
-    /// Takes lent slots back.
-    pub fn take_back(&mut self, now_ms: u64, run_log2: f64, id: WorkerId, slots: u32) {
-        if let Some(state) = self.workers.get_mut(&id) {
-            let taken = slots.min(state.lent);
-            state.lent -= taken;
-            self.lent -= u64::from(taken);
-        }
-        self.refresh(now_ms, run_log2, id);
-    }
-
-    /// Adds borrowed slots of a worker, which may be one without a share.
-    pub fn borrow(&mut self, now_ms: u64, run_log2: f64, id: WorkerId, worker: Worker, slots: u32) {
-        let state = self.workers.entry(id);
-        let state = state.or_insert_with(|| WorkerState::new(worker, 0));
-        state.borrowed += slots;
-        self.refresh(now_ms, run_log2, id);
-    }
-
-    /// Borrowed slots of a worker that no task uses.
-    pub fn idle_borrowed(&self, id: WorkerId) -> u32 {
-        let Some(state) = self.workers.get(&id) else {
-            return u32::MAX;
-        };
-        let usable = (state.share + state.borrowed).saturating_sub(state.lent);
-        usable.saturating_sub(state.running).min(state.borrowed)
-    }
-
-    /// Ends a loan's time: its slots get no new task.
-    pub fn close(&mut self, now_ms: u64, run_log2: f64, id: WorkerId, slots: u32) {
-        if let Some(state) = self.workers.get_mut(&id) {
-            state.closed += slots;
-        }
-        self.refresh(now_ms, run_log2, id);
-    }
-
-    /// Removes borrowed slots, of a loan that is closed or not.
-    pub fn give_back(
-        &mut self,
-        now_ms: u64,
-        run_log2: f64,
-        id: WorkerId,
-        slots: u32,
-        closed: bool,
-    ) {
-        let Some(state) = self.workers.get_mut(&id) else {
-            return;
-        };
-        state.borrowed = state.borrowed.saturating_sub(slots);
-        if closed {
-            state.closed = state.closed.saturating_sub(slots);
-        }
-        let is_unused = state.is_unused();
-        self.refresh(now_ms, run_log2, id);
-        if is_unused {
-            self.vanish(id);
-        }
-    }
-
     fn vanish(&mut self, id: WorkerId) {
         let Some(state) = self.workers.remove(&id) else {
             return;
@@ -352,7 +287,8 @@
         let Some(state) = self.workers.get_mut(&id) else {
             return;
         };
-        if let Some(due_ms) = state.health.wake(now_ms) {
+        let due_ms = [state.health.wake(now_ms), state.settled_at(now_ms)];
+        if let Some(due_ms) = due_ms.into_iter().flatten().min() {
             state.schedule(due_ms, id, &mut self.wakes);
         }
         let ready_as = state.ready_key(now_ms, run_log2, id);
@@ -368,19 +304,51 @@
 }
 
 impl WorkerState {
-    fn new(worker: Worker, share: u32) -> Self {
+    fn new(worker: Worker) -> Self {
         Self {
             worker,
-            share,
+            share: 0,
             lent: 0,
             borrowed: 0,
             closed: 0,
+            settling: None,
             running: 0,
             health: Health::default(),
             ready_as: None,
         }
     }
 
+    /// Takes a new share; what it gains counts from `gains_at_ms` on.
+    fn set_share(&mut self, share: u32, gains_at_ms: Option<u64>) {
+        let usable = self.usable_share();
+        self.settling = match gains_at_ms {
+            Some(until_ms) if share > usable => Some(Settling {
+                share_before: usable,
+                until_ms: self.settling.map_or(until_ms, |settling| settling.until_ms),
+            }),
+            _ => None,
+        };
+        self.share = share;
+    }
+
+    /// When a larger share counts, if it does not yet.
+    fn settled_at(&mut self, now_ms: u64) -> Option<u64> {
+        let until_ms = self.settling?.until_ms;
+        if until_ms > now_ms {
+            return Some(until_ms);
+        }
+        self.settling = None;
+        None
+    }
+
+    /// Slots that may be used now.
+    fn usable_share(&self) -> u32 {
+        match self.settling {
+            Some(settling) => settling.share_before.min(self.share),
+            None => self.share,
+        }
+    }
+
     fn ready_key(&self, now_ms: u64, run_log2: f64, id: WorkerId) -> Option<ReadyKey> {
         let free = self.running < self.health.slots(now_ms, self.usable());
         free.then(|| {
@@ -393,7 +361,7 @@
     fn usable(&self) -> u32 {
         match self.worker.leaving {
             true => 0,
-            false => (self.share + self.borrowed).saturating_sub(self.lent + self.closed),
+            false => (self.usable_share() + self.borrowed).saturating_sub(self.lent + self.closed),
         }
     }
 
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -11,22 +11,35 @@
 //!
 //! * [`driver`]: the shell round the membership decisions.
 //! * [`forward`]: requests to a key's owner.
+//! * [`lending`]: loans of task slots.
 //! * [`serve`]: requests from other instances.
+//! * [`handover`]: a leaving instance's memory, sent and taken over.
+//! * [`parts`]: that memory in parts of bounded size.
+//! * [`recall`]: keys whose owner is gone.
 //! * [`pending`]: who waits for which answer.
 //! * [`record`]: a failure domain's views as the store keeps them.
+//! * [`counters`]: messages that brought no answer.
 //! * [`convert`]: between the engine's types and messages.
 
 pub mod convert;
+pub mod counters;
 mod driver;
 mod forward;
+mod handover;
+mod lending;
+pub mod parts;
 mod pending;
+mod recall;
 pub mod record;
 mod serve;
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use derive_more::{Display, Error};
 use slog::Logger;
+use trefoil_core::handover::Scopes;
 use trefoil_core::key::JobKey;
 use trefoil_core::membership::{
     Event, MemberStatus, Membership, MembershipParams, PeerState, Route,
@@ -41,6 +54,9 @@
 use crate::sources::config::ConfigHandle;
 use crate::sources::instances::InstanceList;
 use crate::sources::platform::PlatformStore;
+use counters::PeerCounters;
+use handover::AckTable;
+pub use handover::HandoverReport;
 use pending::PendingTable;
 
 /// Part of the store's keys that holds view logs, after the prefix.
@@ -89,9 +105,14 @@
     domain: String,
     views_prefix: String,
     connections_max: u32,
+    /// Addresses dialled whatever is told, by name.
+    dial_addresses: HashMap<String, SocketAddr>,
     membership: Mutex<Membership>,
     links: Links,
     pending: PendingTable,
+    counters: PeerCounters,
+    acks: Mutex<AckTable>,
+    scopes: Mutex<Scopes>,
     context: PeersContext,
 }
 
@@ -119,14 +140,19 @@
             domain: settings.failure_domain.clone(),
             views_prefix: format!("{}{VIEWS_PART}", settings.platform.prefix),
             connections_max: settings.workers.connections_max,
+            dial_addresses: dial_addresses(settings),
             membership: Mutex::new(membership(&me, settings)),
             me,
             links,
             pending: PendingTable::default(),
+            counters: PeerCounters::default(),
+            acks: Mutex::default(),
+            scopes: Mutex::default(),
             context,
         });
         tokio::spawn(Arc::clone(&peers).receive(incoming));
         tokio::spawn(Arc::clone(&peers).drive());
+        tokio::spawn(Arc::clone(&peers).balance_forever());
         Ok(peers)
     }
 
@@ -150,13 +176,29 @@
         &self.links
     }
 
+    /// Counts of messages that brought no answer.
+    pub fn counters(&self) -> &PeerCounters {
+        &self.counters
+    }
+
+    /// How far the key issue times that may be admitted reach beyond now, in
+    /// milliseconds.
+    pub fn admission_lead_ms(&self) -> i64 {
+        let limit_ms = self.membership().admission_limit();
+        let now_ms = self.context.runtime.now().wall_ms;
+        i64::try_from(i128::from(limit_ms) - i128::from(now_ms)).unwrap_or(i64::MAX)
+    }
+
+    /// Version of the newest view of the own failure domain.
+    pub fn view_version(&self) -> u64 {
+        newest_version(&self.membership(), &self.domain)
+    }
+
     /// The deployment as this instance sees it.
     pub fn status(&self) -> StatusResponse {
         let config_revision = self.context.config.current().revision;
         let membership = self.membership();
-        let view_version = membership
-            .view_log(&self.domain)
-            .map_or(0, |known| known.log.version());
+        let view_version = newest_version(&membership, &self.domain);
         let others = membership.status();
         let leaving = membership.leaving();
         drop(membership);
@@ -187,6 +229,20 @@
         }
     }
 
+    fn acks(&self) -> MutexGuard<'_, AckTable> {
+        self.acks.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn scopes(&self) -> MutexGuard<'_, Scopes> {
+        self.scopes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Where to dial an instance that is said to be at `told`.
+    fn dial_address(&self, member: &Member, told: &str) -> Option<SocketAddr> {
+        let set = self.dial_addresses.get(&member.name).copied();
+        set.or_else(|| told.parse().ok())
+    }
+
     fn membership(&self) -> MutexGuard<'_, Membership> {
         self.membership
             .lock()
@@ -194,18 +250,22 @@
     }
 }
 
+fn newest_version(membership: &Membership, domain: &str) -> u64 {
+    let known = membership.view_log(domain);
+    known.map_or(0, |known| known.log.version())
+}
+
+fn dial_addresses(settings: &Settings) -> HashMap<String, SocketAddr> {
+    let peers = settings.peers.iter();
+    let parsed = peers.filter_map(|peer| {
+        let address = peer.dial_address.parse().ok()?;
+        Some((peer.instance.clone(), address))
+    });
+    parsed.collect()
+}
+
 fn membership(me: &Member, settings: &Settings) -> Membership {
-    let timing = &settings.membership;
-    let params = MembershipParams {
-        heartbeat_ms: timing.heartbeat_ms,
-        gossip_fanout: timing.gossip_fanout as usize,
-        suspect_ms: timing.suspect_ms,
-        vouch_ahead_ms: timing.vouch_ahead_ms,
-        view_change_margin_ms: timing.view_change_margin_ms,
-        gone_clock_bound_ms: timing.gone_clock_bound_ms,
-        key_window_ms: settings.jobs.key_window_ms,
-        ..MembershipParams::default()
-    };
+    let params = MembershipParams::new(&settings.membership, &settings.jobs);
     let domains = &settings.failure_domains;
     Membership::new(
         params,
--- a/src/peers/driver.rs
+++ b/src/peers/driver.rs
@@ -87,7 +87,7 @@
             .into_iter()
             .filter(|peer| peer.state == PeerState::Silent);
         for peer in silent {
-            let Ok(address) = peer.address.parse() else {
+            let Some(address) = self.dial_address(&peer.member, &peer.address) else {
                 continue;
             };
             let peers = Arc::clone(self);
@@ -113,7 +113,7 @@
         }
     }
 
-    fn execute(self: &Arc<Self>, command: Command) {
+    pub(super) fn execute(self: &Arc<Self>, command: Command) {
         match command {
             Command::Send { to, address, body } => self.send(&to, &address, body),
             Command::ReadStore { domain } => self.read_store(domain),
@@ -135,16 +135,25 @@
     }
 
     /// Sends a message that may be lost.
-    fn send(&self, to: &Member, address: &str, body: Body) {
-        if let Ok(address) = address.parse() {
+    pub(super) fn send(&self, to: &Member, address: &str, body: Body) {
+        if let Some(address) = self.dial_address(to, address) {
             self.links.set_peer(&to.name, address);
         }
         // A lost message costs a heartbeat period; the links count it.
         let _ = self.links.send(&to.name, body);
     }
 
+    /// Divides the workers' slots among the instances that use them.
+    ///
+    /// A leaving instance keeps its share until it has finished: what it has
+    /// admitted must still run. Its peers divide all slots among themselves at
+    /// once, and a worker that is asked for too much refuses before start.
     fn members_changed(&self, members: &[Member]) {
-        let names: Vec<String> = members.iter().map(|member| member.name.clone()).collect();
+        let mut names: Vec<String> = members.iter().map(|member| member.name.clone()).collect();
+        if !names.contains(&self.me.name) {
+            names.push(self.me.name.clone());
+            names.sort();
+        }
         info!(self.context.log, "instances of the failure domain changed"; "members" => names.join(" "));
         let runtime = &self.context.runtime;
         let share = self.connections_max / u32::try_from(names.len().max(1)).unwrap_or(u32::MAX);
--- /dev/null
+++ b/tests/testsuite/leaving.rs
@@ -0,0 +1,219 @@
+//! Planned stops of instances under load: no request is cut off, nothing is
+//! lost or doubled, and what the leaver remembered is answered by others.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+use trefoil_fakes::check::history::UNREACHABLE;
+use trefoil_fakes::platform::faults::FaultOrder;
+
+use crate::support::callers::{Callers, Job, reason_of};
+use crate::support::deployment::{Deployment, Size, until};
+
+/// Longest planned stop with jobs of this load: announcement, jobs, hand-over.
+const STOP_MAX: Duration = Duration::from_secs(4);
+/// The same where the memory cannot be handed over: its limit comes on top.
+const HINDERED_STOP_MAX: Duration = Duration::from_secs(10);
+const PERIOD_MS: u64 = 25;
+const LEAVER: usize = 1;
+
+/// Jobs of `owner` that completed, submitted through all instances in turn.
+async fn ended_jobs(deployment: &Deployment, owner: usize, count: usize) -> Vec<Job> {
+    let mut jobs = Vec::new();
+    for number in 0..count {
+        let key = deployment.key_owned_by(owner, number % 2 == 0);
+        let job = deployment.world.job(&key, 3, 10);
+        let entry = number % deployment.instances.len();
+        assert!(deployment.world.submit_until_final(entry, &job).await);
+        jobs.push(job);
+    }
+    jobs
+}
+
+/// Submits each job again through each of `entries`; the answers.
+async fn resubmitted(deployment: &Deployment, jobs: &[Job], entries: &[usize]) -> Vec<Value> {
+    let mut answers = Vec::new();
+    for job in jobs {
+        for &entry in entries {
+            answers.push(deployment.world.submit(entry, job).await);
+        }
+    }
+    answers
+}
+
+fn assert_remembered(answers: &[Value]) {
+    for answer in answers {
+        assert_eq!(answer["state"], "complete", "{answer}");
+        assert_eq!(answer["replayed"], true, "{answer}");
+    }
+}
+
+/// Requests that reached an instance and had no whole answer.
+fn cut_off(deployment: &Deployment) -> usize {
+    let requests = deployment.world.requests();
+    let cut = requests
+        .iter()
+        .filter(|entry| entry.status == 0 && entry.reason != UNREACHABLE);
+    cut.count()
+}
+
+async fn stop(deployment: &mut Deployment, leavers: &[usize]) -> Duration {
+    let begun = Instant::now();
+    for &leaver in leavers {
+        deployment.instances[leaver].terminate();
+    }
+    for &leaver in leavers {
+        let code = deployment.instances[leaver].exit_code(STOP_MAX).await;
+        assert_eq!(code, Some(0), "instance {leaver}");
+    }
+    begun.elapsed()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn six_instances_replaced_one_by_one_lose_and_double_nothing() {
+    let size = Size {
+        domains: 2,
+        ..Size::default()
+    };
+    let mut deployment = Deployment::start(size).await;
+    let everyone: Vec<usize> = (0..6).collect();
+    let callers = Callers::start(&deployment.world, everyone.clone(), PERIOD_MS);
+    let mut ended = Vec::new();
+    let mut longest = Duration::ZERO;
+    for leaver in 0..6 {
+        ended.extend(ended_jobs(&deployment, leaver, 2).await);
+        longest = longest.max(stop(&mut deployment, &[leaver]).await);
+        deployment.instances[leaver].restart();
+        deployment.list_instances().await;
+        deployment.until_served().await;
+    }
+    let complete = callers.finish().await;
+    // The memory of the first has passed through two more hands by now.
+    assert_remembered(&resubmitted(&deployment, &ended, &everyone).await);
+    let tally = deployment.verdict();
+    eprintln!("{complete} jobs complete, longest stop {longest:?}");
+    assert_eq!(cut_off(&deployment), 0, "{tally:?}");
+    assert_eq!(tally.of(&["owner_lost", "answer_lost"]), 0, "{tally:?}");
+    assert!(complete > 100, "{complete}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn two_instances_leave_at_once() {
+    let size = Size {
+        instances_per_domain: 4,
+        ..Size::default()
+    };
+    let mut deployment = Deployment::start(size).await;
+    let callers = Callers::start(&deployment.world, vec![0, 1, 2, 3], PERIOD_MS);
+    let mut ended = ended_jobs(&deployment, 1, 3).await;
+    ended.extend(ended_jobs(&deployment, 2, 3).await);
+    stop(&mut deployment, &[1, 2]).await;
+    deployment.until_served_at(&[0, 3]).await;
+    assert_remembered(&resubmitted(&deployment, &ended, &[0, 3]).await);
+    until("callers went on", async || {
+        deployment.world.requests().len() > 300
+    })
+    .await;
+    assert!(callers.finish().await > 20);
+    let tally = deployment.verdict();
+    assert_eq!(cut_off(&deployment), 0, "{tally:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_key_that_a_leaver_never_took_is_proven_not_run() {
+    let mut deployment = Deployment::start(Size::default()).await;
+    let world = Arc::clone(&deployment.world);
+    let ended = ended_jobs(&deployment, LEAVER, 1).await;
+    let key = deployment.key_owned_by(LEAVER, true);
+    let unsent = world.job(&key, 2, 10);
+    // Keys issued from now on may belong to the next view.
+    deployment.until_served_at(&[0]).await;
+    stop(&mut deployment, &[LEAVER]).await;
+    for entry in [0, 2] {
+        let answer = world.submit(entry, &unsent).await;
+        assert_eq!(reason_of(&answer), "owner_left", "{answer}");
+        assert_eq!(answer["verdict"], "not_run", "{answer}");
+        let other = world.other_job(&ended[0].key, 2, 10);
+        let answer = world.submit(entry, &other).await;
+        assert_eq!(reason_of(&answer), "key_reused", "{answer}");
+        let answer = world.cancel(entry, &ended[0]).await;
+        assert_eq!(answer["state"], "complete", "{answer}");
+    }
+    deployment.instances[LEAVER].restart();
+    deployment.list_instances().await;
+    deployment.until_served().await;
+    let answer = world.submit(LEAVER, &unsent).await;
+    assert_eq!(reason_of(&answer), "owner_left", "{answer}");
+    deployment.verdict();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stop_while_the_store_is_down_is_bounded_and_still_hands_over() {
+    let mut deployment = Deployment::start(Size::default()).await;
+    let jobs = ended_jobs(&deployment, LEAVER, 2).await;
+    let callers = Callers::start(&deployment.world, vec![0, 2], PERIOD_MS);
+    deployment.order_platform(&FaultOrder {
+        down: Some(true),
+        ..FaultOrder::default()
+    });
+    deployment.instances[LEAVER].terminate();
+    let exit = deployment.instances[LEAVER].exit_code(HINDERED_STOP_MAX);
+    assert_eq!(exit.await, Some(0));
+    assert_remembered(&resubmitted(&deployment, &jobs, &[0, 2]).await);
+    deployment.order_platform(&FaultOrder {
+        down: Some(false),
+        ..FaultOrder::default()
+    });
+    deployment.until_served_at(&[0, 2]).await;
+    assert_remembered(&resubmitted(&deployment, &jobs, &[0, 2]).await);
+    assert!(callers.finish().await > 20);
+    deployment.verdict();
+    assert_eq!(cut_off(&deployment), 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stop_beside_a_frozen_peer_is_bounded() {
+    let mut deployment = Deployment::start(Size::default()).await;
+    let jobs = ended_jobs(&deployment, LEAVER, 4).await;
+    deployment.instances[2].freeze();
+    deployment.instances[LEAVER].terminate();
+    let exit = deployment.instances[LEAVER].exit_code(HINDERED_STOP_MAX);
+    assert_eq!(exit.await, Some(0));
+    deployment.instances[2].thaw();
+    until("the two that stay serve", async || {
+        deployment.is_ready(2).await
+    })
+    .await;
+    deployment.until_served_at(&[0, 2]).await;
+    // Each was handed over, or says truthfully that it may have run.
+    for answer in resubmitted(&deployment, &jobs, &[0, 2]).await {
+        let lost = reason_of(&answer) == "owner_lost" && answer["verdict"] == "may_have_run";
+        assert!(lost || answer["state"] == "complete", "{answer}");
+    }
+    deployment.verdict();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_second_signal_ends_at_once_and_says_so() {
+    let mut deployment = Deployment::start(Size::default()).await;
+    let key = deployment.key_owned_by(LEAVER, true);
+    let job = deployment.world.job(&key, 2, 2_000);
+    let world = Arc::clone(&deployment.world);
+    let in_flight = {
+        let job = job.clone();
+        tokio::spawn(async move { world.submit(0, &job).await })
+    };
+    until("the job runs", async || deployment.starts().len() >= 2).await;
+    deployment.instances[LEAVER].terminate();
+    until("the stop has begun", async || {
+        !deployment.is_ready(LEAVER).await
+    })
+    .await;
+    deployment.instances[LEAVER].terminate();
+    let exit = deployment.instances[LEAVER].exit_code(Duration::from_millis(500));
+    assert_eq!(exit.await, Some(3));
+    let answer = in_flight.await.unwrap();
+    assert_eq!(answer["verdict"], "may_have_run", "{answer}");
+    deployment.verdict();
+}
