--- a/src/peers.rs
+++ b/src/peers.rs
@@ -35,10 +35,12 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use derive_more::{Display, Error};
 use slog::Logger;
+use tokio::sync::watch;
 use trefoil_core::handover::Scopes;
 use trefoil_core::key::JobKey;
 use trefoil_core::membership::{
@@ -89,6 +91,8 @@
     pub store: Arc<dyn PlatformStore>,
     /// The platform's list of instances.
     pub instances: InstanceList,
+    /// Whether that list is to be read; set here.
+    pub list_polling: watch::Sender<bool>,
     /// The configuration in force here.
     pub config: ConfigHandle,
     /// The engine of this instance.
@@ -110,6 +114,8 @@
     membership: Mutex<Membership>,
     links: Links,
     pending: PendingTable,
+    /// Whether this instance reads the store for its failure domain.
+    watches: AtomicBool,
     counters: PeerCounters,
     acks: Mutex<AckTable>,
     scopes: Mutex<Scopes>,
@@ -145,6 +151,7 @@
             me,
             links,
             pending: PendingTable::default(),
+            watches: AtomicBool::new(true),
             counters: PeerCounters::default(),
             acks: Mutex::default(),
             scopes: Mutex::default(),
--- a/src/peers/driver.rs
+++ b/src/peers/driver.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use slog::{info, warn};
@@ -41,6 +42,7 @@
             }
             self.tick();
             if count.is_multiple_of(PERIODS_PER_PROBE) {
+                self.switch_list_polling();
                 self.probe_silent();
             }
         }
@@ -80,6 +82,22 @@
         by_name.into_values().collect()
     }
 
+    /// Reads the platform's list for the failure domain, or in case of doubt:
+    /// out of the view or with a silent peer of the domain. Everyone reading
+    /// it always would let the store's calls grow with the fleet.
+    fn switch_list_polling(&self) {
+        let membership = self.membership();
+        let in_force = membership.in_force();
+        let mut peers = membership.status().into_iter();
+        let silent =
+            peers.any(|peer| peer.domain == self.domain && peer.state == PeerState::Silent);
+        drop(membership);
+        let polls = self.watches.load(Ordering::Relaxed) || !in_force || silent;
+        self.context
+            .list_polling
+            .send_if_modified(|polling| std::mem::replace(polling, polls) != polls);
+    }
+
     /// Asks the hosts of silent peers whether their process is still there.
     fn probe_silent(self: &Arc<Self>) {
         let status = self.membership().status();
@@ -163,9 +181,9 @@
             .iter()
             .take(WATCHERS)
             .any(|name| *name == self.me.name);
-        self.context
-            .config
-            .set_watching(watches || names.len() < WATCHERS);
+        let watches = watches || names.len() < WATCHERS;
+        self.watches.store(watches, Ordering::Relaxed);
+        self.context.config.set_watching(watches);
     }
 
     fn read_store(self: &Arc<Self>, domain: String) {
--- a/src/server/parts.rs
+++ b/src/server/parts.rs
@@ -8,6 +8,7 @@
 use poem::{
     Endpoint, EndpointExt, IntoEndpoint, IntoResponse, Request, Response, Route, handler, post,
 };
+use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 use trefoil_core::drain::DrainState;
 use trefoil_core::engine::{Engine, EngineSettings};
@@ -62,10 +63,14 @@
         let workers = WorkerClient::new(&settings.workers);
         let telemetry = Some(context.telemetry.clone());
         let runtime = Runtime::with_telemetry(engine, workers, telemetry);
+        let (list_polling, polling) = watch::channel(true);
+        let instances =
+            instances::start_while(polling, store.clone(), settings, context.log.clone());
         let peers = Peers::start(PeersContext {
             settings: settings.clone(),
             store: store.clone(),
-            instances: instances::start(store.clone(), settings, context.log.clone()),
+            instances,
+            list_polling,
             config: config.clone(),
             runtime: runtime.clone(),
             stop: context.stop.clone(),
--- a/xtask/src/figures/record.rs
+++ b/xtask/src/figures/record.rs
@@ -8,6 +8,8 @@
 
 use crate::Result;
 
+const US_PER_TICK: f64 = 10_000.0;
+
 /// A distribution in short.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
 pub struct Summary {
@@ -22,6 +24,7 @@
 /// Messages that did no work.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Waste {
+    pub starts: u64,
     pub worker_messages_per_task: f64,
     pub entry_messages_per_task: f64,
 }
@@ -45,6 +48,9 @@
     pub refusals: BTreeMap<String, Summary>,
     pub failures: BTreeMap<String, u64>,
     pub waste: Waste,
+    /// Processor time of all instances, in microseconds a task started.
+    #[serde(skip)]
+    pub entry_us_per_task: Option<f64>,
 }
 
 impl LoadReport {
@@ -96,6 +102,8 @@
     pub cores: u32,
     pub load_before: f64,
     pub load_after: f64,
+    /// Processor time of all instances, in hundredths of a second.
+    pub entry_cpu_ticks: Option<f64>,
     pub report: Option<LoadReport>,
     pub idle: Option<Idle>,
 }
@@ -118,7 +126,11 @@
 
 fn read(path: &Path) -> Result<Record> {
     let text = fs::read_to_string(path)?;
-    let record = serde_json::from_str(&text)
+    let mut record: Record = serde_json::from_str(&text)
         .map_err(|error| format!("cannot read {}: {error}", path.display()))?;
+    if let (Some(report), Some(ticks)) = (&mut record.report, record.entry_cpu_ticks) {
+        let starts = report.waste.starts.max(1) as f64;
+        report.entry_us_per_task = Some(ticks * US_PER_TICK / starts);
+    }
     Ok(record)
 }
--- a/xtask/src/figures/tables.rs
+++ b/xtask/src/figures/tables.rs
@@ -12,7 +12,7 @@
 /// One column: its heading and a run's entry.
 type Column<T> = (&'static str, fn(&T) -> String);
 
-const RATIO_COLUMNS: [Column<LoadReport>; 9] = [
+const RATIO_COLUMNS: [Column<LoadReport>; 10] = [
     ("jobs", |report| report.jobs.to_string()),
     ("refused", |report| report.refused().to_string()),
     ("failed", |report| failed(report).to_string()),
@@ -23,6 +23,10 @@
     ("wasted/task", |report| {
         format!("{:.4}", wasted_per_task(report))
     }),
+    ("entry core µs/task", |report| {
+        let us = report.entry_us_per_task;
+        us.map_or("".to_owned(), |us| format!("{us:.0}"))
+    }),
     ("send lag p99 ms", |report| two(report.send_lag_ms.p99)),
 ];
 
