--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -12,6 +12,8 @@
 pub mod health;
 mod job;
 mod job_table;
+pub mod lending;
+mod loans;
 mod placement;
 mod pool;
 mod queue;
@@ -33,6 +35,7 @@
 
 pub use command::{Command, JobAnswer, JobState, Refusal, RefusalReason};
 pub use event::{Submission, Task, TaskId, TaskOutcome, WaiterId, Worker, WorkerId};
+pub use lending::{SlotMessage, SlotMessageBody, WorkerSlots};
 pub use remembered::{Memory, RememberedJob};
 pub use settings::{EngineSettings, QueueOrder};
 pub use stats::EngineStats;
--- a/crates/core/src/engine/worker_set.rs
+++ b/crates/core/src/engine/worker_set.rs
@@ -1,5 +1,7 @@
 //! The workers of one service, and which of their slots this instance may use.
 
+mod loans;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet};
 use std::sync::Arc;
@@ -22,6 +24,12 @@
     pub worker: Worker,
     /// Slots that this instance may use.
     pub share: u32,
+    /// Slots of the share that are lent to other instances.
+    lent: u32,
+    /// Slots of other instances' shares that are lent to this one.
+    borrowed: u32,
+    /// Slots of these whose loan is over: they get no new task.
+    closed: u32,
     /// Until the other instances' tasks on slots just gained have finished.
     settling: Option<Settling>,
     /// Placements out from here.
@@ -66,6 +74,7 @@
     failure_rate_sum: f64,
     ejected: usize,
     slots: u64,
+    lent: u64,
     running: u64,
     draws: u64,
 }
@@ -83,6 +92,7 @@
             failure_rate_sum: 0.0,
             ejected: 0,
             slots: 0,
+            lent: 0,
             running: 0,
             draws: 0,
         }
@@ -96,6 +106,7 @@
         for (id, state) in &mut self.workers {
             if !declared.contains(id) {
                 state.share = 0;
+                state.worker.leaving = true;
             }
         }
         for (id, worker, share) in deal.workers {
@@ -112,8 +123,7 @@
             let others_may_run = known || deal.joining;
             state.set_share(share, others_may_run.then_some(now_ms + SETTLE_MS));
         }
-        self.workers
-            .retain(|_, state| state.share > 0 || state.running > 0);
+        self.workers.retain(|_, state| !state.is_unused());
         self.recount(now_ms, run_log2);
     }
 
@@ -219,6 +229,12 @@
         Some(Arc::clone(&state.worker.address))
     }
 
+    /// The name of a worker.
+    pub fn name(&self, id: WorkerId) -> Option<Arc<str>> {
+        let state = self.workers.get(&id)?;
+        Some(Arc::clone(&state.worker.name))
+    }
+
     /// Takes a slot.
     pub fn start(&mut self, now_ms: u64, run_log2: f64, id: WorkerId) {
         if let Some(state) = self.workers.get_mut(&id) {
@@ -242,7 +258,7 @@
         self.failure_rate_sum += state.health.failure_rate - rate_before;
         self.ejected += usize::from(state.health.is_ejected());
         self.ejected -= usize::from(ejected_before);
-        if state.running == 0 && state.share == 0 {
+        if state.is_unused() {
             return self.vanish(id);
         }
         self.refresh(now_ms, run_log2, id);
@@ -305,6 +321,9 @@
         Self {
             worker,
             share: 0,
+            lent: 0,
+            borrowed: 0,
+            closed: 0,
             settling: None,
             running: 0,
             health: Health::default(),
@@ -344,8 +363,23 @@
     }
 
     fn ready_key(&self, now_ms: u64, run_log2: f64, id: WorkerId) -> Option<ReadyKey> {
-        let free = self.running < self.health.slots(now_ms, self.usable_share());
-        free.then(|| (self.health.reluctance(run_log2), self.running, id))
+        let free = self.running < self.health.slots(now_ms, self.usable());
+        free.then(|| {
+            let load = self.running + self.lent;
+            (self.health.reluctance(run_log2), load, id)
+        })
+    }
+
+    /// Slots on which tasks may start.
+    fn usable(&self) -> u32 {
+        match self.worker.leaving {
+            true => 0,
+            false => (self.usable_share() + self.borrowed).saturating_sub(self.lent + self.closed),
+        }
+    }
+
+    fn is_unused(&self) -> bool {
+        self.share + self.lent + self.borrowed + self.running == 0
     }
 
     fn schedule(
--- /dev/null
+++ b/crates/core/src/engine/worker_set/loans.rs
@@ -0,0 +1,91 @@
+//! Slots of workers lent to and borrowed from other instances.
+
+use super::{Worker, WorkerId, WorkerSet, WorkerState};
+
+impl WorkerSet {
+    /// Whether some worker has a free slot for the next task.
+    pub fn has_ready(&self) -> bool {
+        !self.ready.is_empty()
+    }
+
+    /// Lends up to `slots_max` free slots, half of the free ones at most.
+    pub fn lend(&mut self, now_ms: u64, run_log2: f64, slots_max: u32) -> Vec<WorkerId> {
+        let free = self.slots.saturating_sub(self.running + self.lent);
+        let count = free.div_ceil(2).min(u64::from(slots_max));
+        let mut lent = Vec::new();
+        while (lent.len() as u64) < count {
+            let Some(id) = self.best(None) else {
+                break;
+            };
+            let Some(state) = self.workers.get_mut(&id) else {
+                break;
+            };
+            if state.running + state.lent >= state.usable_share() {
+                break;
+            }
+            state.lent += 1;
+            self.lent += 1;
+            self.refresh(now_ms, run_log2, id);
+            lent.push(id);
+        }
+        lent
+    }
+
+    /// Takes lent slots back.
+    pub fn take_back(&mut self, now_ms: u64, run_log2: f64, id: WorkerId, slots: u32) {
+        if let Some(state) = self.workers.get_mut(&id) {
+            let taken = slots.min(state.lent);
+            state.lent -= taken;
+            self.lent -= u64::from(taken);
+        }
+        self.refresh(now_ms, run_log2, id);
+    }
+
+    /// Adds borrowed slots of a worker, which may be one without a share.
+    pub fn borrow(&mut self, now_ms: u64, run_log2: f64, id: WorkerId, worker: Worker, slots: u32) {
+        let state = self.workers.entry(id);
+        let state = state.or_insert_with(|| WorkerState::new(worker));
+        state.borrowed += slots;
+        self.refresh(now_ms, run_log2, id);
+    }
+
+    /// Borrowed slots of a worker that no task uses.
+    pub fn idle_borrowed(&self, id: WorkerId) -> u32 {
+        let Some(state) = self.workers.get(&id) else {
+            return u32::MAX;
+        };
+        let usable = (state.usable_share() + state.borrowed).saturating_sub(state.lent);
+        usable.saturating_sub(state.running).min(state.borrowed)
+    }
+
+    /// Ends a loan's time: its slots get no new task.
+    pub fn close(&mut self, now_ms: u64, run_log2: f64, id: WorkerId, slots: u32) {
+        if let Some(state) = self.workers.get_mut(&id) {
+            state.closed += slots;
+        }
+        self.refresh(now_ms, run_log2, id);
+    }
+
+    /// Removes borrowed slots, of a loan that is closed or not.
+    pub fn give_back(
+        &mut self,
+        now_ms: u64,
+        run_log2: f64,
+        id: WorkerId,
+        slots: u32,
+        closed: bool,
+    ) {
+        let Some(state) = self.workers.get_mut(&id) else {
+            return;
+        };
+        state.borrowed = state.borrowed.saturating_sub(slots);
+        if closed {
+            state.closed = state.closed.saturating_sub(slots);
+        }
+        let is_unused = state.is_unused();
+        self.refresh(now_ms, run_log2, id);
+        if is_unused {
+            self.vanish(id);
+        }
+    }
+}
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -68,6 +68,8 @@
                 }
                 self.tell(from, Body::Heartbeat(heartbeat));
             }
+            Body::SlotRequest(request) => self.serve_slot_request(from, request),
+            Body::SlotGrant(grant) => self.take_slot_grant(from, grant),
             other => self.tell(from, other),
         }
     }
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -22,7 +22,8 @@
 use tokio::time::MissedTickBehavior;
 use trefoil_core::config::ConfigSnapshot;
 use trefoil_core::engine::{
-    Command, Engine, JobAnswer, JobState, Refusal, RefusalReason, Submission, WaiterId,
+    Command, Engine, JobAnswer, JobState, Refusal, RefusalReason, SlotMessage, Submission,
+    WaiterId, WorkerSlots,
 };
 use trefoil_core::key::JobKey;
 use trefoil_core::time::Now;
@@ -226,6 +227,43 @@
         self.execute(&mut out);
     }
 
+    /// Starts what has a slot, and gives what to tell peers about slots.
+    pub fn balance(self: &Arc<Self>) -> Vec<SlotMessage> {
+        let mut out = Vec::new();
+        let messages = self.engine.balance(self.now(), &mut out);
+        self.execute(&mut out);
+        messages
+    }
+
+    /// Takes slots that a peer lends for `loan_ms`, or its answer that it has none.
+    pub fn borrow_slots(
+        self: &Arc<Self>,
+        lender: &str,
+        service: &str,
+        lent: &[WorkerSlots],
+        loan_ms: u64,
+    ) {
+        let mut out = Vec::new();
+        let now = self.now();
+        self.engine
+            .borrow_slots(now, lender, service, lent, loan_ms, &mut out);
+        self.execute(&mut out);
+    }
+
+    /// Takes back slots that a peer returns.
+    pub fn take_back_slots(
+        self: &Arc<Self>,
+        borrower: &str,
+        service: &str,
+        returned: &[WorkerSlots],
+    ) {
+        let mut out = Vec::new();
+        let now = self.now();
+        self.engine
+            .take_back_slots(now, borrower, service, returned, &mut out);
+        self.execute(&mut out);
+    }
+
     /// Passes time to the engine until the guard is dropped.
     pub fn start_ticker(self: &Arc<Self>) -> TickerGuard {
         let runtime = Arc::clone(self);
--- a/src/util/telemetry/counters.rs
+++ b/src/util/telemetry/counters.rs
@@ -35,6 +35,8 @@
     StalePeerMessage,
     /// A request sent to a key's owner once more.
     Reasked,
+    /// A request for slots that a peer had none for, or its answer.
+    SlotsRefused,
 }
 
 impl WastedMessage {
@@ -47,6 +49,7 @@
             Self::Misrouted => "misrouted",
             Self::StalePeerMessage => "stale_peer_message",
             Self::Reasked => "reasked",
+            Self::SlotsRefused => "slots_refused",
         }
     }
 }
