--- a/crates/core/src/engine/health.rs
+++ b/crates/core/src/engine/health.rs
@@ -51,7 +51,7 @@
     /// A declared worker as seen here; `None` where no slot of it is used.
     pub fn worker_health(&self, now: Now, name: &str) -> Option<WorkerHealth> {
         let registry = self.registry();
-        let (pool, id) = registry.worker(name)?;
+        let (pool, id) = registry.worker_pool(name)?;
         pool.lock().worker_health(now, id)
     }
 
--- a/crates/core/src/engine/registry.rs
+++ b/crates/core/src/engine/registry.rs
@@ -51,7 +51,7 @@
     }
 
     /// The pool and id of a declared worker that this instance knows.
-    pub fn worker(&self, name: &str) -> Option<(&Arc<Pool>, WorkerId)> {
+    pub fn worker_pool(&self, name: &str) -> Option<(&Arc<Pool>, WorkerId)> {
         let declared = self.config.backend_servers.get(name)?;
         let pool = self.pool(&declared.spec.service)?;
         Some((pool, *self.worker_ids.get(name)?))
--- a/tests/testsuite/faults_stop.rs
+++ b/tests/testsuite/faults_stop.rs
@@ -13,6 +13,8 @@
 /// From an instance that is not ready to the last request sent there; within
 /// `announce_ms`.
 const BALANCER_LAG: Duration = Duration::from_millis(200);
+/// Within which a planned stop must have ended.
+const STOP_MAX: Duration = Duration::from_secs(10);
 const WATCHED: Duration = Duration::from_millis(1_500);
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -30,14 +32,7 @@
         assert_eq!(reply.unwrap().headers["connection"], "close");
         sleep(BALANCER_LAG).await;
         deployment.world.leave_out(Some(index));
-        let mut code = None;
-        for _ in 0..500 {
-            sleep(Duration::from_millis(20)).await;
-            code = deployment.instances[index].exit_code();
-            if code.is_some() {
-                break;
-            }
-        }
+        let code = deployment.instances[index].exit_code(STOP_MAX).await;
         assert_eq!(code, Some(0), "instance {index}");
         deployment.instances[index].restart();
         deployment.until_served().await;
--- a/tests/testsuite/leaving.rs
+++ b/tests/testsuite/leaving.rs
@@ -88,7 +88,7 @@
         deployment.list_instances().await;
         deployment.until_served().await;
     }
-    let complete = callers.finish().await;
+    let complete = callers.finish().await.complete;
     // The memory of the first has passed through two more hands by now.
     assert_remembered(&resubmitted(&deployment, &ended, &everyone).await);
     let tally = deployment.verdict();
@@ -115,7 +115,7 @@
         deployment.world.requests().len() > 300
     })
     .await;
-    assert!(callers.finish().await > 20);
+    assert!(callers.finish().await.complete > 20);
     let tally = deployment.verdict();
     assert_eq!(cut_off(&deployment), 0, "{tally:?}");
 }
@@ -167,7 +167,7 @@
     });
     deployment.until_served_at(&[0, 2]).await;
     assert_remembered(&resubmitted(&deployment, &jobs, &[0, 2]).await);
-    assert!(callers.finish().await > 20);
+    assert!(callers.finish().await.complete > 20);
     deployment.verdict();
     assert_eq!(cut_off(&deployment), 0);
 }
--- a/tests/testsuite/support/instance.rs
+++ b/tests/testsuite/support/instance.rs
@@ -91,18 +91,6 @@
         self.signal("CONT");
     }
 
-    /// Asks for a planned stop.
-    pub fn terminate(&self) {
-        self.signal("TERM");
-    }
-
-    /// The exit code of a process that ended by itself, once it has.
-    pub fn exit_code(&mut self) -> Option<i32> {
-        let status = self.child.as_mut()?.try_wait().unwrap()?;
-        self.child = None;
-        status.code()
-    }
-
     fn signal(&self, name: &str) {
         let id = self.child.as_ref().unwrap().id().to_string();
         let sent = Command::new("kill").args(["-s", name, &id]).status();
