--- a/crates/core/tests/engine_load.rs
+++ b/crates/core/tests/engine_load.rs
@@ -158,3 +158,24 @@
         assert!(outcome.wasted_per_task() < 0.01);
     }
 }
+
+#[test]
+fn lending_brings_small_pools_near_one_that_has_all_slots() {
+    let mut lending = Load {
+        workers: 17,
+        ..load()
+    };
+    let mut apart = lending.clone();
+    apart.engine.placement.lending = false;
+    let whole = Load {
+        instances: 1,
+        ..lending.clone()
+    };
+    let (apart, whole) = (run(&apart), run(&whole));
+    lending.engine.placement.lending = true;
+    let lent = run(&lending);
+    assert_eq!(lent.refused + lent.late + lent.failed + lent.wasted, 0);
+    assert!(lent.mean() < 1.1 * whole.mean(), "{}", lent.mean());
+    assert!(lent.quantile(0.99) < 0.6 * apart.quantile(0.99));
+    assert!(2 * lent.slot_refusals * 10 < lent.starts);
+}
--- a/src/util/telemetry/totals.rs
+++ b/src/util/telemetry/totals.rs
@@ -106,6 +106,9 @@
     TotalName { name, text }
 }
 
+/// A request for slots and the answer that there are none.
+const MESSAGES_PER_REFUSED_REQUEST: u64 = 2;
+
 impl Total {
     /// Place of the total's instrument.
     pub(super) fn position(self) -> usize {
@@ -171,6 +174,10 @@
                 Total::Wasted(WastedMessage::Resubmission),
                 stats.jobs_replayed,
             ),
+            (
+                Total::Wasted(WastedMessage::SlotsRefused),
+                MESSAGES_PER_REFUSED_REQUEST * stats.slots_refused,
+            ),
             (Total::TaskRetries, stats.tasks_retried),
         ]);
     }
--- a/tests/testsuite/support/callers.rs
+++ b/tests/testsuite/support/callers.rs
@@ -62,6 +62,8 @@
     pub entries: Vec<SocketAddr>,
     pub client: Client,
     domains: Vec<String>,
+    /// Entry that callers are told to leave out, as a balancer does.
+    left_out: Mutex<Option<usize>>,
     recorded: Mutex<Vec<Recorded>>,
 }
 
@@ -71,10 +73,25 @@
             entries,
             client: Client::default(),
             domains: domains.into_iter().map(str::to_owned).collect(),
+            left_out: Mutex::default(),
             recorded: Mutex::default(),
         }
     }
 
+    /// Sends new requests of callers to other entries than this one.
+    pub fn leave_out(&self, entry: Option<usize>) {
+        *self.left_out.lock().unwrap() = entry;
+    }
+
+    /// The entry `turn` after `entry`, or the next that is not left out.
+    fn entry_after(&self, entry: usize, turn: usize) -> usize {
+        let chosen = (entry + turn) % self.entries.len();
+        match *self.left_out.lock().unwrap() {
+            Some(left_out) if left_out == chosen => (chosen + 1) % self.entries.len(),
+            _ => chosen,
+        }
+    }
+
     /// A job of `tasks` tasks that run `run_ms` each.
     pub fn job(&self, key: &str, tasks: usize, run_ms: u64) -> Job {
         self.marked_job(key, "#", tasks, run_ms)
@@ -186,7 +203,7 @@
     pub async fn submit_until_final(&self, entry: usize, job: &Job) -> bool {
         let begun = Instant::now();
         for turn in 0.. {
-            let answer = self.submit((entry + turn) % self.entries.len(), job).await;
+            let answer = self.submit(self.entry_after(entry, turn), job).await;
             if answer["state"] == "complete" {
                 return true;
             }
@@ -203,7 +220,7 @@
     pub async fn resubmit_through_others(&self, entry: usize, job: &Job) -> Vec<Value> {
         let mut answers = Vec::new();
         for turn in 1..self.entries.len() {
-            answers.push(self.submit((entry + turn) % self.entries.len(), job).await);
+            answers.push(self.submit(self.entry_after(entry, turn), job).await);
         }
         answers
     }
@@ -214,6 +231,23 @@
         recorded.iter().map(|item| item.entry.clone()).collect()
     }
 
+    /// What each job that never completed was told, in order, for people.
+    pub fn incomplete(&self) -> Vec<String> {
+        let mut told: BTreeMap<String, Vec<String>> = BTreeMap::new();
+        for entry in self.requests() {
+            let word = format!(
+                "{} at {}: {} {} {}",
+                entry.sent_ms, entry.entry, entry.status, entry.reason, entry.state
+            );
+            told.entry(entry.key).or_default().push(word);
+        }
+        let complete = |words: &Vec<String>| words.iter().any(|word| word.ends_with("complete"));
+        told.retain(|_, words| !complete(words));
+        told.into_iter()
+            .map(|(key, words)| format!("{key}: {words:#?}"))
+            .collect()
+    }
+
     /// Keys with starts all of whose submissions were told that they
     /// themselves had started nothing.
     pub fn false_request_verdicts(&self, starts: &[Start]) -> Vec<String> {
@@ -278,7 +312,14 @@
 /// word and then once more through every other instance.
 pub struct Callers {
     stop: Arc<AtomicBool>,
-    task: JoinHandle<usize>,
+    task: JoinHandle<Ends>,
+}
+
+/// How the jobs of callers ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Ends {
+    pub jobs: usize,
+    pub complete: usize,
 }
 
 impl Callers {
@@ -294,9 +335,8 @@
         Self { stop, task }
     }
 
-    /// Starts no more jobs and waits for the last word on each; how many
-    /// completed.
-    pub async fn finish(self) -> usize {
+    /// Starts no more jobs and waits for the last word on each.
+    pub async fn finish(self) -> Ends {
         self.stop.store(true, Relaxed);
         self.task.await.unwrap()
     }
@@ -307,14 +347,14 @@
     entries: Vec<usize>,
     period: Duration,
     stop: Arc<AtomicBool>,
-) -> usize {
+) -> Ends {
     let mut jobs = JoinSet::new();
     for number in 0_usize.. {
         if stop.load(Relaxed) {
             break;
         }
-        let entry = entries[number % entries.len()];
         let world = Arc::clone(&world);
+        let entry = world.entry_after(entries[number % entries.len()], 0);
         let minted = (number / entries.len()).is_multiple_of(2);
         jobs.spawn(async move {
             let Some(key) = world.fresh_key(entry, minted).await else {
@@ -328,7 +368,10 @@
         sleep(period).await;
     }
     let ends = jobs.join_all().await;
-    ends.into_iter().filter(|complete| *complete).count()
+    Ends {
+        jobs: ends.len(),
+        complete: ends.into_iter().filter(|complete| *complete).count(),
+    }
 }
 
 /// Answers counted by state or reason, to show that a fault was felt.
--- a/tests/testsuite/support/instance.rs
+++ b/tests/testsuite/support/instance.rs
@@ -130,7 +130,8 @@
         "membership.view_change_margin_ms=200".to_owned(),
         "membership.gone_clock_bound_ms=1000".to_owned(),
         "workers.probation_ms=300".to_owned(),
-        "drain.announce_ms=200".to_owned(),
+        // Beyond `vouch_ahead_ms`, as by default, so that keys are handed over.
+        "drain.announce_ms=700".to_owned(),
     ];
     for item in overrides {
         command.args(["--set", &item]);
