sources: each reading of the instance list is told, changed or not

Cause: an instance that the platform no longer lists counts as gone once two readings at least list_lag_max_ms apart lack it; the driver was told of changed lists only, so the second reading never came to it and such an instance was never removed without seals.

Ruled out: the decisions themselves; the core tests feed the list on.

Change: every successful reading notifies; the log line stays with changes.

Before: the_instance_list_follows_the_platforms failed with the reading that finds nothing new (no notice in 5 s). After: it passes.

--- a/src/sources/instances.rs
+++ b/src/sources/instances.rs
@@ -27,8 +27,8 @@
     pub leaving: bool,
 }
 
-/// The newest list; empty until the first was read. It keeps its last content
-/// while the store cannot be reached.
+/// The newest list; empty until the first was read. Each reading counts as a
+/// change; it keeps its last content while the store cannot be reached.
 pub type InstanceList = watch::Receiver<Arc<Vec<PlatformInstance>>>;
 
 #[derive(Deserialize)]
@@ -113,7 +113,10 @@
             return;
         };
         let list: Vec<PlatformInstance> = listing.keys.iter().filter_map(instance).collect();
-        let changed = sender.send_if_modified(|known| replace(known, list));
+        let mut changed = false;
+        // Told even if it is the same: how long a name has been missing is
+        // counted by readings.
+        sender.send_modify(|known| changed = replace(known, list));
         if changed {
             let count = sender.borrow().len();
             slog::info!(self.log, "instance list changed"; "instances" => count);
--- a/tests/testsuite/operator_sources.rs
+++ b/tests/testsuite/operator_sources.rs
@@ -105,6 +105,11 @@
     platform.set_instances(vec![entry("two", "leaving")]);
     let one = list.wait_for(|list| list.len() == 1);
     timeout(WAIT, one).await.unwrap().unwrap();
+    // Whether a name is missing for long is counted by readings, so one that
+    // finds nothing new is told as well.
+    list.mark_unchanged();
+    timeout(WAIT, list.changed()).await.unwrap().unwrap();
+    assert_eq!(list.borrow().len(), 1);
 }
 
 #[tokio::test]
