peers: a submission that reached its owner late is not called impossible

Cause: after a cut the entry sends a submission once more with what is left of its time; the owner judged that time and refused the job as impossible, for good (422, no retry), although its own time was ample.

Ruled out: a false verdict: the owner had not started it, and frames overtaken by later ones are dropped.

Weighed: sending it with its full time, which answers after the caller's deadline; calling the answer lost, which hides that nothing ran.

Change: such a refusal is told as owner_unreachable with the owner's verdict and a time to come back.

--- a/src/peers/forward.rs
+++ b/src/peers/forward.rs
@@ -106,15 +106,20 @@
         {
             return refused(owner_unreachable(owner));
         }
+        let mut sent_again = false;
         let mut checks = 0;
         let mut reask_at = FIRST_REASK_CHECKS;
         loop {
             let answer = tokio::time::timeout(CHECK_PERIOD, request.next()).await;
             if let Ok(Some(message)) = answer {
                 let answer = convert::answer(message);
-                if !(ask.is_submission() && is_unknown_job(&answer)) {
-                    return answer;
+                if !(ask.is_submission() && is_refused_for(&answer, RefusalReason::UnknownJob)) {
+                    return match sent_again {
+                        true => judged_late(owner, answer),
+                        false => answer,
+                    };
                 }
+                sent_again = true;
                 let _ = self.send_ask(owner, ask.body(request.id(), key, started));
                 continue;
             }
@@ -193,8 +198,27 @@
     }
 }
 
-fn is_unknown_job(answer: &JobAnswer) -> bool {
-    matches!(answer, JobAnswer::Refused(refusal) if refusal.reason == RefusalReason::UnknownJob)
+fn is_refused_for(answer: &JobAnswer, reason: RefusalReason) -> bool {
+    matches!(answer, JobAnswer::Refused(refusal) if refusal.reason == reason)
+}
+
+/// The owner's answer to a submission that reached it late: one that is
+/// impossible in the time that was left is not impossible in its own time.
+fn judged_late(owner: &Member, answer: JobAnswer) -> JobAnswer {
+    match answer {
+        JobAnswer::Refused(refusal) if refusal.reason == RefusalReason::Impossible => {
+            refused(Refusal {
+                reason: RefusalReason::OwnerUnreachable,
+                detail: format!(
+                    "the key's owner {} was reached too late for the job's time; come back",
+                    owner.name
+                ),
+                verdict: refusal.verdict,
+                retry_after_ms: UNREACHABLE_RETRY_MS,
+            })
+        }
+        other => other,
+    }
 }
 
 fn refused(refusal: Refusal) -> JobAnswer {
--- a/tests/testsuite/faults_domain.rs
+++ b/tests/testsuite/faults_domain.rs
@@ -75,6 +75,8 @@
     }
     assert!(callers.finish().await.complete > 20);
     let tally = deployment.verdict();
+    // Each job has time enough, so that a cut must not make it look hopeless.
+    assert_eq!(tally.of(&["impossible"]), 0, "{tally:?}");
     assert!(
         tally.of(&["answer_lost", "owner_unreachable"]) > 0,
         "{tally:?}"
