--- a/tests/testsuite/faults_domain.rs
+++ b/tests/testsuite/faults_domain.rs
@@ -128,8 +128,10 @@
     // An operator is told on the cut side that the store can't be reached.
     let team = serde_json::json!({"kind": "team", "name": "late", "spec": {"weight": 1}});
     assert_eq!(deployment.try_put(4, &team).await, 503);
+    let before = deployment.settled_revision(0).await;
     assert_eq!(deployment.try_put(1, &team).await, 200);
     deployment.cut_domains(LinkState::Whole);
+    deployment.settled_revision(before + 1).await;
     // Configuration and views pass between instances while the store is
     // still out of reach.
     deployment.until_served().await;
