--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -9,13 +9,17 @@
 pub mod command;
 mod ejection;
 pub mod event;
+pub mod health;
 mod job;
 mod job_table;
+pub mod lending;
+mod loans;
 mod placement;
 mod pool;
 mod queue;
 mod refusal;
 mod registry;
+mod remembered;
 mod retry_budget;
 mod run_times;
 pub mod settings;
@@ -31,6 +35,8 @@
 
 pub use command::{Command, JobAnswer, JobState, Refusal, RefusalReason};
 pub use event::{Submission, Task, TaskId, TaskOutcome, WaiterId, Worker, WorkerId};
+pub use lending::{SlotMessage, SlotMessageBody, WorkerSlots};
+pub use remembered::{Memory, RememberedJob};
 pub use settings::{EngineSettings, QueueOrder};
 pub use stats::EngineStats;
 
--- a/crates/core/src/engine/pool.rs
+++ b/crates/core/src/engine/pool.rs
@@ -1,6 +1,7 @@
 //! The jobs and workers of one service, under one lock.
 
 mod admit;
+mod lend;
 mod outcome;
 mod place;
 
@@ -13,7 +14,9 @@
 
 use super::command::{Command, JobState};
 use super::event::{TaskId, WorkerId};
+use super::health::{ServiceHealth, WorkerHealth};
 use super::job::{EndedJob, JobId, JobWork};
+use super::lending::Lending;
 use super::queue::JobQueue;
 use super::retry_budget::RetryBudget;
 use super::run_times::RunTimes;
@@ -68,6 +71,7 @@
     settings: Arc<EngineSettings>,
     terms: ServiceTerms,
     workers: WorkerSet,
+    lending: Lending,
     jobs: SlotMap<JobId, JobWork>,
     queue: JobQueue,
     teams: Teams,
@@ -88,6 +92,7 @@
         let state = PoolState {
             number,
             workers,
+            lending: Lending::default(),
             jobs: SlotMap::with_key(),
             queue: JobQueue::default(),
             teams: Teams::default(),
@@ -184,6 +189,20 @@
         }
     }
 
+    /// A worker as seen here.
+    pub fn worker_health(&self, now: Now, id: WorkerId) -> Option<WorkerHealth> {
+        self.workers.health(now, self.run_times.mean_log2(), id)
+    }
+
+    /// All workers as seen here.
+    pub fn service_health(&self) -> ServiceHealth {
+        ServiceHealth {
+            workers: self.workers.open() as u32,
+            workers_ejected: self.workers.ejected() as u32,
+            slots_owned: self.workers.slots(),
+        }
+    }
+
     /// Counters and sizes of this pool.
     pub fn stats(&self) -> EngineStats {
         EngineStats {
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -11,24 +11,37 @@
 //!
 //! * [`driver`]: the shell round the membership decisions.
 //! * [`forward`]: requests to a key's owner.
+//! * [`lending`]: loans of task slots.
 //! * [`serve`]: requests from other instances.
+//! * [`handover`]: a leaving instance's memory, sent and taken over.
+//! * [`parts`]: that memory in parts of bounded size.
+//! * [`recall`]: keys whose owner is gone.
 //! * [`pending`]: who waits for which answer.
 //! * [`record`]: a failure domain's views as the store keeps them.
+//! * [`counters`]: messages that brought no answer.
 //! * [`convert`]: between the engine's types and messages.
 
 pub mod convert;
+pub mod counters;
 mod driver;
 mod forward;
+mod handover;
+mod lending;
+pub mod parts;
 mod pending;
+mod recall;
 pub mod record;
 mod serve;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use derive_more::{Display, Error};
 use slog::Logger;
+use tokio::sync::watch;
+use trefoil_core::handover::Scopes;
 use trefoil_core::key::JobKey;
 use trefoil_core::membership::{
     Event, MemberStatus, Membership, MembershipParams, PeerState, Route,
@@ -43,6 +56,9 @@
 use crate::sources::config::ConfigHandle;
 use crate::sources::instances::InstanceList;
 use crate::sources::platform::PlatformStore;
+use counters::PeerCounters;
+use handover::AckTable;
+pub use handover::HandoverReport;
 use pending::PendingTable;
 
 /// Part of the store's keys that holds view logs, after the prefix.
@@ -75,6 +91,8 @@
     pub store: Arc<dyn PlatformStore>,
     /// The platform's list of instances.
     pub instances: InstanceList,
+    /// Whether that list is to be read; set here.
+    pub list_polling: watch::Sender<bool>,
     /// The configuration in force here.
     pub config: ConfigHandle,
     /// The engine of this instance.
@@ -96,6 +114,11 @@
     membership: Mutex<Membership>,
     links: Links,
     pending: PendingTable,
+    /// Whether this instance reads the store for its failure domain.
+    watches: AtomicBool,
+    counters: PeerCounters,
+    acks: Mutex<AckTable>,
+    scopes: Mutex<Scopes>,
     context: PeersContext,
 }
 
@@ -128,10 +151,15 @@
             me,
             links,
             pending: PendingTable::default(),
+            watches: AtomicBool::new(true),
+            counters: PeerCounters::default(),
+            acks: Mutex::default(),
+            scopes: Mutex::default(),
             context,
         });
         tokio::spawn(Arc::clone(&peers).receive(incoming));
         tokio::spawn(Arc::clone(&peers).drive());
+        tokio::spawn(Arc::clone(&peers).balance_forever());
         Ok(peers)
     }
 
@@ -155,13 +183,29 @@
         &self.links
     }
 
+    /// Counts of messages that brought no answer.
+    pub fn counters(&self) -> &PeerCounters {
+        &self.counters
+    }
+
+    /// How far the key issue times that may be admitted reach beyond now, in
+    /// milliseconds.
+    pub fn admission_lead_ms(&self) -> i64 {
+        let limit_ms = self.membership().admission_limit();
+        let now_ms = self.context.runtime.now().wall_ms;
+        i64::try_from(i128::from(limit_ms) - i128::from(now_ms)).unwrap_or(i64::MAX)
+    }
+
+    /// Version of the newest view of the own failure domain.
+    pub fn view_version(&self) -> u64 {
+        newest_version(&self.membership(), &self.domain)
+    }
+
     /// The deployment as this instance sees it.
     pub fn status(&self) -> StatusResponse {
         let config_revision = self.context.config.current().revision;
         let membership = self.membership();
-        let view_version = membership
-            .view_log(&self.domain)
-            .map_or(0, |known| known.log.version());
+        let view_version = newest_version(&membership, &self.domain);
         let others = membership.status();
         let leaving = membership.leaving();
         drop(membership);
@@ -192,6 +236,14 @@
         }
     }
 
+    fn acks(&self) -> MutexGuard<'_, AckTable> {
+        self.acks.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn scopes(&self) -> MutexGuard<'_, Scopes> {
+        self.scopes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Where to dial an instance that is said to be at `told`.
     fn dial_address(&self, member: &Member, told: &str) -> Option<SocketAddr> {
         let set = self.dial_addresses.get(&member.name).copied();
@@ -205,6 +257,11 @@
     }
 }
 
+fn newest_version(membership: &Membership, domain: &str) -> u64 {
+    let known = membership.view_log(domain);
+    known.map_or(0, |known| known.log.version())
+}
+
 fn dial_addresses(settings: &Settings) -> HashMap<String, SocketAddr> {
     let peers = settings.peers.iter();
     let parsed = peers.filter_map(|peer| {
@@ -215,17 +272,7 @@
 }
 
 fn membership(me: &Member, settings: &Settings) -> Membership {
-    let timing = &settings.membership;
-    let params = MembershipParams {
-        heartbeat_ms: timing.heartbeat_ms,
-        gossip_fanout: timing.gossip_fanout as usize,
-        suspect_ms: timing.suspect_ms,
-        vouch_ahead_ms: timing.vouch_ahead_ms,
-        view_change_margin_ms: timing.view_change_margin_ms,
-        gone_clock_bound_ms: timing.gone_clock_bound_ms,
-        key_window_ms: settings.jobs.key_window_ms,
-        ..MembershipParams::default()
-    };
+    let params = MembershipParams::new(&settings.membership, &settings.jobs);
     let domains = &settings.failure_domains;
     Membership::new(
         params,
--- a/src/peers/forward.rs
+++ b/src/peers/forward.rs
@@ -4,7 +4,6 @@
 //! again by key, which costs a small message and never a second start: the
 //! owner knows the key, or it does not and the submission is sent once more.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use trefoil_core::engine::{JobAnswer, Refusal, RefusalReason, Submission};
@@ -17,6 +16,8 @@
 
 use super::{Peers, convert};
 use crate::links::LinkError;
+use crate::runtime::Arrival;
+use crate::util::telemetry::trace::{Hop, note_answer};
 
 /// Period of checks whether the owner is still there.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
@@ -30,7 +31,7 @@
 const UNREACHABLE_RETRY_MS: u64 = 500;
 
 /// What is asked of a key's owner.
-enum Ask<'a> {
+pub(super) enum Ask<'a> {
     Submit {
         submission: &'a Submission,
         wait: bool,
@@ -44,24 +45,31 @@
 
 impl Peers {
     /// Submits a job at the owner of its key.
-    pub async fn submit(
-        &self,
-        submission: Submission,
-        wait: bool,
-        traceparent: Option<Arc<str>>,
-    ) -> JobAnswer {
+    pub async fn submit(&self, submission: Submission, wait: bool, arrival: Arrival) -> JobAnswer {
         let owner = match self.route(&submission.key) {
             Route::Here => {
-                return self
-                    .context
-                    .runtime
-                    .submit(submission, wait, traceparent)
-                    .await;
+                return self.context.runtime.submit(submission, wait, arrival).await;
             }
             Route::Peer(owner) => owner,
-            Route::OwnerLost => return refused(owner_lost()),
+            Route::OwnerLost => {
+                let fingerprint = submission.fingerprint;
+                let ask = Ask::Submit {
+                    submission: &submission,
+                    wait,
+                    traceparent: "",
+                };
+                return self.recall(&submission.key, Some(fingerprint), &ask).await;
+            }
             Route::Unknown { retry_after_ms } => return refused(unknown_owner(retry_after_ms)),
         };
+        let mut span = self
+            .context
+            .runtime
+            .span(Hop::Peer, arrival.traceparent.as_deref());
+        if span.is_taken() {
+            span.set("peer", owner.name.clone());
+        }
+        let traceparent = span.header(arrival.traceparent);
         let traceparent = traceparent.as_deref().unwrap_or_default();
         let limit_ms = submission.timeout_ms + ANSWER_GRACE_MS;
         let ask = Ask::Submit {
@@ -69,14 +77,16 @@
             wait,
             traceparent,
         };
-        self.ask(&owner, &submission.key, &ask, limit_ms).await
+        let answer = self.ask(&owner, &submission.key, &ask, limit_ms).await;
+        note_answer(&mut span, &answer);
+        answer
     }
 
     /// Tells a job's state, or its end if it comes within `wait_ms`.
     pub async fn fetch(&self, key: &JobKey, wait_ms: u64) -> JobAnswer {
         let owner = match self.route(key) {
             Route::Peer(owner) => owner,
-            Route::OwnerLost => return refused(owner_lost()),
+            Route::OwnerLost => return self.recall(key, None, &Ask::Fetch { wait_ms }).await,
             Route::Here | Route::Unknown { .. } => {
                 return self.context.runtime.fetch(key, wait_ms).await;
             }
@@ -90,7 +100,7 @@
     pub async fn cancel(&self, key: &JobKey) -> JobAnswer {
         let owner = match self.route(key) {
             Route::Peer(owner) => owner,
-            Route::OwnerLost => return refused(owner_lost()),
+            Route::OwnerLost => return self.recall(key, None, &Ask::Cancel).await,
             Route::Here | Route::Unknown { .. } => return self.context.runtime.cancel(key).await,
         };
         self.ask(&owner, key, &Ask::Cancel, SHORT_REQUEST_MS).await
@@ -113,28 +123,35 @@
             let answer = tokio::time::timeout(CHECK_PERIOD, request.next()).await;
             if let Ok(Some(message)) = answer {
                 let answer = convert::answer(message);
-                if !(ask.is_submission() && is_refused_for(&answer, RefusalReason::UnknownJob)) {
+                if !(ask.is_submission() && is_unknown_job(&answer)) {
                     return match sent_again {
                         true => judged_late(owner, answer),
                         false => answer,
                     };
                 }
                 sent_again = true;
+                self.counters.count_reasked();
                 let _ = self.send_ask(owner, ask.body(request.id(), key, started));
                 continue;
             }
-            if started.elapsed() >= limit || self.route(key) != Route::Peer(owner.clone()) {
+            if started.elapsed() >= limit {
                 return refused(answer_lost(owner));
             }
+            if self.route(key) != Route::Peer(owner.clone()) {
+                // It may have left and handed its memory over.
+                let answer = self.recall(key, ask.fingerprint(), ask).await;
+                return unless_lost(answer, owner);
+            }
             checks += 1;
             if checks == reask_at {
                 reask_at *= 2;
+                self.counters.count_reasked();
                 let _ = self.send_ask(owner, ask.again(request.id(), key));
             }
         }
     }
 
-    fn send_ask(&self, owner: &Member, body: Body) -> Result<(), LinkError> {
+    pub(super) fn send_ask(&self, owner: &Member, body: Body) -> Result<(), LinkError> {
         let address = self.membership().address(owner);
         if let Some(address) = self.dial_address(owner, &address) {
             self.links.set_peer(&owner.name, address);
@@ -148,7 +165,14 @@
         matches!(self, Self::Submit { .. })
     }
 
-    fn body(&self, request_id: u64, key: &JobKey, started: Instant) -> Body {
+    fn fingerprint(&self) -> Option<u64> {
+        match self {
+            Self::Submit { submission, .. } => Some(submission.fingerprint),
+            Self::Fetch { .. } | Self::Cancel => None,
+        }
+    }
+
+    pub(super) fn body(&self, request_id: u64, key: &JobKey, started: Instant) -> Body {
         let key = key.as_str().to_owned();
         match self {
             Self::Submit {
@@ -198,10 +222,6 @@
     }
 }
 
-fn is_refused_for(answer: &JobAnswer, reason: RefusalReason) -> bool {
-    matches!(answer, JobAnswer::Refused(refusal) if refusal.reason == reason)
-}
-
 /// The owner's answer to a submission that reached it late: one that is
 /// impossible in the time that was left is not impossible in its own time.
 fn judged_late(owner: &Member, answer: JobAnswer) -> JobAnswer {
@@ -221,7 +241,22 @@
     }
 }
 
-fn refused(refusal: Refusal) -> JobAnswer {
+/// A request that reached `owner` may have started something there, unless
+/// its successor knows more.
+fn unless_lost(answer: JobAnswer, owner: &Member) -> JobAnswer {
+    match answer {
+        JobAnswer::Refused(refusal) if refusal.verdict != Verdict::NotRun => {
+            refused(answer_lost(owner))
+        }
+        answer => answer,
+    }
+}
+
+pub(super) fn is_unknown_job(answer: &JobAnswer) -> bool {
+    matches!(answer, JobAnswer::Refused(refusal) if refusal.reason == RefusalReason::UnknownJob)
+}
+
+pub(super) fn refused(refusal: Refusal) -> JobAnswer {
     JobAnswer::Refused(refusal)
 }
 
@@ -234,6 +269,16 @@
     }
 }
 
+/// The owner left and handed all over that it knew; the key was not there.
+pub(super) fn owner_left() -> Refusal {
+    Refusal {
+        reason: RefusalReason::OwnerLeft,
+        detail: "the key's owner left before it took the job; submit it under a new key".to_owned(),
+        verdict: Verdict::NotRun,
+        retry_after_ms: 0,
+    }
+}
+
 pub(super) fn unknown_owner(retry_after_ms: u64) -> Refusal {
     Refusal {
         reason: RefusalReason::NotVouched,
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -1,18 +1,20 @@
 //! Requests and news from other instances.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use tokio::sync::mpsc;
-use trefoil_core::engine::{JobAnswer, JobState};
+use trefoil_core::engine::JobAnswer;
 use trefoil_core::key::JobKey;
 use trefoil_core::membership::{Event, Route};
-use trefoil_core::verdict::Verdict;
 use trefoil_core::view::Member;
 use trefoil_schema::peer::message::Body;
 use trefoil_schema::peer::{ForwardJob, InstanceRef};
 
 use super::{Peers, convert, forward};
 use crate::links::Incoming;
+use crate::runtime::Arrival;
+use crate::util::telemetry::trace::{Hop, note_answer};
 
 /// When an entry should ask again that came to the wrong owner.
 const WRONG_OWNER_RETRY_MS: u64 = 250;
@@ -30,20 +32,23 @@
             Body::ForwardJob(job) => self.serve_job(from.clone(), job),
             Body::FetchJob(request) => {
                 let serve = move |peers: Arc<Self>, key: JobKey| async move {
-                    peers.context.runtime.fetch(&key, request.wait_ms).await
+                    peers.serve_fetch(&key, request.wait_ms).await
                 };
                 self.serve_key(from.clone(), request.request_id, &request.key, serve);
             }
             Body::CancelJob(request) => {
-                let serve = |peers: Arc<Self>, key: JobKey| async move {
-                    peers.context.runtime.cancel(&key).await
-                };
+                let serve =
+                    |peers: Arc<Self>, key: JobKey| async move { peers.serve_cancel(&key).await };
                 self.serve_key(from.clone(), request.request_id, &request.key, serve);
             }
             Body::JobAnswer(answer) => {
                 // An answer to a request that is closed is late or doubled.
-                self.pending.answer(answer);
+                if !self.pending.answer(answer) {
+                    self.counters.count_stale_answer();
+                }
             }
+            Body::KeyHandover(part) => self.take_part(from, part),
+            Body::KeyHandoverAck(ack) => self.take_ack(from, ack),
             Body::ConfigRequest(request) => {
                 let changes = self.context.config.changes_after(request.after_revision);
                 self.reply(from, Body::ConfigChanges(changes));
@@ -63,6 +68,8 @@
                 }
                 self.tell(from, Body::Heartbeat(heartbeat));
             }
+            Body::SlotRequest(request) => self.serve_slot_request(from, request),
+            Body::SlotGrant(grant) => self.take_slot_grant(from, grant),
             other => self.tell(from, other),
         }
     }
@@ -84,36 +91,82 @@
         let in_flight = self.context.stop.track();
         tokio::spawn(async move {
             let (request_id, key) = (job.request_id, job.key.clone());
-            let answer = peers.run_job(job).await;
+            let answer = peers.run_job(&from, job).await;
             peers.reply_answer(&from, request_id, &key, &answer);
             drop(in_flight);
         });
     }
 
-    async fn run_job(self: &Arc<Self>, job: ForwardJob) -> JobAnswer {
+    /// Runs a job, within a span below the one of the instance that sent it.
+    async fn run_job(self: &Arc<Self>, from: &InstanceRef, job: ForwardJob) -> JobAnswer {
+        let whole_at = Some(Instant::now());
+        let header = job.traceparent.as_str();
+        let given = (!header.is_empty()).then(|| Arc::<str>::from(header));
+        let mut span = self.context.runtime.span(Hop::PeerServed, given.as_deref());
+        if span.is_taken() {
+            span.set("peer", from.name.clone());
+        }
+        let arrival = Arrival {
+            traceparent: span.header(given),
+            whole_at,
+        };
+        let answer = self.admit_job(job, arrival).await;
+        note_answer(&mut span, &answer);
+        answer
+    }
+
+    async fn admit_job(self: &Arc<Self>, job: ForwardJob, arrival: Arrival) -> JobAnswer {
         let wait = job.wait;
-        let traceparent =
-            (!job.traceparent.is_empty()).then(|| Arc::from(job.traceparent.as_str()));
         let Ok(submission) = convert::submission(job) else {
             return JobAnswer::Refused(forward::unknown_owner(0));
         };
         match self.route(&submission.key) {
-            Route::Here => {
-                self.context
-                    .runtime
-                    .submit(submission, wait, traceparent)
-                    .await
+            Route::Here => self.context.runtime.submit(submission, wait, arrival).await,
+            Route::OwnerLost => {
+                let fingerprint = Some(submission.fingerprint);
+                self.recall_here(&submission.key, fingerprint).await
             }
-            Route::OwnerLost => JobAnswer::Refused(forward::owner_lost()),
             // Not handed on: two instances that disagree must not play it back
             // and forth.
-            Route::Peer(_) => JobAnswer::Refused(forward::unknown_owner(WRONG_OWNER_RETRY_MS)),
+            Route::Peer(_) => {
+                self.counters.count_misrouted();
+                JobAnswer::Refused(forward::unknown_owner(WRONG_OWNER_RETRY_MS))
+            }
             Route::Unknown { retry_after_ms } => {
                 JobAnswer::Refused(forward::unknown_owner(retry_after_ms))
             }
         }
     }
 
+    async fn serve_fetch(&self, key: &JobKey, wait_ms: u64) -> JobAnswer {
+        let answer = match self.route(key) {
+            Route::OwnerLost => return self.recall_here(key, None).await,
+            Route::Here | Route::Peer(_) | Route::Unknown { .. } => {
+                self.context.runtime.fetch(key, wait_ms).await
+            }
+        };
+        self.unless_owner_unsettled(key, answer)
+    }
+
+    async fn serve_cancel(&self, key: &JobKey) -> JobAnswer {
+        let answer = match self.route(key) {
+            Route::OwnerLost => return self.recall_here(key, None).await,
+            Route::Here | Route::Peer(_) | Route::Unknown { .. } => {
+                self.context.runtime.cancel(key).await
+            }
+        };
+        self.unless_owner_unsettled(key, answer)
+    }
+
+    /// Only the owner can say that it does not know a job.
+    fn unless_owner_unsettled(&self, key: &JobKey, answer: JobAnswer) -> JobAnswer {
+        match self.route(key) {
+            Route::Here => answer,
+            _ if !forward::is_unknown_job(&answer) => answer,
+            _ => JobAnswer::Refused(forward::unknown_owner(WRONG_OWNER_RETRY_MS)),
+        }
+    }
+
     fn serve_key<F>(
         self: &Arc<Self>,
         from: InstanceRef,
@@ -138,30 +191,9 @@
         let message = convert::answer_message(request_id, key, answer);
         if self.links.send(&to.name, Body::JobAnswer(message)).is_err() {
             // Too large, or too much queued: say at least how the job ended.
-            let message = convert::answer_message(request_id, key, &without_results(answer));
+            let message =
+                convert::answer_message(request_id, key, &convert::without_results(answer));
             let _ = self.links.send(&to.name, Body::JobAnswer(message));
         }
     }
 }
-
-fn without_results(answer: &JobAnswer) -> JobAnswer {
-    match answer.clone() {
-        JobAnswer::Known {
-            state: JobState::Complete,
-            replayed,
-            tasks_done,
-            tasks_total,
-            ..
-        } => JobAnswer::Known {
-            state: JobState::Failed,
-            verdict: Verdict::Ran,
-            results: Vec::new().into(),
-            reason: convert::RESULT_DROPPED,
-            detail: "the job completed; its results cannot be passed on".to_owned(),
-            replayed,
-            tasks_done,
-            tasks_total,
-        },
-        other => other,
-    }
-}
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -1,20 +1,20 @@
 //! Drives the engine: events in, commands out to workers and waiters.
 //!
-//! * [`clock`]: the instant handed to the engine.
 //! * [`waiters`]: who waits for an answer.
 //! * [`tasks`]: placements on their way to workers.
+//! * [`service_windows`]: how each service's jobs were answered lately.
 //! * [`traces`]: trace contexts of running jobs.
 //! * [`dispatch`]: where callers' requests enter.
 
-pub mod clock;
 pub mod dispatch;
+pub mod service_windows;
 pub mod tasks;
 pub mod traces;
 pub mod waiters;
 
 use std::future::Future;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::runtime::Handle;
 use tokio::sync::watch;
@@ -22,15 +22,18 @@
 use tokio::time::MissedTickBehavior;
 use trefoil_core::config::ConfigSnapshot;
 use trefoil_core::engine::{
-    Command, Engine, JobAnswer, JobState, Refusal, RefusalReason, Submission, WaiterId,
+    Command, Engine, JobAnswer, JobState, Refusal, RefusalReason, SlotMessage, Submission,
+    WaiterId, WorkerSlots,
 };
 use trefoil_core::key::JobKey;
 use trefoil_core::time::Now;
 use trefoil_core::verdict::Verdict;
 
+use crate::util::clock::Clock;
 use crate::util::telemetry::Telemetry;
+use crate::util::telemetry::trace::{Hop, HopSpan};
 use crate::workers::{WorkerCall, WorkerClient};
-use clock::Clock;
+use service_windows::ServiceWindows;
 use tasks::Placement;
 use traces::TraceContexts;
 use waiters::{WaiterGuard, Waiters};
@@ -40,6 +43,15 @@
 /// Ticks between sweeps of idle connections and old trace contexts.
 const TICKS_PER_SWEEP: u64 = 100;
 
+/// What came with a submission besides the job.
+#[derive(Clone, Debug, Default)]
+pub struct Arrival {
+    /// W3C trace context to pass on.
+    pub traceparent: Option<Arc<str>>,
+    /// When the request was whole here; its admission is timed from then.
+    pub whole_at: Option<Instant>,
+}
+
 /// The engine of this instance with its clock, its waiters and its workers.
 pub struct Runtime {
     engine: Engine,
@@ -47,6 +59,7 @@
     waiters: Waiters,
     workers: WorkerClient,
     traces: TraceContexts,
+    service_windows: ServiceWindows,
     config: watch::Sender<Arc<ConfigSnapshot>>,
     handle: Handle,
     telemetry: Option<Telemetry>,
@@ -74,10 +87,11 @@
     ) -> Arc<Self> {
         Arc::new(Self {
             engine,
-            clock: Clock::default(),
+            clock: Clock::start(),
             waiters: Waiters::default(),
             workers,
             traces: TraceContexts::default(),
+            service_windows: ServiceWindows::default(),
             config: watch::Sender::default(),
             handle: Handle::current(),
             telemetry,
@@ -94,6 +108,11 @@
         &self.workers
     }
 
+    /// How each service's jobs were answered here lately.
+    pub fn service_windows(&self) -> &ServiceWindows {
+        &self.service_windows
+    }
+
     /// The declarations in force.
     pub fn config(&self) -> Arc<ConfigSnapshot> {
         Arc::clone(&self.config.borrow())
@@ -104,6 +123,14 @@
         self.clock.now()
     }
 
+    /// A span for one hop of a request; none without telemetry.
+    pub fn span(&self, hop: Hop, header: Option<&str>) -> HopSpan {
+        match &self.telemetry {
+            Some(telemetry) => telemetry.span_below(hop, header),
+            None => HopSpan::default(),
+        }
+    }
+
     /// Answers that are awaited.
     pub fn waiters_len(&self) -> usize {
         self.waiters.len()
@@ -116,15 +143,17 @@
         self: &Arc<Self>,
         submission: Submission,
         wait: bool,
-        traceparent: Option<Arc<str>>,
+        arrival: Arrival,
     ) -> JobAnswer {
         let key = submission.key.clone();
         let forget_ms = self.now().mono_ms + submission.timeout_ms;
-        let traced =
-            traceparent.is_some_and(|traceparent| self.traces.insert(&key, traceparent, forget_ms));
+        let traced = arrival
+            .traceparent
+            .is_some_and(|traceparent| self.traces.insert(&key, traceparent, forget_ms));
         let submit = |waiter, out: &mut Vec<Command>| {
             self.engine
                 .submit(self.now(), submission, waiter, wait, out);
+            self.time_admission(arrival.whole_at);
         };
         let answer = self.answer(key.clone(), submit).await;
         if traced && !is_running(&answer) {
@@ -133,6 +162,13 @@
         answer
     }
 
+    fn time_admission(&self, whole_at: Option<Instant>) {
+        if let (Some(telemetry), Some(whole_at)) = (&self.telemetry, whole_at) {
+            let overhead_us = whole_at.elapsed().as_secs_f64() * 1e6;
+            telemetry.counters().admitted(overhead_us);
+        }
+    }
+
     /// Tells a job's state, or its end if it comes within `wait_ms`.
     pub async fn fetch(self: &Arc<Self>, key: &JobKey, wait_ms: u64) -> JobAnswer {
         if wait_ms > 0 {
@@ -160,6 +196,21 @@
         .await
     }
 
+    /// Answers for a key that may not start here: from memory, or `absent`.
+    pub async fn recall(
+        self: &Arc<Self>,
+        key: &JobKey,
+        fingerprint: Option<u64>,
+        absent: Refusal,
+    ) -> JobAnswer {
+        self.answer(key.clone(), |waiter, out| {
+            let now = self.now();
+            self.engine
+                .recall(now, key, fingerprint, absent, waiter, out);
+        })
+        .await
+    }
+
     /// Puts declarations in force.
     pub fn set_config(self: &Arc<Self>, config: Arc<ConfigSnapshot>) {
         let mut out = Vec::new();
@@ -176,6 +227,43 @@
         self.execute(&mut out);
     }
 
+    /// Starts what has a slot, and gives what to tell peers about slots.
+    pub fn balance(self: &Arc<Self>) -> Vec<SlotMessage> {
+        let mut out = Vec::new();
+        let messages = self.engine.balance(self.now(), &mut out);
+        self.execute(&mut out);
+        messages
+    }
+
+    /// Takes slots that a peer lends for `loan_ms`, or its answer that it has none.
+    pub fn borrow_slots(
+        self: &Arc<Self>,
+        lender: &str,
+        service: &str,
+        lent: &[WorkerSlots],
+        loan_ms: u64,
+    ) {
+        let mut out = Vec::new();
+        let now = self.now();
+        self.engine
+            .borrow_slots(now, lender, service, lent, loan_ms, &mut out);
+        self.execute(&mut out);
+    }
+
+    /// Takes back slots that a peer returns.
+    pub fn take_back_slots(
+        self: &Arc<Self>,
+        borrower: &str,
+        service: &str,
+        returned: &[WorkerSlots],
+    ) {
+        let mut out = Vec::new();
+        let now = self.now();
+        self.engine
+            .take_back_slots(now, borrower, service, returned, &mut out);
+        self.execute(&mut out);
+    }
+
     /// Passes time to the engine until the guard is dropped.
     pub fn start_ticker(self: &Arc<Self>) -> TickerGuard {
         let runtime = Arc::clone(self);
@@ -193,6 +281,7 @@
             if count.is_multiple_of(TICKS_PER_SWEEP) {
                 self.workers.sweep();
                 self.traces.sweep(self.now().mono_ms);
+                self.service_windows.sweep(self.now().mono_ms);
             }
         }
     }
--- a/src/server.rs
+++ b/src/server.rs
@@ -3,9 +3,11 @@
 //! [`run`] starts the parts, [`routes`] is where HTTP routes are added, and
 //! [`Context`] is what handlers and tasks share.
 
+pub mod conditions;
 pub mod health;
 mod observe;
 pub mod parts;
+mod report;
 pub mod stop;
 
 use std::sync::Arc;
@@ -23,9 +25,10 @@
 use trefoil_schema::settings::Settings;
 
 use crate::peers::PeersError;
+use crate::util::clock::Clock;
 use crate::util::telemetry::Telemetry;
 use parts::Parts;
-use stop::{Clock, StopControl};
+use stop::StopControl;
 
 /// Longest wait for connections to close once nothing is in flight.
 const CLOSE_MAX: Duration = Duration::from_millis(500);
