membership: a leaver keeps its share of the workers until it says that it ends

As soon as an instance left, all others shared the workers' slots without it: it refused the keys that it still owned (no_workers) and what it had queued waited for its deadline.

Also: answers of a leaving instance close their connection.

--- a/crates/core/src/membership/talk.rs
+++ b/crates/core/src/membership/talk.rs
@@ -197,8 +197,24 @@
             .collect()
     }
 
+    /// Instances that share the workers' slots: a leaver too, for as long as it
+    /// has jobs to finish and keys of its own to take.
+    fn sharing_members(&self) -> Vec<Member> {
+        let suspect_ms = self.params.suspect_ms;
+        let known = self.roster.members();
+        let peers = known.filter(|(_, peer)| peer.domain == self.domain);
+        let heard = peers
+            .map(|(member, _)| member)
+            .filter(|member| self.roster.heard_within(self.now, member, suspect_ms))
+            .filter(|member| !self.roster.has_left(member));
+        let mut members: Vec<Member> = heard.collect();
+        members.push(self.me.clone());
+        members.sort();
+        members
+    }
+
     fn report_members(&mut self, commands: &mut Vec<Command>) {
-        let members = self.domain_members();
+        let members = self.sharing_members();
         if members != self.last_members {
             self.last_members.clone_from(&members);
             commands.push(Command::MembersChanged(members));
--- a/crates/core/src/membership/types.rs
+++ b/crates/core/src/membership/types.rs
@@ -199,7 +199,7 @@
         /// The failure domain.
         domain: String,
     },
-    /// The serving instances of this failure domain, sorted.
+    /// The instances of this failure domain that share its workers, sorted.
     MembersChanged(Vec<Member>),
 }
 
--- a/src/server/parts.rs
+++ b/src/server/parts.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use poem::http::{Method, StatusCode};
+use poem::http::{HeaderValue, Method, StatusCode, header};
 use poem::web::Data;
 use poem::{
     Endpoint, EndpointExt, IntoEndpoint, IntoResponse, Request, Response, Route, handler, post,
@@ -151,11 +151,24 @@
     let submits = request.method() == Method::POST && request.uri().path() == "/v1/jobs";
     let accepted = context.map(|context| context.stop.accept());
     if submits && matches!(accepted, Some(None)) {
-        return Ok(leaving().into_response());
+        return Ok(last_of_connection(leaving().into_response()));
     }
+    let context = context.cloned();
     let response = next.get_response(request).await;
     drop(accepted);
-    Ok(response)
+    let leaves = context.is_some_and(|context| context.stop.state() != DrainState::Serving);
+    Ok(match leaves {
+        true => last_of_connection(response),
+        false => response,
+    })
+}
+
+/// Has the client close the connection, before it sends a request on it that
+/// meets the end of the process.
+fn last_of_connection(mut response: Response) -> Response {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+    response
 }
 
 fn leaving() -> Problem {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod faults_store;
 mod faults_work;
 mod leaving;
+mod leaving_figures;
 mod leaving_servers;
 mod links;
 mod operator;
--- a/tests/testsuite/support/deployment.rs
+++ b/tests/testsuite/support/deployment.rs
@@ -45,6 +45,8 @@
     pub domains: usize,
     pub instances_per_domain: usize,
     pub workers_per_domain: usize,
+    /// Announcement of planned stops, milliseconds.
+    pub announce_ms: u64,
 }
 
 impl Default for Size {
@@ -53,6 +55,7 @@
             domains: 1,
             instances_per_domain: 3,
             workers_per_domain: 4,
+            announce_ms: 200,
         }
     }
 }
@@ -362,6 +365,7 @@
                 peer_address: SocketAddr::from((own, port + 1)),
                 platform,
                 peers: Vec::new(),
+                announce_ms: size.announce_ms,
             }
         })
         .collect()
--- a/tests/testsuite/support/instance.rs
+++ b/tests/testsuite/support/instance.rs
@@ -22,6 +22,7 @@
     pub peer_address: SocketAddr,
     pub platform: SocketAddr,
     pub peers: Vec<PeerSettings>,
+    pub announce_ms: u64,
 }
 
 /// One instance, running or not.
@@ -126,7 +127,7 @@
         "membership.view_change_margin_ms=200".to_owned(),
         "membership.gone_clock_bound_ms=1000".to_owned(),
         "workers.probation_ms=300".to_owned(),
-        "drain.announce_ms=200".to_owned(),
+        format!("drain.announce_ms={}", options.announce_ms),
     ];
     for item in overrides {
         command.args(["--set", &item]);
