--- a/crates/core/src/engine/registry.rs
+++ b/crates/core/src/engine/registry.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use trefoil_schema::resources::{BackendServerState, TeamSpec};
+use trefoil_schema::resources::{BackendServerSpec, BackendServerState, TeamSpec};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::command::Command;
@@ -29,6 +29,8 @@
     by_service: HashMap<Arc<str>, usize>,
     worker_ids: HashMap<Arc<str>, WorkerId>,
     last_worker_id: u32,
+    /// Whether this instance joins others that may be using the workers.
+    joining: bool,
 }
 
 impl Registry {
@@ -48,6 +50,13 @@
         &self.pools
     }
 
+    /// The pool and id of a declared worker that this instance knows.
+    pub fn worker_pool(&self, name: &str) -> Option<(&Arc<Pool>, WorkerId)> {
+        let declared = self.config.backend_servers.get(name)?;
+        let pool = self.pool(&declared.spec.service)?;
+        Some((pool, *self.worker_ids.get(name)?))
+    }
+
     /// A team's terms, with this instance's part of its bounds.
     pub fn team(&self, team: &str) -> Option<TeamSpec> {
         let spec = &self.config.teams.get(team)?.spec;
@@ -68,9 +77,12 @@
         config: &ConfigSnapshot,
         out: &mut Vec<Command>,
     ) {
+        let first = self.config.backend_servers.is_empty();
+        self.joining = first && self.members.len() > 1;
         self.config = config.clone();
         self.forget_workers();
         self.apply(settings, now, out);
+        self.joining = false;
     }
 
     /// Takes the failure domain's instances.
@@ -86,7 +98,9 @@
         self.members = members.to_vec();
         self.members.sort_unstable();
         self.members.dedup();
+        self.joining = self.members.len() > 1;
         self.apply(settings, now, out);
+        self.joining = false;
     }
 
     fn forget_workers(&mut self) {
@@ -107,9 +121,12 @@
             let deal = WorkerDeal {
                 workers: workers.remove(&service).unwrap_or_default(),
                 draw_seed: xxh3_64(self.me.as_bytes()) >> DRAW_SEED_SHIFT,
+                joining: self.joining,
             };
             let pool = self.pool_or_new(settings, &service, &terms);
-            pool.lock().configure(now, terms, deal, out);
+            let mut pool = pool.lock();
+            pool.set_members(&self.me, &self.members);
+            pool.configure(now, terms, deal, out);
         }
         for (service, number) in &self.by_service {
             if !self.config.services.contains_key(service) {
@@ -147,17 +164,9 @@
             if spec.failure_domain != settings.failure_domain {
                 continue;
             }
-            let service: Arc<str> = spec.service.as_str().into();
-            by_service
-                .entry(Arc::clone(&service))
-                .or_default()
-                .push(Worker {
-                    name: Arc::clone(name),
-                    service,
-                    address: spec.address.as_str().into(),
-                    slots: spec.slots,
-                    leaving: spec.state == BackendServerState::Leaving,
-                });
+            let worker = worker(name, spec);
+            let service = Arc::clone(&worker.service);
+            by_service.entry(service).or_default().push(worker);
         }
         by_service
             .into_iter()
@@ -175,6 +184,19 @@
             .collect()
     }
 
+    /// Services with their pools.
+    pub fn services(&self) -> impl Iterator<Item = (&Arc<str>, &Arc<Pool>)> {
+        let services = self.by_service.iter();
+        services.map(|(service, number)| (service, &self.pools[*number]))
+    }
+
+    /// A worker of this failure domain, by name.
+    pub fn worker(&self, name: &str) -> Option<(WorkerId, Worker)> {
+        let id = *self.worker_ids.get(name)?;
+        let (name, declared) = self.config.backend_servers.get_key_value(name)?;
+        Some((id, worker(name, &declared.spec)))
+    }
+
     fn worker_id(&mut self, name: &Arc<str>) -> WorkerId {
         if let Some(id) = self.worker_ids.get(name) {
             return *id;
@@ -185,3 +207,13 @@
         id
     }
 }
+
+fn worker(name: &Arc<str>, spec: &BackendServerSpec) -> Worker {
+    Worker {
+        name: Arc::clone(name),
+        service: spec.service.as_str().into(),
+        address: spec.address.as_str().into(),
+        slots: spec.slots,
+        leaving: spec.state == BackendServerState::Leaving,
+    }
+}
--- a/crates/core/src/engine/worker_set.rs
+++ b/crates/core/src/engine/worker_set.rs
@@ -1,14 +1,22 @@
 //! The workers of one service, and which of their slots this instance may use.
 
+mod loans;
+
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap, HashMap};
+use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet};
 use std::sync::Arc;
 
 use trefoil_schema::settings::{PlacementPolicy, WorkerSettings};
 
 use super::ejection::{Health, Peers, Showing};
 use super::event::{Worker, WorkerId};
+use super::health::WorkerHealth;
 use super::placement::pick;
+use crate::time::Now;
+
+/// Time after which a slot gained from another instance is taken to be free:
+/// nearly all tasks are shorter.
+const SETTLE_MS: u64 = 1000;
 
 /// A worker as this instance sees it.
 #[derive(Debug)]
@@ -16,6 +24,14 @@
     pub worker: Worker,
     /// Slots that this instance may use.
     pub share: u32,
+    /// Slots of the share that are lent to other instances.
+    lent: u32,
+    /// Slots of other instances' shares that are lent to this one.
+    borrowed: u32,
+    /// Slots of these whose loan is over: they get no new task.
+    closed: u32,
+    /// Until the other instances' tasks on slots just gained have finished.
+    settling: Option<Settling>,
     /// Placements out from here.
     pub running: u32,
     health: Health,
@@ -23,12 +39,23 @@
     ready_as: Option<ReadyKey>,
 }
 
+/// A larger share that does not count yet.
+#[derive(Clone, Copy, Debug)]
+struct Settling {
+    /// Slots that may be used before.
+    share_before: u32,
+    until_ms: u64,
+}
+
 /// A service's workers as declared, each with this instance's share.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct WorkerDeal {
     pub workers: Vec<(WorkerId, Worker, u32)>,
     /// Start of this instance's draws, so that instances draw differently.
     pub draw_seed: u64,
+    /// Whether other instances may still use the slots of workers not known
+    /// here yet.
+    pub joining: bool,
 }
 
 /// Order among workers with a free slot: the smallest gets the next task.
@@ -47,6 +74,7 @@
     failure_rate_sum: f64,
     ejected: usize,
     slots: u64,
+    lent: u64,
     running: u64,
     draws: u64,
 }
@@ -64,6 +92,7 @@
             failure_rate_sum: 0.0,
             ejected: 0,
             slots: 0,
+            lent: 0,
             running: 0,
             draws: 0,
         }
@@ -73,26 +102,28 @@
     /// declared get no new work and vanish with their last placement.
     pub fn replace(&mut self, now_ms: u64, run_log2: f64, deal: WorkerDeal) {
         self.draws = self.draws.max(deal.draw_seed);
-        for state in self.workers.values_mut() {
-            state.share = 0;
+        let declared: HashSet<_> = deal.workers.iter().map(|(id, _, _)| *id).collect();
+        for (id, state) in &mut self.workers {
+            if !declared.contains(id) {
+                state.share = 0;
+                state.worker.leaving = true;
+            }
         }
         for (id, worker, share) in deal.workers {
             let share = match self.policy {
                 PlacementPolicy::OwnedSlots => share,
                 PlacementPolicy::TwoChoices | PlacementPolicy::Random => worker.open_slots(),
             };
-            match self.workers.get_mut(&id) {
-                Some(state) => {
-                    state.worker = worker;
-                    state.share = share;
-                }
-                None => {
-                    self.workers.insert(id, WorkerState::new(worker, share));
-                }
-            }
+            let known = self.workers.contains_key(&id);
+            let state = self
+                .workers
+                .entry(id)
+                .or_insert_with(|| WorkerState::new(worker.clone()));
+            state.worker = worker;
+            let others_may_run = known || deal.joining;
+            state.set_share(share, others_may_run.then_some(now_ms + SETTLE_MS));
         }
-        self.workers
-            .retain(|_, state| state.share > 0 || state.running > 0);
+        self.workers.retain(|_, state| !state.is_unused());
         self.recount(now_ms, run_log2);
     }
 
@@ -133,6 +164,17 @@
         self.slots as f64 * serving / open
     }
 
+    /// Workers that may take work, ejected ones included.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// A worker as seen here; `None` where no slot of it is used.
+    pub fn health(&self, now: Now, run_log2: f64, id: WorkerId) -> Option<WorkerHealth> {
+        let state = self.workers.get(&id)?;
+        Some(state.health.shown(now, run_log2, state.share))
+    }
+
     /// Placements out.
     pub fn running(&self) -> u64 {
         self.running
@@ -187,6 +229,12 @@
         Some(Arc::clone(&state.worker.address))
     }
 
+    /// The name of a worker.
+    pub fn name(&self, id: WorkerId) -> Option<Arc<str>> {
+        let state = self.workers.get(&id)?;
+        Some(Arc::clone(&state.worker.name))
+    }
+
     /// Takes a slot.
     pub fn start(&mut self, now_ms: u64, run_log2: f64, id: WorkerId) {
         if let Some(state) = self.workers.get_mut(&id) {
@@ -210,7 +258,7 @@
         self.failure_rate_sum += state.health.failure_rate - rate_before;
         self.ejected += usize::from(state.health.is_ejected());
         self.ejected -= usize::from(ejected_before);
-        if state.running == 0 && state.share == 0 {
+        if state.is_unused() {
             return self.vanish(id);
         }
         self.refresh(now_ms, run_log2, id);
@@ -252,7 +300,8 @@
         let Some(state) = self.workers.get_mut(&id) else {
             return;
         };
-        if let Some(due_ms) = state.health.wake(now_ms) {
+        let due_ms = [state.health.wake(now_ms), state.settled_at(now_ms)];
+        if let Some(due_ms) = due_ms.into_iter().flatten().min() {
             state.schedule(due_ms, id, &mut self.wakes);
         }
         let ready_as = state.ready_key(now_ms, run_log2, id);
@@ -268,19 +317,69 @@
 }
 
 impl WorkerState {
-    fn new(worker: Worker, share: u32) -> Self {
+    fn new(worker: Worker) -> Self {
         Self {
             worker,
-            share,
+            share: 0,
+            lent: 0,
+            borrowed: 0,
+            closed: 0,
+            settling: None,
             running: 0,
             health: Health::default(),
             ready_as: None,
         }
     }
 
+    /// Takes a new share; what it gains counts from `gains_at_ms` on.
+    fn set_share(&mut self, share: u32, gains_at_ms: Option<u64>) {
+        let usable = self.usable_share();
+        self.settling = match gains_at_ms {
+            Some(until_ms) if share > usable => Some(Settling {
+                share_before: usable,
+                until_ms: self.settling.map_or(until_ms, |settling| settling.until_ms),
+            }),
+            _ => None,
+        };
+        self.share = share;
+    }
+
+    /// When a larger share counts, if it does not yet.
+    fn settled_at(&mut self, now_ms: u64) -> Option<u64> {
+        let until_ms = self.settling?.until_ms;
+        if until_ms > now_ms {
+            return Some(until_ms);
+        }
+        self.settling = None;
+        None
+    }
+
+    /// Slots that may be used now.
+    fn usable_share(&self) -> u32 {
+        match self.settling {
+            Some(settling) => settling.share_before.min(self.share),
+            None => self.share,
+        }
+    }
+
     fn ready_key(&self, now_ms: u64, run_log2: f64, id: WorkerId) -> Option<ReadyKey> {
-        let free = self.running < self.health.slots(now_ms, self.share);
-        free.then(|| (self.health.reluctance(run_log2), self.running, id))
+        let free = self.running < self.health.slots(now_ms, self.usable());
+        free.then(|| {
+            let load = self.running + self.lent;
+            (self.health.reluctance(run_log2), load, id)
+        })
+    }
+
+    /// Slots on which tasks may start.
+    fn usable(&self) -> u32 {
+        match self.worker.leaving {
+            true => 0,
+            false => (self.usable_share() + self.borrowed).saturating_sub(self.lent + self.closed),
+        }
+    }
+
+    fn is_unused(&self) -> bool {
+        self.share + self.lent + self.borrowed + self.running == 0
     }
 
     fn schedule(
--- a/crates/fakes/src/load.rs
+++ b/crates/fakes/src/load.rs
@@ -11,7 +11,6 @@
 mod waste;
 
 use std::{
-    collections::VecDeque,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -27,8 +26,8 @@
 pub use direct::Policy;
 use law::Law;
 use plan::{JobPlan, Plan};
-use stats::Stats;
 pub use stats::{LoadReport, Summary};
+use stats::{RunTimes, Stats};
 use waste::Reading;
 pub use waste::Waste;
 
@@ -104,6 +103,8 @@
     pub seed: u64,
     /// Who makes the keys.
     pub key_kind: KeyKind,
+    /// Entries that mint the keys; those that take the jobs where empty.
+    pub mint_at: Vec<SocketAddr>,
     /// Path time that the ideal includes, in milliseconds.
     pub path_ms: f64,
     /// Most jobs in flight; those beyond are counted and not sent.
@@ -136,6 +137,7 @@
             ask_again_max: 0,
             seed: 1,
             key_kind: KeyKind::default(),
+            mint_at: Vec::new(),
             path_ms: 0.0,
             in_flight_max: 20_000,
             history: false,
@@ -180,7 +182,6 @@
     options: LoadOptions,
     client: Client,
     dispatchers: Vec<Dispatcher>,
-    keys: Mutex<VecDeque<String>>,
     stats: Mutex<Stats>,
     history: Mutex<Vec<HistoryEntry>>,
 }
@@ -194,7 +195,6 @@
             options: options.clone(),
             client: Client::default(),
             dispatchers,
-            keys: Mutex::default(),
             stats: Mutex::default(),
             history: Mutex::default(),
         }
@@ -204,10 +204,6 @@
         lock(&self.stats)
     }
 
-    fn take_key(&self) -> Option<String> {
-        lock(&self.keys).pop_front()
-    }
-
     fn entry(&self, number: usize) -> SocketAddr {
         self.options.entries[number % self.options.entries.len()]
     }
@@ -234,21 +230,22 @@
 pub async fn run(options: &LoadOptions) -> (LoadReport, Vec<HistoryEntry>) {
     let run = Arc::new(Run::new(options));
     let plan: Vec<_> = Plan::new(options).collect();
-    if options.key_kind == KeyKind::Minted {
-        let keys = entries::mint(&run, plan.len()).await;
-        lock(&run.keys).extend(keys);
-    }
     let before = run.reading().await;
+    let started = Instant::now();
     let mut jobs = send_all(&run, plan).await;
     let drained = timeout(options.drain(), async {
         while jobs.join_next().await.is_some() {}
     });
     let _ = drained.await;
+    let whole_s = started.elapsed().as_secs_f64();
     let cut_off = jobs.len() as u64;
     jobs.shutdown().await;
     let waste = run.reading().await.since(&before);
-    let run_s = Duration::from_millis(options.duration_ms).as_secs_f64();
-    let report = run.stats().report(run_s, cut_off, waste);
+    let times = RunTimes {
+        arrivals_s: Duration::from_millis(options.duration_ms).as_secs_f64(),
+        whole_s,
+    };
+    let report = run.stats().report(times, cut_off, waste);
     let history = std::mem::take(&mut *lock(&run.history));
     (report, history)
 }
--- a/tests/testsuite/caller_overhead.rs
+++ b/examples/caller_overhead.rs
@@ -1,5 +1,5 @@
 //! What a task costs beyond its call: a measurement, run by hand with
-//! `cargo test --release --test testsuite overhead -- --ignored --nocapture`.
+//! `cargo run --release --example caller_overhead`.
 //!
 //! Workers, instance and callers share one process and the machine's loopback.
 //! Each layer adds one part to the layer before it.
@@ -26,9 +26,9 @@
 use trefoil_schema::resources::{BackendServerSpec, BackendServerState, ServiceSpec, TeamSpec};
 use trefoil_schema::settings::{JobSettings, WorkerSettings};
 use trefoilbay::http::caller::{self, CallerContext};
-use trefoilbay::runtime::Runtime;
-use trefoilbay::runtime::clock::Clock;
 use trefoilbay::runtime::dispatch::{Dispatch, fingerprint};
+use trefoilbay::runtime::{Arrival, Runtime};
+use trefoilbay::util::clock::Clock;
 use trefoilbay::workers::{WorkerCall, WorkerClient};
 
 const DOMAIN: &str = "kingston-1";
@@ -205,7 +205,7 @@
 
 /// The decisions alone: each placement is done as soon as it is made.
 fn engine_alone(engine: &Engine, tasks: usize) {
-    let now = Clock::default().now();
+    let now = Clock::start().now();
     let mut out = Vec::new();
     engine.submit(now, submission(tasks), WaiterId(1), true, &mut out);
     while let Some(command) = out.pop() {
@@ -217,7 +217,9 @@
 }
 
 async fn submit(runtime: &Arc<Runtime>, tasks: usize) {
-    let answer = runtime.submit(submission(tasks), true, None).await;
+    let answer = runtime
+        .submit(submission(tasks), true, Arrival::default())
+        .await;
     let complete =
         matches!(&answer, JobAnswer::Known { state, .. } if *state == JobState::Complete);
     assert!(complete, "{answer:?}");
@@ -260,9 +262,8 @@
         .unwrap()
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-#[ignore = "a measurement, not a check"]
-async fn overhead_of_a_task() {
+#[tokio::main(flavor = "multi_thread", worker_threads = 4)]
+async fn main() {
     let mut workers = Vec::new();
     for _ in 0..WORKERS {
         workers.push(worker().await);
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -1,6 +1,7 @@
 //! Requests and news from other instances.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use tokio::sync::mpsc;
 use trefoil_core::engine::JobAnswer;
@@ -12,6 +13,8 @@
 
 use super::{Peers, convert, forward};
 use crate::links::Incoming;
+use crate::runtime::Arrival;
+use crate::util::telemetry::trace::{Hop, note_answer};
 
 /// When an entry should ask again that came to the wrong owner.
 const WRONG_OWNER_RETRY_MS: u64 = 250;
@@ -40,7 +43,9 @@
             }
             Body::JobAnswer(answer) => {
                 // An answer to a request that is closed is late or doubled.
-                self.pending.answer(answer);
+                if !self.pending.answer(answer) {
+                    self.counters.count_stale_answer();
+                }
             }
             Body::KeyHandover(part) => self.take_part(from, part),
             Body::KeyHandoverAck(ack) => self.take_ack(from, ack),
@@ -63,6 +68,8 @@
                 }
                 self.tell(from, Body::Heartbeat(heartbeat));
             }
+            Body::SlotRequest(request) => self.serve_slot_request(from, request),
+            Body::SlotGrant(grant) => self.take_slot_grant(from, grant),
             other => self.tell(from, other),
         }
     }
@@ -84,33 +91,47 @@
         let in_flight = self.context.stop.track();
         tokio::spawn(async move {
             let (request_id, key) = (job.request_id, job.key.clone());
-            let answer = peers.run_job(job).await;
+            let answer = peers.run_job(&from, job).await;
             peers.reply_answer(&from, request_id, &key, &answer);
             drop(in_flight);
         });
     }
 
-    async fn run_job(self: &Arc<Self>, job: ForwardJob) -> JobAnswer {
+    /// Runs a job, within a span below the one of the instance that sent it.
+    async fn run_job(self: &Arc<Self>, from: &InstanceRef, job: ForwardJob) -> JobAnswer {
+        let whole_at = Some(Instant::now());
+        let header = job.traceparent.as_str();
+        let given = (!header.is_empty()).then(|| Arc::<str>::from(header));
+        let mut span = self.context.runtime.span(Hop::PeerServed, given.as_deref());
+        if span.is_taken() {
+            span.set("peer", from.name.clone());
+        }
+        let arrival = Arrival {
+            traceparent: span.header(given),
+            whole_at,
+        };
+        let answer = self.admit_job(job, arrival).await;
+        note_answer(&mut span, &answer);
+        answer
+    }
+
+    async fn admit_job(self: &Arc<Self>, job: ForwardJob, arrival: Arrival) -> JobAnswer {
         let wait = job.wait;
-        let traceparent =
-            (!job.traceparent.is_empty()).then(|| Arc::from(job.traceparent.as_str()));
         let Ok(submission) = convert::submission(job) else {
             return JobAnswer::Refused(forward::unknown_owner(0));
         };
         match self.route(&submission.key) {
-            Route::Here => {
-                self.context
-                    .runtime
-                    .submit(submission, wait, traceparent)
-                    .await
-            }
+            Route::Here => self.context.runtime.submit(submission, wait, arrival).await,
             Route::OwnerLost => {
                 let fingerprint = Some(submission.fingerprint);
                 self.recall_here(&submission.key, fingerprint).await
             }
             // Not handed on: two instances that disagree must not play it back
             // and forth.
-            Route::Peer(_) => JobAnswer::Refused(forward::unknown_owner(WRONG_OWNER_RETRY_MS)),
+            Route::Peer(_) => {
+                self.counters.count_misrouted();
+                JobAnswer::Refused(forward::unknown_owner(WRONG_OWNER_RETRY_MS))
+            }
             Route::Unknown { retry_after_ms } => {
                 JobAnswer::Refused(forward::unknown_owner(retry_after_ms))
             }
--- a/src/runtime/dispatch.rs
+++ b/src/runtime/dispatch.rs
@@ -1,14 +1,17 @@
 //! Where callers' requests enter, and which instance they go to.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use trefoil_core::config::ConfigSnapshot;
 use trefoil_core::engine::{JobAnswer, Submission, Task};
 use trefoil_core::key::JobKey;
+use trefoil_core::membership::Route;
 use xxhash_rust::xxh3::Xxh3;
 
-use super::Runtime;
+use super::{Arrival, Runtime};
 use crate::peers::Peers;
+use crate::util::telemetry::trace::{Hop, HopSpan};
 
 /// Takes callers' requests to the instance that owns their key.
 #[derive(Clone)]
@@ -35,16 +38,17 @@
     }
 
     /// Submits a job; with `wait` the answer comes when the job is final.
-    pub async fn submit(
-        &self,
-        submission: Submission,
-        wait: bool,
-        traceparent: Option<Arc<str>>,
-    ) -> JobAnswer {
-        match &self.peers {
-            Some(peers) => peers.submit(submission, wait, traceparent).await,
-            None => self.runtime.submit(submission, wait, traceparent).await,
-        }
+    pub async fn submit(&self, submission: Submission, wait: bool, arrival: Arrival) -> JobAnswer {
+        let started = Instant::now();
+        let service = Arc::clone(&submission.service);
+        let answer = match &self.peers {
+            Some(peers) => peers.submit(submission, wait, arrival).await,
+            None => self.runtime.submit(submission, wait, arrival).await,
+        };
+        let windows = self.runtime.service_windows();
+        let mono_ms = self.runtime.now().mono_ms;
+        windows.record(mono_ms, &service, started.elapsed(), &answer);
+        answer
     }
 
     /// Tells a job's state, or its end if it comes within `wait_ms`.
@@ -63,6 +67,19 @@
         }
     }
 
+    /// A span for one hop of a request here.
+    pub fn span(&self, hop: Hop, header: Option<&str>) -> HopSpan {
+        self.runtime.span(hop, header)
+    }
+
+    /// Whether a job under `key` would find its owner now.
+    pub fn is_owned(&self, key: &JobKey) -> bool {
+        let Some(peers) = &self.peers else {
+            return true;
+        };
+        matches!(peers.route(key), Route::Here | Route::Peer(_))
+    }
+
     /// The declarations in force here.
     pub fn config(&self) -> Arc<ConfigSnapshot> {
         self.runtime.config()
--- a/tests/testsuite/leaving.rs
+++ b/tests/testsuite/leaving.rs
@@ -27,7 +27,7 @@
 async fn ended_jobs(deployment: &Deployment, owner: usize, count: usize) -> Vec<Job> {
     let mut jobs = Vec::new();
     for number in 0..count {
-        let key = deployment.key_owned_by(owner, number % 2 == 0).await;
+        let key = deployment.key_owned_by(owner, number % 2 == 0);
         let job = deployment.world.job(&key, 3, 10);
         let entry = number % deployment.instances.len();
         assert!(deployment.world.submit_until_final(entry, &job).await);
@@ -108,7 +108,7 @@
         deployment.list_instances().await;
         deployment.until_served().await;
     }
-    let complete = callers.finish().await;
+    let complete = callers.finish().await.complete;
     drop(balancer);
     // The memory of the first has passed through two more hands by now.
     assert_remembered(&resubmitted(&deployment, &ended, &everyone).await);
@@ -138,7 +138,7 @@
         deployment.world.requests().len() > 300
     })
     .await;
-    assert!(callers.finish().await > 20);
+    assert!(callers.finish().await.complete > 20);
     deployment.verdict();
     assert_none_cut_off(&deployment);
 }
@@ -148,7 +148,7 @@
     let mut deployment = Deployment::start(Size::default()).await;
     let world = Arc::clone(&deployment.world);
     let ended = ended_jobs(&deployment, LEAVER, 1).await;
-    let key = deployment.key_owned_by(LEAVER, true).await;
+    let key = deployment.key_owned_by(LEAVER, true);
     let unsent = world.job(&key, 2, 10);
     // Keys issued from now on may belong to the next view.
     deployment.until_served_at(&[0]).await;
@@ -195,7 +195,7 @@
     });
     deployment.until_served_at(&[0, 2]).await;
     assert_remembered(&resubmitted(&deployment, &jobs, &[0, 2]).await);
-    assert!(callers.finish().await > 20);
+    assert!(callers.finish().await.complete > 20);
     deployment.verdict();
     assert_none_cut_off(&deployment);
 }
@@ -225,7 +225,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_second_signal_ends_at_once_and_says_so() {
     let mut deployment = Deployment::start(Size::default()).await;
-    let key = deployment.key_owned_by(LEAVER, true).await;
+    let key = deployment.key_owned_by(LEAVER, true);
     let job = deployment.world.job(&key, 2, 2_000);
     let world = Arc::clone(&deployment.world);
     let in_flight = {
--- a/tests/testsuite/leaving_figures.rs
+++ b/tests/testsuite/leaving_figures.rs
@@ -32,7 +32,7 @@
         deployment.list_instances().await;
         deployment.until_served().await;
     }
-    let complete = callers.finish().await;
+    let complete = callers.finish().await.complete;
     let tally = deployment.verdict();
     let requests = &deployment.world.requests()[warm..];
     let keys: BTreeSet<&str> = requests.iter().map(|entry| entry.key.as_str()).collect();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,19 +1,21 @@
 //! End-to-end tests by feature, each a small project of real processes.
 
 mod caller;
-mod caller_overhead;
+mod conditions;
 mod ctl;
 mod ctl_operator;
 mod ctl_rollout;
 mod daemon;
 mod faults_domain;
 mod faults_owner;
+mod faults_stop;
 mod faults_store;
 mod faults_work;
 mod leaving;
 mod leaving_figures;
 mod leaving_servers;
 mod links;
+mod metrics;
 mod operator;
 mod operator_feed;
 mod operator_sources;
@@ -21,4 +23,5 @@
 mod support;
 mod telemetry;
 mod telemetry_hops;
+mod telemetry_peers;
 mod workers;
--- a/tests/testsuite/support/callers.rs
+++ b/tests/testsuite/support/callers.rs
@@ -31,11 +31,12 @@
 const LOST: &str = "lost";
 const NOT_RUN: &str = "not_run";
 /// Refusals after which the same key is never served.
-const FINAL_REASONS: [&str; 7] = [
+const FINAL_REASONS: [&str; 8] = [
     "owner_lost",
     "cancelled",
     "key_expired",
     "task_failed",
+    "task_lost",
     "deadline",
     "key_reused",
     "result_dropped",
@@ -109,6 +110,20 @@
         }
     }
 
+    /// Sends new requests of callers to other entries than this one.
+    pub fn leave_out(&self, entry: Option<usize>) {
+        *self.left_out.lock().unwrap() = entry.into_iter().collect();
+    }
+
+    /// The entry `turn` after `entry`, or the next that is not left out.
+    fn entry_after(&self, entry: usize, turn: usize) -> usize {
+        let left_out = self.left_out.lock().unwrap();
+        let count = self.entries.len();
+        let mut entries = (0..count).map(|more| (entry + turn + more) % count);
+        let kept = entries.find(|entry| !left_out.contains(entry));
+        kept.unwrap_or((entry + turn) % count)
+    }
+
     /// A job of `tasks` tasks that run `run_ms` each.
     pub fn job(&self, key: &str, tasks: usize, run_ms: u64) -> Job {
         self.marked_job(key, "#", tasks, run_ms)
@@ -135,16 +150,6 @@
         }
     }
 
-    /// The entry that is `turn` after `entry`, or the next one after that which
-    /// the balancer, if there is one, does not leave out.
-    fn turned(&self, entry: usize, turn: usize) -> usize {
-        let left_out = self.left_out.lock().unwrap();
-        let count = self.entries.len();
-        let mut entries = (0..count).map(|more| (entry + turn + more) % count);
-        let kept = entries.find(|entry| !left_out.contains(entry));
-        kept.unwrap_or((entry + turn) % count)
-    }
-
     /// A key that `entry` mints, or a UUID of version 7 of the caller's own.
     pub async fn fresh_key(&self, entry: usize, minted: bool) -> Option<String> {
         if !minted {
@@ -230,7 +235,7 @@
     pub async fn submit_until_final(&self, entry: usize, job: &Job) -> bool {
         let begun = Instant::now();
         for turn in 0.. {
-            let answer = self.submit(self.turned(entry, turn), job).await;
+            let answer = self.submit(self.entry_after(entry, turn), job).await;
             if answer["state"] == "complete" {
                 return true;
             }
@@ -247,7 +252,7 @@
     pub async fn resubmit_through_others(&self, entry: usize, job: &Job) -> Vec<Value> {
         let mut answers = Vec::new();
         for turn in 1..self.entries.len() {
-            answers.push(self.submit(self.turned(entry, turn), job).await);
+            answers.push(self.submit(self.entry_after(entry, turn), job).await);
         }
         answers
     }
@@ -258,6 +263,23 @@
         recorded.iter().map(|item| item.entry.clone()).collect()
     }
 
+    /// What each job that never completed was told, in order, for people.
+    pub fn incomplete(&self) -> Vec<String> {
+        let mut told: BTreeMap<String, Vec<String>> = BTreeMap::new();
+        for entry in self.requests() {
+            let word = format!(
+                "{} at {}: {} {} {}",
+                entry.sent_ms, entry.entry, entry.status, entry.reason, entry.state
+            );
+            told.entry(entry.key).or_default().push(word);
+        }
+        let complete = |words: &Vec<String>| words.iter().any(|word| word.ends_with("complete"));
+        told.retain(|_, words| !complete(words));
+        told.into_iter()
+            .map(|(key, words)| format!("{key}: {words:#?}"))
+            .collect()
+    }
+
     /// Keys with starts all of whose submissions were told that they
     /// themselves had started nothing.
     pub fn false_request_verdicts(&self, starts: &[Start]) -> Vec<String> {
@@ -322,7 +344,14 @@
 /// word and then once more through every other instance.
 pub struct Callers {
     stop: Arc<AtomicBool>,
-    task: JoinHandle<usize>,
+    task: JoinHandle<Ends>,
+}
+
+/// How the jobs of callers ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Ends {
+    pub jobs: usize,
+    pub complete: usize,
 }
 
 impl Callers {
@@ -338,9 +367,8 @@
         Self { stop, task }
     }
 
-    /// Starts no more jobs and waits for the last word on each; how many
-    /// completed.
-    pub async fn finish(self) -> usize {
+    /// Starts no more jobs and waits for the last word on each.
+    pub async fn finish(self) -> Ends {
         self.stop.store(true, Relaxed);
         self.task.await.unwrap()
     }
@@ -351,17 +379,16 @@
     entries: Vec<usize>,
     period: Duration,
     stop: Arc<AtomicBool>,
-) -> usize {
+) -> Ends {
     let mut jobs = JoinSet::new();
     for number in 0_usize.. {
         if stop.load(Relaxed) {
             break;
         }
-        let entry = entries[number % entries.len()];
         let world = Arc::clone(&world);
+        let entry = world.entry_after(entries[number % entries.len()], 0);
         let minted = (number / entries.len()).is_multiple_of(2);
         jobs.spawn(async move {
-            let entry = world.turned(entry, 0);
             let Some(key) = world.fresh_key(entry, minted).await else {
                 return false;
             };
@@ -373,7 +400,10 @@
         sleep(period).await;
     }
     let ends = jobs.join_all().await;
-    ends.into_iter().filter(|complete| *complete).count()
+    Ends {
+        jobs: ends.len(),
+        complete: ends.into_iter().filter(|complete| *complete).count(),
+    }
 }
 
 /// Answers counted by state or reason, to show that a fault was felt.
--- a/tests/testsuite/support/deployment.rs
+++ b/tests/testsuite/support/deployment.rs
@@ -55,7 +55,8 @@
             domains: 1,
             instances_per_domain: 3,
             workers_per_domain: 4,
-            announce_ms: 200,
+            // Beyond `vouch_ahead_ms`, as by default, so that keys are handed over.
+            announce_ms: 700,
         }
     }
 }
@@ -146,7 +147,8 @@
         }
     }
 
-    fn backend_server(&self, domain: usize, index: usize) -> Value {
+    /// The declaration of a worker.
+    pub fn backend_server(&self, domain: usize, index: usize) -> Value {
         let name = DOMAINS[domain];
         let address = self.workers[domain].addresses[index].to_string();
         json!({
@@ -165,6 +167,16 @@
 
     /// Declares a resource that does not exist; the status answered.
     pub async fn try_put(&self, entry: usize, resource: &Value) -> u16 {
+        self.declare_if(entry, resource, true).await
+    }
+
+    /// Declares a resource anew, whatever it was.
+    pub async fn redeclare(&self, entry: usize, resource: &Value) {
+        let status = self.declare_if(entry, resource, false).await;
+        assert_eq!(status, 200, "{resource}");
+    }
+
+    async fn declare_if(&self, entry: usize, resource: &Value, absent: bool) -> u16 {
         let kind = match resource["kind"].as_str().unwrap() {
             "team" => "teams",
             "service" => "services",
@@ -173,8 +185,10 @@
         let path = format!("/v1/{kind}/{}", resource["name"].as_str().unwrap());
         let address = self.world.entries[entry];
         let mut request = request(Method::PUT, address, &path, resource.to_string());
-        let any = HeaderValue::from_static("*");
-        request.headers_mut().insert(IF_NONE_MATCH, any);
+        if absent {
+            let any = HeaderValue::from_static("*");
+            request.headers_mut().insert(IF_NONE_MATCH, any);
+        }
         let reply = self.world.client.send(request).await;
         reply.map_or(0, |reply| reply.status.as_u16())
     }
@@ -228,6 +242,28 @@
         reply.is_ok_and(|reply| reply.status.is_success())
     }
 
+    /// Waits until one revision, `floor` or a later one, is in force at all
+    /// running instances; it.
+    pub async fn settled_revision(&self, floor: u64) -> u64 {
+        let revisions = async || {
+            let mut revisions = Vec::new();
+            for (entry, instance) in self.instances.iter().enumerate() {
+                if instance.is_running() {
+                    let status = self.status(entry).await.unwrap_or_default();
+                    revisions.push(status["config_revision"].as_u64().unwrap_or(0));
+                }
+            }
+            revisions
+        };
+        until("one revision is in force everywhere", async || {
+            let revisions = revisions().await;
+            let newest = revisions[0];
+            newest >= floor && revisions.iter().all(|revision| *revision == newest)
+        })
+        .await;
+        revisions().await[0]
+    }
+
     /// Waits until every running instance is ready and serves fresh keys of
     /// every home, time and again.
     pub async fn until_served(&self) {
@@ -274,11 +310,16 @@
         }
     }
 
-    /// Holds back what one failure domain sends to an instance of another.
-    pub fn cut_link(&self, from_domain: usize, to: usize, state: LinkState) {
-        let mut links = self.links.iter();
-        let link = links.find(|link| link.from_domain == from_domain && link.to == to);
-        link.unwrap().relay.set(state);
+    /// How many instances of another failure domain an instance calls silent.
+    pub async fn silent_elsewhere(&self, entry: usize) -> usize {
+        let domain = &self.instances[entry].options.domain;
+        let status = self.status(entry).await.unwrap_or_default();
+        let instances = status["instances"].as_array().cloned();
+        let instances = instances.unwrap_or_default().into_iter();
+        let silent = instances.filter(|other| other["state"] == "silent");
+        silent
+            .filter(|other| other["failure_domain"] != **domain)
+            .count()
     }
 
     pub fn order_platform(&self, order: &FaultOrder) {
@@ -305,7 +346,7 @@
     }
 
     /// A fresh key that `owner` owns while its whole failure domain serves.
-    pub async fn key_owned_by(&self, owner: usize, minted: bool) -> String {
+    pub fn key_owned_by(&self, owner: usize, minted: bool) -> String {
         let domain = owner / self.size.instances_per_domain;
         let name = &self.instances[owner].options.name;
         self.world
@@ -317,7 +358,7 @@
         starts.flatten().collect()
     }
 
-    /// Ends the faults, then holds all that callers got against all starts.
+    /// Holds all that callers got against all starts.
     ///
     /// # Panics
     ///
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -4,3 +4,4 @@
 pub mod callers;
 pub mod deployment;
 pub mod instance;
+pub mod pair;
