--- a/crates/core/src/membership/talk.rs
+++ b/crates/core/src/membership/talk.rs
@@ -206,9 +206,10 @@
 
     /// One that leaves still has jobs to finish, and keys of its own to admit
     /// until they are handed over: it keeps its part of the workers until it
-    /// is heard no more.
+    /// says that it ends, or is heard no more.
     fn report_members(&mut self, commands: &mut Vec<Command>) {
         let mut members = self.heard_peers();
+        members.retain(|member| !self.roster.has_left(member));
         members.push(self.me.clone());
         members.sort();
         if members != self.last_members {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod faults_work;
 mod health;
 mod leaving;
+mod leaving_figures;
 mod leaving_servers;
 mod links;
 mod metrics;
--- a/tests/testsuite/support/callers.rs
+++ b/tests/testsuite/support/callers.rs
@@ -62,9 +62,41 @@
     pub entries: Vec<SocketAddr>,
     pub client: Client,
     domains: Vec<String>,
-    /// Entry that callers are told to leave out, as a balancer does.
-    left_out: Mutex<Option<usize>>,
     recorded: Mutex<Vec<Recorded>>,
+    /// Entries that a balancer leaves out; none without one.
+    left_out: Mutex<BTreeSet<usize>>,
+}
+
+/// Leaves out entries that are not ready, as the users' balancer does, until
+/// dropped.
+pub struct Balancer(JoinHandle<()>);
+
+impl Balancer {
+    pub fn start(world: &Arc<World>) -> Self {
+        Self(tokio::spawn(balance(Arc::clone(world))))
+    }
+}
+
+impl Drop for Balancer {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Reads readiness over connections of its own, one a look.
+async fn balance(world: Arc<World>) {
+    loop {
+        for (entry, address) in world.entries.iter().enumerate() {
+            let reply = Client::default().get(*address, "/readyz").await;
+            let ready = reply.is_ok_and(|reply| reply.status.is_success());
+            let mut left_out = world.left_out.lock().unwrap();
+            match ready {
+                true => left_out.remove(&entry),
+                false => left_out.insert(entry),
+            };
+        }
+        sleep(PAUSE).await;
+    }
 }
 
 impl World {
@@ -73,23 +105,23 @@
             entries,
             client: Client::default(),
             domains: domains.into_iter().map(str::to_owned).collect(),
-            left_out: Mutex::default(),
             recorded: Mutex::default(),
+            left_out: Mutex::default(),
         }
     }
 
     /// Sends new requests of callers to other entries than this one.
     pub fn leave_out(&self, entry: Option<usize>) {
-        *self.left_out.lock().unwrap() = entry;
+        *self.left_out.lock().unwrap() = entry.into_iter().collect();
     }
 
     /// The entry `turn` after `entry`, or the next that is not left out.
     fn entry_after(&self, entry: usize, turn: usize) -> usize {
-        let chosen = (entry + turn) % self.entries.len();
-        match *self.left_out.lock().unwrap() {
-            Some(left_out) if left_out == chosen => (chosen + 1) % self.entries.len(),
-            _ => chosen,
-        }
+        let left_out = self.left_out.lock().unwrap();
+        let count = self.entries.len();
+        let mut entries = (0..count).map(|more| (entry + turn + more) % count);
+        let kept = entries.find(|entry| !left_out.contains(entry));
+        kept.unwrap_or((entry + turn) % count)
     }
 
     /// A job of `tasks` tasks that run `run_ms` each.
