--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,12 +1,14 @@
 //! End-to-end tests by feature, each a small project of real processes.
 
 mod caller;
+mod conditions;
 mod ctl;
 mod ctl_operator;
 mod ctl_rollout;
 mod daemon;
 mod faults_domain;
 mod faults_owner;
+mod faults_stop;
 mod faults_store;
 mod faults_work;
 mod leaving;
