--- a/src/peers/forward.rs
+++ b/src/peers/forward.rs
@@ -116,6 +116,7 @@
         {
             return refused(owner_unreachable(owner));
         }
+        let mut sent_again = false;
         let mut checks = 0;
         let mut reask_at = FIRST_REASK_CHECKS;
         loop {
@@ -123,8 +124,12 @@
             if let Ok(Some(message)) = answer {
                 let answer = convert::answer(message);
                 if !(ask.is_submission() && is_unknown_job(&answer)) {
-                    return answer;
+                    return match sent_again {
+                        true => judged_late(owner, answer),
+                        false => answer,
+                    };
                 }
+                sent_again = true;
                 self.counters.count_reasked();
                 let _ = self.send_ask(owner, ask.body(request.id(), key, started));
                 continue;
@@ -217,6 +222,25 @@
     }
 }
 
+/// The owner's answer to a submission that reached it late: one that is
+/// impossible in the time that was left is not impossible in its own time.
+fn judged_late(owner: &Member, answer: JobAnswer) -> JobAnswer {
+    match answer {
+        JobAnswer::Refused(refusal) if refusal.reason == RefusalReason::Impossible => {
+            refused(Refusal {
+                reason: RefusalReason::OwnerUnreachable,
+                detail: format!(
+                    "the key's owner {} was reached too late for the job's time; come back",
+                    owner.name
+                ),
+                verdict: refusal.verdict,
+                retry_after_ms: UNREACHABLE_RETRY_MS,
+            })
+        }
+        other => other,
+    }
+}
+
 /// A request that reached `owner` may have started something there, unless
 /// its successor knows more.
 fn unless_lost(answer: JobAnswer, owner: &Member) -> JobAnswer {
--- a/src/server/parts.rs
+++ b/src/server/parts.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 use trefoil_core::drain::DrainState;
-use trefoil_core::engine::{Engine, EngineSettings};
+use trefoil_core::engine::{Engine, EngineSettings, RefusalReason};
 use trefoil_core::verdict::Verdict;
 
 use super::conditions::Conditions;
@@ -149,7 +149,7 @@
     let detail = "this instance is leaving; ask another with the same key";
     Problem::new(
         StatusCode::SERVICE_UNAVAILABLE,
-        "leaving",
+        &RefusalReason::Leaving.to_string(),
         detail,
         Verdict::MayHaveRun,
     )
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! End-to-end tests by feature, each a small project of real processes.
 
+mod api_page;
 mod caller;
 mod conditions;
 mod ctl;
@@ -11,6 +12,7 @@
 mod faults_stop;
 mod faults_store;
 mod faults_work;
+mod health;
 mod leaving;
 mod leaving_figures;
 mod leaving_servers;
@@ -19,6 +21,7 @@
 mod operator;
 mod operator_feed;
 mod operator_sources;
+mod schemas;
 mod settings;
 mod support;
 mod telemetry;
