--- a/src/peers/forward.rs
+++ b/src/peers/forward.rs
@@ -17,6 +17,7 @@
 use super::{Peers, convert};
 use crate::links::LinkError;
 use crate::runtime::Arrival;
+use crate::util::clock::whole_ms;
 use crate::util::telemetry::trace::{Hop, note_answer};
 
 /// Period of checks whether the owner is still there.
@@ -181,7 +182,7 @@
                 traceparent,
             } => {
                 let mut job = convert::forward_job(request_id, submission, *wait, traceparent);
-                let elapsed_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+                let elapsed_ms = whole_ms(started.elapsed());
                 job.timeout_ms = job.timeout_ms.saturating_sub(elapsed_ms);
                 Body::ForwardJob(job)
             }
--- a/src/util/clock.rs
+++ b/src/util/clock.rs
@@ -37,6 +37,7 @@
     }
 }
 
-fn whole_ms(time: Duration) -> u64 {
+/// Whole milliseconds of a duration; the largest number where there are more.
+pub fn whole_ms(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
