--- /dev/null
+++ b/crates/core/src/dispatch/entry.rs
@@ -0,0 +1,406 @@
+//! Callers' jobs at the instance that they reached.
+//!
+//! An entry keeps a job until it has an answer, delegates it to one owner at a
+//! time, and delegates it anew when that owner is lost: at once to the next
+//! owner of the same workers, which sees what runs there, and to any other
+//! owner only after nothing of it can run any more.
+
+use std::collections::{BTreeMap, HashMap};
+
+use trefoil_schema::dispatch::{Job as JobSpec, Load, Outcome};
+
+use super::limits::{DELEGATED_GAP_MS, RETRY_AFTER_MS, UNPLACED_MAX_MS};
+
+/// One caller's request.
+pub type Ticket = u64;
+
+/// Extra wait, milliseconds, that an owner in another failure domain must save:
+/// two crossings and one more heartbeat's age.
+const REMOTE_COST_MS: f64 = 15.0;
+
+/// What an entry's shell must do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Hand a job to an owner.
+    Delegate {
+        /// Name of the owner.
+        owner: String,
+        /// The job; its age counts from the caller's request.
+        spec: JobSpec,
+        /// Until then runs of an earlier owner may go on.
+        unsafe_for_ms: u64,
+        /// Failure domain of that owner.
+        unsafe_domain: String,
+    },
+    /// Tell an owner that nobody awaits a job any more.
+    Cancel {
+        /// Name of the owner.
+        owner: String,
+        /// The job.
+        job_id: String,
+    },
+    /// Answer a caller.
+    Answer {
+        /// The request.
+        ticket: Ticket,
+        /// The answer.
+        answer: Answer,
+    },
+}
+
+/// What a caller is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// All tasks are done.
+    Completed,
+    /// A task failed as often as it may.
+    Failed,
+    /// Nothing ran, and nothing will.
+    NotRun {
+        /// When to come back.
+        retry_after_ms: u64,
+        /// Why, for people.
+        reason: &'static str,
+    },
+    /// Something may have run; all that did is stopped.
+    MayHaveRun {
+        /// Why, for people.
+        reason: &'static str,
+    },
+    /// The id belongs to a different job that is being run.
+    OtherJob,
+}
+
+/// An owner, as this entry sees it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct OwnerView {
+    /// Failure domain that it owns.
+    pub failure_domain: String,
+    /// Its load, when last heard.
+    pub load: Load,
+    /// Work that this entry delegated since, thousandths of a core times
+    /// milliseconds.
+    pub since_millicore_ms: u64,
+}
+
+impl OwnerView {
+    fn wait_ms(&self, home: &str) -> f64 {
+        let work = self.load.backlog_millicore_ms + self.since_millicore_ms;
+        let wait_ms = work as f64 / self.load.capacity_millicores.max(1) as f64;
+        match self.failure_domain == home {
+            true => wait_ms,
+            false => wait_ms + REMOTE_COST_MS,
+        }
+    }
+}
+
+/// Where a job is.
+#[derive(Clone, Debug, PartialEq)]
+enum Place {
+    /// Here, for an owner to be found.
+    Waiting,
+    /// At this owner.
+    Delegated(String),
+}
+
+#[derive(Clone, Debug)]
+struct EntryJob {
+    spec: JobSpec,
+    waiters: Vec<Ticket>,
+    arrived_ms: u64,
+    deadline_ms: u64,
+    place: Place,
+    waiting_since_ms: u64,
+    unsafe_until_ms: u64,
+    unsafe_domain: String,
+    /// Whether an owner was lost that may have started it.
+    may_have_run: bool,
+}
+
+/// The jobs that callers of this instance await.
+#[derive(Debug, Default)]
+pub struct Entry {
+    home: String,
+    jobs: HashMap<String, EntryJob>,
+    tickets: HashMap<Ticket, String>,
+    owners: BTreeMap<String, OwnerView>,
+}
+
+impl Entry {
+    /// An entry in a failure domain.
+    pub fn new(home: &str) -> Self {
+        Self {
+            home: home.to_owned(),
+            ..Self::default()
+        }
+    }
+
+    /// Takes in a caller's job.
+    pub fn submit(
+        &mut self,
+        now_ms: u64,
+        ticket: Ticket,
+        spec: JobSpec,
+        deadline_ms: u64,
+        out: &mut Vec<Command>,
+    ) {
+        let id = spec.id.clone();
+        if let Some(job) = self.jobs.get_mut(&id) {
+            if job.spec != spec {
+                let answer = Answer::OtherJob;
+                return out.push(Command::Answer { ticket, answer });
+            }
+            job.waiters.push(ticket);
+            self.tickets.insert(ticket, id);
+            return;
+        }
+        let job = EntryJob {
+            spec,
+            waiters: vec![ticket],
+            arrived_ms: now_ms,
+            deadline_ms,
+            place: Place::Waiting,
+            waiting_since_ms: now_ms,
+            unsafe_until_ms: now_ms,
+            unsafe_domain: String::new(),
+            may_have_run: false,
+        };
+        self.tickets.insert(ticket, id.clone());
+        self.jobs.insert(id.clone(), job);
+        self.place(now_ms, &id, out);
+    }
+
+    /// A caller no longer waits; without any waiter the job is cancelled.
+    pub fn caller_left(&mut self, ticket: Ticket, out: &mut Vec<Command>) {
+        let Some(id) = self.tickets.remove(&ticket) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.waiters.retain(|&waiter| waiter != ticket);
+        if job.waiters.is_empty() {
+            self.drop_job(&id, out);
+        }
+    }
+
+    fn drop_job(&mut self, id: &str, out: &mut Vec<Command>) {
+        let Some(job) = self.jobs.remove(id) else {
+            return;
+        };
+        if let Place::Delegated(owner) = job.place {
+            let job_id = id.to_owned();
+            out.push(Command::Cancel { owner, job_id });
+        }
+    }
+
+    /// Takes in how an owner says that a job ended.
+    pub fn ended(
+        &mut self,
+        now_ms: u64,
+        owner: &str,
+        id: &str,
+        outcome: Outcome,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.place != Place::Delegated(owner.to_owned()) {
+            return;
+        }
+        match outcome {
+            Outcome::Completed => self.answer(id, Answer::Completed, out),
+            Outcome::Failed => self.answer(id, Answer::Failed, out),
+            Outcome::NotRun => {
+                let reason = "no worker can run it";
+                let retry_after_ms = RETRY_AFTER_MS;
+                let answer = Answer::NotRun {
+                    retry_after_ms,
+                    reason,
+                };
+                self.answer(id, answer, out);
+            }
+            Outcome::Returned | Outcome::Lost | Outcome::Unspecified => {
+                if let Some(view) = self.owners.get_mut(owner) {
+                    view.load.serving = false;
+                }
+                self.take_back(now_ms, id, outcome != Outcome::Returned);
+                self.place(now_ms, id, out);
+            }
+        }
+    }
+
+    fn take_back(&mut self, now_ms: u64, id: &str, may_run: bool) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Place::Delegated(owner) = std::mem::replace(&mut job.place, Place::Waiting) else {
+            return;
+        };
+        job.waiting_since_ms = now_ms;
+        if may_run {
+            job.may_have_run = true;
+            job.unsafe_until_ms = now_ms + DELEGATED_GAP_MS;
+            let view = self.owners.get(&owner);
+            job.unsafe_domain = view.map(|view| view.failure_domain.clone()).unwrap_or_default();
+        }
+    }
+
+    /// Takes in what an owner tells of its load.
+    pub fn owner_seen(
+        &mut self,
+        now_ms: u64,
+        owner: &str,
+        failure_domain: &str,
+        load: Load,
+        out: &mut Vec<Command>,
+    ) {
+        let served = self.owners.get(owner).is_some_and(|view| view.load.serving);
+        let view = OwnerView {
+            failure_domain: failure_domain.to_owned(),
+            load,
+            since_millicore_ms: 0,
+        };
+        self.owners.insert(owner.to_owned(), view);
+        if load.serving && !served {
+            self.place_waiting(now_ms, out);
+        }
+    }
+
+    /// The link to an owner is gone, or it owns nothing any more.
+    pub fn owner_lost(&mut self, now_ms: u64, owner: &str, out: &mut Vec<Command>) {
+        let place = Place::Delegated(owner.to_owned());
+        let delegated = self.jobs.iter().filter(|(_, job)| job.place == place);
+        let ids: Vec<String> = delegated.map(|(id, _)| id.clone()).collect();
+        for id in &ids {
+            self.take_back(now_ms, id, true);
+        }
+        self.owners.remove(owner);
+        for id in &ids {
+            self.place(now_ms, id, out);
+        }
+    }
+
+    /// Passes time: jobs that became safe, jobs whose time is over.
+    pub fn tick(&mut self, now_ms: u64, out: &mut Vec<Command>) {
+        self.place_waiting(now_ms, out);
+        let expired = |job: &EntryJob| {
+            let unplaced = job.place == Place::Waiting
+                && now_ms >= job.waiting_since_ms + UNPLACED_MAX_MS
+                && now_ms >= job.unsafe_until_ms;
+            now_ms >= job.deadline_ms || unplaced
+        };
+        let ids: Vec<String> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| expired(job))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ids {
+            self.give_up(&id, out);
+        }
+    }
+
+    fn give_up(&mut self, id: &str, out: &mut Vec<Command>) {
+        let job = &self.jobs[id];
+        let answer = match &job.place {
+            Place::Waiting if !job.may_have_run => Answer::NotRun {
+                retry_after_ms: RETRY_AFTER_MS,
+                reason: "no owner of workers can be reached",
+            },
+            Place::Waiting => Answer::MayHaveRun {
+                reason: "the owner of its workers was lost",
+            },
+            Place::Delegated(_) => Answer::MayHaveRun {
+                reason: "its time is over",
+            },
+        };
+        if let Place::Delegated(owner) = job.place.clone() {
+            let job_id = id.to_owned();
+            out.push(Command::Cancel { owner, job_id });
+        }
+        self.answer(id, answer, out);
+    }
+
+    /// Gives up everything at the end of a planned stop.
+    pub fn close(&mut self, out: &mut Vec<Command>) {
+        let ids: Vec<String> = self.jobs.keys().cloned().collect();
+        for id in ids {
+            self.give_up(&id, out);
+        }
+    }
+
+    fn answer(&mut self, id: &str, answer: Answer, out: &mut Vec<Command>) {
+        let Some(job) = self.jobs.remove(id) else {
+            return;
+        };
+        for ticket in job.waiters {
+            self.tickets.remove(&ticket);
+            out.push(Command::Answer { ticket, answer });
+        }
+    }
+
+    fn place_waiting(&mut self, now_ms: u64, out: &mut Vec<Command>) {
+        let waiting = self.jobs.iter();
+        let waiting = waiting.filter(|(_, job)| job.place == Place::Waiting);
+        let ids: Vec<String> = waiting.map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            self.place(now_ms, &id, out);
+        }
+    }
+
+    /// Delegates a waiting job if an owner may have it now.
+    fn place(&mut self, now_ms: u64, id: &str, out: &mut Vec<Command>) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.place != Place::Waiting {
+            return;
+        }
+        let is_safe = now_ms >= job.unsafe_until_ms;
+        let serving = self.owners.iter_mut().filter(|(_, view)| view.load.serving);
+        let allowed =
+            serving.filter(|(_, view)| is_safe || view.failure_domain == job.unsafe_domain);
+        let home = &self.home;
+        let best = allowed.min_by(|left, right| {
+            let (left, right) = (left.1.wait_ms(home), right.1.wait_ms(home));
+            left.total_cmp(&right)
+        });
+        let Some((owner, view)) = best else {
+            return;
+        };
+        view.since_millicore_ms += work_of(&job.spec);
+        job.place = Place::Delegated(owner.clone());
+        let mut spec = job.spec.clone();
+        spec.age_ms = now_ms.saturating_sub(job.arrived_ms);
+        out.push(Command::Delegate {
+            owner: owner.clone(),
+            spec,
+            unsafe_for_ms: job.unsafe_until_ms.saturating_sub(now_ms),
+            unsafe_domain: job.unsafe_domain.clone(),
+        });
+    }
+
+    /// Jobs without an answer.
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Whether every caller has its answer.
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// Whether any owner takes jobs.
+    pub fn is_served(&self) -> bool {
+        self.owners.values().any(|view| view.load.serving)
+    }
+}
+
+/// Work of a job by its estimates, thousandths of a core times milliseconds.
+fn work_of(spec: &JobSpec) -> u64 {
+    let phases = spec.phases.iter();
+    let work = phases.map(|phase| u64::from(phase.count) * phase.cpu_millicores * phase.estimate_ms);
+    work.sum()
+}
--- /dev/null
+++ b/crates/core/src/dispatch/job.rs
@@ -0,0 +1,166 @@
+//! A job's tasks and their order.
+
+use std::sync::Arc;
+
+use trefoil_schema::dispatch::{Job as JobSpec, Phase};
+
+use super::order::WorkerKey;
+
+/// Whoever delegated a job and awaits its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Origin {
+    /// This instance's own entry.
+    Local,
+    /// A link that another instance dialed.
+    Link(u64),
+}
+
+/// Where one task stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TaskState {
+    /// To be started, not before this instant.
+    Waiting {
+        /// Milliseconds of the steady clock.
+        not_before_ms: u64,
+    },
+    /// On a worker, or on its way there.
+    OnWorker(WorkerKey),
+    /// Done.
+    Done,
+}
+
+/// One task.
+#[derive(Clone, Debug)]
+pub struct Task {
+    /// Position of its phase in the job.
+    pub phase: u16,
+    /// Name that workers know it by.
+    pub name: Arc<str>,
+    /// Where it stands.
+    pub state: TaskState,
+    /// Runs that ended as failed.
+    pub failures: u32,
+    /// Number of its last run; 0 before the first.
+    pub run_id: u64,
+    /// Worker of its last failed run, to be avoided.
+    pub avoid: Option<WorkerKey>,
+}
+
+/// One job at its owner.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// What the caller asked for.
+    pub spec: JobSpec,
+    /// The caller's text for the tasks, shared by their starts.
+    pub task_spec: Arc<str>,
+    /// Who awaits the end; none once the origin has gone.
+    pub origin: Option<Origin>,
+    /// All tasks, by phase and index.
+    pub tasks: Vec<Task>,
+    /// When the caller's request was read.
+    pub arrived_ms: u64,
+    /// Until then tasks may run elsewhere, unless the domain is fenced.
+    pub unsafe_until_ms: u64,
+    /// Whether fencing all own workers makes the job safe.
+    pub fencing_clears: bool,
+    /// Whether the job's runs are being stopped.
+    pub stopping: bool,
+    /// Whether any task was ever ordered to start.
+    pub started: bool,
+}
+
+impl Job {
+    /// A job none of whose tasks is known to run.
+    pub fn new(spec: JobSpec, origin: Origin, now_ms: u64) -> Self {
+        let tasks = tasks_of(&spec);
+        let arrived_ms = now_ms.saturating_sub(spec.age_ms);
+        Self {
+            task_spec: Arc::from(spec.spec.as_str()),
+            spec,
+            origin: Some(origin),
+            tasks,
+            arrived_ms,
+            unsafe_until_ms: now_ms,
+            fencing_clears: false,
+            stopping: false,
+            started: false,
+        }
+    }
+
+    /// The phase that a task belongs to.
+    pub fn phase(&self, task: &Task) -> &Phase {
+        &self.spec.phases[usize::from(task.phase)]
+    }
+
+    /// Whether all phases that `phase` comes after are done.
+    pub fn phase_ready(&self, phase: usize) -> bool {
+        let after = &self.spec.phases[phase].after;
+        after.is_empty() || {
+            let open = |task: &&Task| task.state != TaskState::Done;
+            let mut tasks = self.tasks.iter().filter(open);
+            !tasks.any(|task| after.contains(&u32::from(task.phase)))
+        }
+    }
+
+    /// Whether every task is done.
+    pub fn is_done(&self) -> bool {
+        self.tasks.iter().all(|task| task.state == TaskState::Done)
+    }
+
+    /// Whether a task is on a worker, or may be.
+    pub fn on_workers(&self) -> bool {
+        let on_worker = |task: &Task| matches!(task.state, TaskState::OnWorker(_));
+        self.tasks.iter().any(on_worker)
+    }
+
+    /// Longest time that the rest of the job takes, by its estimates.
+    pub fn remaining_ms(&self) -> u64 {
+        let open = self
+            .tasks
+            .iter()
+            .filter(|task| task.state != TaskState::Done);
+        let mut phases_ms = vec![0_u64; self.spec.phases.len()];
+        for task in open {
+            phases_ms[usize::from(task.phase)] = self.phase(task).estimate_ms;
+        }
+        for phase in 0..phases_ms.len() {
+            let after = self.spec.phases[phase].after.iter();
+            let before = after.filter_map(|&prior| phases_ms.get(prior as usize));
+            phases_ms[phase] += before.max().copied().unwrap_or(0);
+        }
+        phases_ms.into_iter().max().unwrap_or(0)
+    }
+
+    /// When the caller's objective passes, by the estimates.
+    pub fn objective_ms(&self, times: f64) -> u64 {
+        let chain_ms = chain_ms(&self.spec.phases) as f64;
+        let objective_ms = self.spec.stretch * chain_ms + self.spec.slo_ms as f64;
+        self.arrived_ms + (objective_ms * times) as u64
+    }
+}
+
+/// The longest chain of estimates through the phases.
+fn chain_ms(phases: &[Phase]) -> u64 {
+    let mut ends_ms: Vec<u64> = Vec::with_capacity(phases.len());
+    for phase in phases {
+        let before = phase.after.iter();
+        let before = before.filter_map(|&prior| ends_ms.get(prior as usize));
+        let start_ms = before.max().copied().unwrap_or(0);
+        ends_ms.push(start_ms + phase.estimate_ms);
+    }
+    ends_ms.into_iter().max().unwrap_or(0)
+}
+
+fn tasks_of(spec: &JobSpec) -> Vec<Task> {
+    let phases = spec.phases.iter().enumerate();
+    let indexed = phases.flat_map(|(phase, shape)| (0..shape.count).map(move |index| (phase, index)));
+    let task = |(phase, index)| Task {
+        phase: phase as u16,
+        name: Arc::from(format!("{}.0.{phase}.{index}", spec.id)),
+        state: TaskState::Waiting { not_before_ms: 0 },
+        failures: 0,
+        run_id: 0,
+        avoid: None,
+    };
+    indexed.map(task).collect()
+}
--- /dev/null
+++ b/crates/core/src/dispatch/limits.rs
@@ -0,0 +1,54 @@
+//! Time limits of dispatch, all in milliseconds.
+//!
+//! They hang together: a run ends without orders once its lease has lapsed,
+//! and a job may start elsewhere only after that. See `docs/design/platform.md`.
+
+/// Longest lease that a worker grants, by the platform's contract; a worker's
+/// clock may be this much slow besides: [`CLOCK_SLOW`].
+pub const LEASE_MAX_MS: u64 = 1000;
+/// Largest share by which a worker's clock is slow, by the platform's contract.
+pub const CLOCK_SLOW: f64 = 0.02;
+/// Lease asked for with each order. Below [`LEASE_MAX_MS`], so that an order
+/// that is carried out late finds its deadline passed soon.
+pub const LEASE_MS: u64 = 940;
+/// How long a worker may keep a hold open until something ends. Two renewals
+/// fit into a lease.
+pub const HOLD_WAIT_MS: u64 = 400;
+/// Longest wait for a worker's answer, beyond the wait asked for. Sound
+/// workers answer in a few milliseconds; a late answer costs one more call.
+pub const ANSWER_MS: u64 = 200;
+/// Pause before a worker that did not answer is called again.
+pub const RETRY_MS: u64 = 100;
+/// The same, for a worker on which nothing can run any more.
+pub const PROBE_MS: u64 = 500;
+/// How long ends stay unacknowledged on an idle worker, so that the next start
+/// brings the acknowledgement along. The platform counts from 100.
+pub const ACK_IDLE_MS: u64 = 60;
+/// Period of heartbeats on a link with an owner.
+pub const BEAT_MS: u64 = 100;
+/// Period of heartbeats between two instances that own nothing.
+pub const BEAT_IDLE_MS: u64 = 500;
+/// Silence after which a link is given up.
+pub const LINK_SILENT_MS: u64 = 450;
+/// The same between instances that own nothing.
+pub const LINK_IDLE_SILENT_MS: u64 = 1800;
+/// From the end of a link until nothing that was delegated over it runs: the
+/// other side's [`LINK_SILENT_MS`], then a lease that it renewed just before.
+pub const DELEGATED_GAP_MS: u64 = LINK_SILENT_MS + LEASE_MAX_MS + 40;
+/// How long runs of an earlier owner may go on unclaimed under a new one. With
+/// the lease that the earlier owner left, it ends before callers send their
+/// jobs again (1300 after the loss).
+pub const ADOPT_MS: u64 = 250;
+/// How long the end of a job is remembered for callers that ask again.
+pub const REMEMBER_MS: u64 = 8000;
+/// An owner is taken for lost when its link has been down for so long.
+pub const OWNER_LOST_MS: u64 = 150;
+/// Head start of each better candidate for a vacant ownership: a store call
+/// and a heartbeat fit into it.
+pub const CLAIM_STAGGER_MS: u64 = 150;
+/// Wait for the store's answer to a claim before the claim stands without it.
+pub const CLAIM_STORE_MS: u64 = 400;
+/// Longest time for which an entry keeps a job that no owner can take.
+pub const UNPLACED_MAX_MS: u64 = 1000;
+/// What a refused caller is told to wait: an ownership changes in that time.
+pub const RETRY_AFTER_MS: u64 = 1000;
--- /dev/null
+++ b/crates/core/src/dispatch/owner.rs
@@ -0,0 +1,556 @@
+//! One owner of a failure domain's workers: its jobs, tasks and workers.
+//!
+//! [`Owner`] takes delegated jobs, the registry's workers and the outcomes of
+//! orders, and pushes [`Command`]s. The steps are in the modules below:
+//!
+//! * [`place`]: which task starts where, and when.
+//! * [`holds`]: leases, ends, and the fate of orders without an answer.
+//! * [`ends`]: what an end means for its task and job.
+
+mod ends;
+mod holds;
+mod note;
+mod place;
+
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::sync::Arc;
+
+use slotmap::SlotMap;
+use trefoil_schema::dispatch::{Job as JobSpec, Load, Outcome};
+
+use super::fence::Fence;
+use super::job::{Job, Origin, TaskState};
+use super::limits::{ADOPT_MS, REMEMBER_MS, RETRY_MS};
+use super::order::{
+    EndKind, HoldOrder, JobKey, OrderOutcome, Rejection, StartOrder, StopOrder, Target, WorkerKey,
+};
+use super::worker::{RunOwner, RunState, Standing, Worker, WorkerRecord};
+pub use note::Note;
+
+/// Added to run numbers when a worker knows a later run: an earlier owner's
+/// clock was ahead. Covers half a minute.
+const RUN_LEAP: u64 = 30_000;
+
+/// What the owner's shell must do.
+#[derive(Debug)]
+pub enum Command {
+    /// Send a start.
+    Start(StartOrder),
+    /// Send a stop.
+    Stop(StopOrder),
+    /// Send a hold.
+    Hold(HoldOrder),
+    /// Tell the origin how its job ended.
+    Ended {
+        /// Who delegated it.
+        origin: Origin,
+        /// The job.
+        job_id: String,
+        /// How it ended.
+        outcome: Outcome,
+        /// Why, for people.
+        reason: &'static str,
+    },
+    /// Another owner outranks this one on a worker.
+    Outranked,
+    /// Write a line on a decision.
+    Note(Note),
+}
+
+/// What became of a start or stop.
+#[derive(Clone, Debug)]
+pub struct Answered {
+    /// The worker.
+    pub worker: WorkerKey,
+    /// Fence of the order.
+    pub fence: Fence,
+    /// Task of the order.
+    pub task: Arc<str>,
+    /// Run of the order.
+    pub run_id: u64,
+    /// What became of it.
+    pub outcome: OrderOutcome,
+}
+
+/// The jobs and workers of one owner.
+#[derive(Debug)]
+pub struct Owner {
+    failure_domain: Arc<str>,
+    fence: Fence,
+    workers: SlotMap<WorkerKey, Worker>,
+    worker_ids: HashMap<Arc<str>, WorkerKey>,
+    jobs: SlotMap<JobKey, Job>,
+    job_ids: HashMap<String, JobKey>,
+    /// Ends of tasks that no job here has claimed, with their instants.
+    orphan_ends: HashMap<Arc<str>, (EndKind, u64)>,
+    /// Jobs that ended lately.
+    ended: VecDeque<(u64, String, Outcome)>,
+    dirty: HashSet<WorkerKey>,
+    run_seed: u64,
+    released: bool,
+}
+
+impl Owner {
+    /// An owner in `term`; `run_seed` is larger than that of earlier owners.
+    pub fn new(failure_domain: &str, fence: Fence, run_seed: u64) -> Self {
+        Self {
+            failure_domain: Arc::from(failure_domain),
+            fence,
+            workers: SlotMap::with_key(),
+            worker_ids: HashMap::new(),
+            jobs: SlotMap::with_key(),
+            job_ids: HashMap::new(),
+            orphan_ends: HashMap::new(),
+            ended: VecDeque::new(),
+            dirty: HashSet::new(),
+            run_seed,
+            released: false,
+        }
+    }
+
+    /// The failure domain whose workers it owns.
+    pub fn failure_domain(&self) -> &str {
+        &self.failure_domain
+    }
+
+    /// Takes in the registry's workers of the failure domain.
+    pub fn set_workers(&mut self, now_ms: u64, records: Vec<WorkerRecord>, out: &mut Vec<Command>) {
+        let listed: HashSet<Arc<str>> = records.iter().map(|record| record.id.clone()).collect();
+        for record in records {
+            self.set_worker(record, out);
+        }
+        for (key, worker) in &mut self.workers {
+            if worker.listed && !listed.contains(&worker.record.id) {
+                worker.listed = false;
+                self.dirty.insert(key);
+                out.push(Command::Note(Note::worker("unlisted", worker)));
+            }
+        }
+        self.settle(now_ms, out);
+    }
+
+    fn set_worker(&mut self, record: WorkerRecord, out: &mut Vec<Command>) {
+        if let Some(&key) = self.worker_ids.get(&record.id) {
+            let worker = &mut self.workers[key];
+            if worker.record.draining != record.draining {
+                out.push(Command::Note(Note::worker("draining", worker)));
+            }
+            worker.listed = true;
+            worker.record = record;
+            return;
+        }
+        let id = record.id.clone();
+        let worker = Worker::new(record, self.fence);
+        out.push(Command::Note(Note::worker("listed", &worker)));
+        let key = self.workers.insert(worker);
+        self.worker_ids.insert(id, key);
+        self.dirty.insert(key);
+    }
+
+    /// Takes a job in, or attaches its origin to the job known by its id.
+    pub fn delegate(
+        &mut self,
+        now_ms: u64,
+        origin: Origin,
+        spec: JobSpec,
+        unsafe_for_ms: u64,
+        fencing_clears: bool,
+        out: &mut Vec<Command>,
+    ) {
+        let known = self.job_ids.get(&spec.id).copied();
+        if let Some(key) = known {
+            let job = &mut self.jobs[key];
+            if !job.stopping {
+                job.origin = Some(origin);
+                return;
+            }
+            // Its runs are being stopped; the new job waits for their ends.
+            self.detach(key, now_ms);
+        }
+        if let Some(outcome) = self.remembered(&spec.id) {
+            let reason = "it ended a moment ago";
+            return self.tell(origin, spec.id, outcome, reason, out);
+        }
+        if self.released {
+            return self.tell(origin, spec.id, Outcome::Returned, "ownership has ended", out);
+        }
+        let id = spec.id.clone();
+        let mut job = Job::new(spec, origin, now_ms);
+        job.unsafe_until_ms = now_ms + unsafe_for_ms;
+        job.fencing_clears = fencing_clears;
+        let key = self.jobs.insert(job);
+        self.job_ids.insert(id, key);
+        self.adopt(key);
+        if self.jobs[key].is_done() {
+            self.finish(now_ms, key, Outcome::Completed, "its tasks were done", out);
+        }
+        self.settle(now_ms, out);
+    }
+
+    fn remembered(&self, job_id: &str) -> Option<Outcome> {
+        let mut ended = self.ended.iter().rev();
+        ended.find(|(_, id, _)| id == job_id).map(|ended| ended.2)
+    }
+
+    /// Gives runs and ends of an earlier owner to the tasks of a job.
+    fn adopt(&mut self, key: JobKey) {
+        let names: BTreeMap<Arc<str>, usize> = {
+            let tasks = self.jobs[key].tasks.iter().enumerate();
+            tasks.map(|(index, task)| (task.name.clone(), index)).collect()
+        };
+        for (name, &index) in &names {
+            if let Some((EndKind::Done, _)) = self.orphan_ends.get(name) {
+                self.jobs[key].tasks[index].state = TaskState::Done;
+            }
+        }
+        for (worker_key, worker) in &mut self.workers {
+            for run in &mut worker.runs {
+                let free = matches!(run.owner, RunOwner::Nobody { .. });
+                let stopping = matches!(run.state, RunState::Stopping { .. });
+                let Some(&index) = names.get(&run.task).filter(|_| free) else {
+                    continue;
+                };
+                let job = &mut self.jobs[key];
+                let task = &mut job.tasks[index];
+                if stopping {
+                    // Comes free when its end is listed.
+                    let not_before_ms = u64::MAX;
+                    task.state = TaskState::Waiting { not_before_ms };
+                } else {
+                    task.state = TaskState::OnWorker(worker_key);
+                    let phase = job.spec.phases[usize::from(task.phase)].clone();
+                    run.room = Some(place::room_of(&phase));
+                    run.expected_ms = phase.estimate_ms;
+                }
+                task.run_id = task.run_id.max(run.run_id);
+                run.owner = RunOwner::Task(key, index);
+                job.started = true;
+            }
+        }
+    }
+
+    /// Ends a job that its origin no longer awaits; its runs are stopped.
+    pub fn cancel(&mut self, now_ms: u64, origin: Origin, job_id: &str, out: &mut Vec<Command>) {
+        let key = self.job_ids.get(job_id).copied();
+        let key = key.filter(|&key| self.jobs[key].origin == Some(origin));
+        let Some(key) = key else {
+            return;
+        };
+        out.push(Command::Note(Note::job("cancelled", job_id)));
+        self.abandon(now_ms, key, out);
+        self.settle(now_ms, out);
+    }
+
+    /// Ends all jobs of an origin that went away.
+    pub fn origin_lost(&mut self, now_ms: u64, origin: Origin, out: &mut Vec<Command>) {
+        let lost = |(key, job): (JobKey, &Job)| (job.origin == Some(origin)).then_some(key);
+        let keys: Vec<JobKey> = self.jobs.iter().filter_map(lost).collect();
+        for key in keys {
+            let id = self.jobs[key].spec.id.clone();
+            out.push(Command::Note(Note::job("origin lost", &id)));
+            self.abandon(now_ms, key, out);
+        }
+        self.settle(now_ms, out);
+    }
+
+    /// Stops a job's runs; it goes when they have ended.
+    fn abandon(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Command>) {
+        let job = &mut self.jobs[key];
+        job.origin = None;
+        job.stopping = true;
+        self.stop_runs(now_ms, key, out);
+        self.drop_if_ended(key);
+    }
+
+    fn stop_runs(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Command>) {
+        for (worker_key, worker) in &mut self.workers {
+            let target = target_of(worker_key, worker);
+            for run in &mut worker.runs {
+                let own = matches!(run.owner, RunOwner::Task(job, _) if job == key);
+                let stopped = matches!(run.state, RunState::Stopping { .. });
+                if own && !stopped {
+                    stop_run(now_ms, run, target.clone(), out);
+                }
+            }
+        }
+    }
+
+    fn drop_if_ended(&mut self, key: JobKey) {
+        let job = &self.jobs[key];
+        if job.origin.is_none() && !job.on_workers() {
+            let id = job.spec.id.clone();
+            self.jobs.remove(key);
+            if self.job_ids.get(&id) == Some(&key) {
+                self.job_ids.remove(&id);
+            }
+        }
+    }
+
+    /// Lets a job that is being stopped go; what remains of its runs is
+    /// nobody's until it ends.
+    fn detach(&mut self, key: JobKey, now_ms: u64) {
+        for (_, worker) in &mut self.workers {
+            for run in &mut worker.runs {
+                if matches!(run.owner, RunOwner::Task(job, _) if job == key) {
+                    run.owner = RunOwner::Nobody { stop_at_ms: now_ms };
+                }
+            }
+        }
+        if let Some(job) = self.jobs.remove(key) {
+            self.job_ids.remove(&job.spec.id);
+        }
+    }
+
+    /// Takes in what became of a start.
+    pub fn start_answered(&mut self, now_ms: u64, answer: &Answered, out: &mut Vec<Command>) {
+        let Some(worker) = self.workers.get_mut(answer.worker) else {
+            return;
+        };
+        let newest = answer.fence == worker.fence;
+        let position = worker.position(&answer.task, answer.run_id);
+        match answer.outcome {
+            OrderOutcome::Done { clock_ms } => {
+                worker.read_clock(now_ms, clock_ms);
+                if let Some(position) = position {
+                    let run = &mut worker.runs[position];
+                    if matches!(run.state, RunState::Starting(_)) {
+                        run.state = RunState::Running;
+                        run.confirmed_ms = now_ms;
+                    }
+                }
+            }
+            OrderOutcome::NoAnswer if newest => {
+                worker.raise();
+                worker.trust.failed(now_ms);
+                out.push(Command::Note(Note::run("start unanswered", worker, answer)));
+            }
+            OrderOutcome::NoAnswer => {}
+            OrderOutcome::Fenced if newest => self.outranked(now_ms, answer.worker, out),
+            OrderOutcome::OtherLife => self.life_over(now_ms, answer.worker, out),
+            OrderOutcome::Fenced | OrderOutcome::Rejected(_) => {
+                out.push(Command::Note(Note::run("start rejected", worker, answer)));
+                match answer.outcome {
+                    OrderOutcome::Rejected(Rejection::Unhealthy) => worker.trust.failed(now_ms),
+                    OrderOutcome::Rejected(Rejection::OldRun) => self.run_seed += RUN_LEAP,
+                    // What is known of it is wrong: look again.
+                    OrderOutcome::Rejected(_) => worker.raise(),
+                    _ => {}
+                }
+                if let Some(position) = position {
+                    let run = worker.runs.swap_remove(position);
+                    self.requeue(now_ms, &run.owner, RETRY_MS, out);
+                }
+            }
+        }
+        self.dirty.insert(answer.worker);
+        self.settle(now_ms, out);
+    }
+
+    /// Takes in what became of a stop; the run's end is listed by a hold.
+    pub fn stop_answered(&mut self, now_ms: u64, answer: &Answered, out: &mut Vec<Command>) {
+        let Some(worker) = self.workers.get_mut(answer.worker) else {
+            return;
+        };
+        let newest = answer.fence == worker.fence;
+        match answer.outcome {
+            OrderOutcome::Done { clock_ms } => worker.read_clock(now_ms, clock_ms),
+            OrderOutcome::NoAnswer if newest => worker.raise(),
+            OrderOutcome::Fenced if newest => self.outranked(now_ms, answer.worker, out),
+            OrderOutcome::OtherLife => self.life_over(now_ms, answer.worker, out),
+            OrderOutcome::NoAnswer | OrderOutcome::Fenced | OrderOutcome::Rejected(_) => {}
+        }
+        self.dirty.insert(answer.worker);
+        self.settle(now_ms, out);
+    }
+
+    /// Another owner has taken the worker: this one is no longer the owner.
+    fn outranked(&mut self, now_ms: u64, key: WorkerKey, out: &mut Vec<Command>) {
+        let worker = &mut self.workers[key];
+        worker.standing = Standing::Outranked;
+        out.push(Command::Note(Note::worker("outranked", worker)));
+        out.push(Command::Outranked);
+        self.release(now_ms, out);
+    }
+
+    /// The worker's life is over, and all that ran there with it.
+    fn life_over(&mut self, now_ms: u64, key: WorkerKey, out: &mut Vec<Command>) {
+        let Some(worker) = self.workers.remove(key) else {
+            return;
+        };
+        self.worker_ids.remove(&worker.record.id);
+        self.dirty.remove(&key);
+        out.push(Command::Note(Note::worker("life over", &worker)));
+        for run in worker.runs {
+            self.requeue(now_ms, &run.owner, 0, out);
+        }
+    }
+
+    /// Gives up all ownership: nothing is ordered any more. Jobs of which
+    /// nothing runs go back; of the others it is said that they may run.
+    pub fn release(&mut self, now_ms: u64, out: &mut Vec<Command>) {
+        if self.released {
+            return;
+        }
+        self.released = true;
+        let keys: Vec<JobKey> = self.jobs.keys().collect();
+        for key in keys {
+            let outcome = match self.jobs[key].on_workers() {
+                true => Outcome::Lost,
+                false => Outcome::Returned,
+            };
+            self.finish(now_ms, key, outcome, "ownership has ended", out);
+        }
+        self.jobs.clear();
+        self.job_ids.clear();
+    }
+
+    /// Whether it has given up ownership.
+    pub fn is_released(&self) -> bool {
+        self.released
+    }
+
+    /// Tells the origin and forgets the job, whose runs are stopped.
+    fn finish(
+        &mut self,
+        now_ms: u64,
+        key: JobKey,
+        outcome: Outcome,
+        reason: &'static str,
+        out: &mut Vec<Command>,
+    ) {
+        let job = &mut self.jobs[key];
+        let id = job.spec.id.clone();
+        if let Some(origin) = job.origin {
+            self.tell(origin, id.clone(), outcome, reason, out);
+        }
+        if matches!(outcome, Outcome::Completed | Outcome::Failed) {
+            self.ended.push_back((now_ms, id, outcome));
+        }
+        if !self.released {
+            self.abandon(now_ms, key, out);
+        }
+    }
+
+    fn tell(
+        &self,
+        origin: Origin,
+        job_id: String,
+        outcome: Outcome,
+        reason: &'static str,
+        out: &mut Vec<Command>,
+    ) {
+        out.push(Command::Ended {
+            origin,
+            job_id,
+            outcome,
+            reason,
+        });
+    }
+
+    /// Passes time: retries, lapsed leases, stalled runs.
+    pub fn tick(&mut self, now_ms: u64, out: &mut Vec<Command>) {
+        if self.released {
+            return;
+        }
+        self.dirty.extend(self.workers.keys());
+        self.expire(now_ms, out);
+        self.settle(now_ms, out);
+        let old = |at_ms: u64| at_ms + REMEMBER_MS < now_ms;
+        while self.ended.front().is_some_and(|ended| old(ended.0)) {
+            self.ended.pop_front();
+        }
+        self.orphan_ends.retain(|_, end| end.1 + 4 * ADOPT_MS > now_ms);
+    }
+
+    /// Starts what fits and sends the holds that are due.
+    fn settle(&mut self, now_ms: u64, out: &mut Vec<Command>) {
+        if self.released {
+            return;
+        }
+        self.place(now_ms, out);
+        let dirty: Vec<WorkerKey> = self.dirty.drain().collect();
+        for key in dirty {
+            self.hold_if_due(now_ms, key, out);
+        }
+    }
+
+    /// Whether every worker that the registry lists has obeyed this owner's
+    /// fence, so that no earlier owner's order can start anything.
+    pub fn all_fenced(&self) -> bool {
+        let open = |worker: &Worker| worker.listed && !worker.obeyed;
+        !self.workers.is_empty() && !self.workers.values().any(open)
+    }
+
+    /// Load of the workers, for entries to choose by.
+    pub fn load(&self, now_ms: u64) -> Load {
+        let open = self.workers.values().filter(|worker| {
+            worker.listed && worker.standing == Standing::Fenced && !worker.record.draining
+        });
+        let mut load = Load::default();
+        for worker in open.filter(|worker| !worker.trust.is_doubted()) {
+            load.serving = true;
+            load.capacity_millicores += worker.record.capacity.cpu_millicores;
+            load.free_millicores += worker.free().cpu_millicores;
+            for run in &worker.runs {
+                let cpu = run.room.map_or(0, |room| room.cpu_millicores);
+                let end_ms = run.ordered_ms + run.expected_ms;
+                load.backlog_millicore_ms += cpu * end_ms.saturating_sub(now_ms);
+            }
+        }
+        for job in self.jobs.values().filter(|job| !job.stopping) {
+            let waiting = |task: &&super::job::Task| matches!(task.state, TaskState::Waiting { .. });
+            let work = job.tasks.iter().filter(waiting).map(|task| job.phase(task));
+            let work = work.map(|phase| phase.cpu_millicores * phase.estimate_ms);
+            load.backlog_millicore_ms += work.sum::<u64>();
+        }
+        load.serving &= !self.released;
+        load
+    }
+
+    /// Counts for metrics and tests: jobs here, workers fenced, runs.
+    pub fn sizes(&self) -> Sizes {
+        let fenced = |worker: &&Worker| worker.standing == Standing::Fenced;
+        Sizes {
+            jobs: self.jobs.len(),
+            workers: self.workers.len(),
+            workers_fenced: self.workers.values().filter(fenced).count(),
+            runs: self.workers.values().map(|worker| worker.runs.len()).sum(),
+        }
+    }
+}
+
+/// Sizes of an owner's tables.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sizes {
+    /// Jobs that have not ended.
+    pub jobs: usize,
+    /// Workers known.
+    pub workers: usize,
+    /// Workers that can be ordered.
+    pub workers_fenced: usize,
+    /// Runs that may be on workers.
+    pub runs: usize,
+}
+
+fn target_of(key: WorkerKey, worker: &Worker) -> Target {
+    Target {
+        worker: key,
+        worker_id: worker.record.id.clone(),
+        address: worker.record.address.clone(),
+        fence: worker.fence,
+    }
+}
+
+fn stop_run(
+    now_ms: u64,
+    run: &mut super::worker::Run,
+    target: Target,
+    out: &mut Vec<Command>,
+) {
+    run.state = RunState::Stopping { ordered_ms: now_ms };
+    out.push(Command::Stop(StopOrder {
+        target,
+        task: run.task.clone(),
+        run_id: run.run_id,
+    }));
+}
--- /dev/null
+++ b/crates/core/src/dispatch/owner/ends.rs
@@ -0,0 +1,116 @@
+//! What an end means for its task, its job and its worker.
+
+use super::super::order::ListedEnd;
+use super::*;
+
+impl Owner {
+    /// Takes in one end that a worker lists; each counts once.
+    pub(super) fn take_end(
+        &mut self,
+        now_ms: u64,
+        key: WorkerKey,
+        end: &ListedEnd,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        if end.number <= worker.seen_upto {
+            return;
+        }
+        worker.seen_upto = end.number;
+        worker.ended_ms = now_ms;
+        let Some(position) = worker.position(&end.task, end.run_id) else {
+            return self.take_orphan_end(now_ms, end, out);
+        };
+        let run = worker.runs.swap_remove(position);
+        let took_ms = now_ms.saturating_sub(run.ordered_ms);
+        match end.how {
+            EndKind::Done => worker.trust.done(run.expected_ms, took_ms),
+            EndKind::Failed => worker.trust.failed(now_ms),
+            EndKind::Stopped | EndKind::Lapsed => {}
+        }
+        if end.how != EndKind::Done {
+            let mut note = Note::job("run ended", &end.task);
+            note.worker = worker.record.id.to_string();
+            note.detail = format!("{:?} after {took_ms} ms", end.how);
+            out.push(Command::Note(note));
+        }
+        match (end.how, run.owner) {
+            (EndKind::Done, RunOwner::Task(job, index)) => self.task_done(now_ms, job, index, out),
+            (EndKind::Failed, RunOwner::Task(job, index)) => {
+                self.task_failed(now_ms, job, index, key, out);
+            }
+            (EndKind::Done, RunOwner::Nobody { .. }) => self.take_orphan_end(now_ms, end, out),
+            (_, owner) => self.requeue(now_ms, &owner, 0, out),
+        }
+    }
+
+    /// An end of a run that is not known here: an earlier owner started it.
+    fn take_orphan_end(&mut self, now_ms: u64, end: &ListedEnd, out: &mut Vec<Command>) {
+        match self.find_task(&end.task) {
+            Some((job, index)) => {
+                let state = self.jobs[job].tasks[index].state;
+                let waits = matches!(state, TaskState::Waiting { .. });
+                if end.how == EndKind::Done && waits {
+                    self.task_done(now_ms, job, index, out);
+                }
+            }
+            None => {
+                self.orphan_ends.insert(end.task.clone(), (end.how, now_ms));
+            }
+        }
+    }
+
+    fn task_done(&mut self, now_ms: u64, key: JobKey, index: usize, out: &mut Vec<Command>) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        job.tasks[index].state = TaskState::Done;
+        if job.is_done() && !job.stopping {
+            self.finish(now_ms, key, Outcome::Completed, "all tasks are done", out);
+        } else {
+            self.drop_if_ended(key);
+        }
+    }
+
+    fn task_failed(
+        &mut self,
+        now_ms: u64,
+        key: JobKey,
+        index: usize,
+        worker: WorkerKey,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let task = &mut job.tasks[index];
+        task.failures += 1;
+        task.avoid = Some(worker);
+        let spent = task.failures >= job.spec.attempts_max.max(1);
+        self.requeue(now_ms, &RunOwner::Task(key, index), 0, out);
+        if spent && self.jobs.get(key).is_some_and(|job| !job.stopping) {
+            self.finish(now_ms, key, Outcome::Failed, "a task has no attempts left", out);
+        }
+    }
+
+    /// Lets a task wait again after a run that was not its end.
+    pub(super) fn requeue(
+        &mut self,
+        now_ms: u64,
+        owner: &RunOwner,
+        delay_ms: u64,
+        _out: &mut Vec<Command>,
+    ) {
+        let RunOwner::Task(key, index) = *owner else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let not_before_ms = now_ms + delay_ms;
+        job.tasks[index].state = TaskState::Waiting { not_before_ms };
+        self.drop_if_ended(key);
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/owner/holds.rs
@@ -0,0 +1,292 @@
+//! Leases, ends, and the fate of orders without an answer.
+//!
+//! A worker with runs has one hold open, which renews the lease and comes back
+//! as soon as something ends. An order without an answer may be carried out
+//! later; so the fence is raised, and the next hold under it both kills that
+//! order and tells whether it was carried out before. While the worker does
+//! not answer, its runs are counted as running until their leases lapse.
+
+use super::super::limits::{
+    ACK_IDLE_MS, ADOPT_MS, HOLD_WAIT_MS, LEASE_MAX_MS, PROBE_MS, RETRY_MS,
+};
+use super::super::order::{HoldOutcome, ListedRun};
+use super::super::worker::{OpenHold, Run};
+use super::*;
+
+/// A stop whose end is not listed by then is ordered again: the contract
+/// grants a stop 50, and an answer takes a few.
+const STOP_AGAIN_MS: u64 = 150;
+/// A run is stalled once it has taken this many times what is expected ...
+const STALL_FACTOR: f64 = 3.0;
+/// ... and this much longer. Estimates are off by 0.4, tasks differ by 0.15.
+const STALL_SLACK_MS: u64 = 150;
+
+impl Owner {
+    /// Sends a hold where one is due, and lets go of workers that have left.
+    pub(super) fn hold_if_due(&mut self, now_ms: u64, key: WorkerKey, out: &mut Vec<Command>) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let unacked = worker.acked_upto < worker.seen_upto;
+        if !worker.listed && worker.runs.is_empty() && !unacked {
+            let id = worker.record.id.clone();
+            self.workers.remove(key);
+            self.worker_ids.remove(&id);
+            return;
+        }
+        let open = worker.hold.is_some_and(|hold| hold.fence == worker.fence);
+        if open || now_ms < worker.quiet_until_ms {
+            return;
+        }
+        let started = |run: &Run| !matches!(run.state, RunState::Starting(_));
+        let wait_ms = match worker.standing {
+            Standing::Outranked => return,
+            Standing::Unfenced => 0,
+            Standing::Fenced if worker.runs.iter().any(started) => HOLD_WAIT_MS,
+            Standing::Fenced if !worker.runs.is_empty() || !unacked => return,
+            Standing::Fenced if now_ms < worker.ended_ms + ACK_IDLE_MS => return,
+            Standing::Fenced => 0,
+        };
+        let renews = !worker.runs.is_empty();
+        let deadline_ms = match renews {
+            true => worker.lease(now_ms),
+            false => None,
+        };
+        worker.hold = Some(OpenHold {
+            fence: worker.fence,
+            seen_upto: worker.seen_upto,
+            sent_ms: now_ms,
+        });
+        out.push(Command::Hold(HoldOrder {
+            target: target_of(key, worker),
+            deadline_ms,
+            seen_upto: worker.seen_upto,
+            wait_ms,
+        }));
+    }
+
+    /// Takes in what became of a hold that was sent under `fence`.
+    pub fn hold_answered(
+        &mut self,
+        now_ms: u64,
+        key: WorkerKey,
+        fence: Fence,
+        outcome: HoldOutcome,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        if outcome == HoldOutcome::OtherLife {
+            self.life_over(now_ms, key, out);
+            return self.settle(now_ms, out);
+        }
+        let Some(hold) = worker.hold.filter(|hold| hold.fence == fence) else {
+            return;
+        };
+        worker.hold = None;
+        self.dirty.insert(key);
+        if fence != worker.fence {
+            return self.settle(now_ms, out);
+        }
+        match outcome {
+            HoldOutcome::Held {
+                clock_ms,
+                running,
+                ended,
+            } => {
+                worker.read_clock(now_ms, clock_ms);
+                if worker.standing == Standing::Unfenced {
+                    worker.standing = Standing::Fenced;
+                    out.push(Command::Note(Note::worker("fenced", worker)));
+                }
+                worker.obeyed = true;
+                worker.acked_upto = worker.acked_upto.max(hold.seen_upto);
+                for end in ended {
+                    self.take_end(now_ms, key, &end, out);
+                }
+                self.reconcile(now_ms, key, hold, &running, out);
+            }
+            HoldOutcome::Fenced => self.outranked(now_ms, key, out),
+            HoldOutcome::OtherLife => {}
+            HoldOutcome::Unhealthy | HoldOutcome::NoAnswer => {
+                if worker.standing == Standing::Fenced {
+                    out.push(Command::Note(Note::worker("hold unanswered", worker)));
+                }
+                worker.standing = Standing::Unfenced;
+                let idle = worker.runs.is_empty();
+                let pause_ms = if idle { PROBE_MS } else { RETRY_MS };
+                worker.quiet_until_ms = now_ms + pause_ms;
+            }
+        }
+        self.settle(now_ms, out);
+    }
+
+    /// Compares what a worker lists as running with what was ordered.
+    fn reconcile(
+        &mut self,
+        now_ms: u64,
+        key: WorkerKey,
+        hold: OpenHold,
+        running: &[ListedRun],
+        out: &mut Vec<Command>,
+    ) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let mut absent = Vec::new();
+        for (position, run) in worker.runs.iter_mut().enumerate() {
+            let listed = running
+                .iter()
+                .any(|listed| listed.run_id == run.run_id && listed.task == run.task);
+            match run.state {
+                RunState::Starting(_) if listed => {
+                    run.state = RunState::Running;
+                    run.confirmed_ms = now_ms;
+                }
+                RunState::Starting(fence) if fence < hold.fence => absent.push(position),
+                RunState::Starting(_) => {}
+                RunState::Running | RunState::Stopping { .. } => {
+                    if !listed && run.confirmed_ms < hold.sent_ms {
+                        absent.push(position);
+                    }
+                }
+            }
+        }
+        let mut gone = Vec::new();
+        for position in absent.into_iter().rev() {
+            gone.push(worker.runs.swap_remove(position));
+        }
+        let strangers: Vec<&ListedRun> = running
+            .iter()
+            .filter(|listed| worker.position(&listed.task, listed.run_id).is_none())
+            .collect();
+        for run in gone {
+            let mut note = Note::job("run is not there", &run.task);
+            note.worker = self.workers[key].record.id.to_string();
+            out.push(Command::Note(note));
+            self.requeue(now_ms, &run.owner, 0, out);
+        }
+        for listed in strangers {
+            self.take_stranger(now_ms, key, listed, out);
+        }
+    }
+
+    /// Takes in a run of an earlier owner: its job's, if that is here.
+    fn take_stranger(
+        &mut self,
+        now_ms: u64,
+        key: WorkerKey,
+        listed: &ListedRun,
+        out: &mut Vec<Command>,
+    ) {
+        let task = self.find_task(&listed.task);
+        let waiting = |&(job, index): &(JobKey, usize)| {
+            let state = self.jobs[job].tasks[index].state;
+            !self.jobs[job].stopping && matches!(state, TaskState::Waiting { .. })
+        };
+        let adopted = task.filter(waiting);
+        let (owner, room, expected_ms) = match adopted {
+            Some((job_key, index)) => {
+                let job = &mut self.jobs[job_key];
+                job.started = true;
+                job.tasks[index].state = TaskState::OnWorker(key);
+                job.tasks[index].run_id = listed.run_id;
+                let phase = &job.spec.phases[usize::from(job.tasks[index].phase)];
+                let room = place::room_of(phase);
+                (RunOwner::Task(job_key, index), Some(room), phase.estimate_ms)
+            }
+            None => {
+                // A second run of a task that runs elsewhere is stopped at once.
+                let grace_ms = if task.is_some() { 0 } else { ADOPT_MS };
+                let stop_at_ms = now_ms + grace_ms;
+                (RunOwner::Nobody { stop_at_ms }, None, 0)
+            }
+        };
+        let mut note = Note::job("found run of an earlier owner", &listed.task);
+        note.detail = format!("adopted {}", adopted.is_some());
+        let worker = &mut self.workers[key];
+        note.worker = worker.record.id.to_string();
+        out.push(Command::Note(note));
+        worker.runs.push(Run {
+            task: listed.task.clone(),
+            run_id: listed.run_id,
+            owner,
+            state: RunState::Running,
+            room,
+            ordered_ms: now_ms,
+            confirmed_ms: now_ms,
+            expected_ms,
+        });
+        // The earlier owner may have renewed its lease just before.
+        worker.lapsed_at_ms = worker.lapsed_at_ms.max(now_ms + LEASE_MAX_MS + PROBE_MS);
+        self.dirty.insert(key);
+    }
+
+    /// The task of a job here, by the name that workers know.
+    pub(super) fn find_task(&self, name: &str) -> Option<(JobKey, usize)> {
+        let (job_id, _) = name.split_once('.')?;
+        let &key = self.job_ids.get(job_id)?;
+        let mut tasks = self.jobs[key].tasks.iter();
+        let index = tasks.position(|task| &*task.name == name)?;
+        Some((key, index))
+    }
+
+    /// What the passing of time decides on the workers' runs.
+    pub(super) fn expire(&mut self, now_ms: u64, out: &mut Vec<Command>) {
+        let keys: Vec<WorkerKey> = self.workers.keys().collect();
+        for key in keys {
+            self.expire_leases(now_ms, key, out);
+            self.stop_overdue(now_ms, key, out);
+        }
+    }
+
+    /// Nothing runs on a worker that has not answered for a whole lease.
+    fn expire_leases(&mut self, now_ms: u64, key: WorkerKey, out: &mut Vec<Command>) {
+        let worker = &mut self.workers[key];
+        let answers = worker.standing == Standing::Fenced;
+        if answers || worker.runs.is_empty() || now_ms < worker.lapsed_at_ms {
+            return;
+        }
+        out.push(Command::Note(Note::worker("leases lapsed", worker)));
+        worker.trust.failed(now_ms);
+        // What was ordered under the present fence must not start any more.
+        worker.raise();
+        let runs = std::mem::take(&mut worker.runs);
+        for run in runs {
+            self.requeue(now_ms, &run.owner, 0, out);
+        }
+    }
+
+    fn stop_overdue(&mut self, now_ms: u64, key: WorkerKey, out: &mut Vec<Command>) {
+        let worker = &mut self.workers[key];
+        if worker.standing != Standing::Fenced {
+            return;
+        }
+        let target = target_of(key, worker);
+        let mut stalled = false;
+        for run in &mut worker.runs {
+            let overdue = match (run.state, run.owner) {
+                (RunState::Starting(_), _) => false,
+                (RunState::Stopping { ordered_ms }, _) => now_ms >= ordered_ms + STOP_AGAIN_MS,
+                (RunState::Running, RunOwner::Nobody { stop_at_ms }) => now_ms >= stop_at_ms,
+                (RunState::Running, RunOwner::Task(..)) => {
+                    let limit_ms = (run.expected_ms as f64 * STALL_FACTOR) as u64 + STALL_SLACK_MS;
+                    let stalls = now_ms >= run.ordered_ms + limit_ms;
+                    stalled |= stalls;
+                    stalls
+                }
+            };
+            if overdue {
+                let mut note = Note::job("run is overdue", &run.task);
+                note.detail = format!("{:?} expected_ms {}", run.state, run.expected_ms);
+                note.worker = worker.record.id.to_string();
+                out.push(Command::Note(note));
+                stop_run(now_ms, run, target.clone(), out);
+            }
+        }
+        if stalled {
+            worker.trust.failed(now_ms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/worker.rs
@@ -0,0 +1,301 @@
+//! What an owner knows of one worker.
+//!
+//! A worker's room is what its capacity leaves beside every run that *may* be
+//! there: one that was ordered and not answered, one that is being stopped,
+//! one of an earlier owner. A run leaves the table only when the worker lists
+//! its end, when a hold under a newer fence shows that it is not there, when
+//! the worker's life is over, or when its lease has lapsed.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use super::fence::Fence;
+use super::limits::{CLOCK_SLOW, LEASE_MS};
+use super::order::JobKey;
+
+/// What the platform's registry says of a worker.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkerRecord {
+    /// Names one life of the worker.
+    pub id: Arc<str>,
+    /// `ip:port`.
+    pub address: Arc<str>,
+    /// Failure domain.
+    pub failure_domain: Arc<str>,
+    /// Service whose tasks it runs.
+    pub service: Arc<str>,
+    /// Whether it leaves soon and takes nothing new.
+    pub draining: bool,
+    /// Room for tasks.
+    pub capacity: Room,
+    /// Its kind, its rack.
+    pub labels: BTreeSet<Arc<str>>,
+}
+
+/// Resources of a worker or a task.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Room {
+    /// Thousandths of a core.
+    pub cpu_millicores: u64,
+    /// Megabytes of memory.
+    pub memory_mb: u64,
+    /// Accelerators.
+    pub gpus: u64,
+}
+
+impl Room {
+    /// Whether `other` fits into this.
+    pub fn fits(&self, other: &Self) -> bool {
+        self.cpu_millicores >= other.cpu_millicores
+            && self.memory_mb >= other.memory_mb
+            && self.gpus >= other.gpus
+    }
+
+    /// What is left without `other`.
+    #[must_use]
+    pub fn minus(&self, other: &Self) -> Self {
+        Self {
+            cpu_millicores: self.cpu_millicores.saturating_sub(other.cpu_millicores),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            gpus: self.gpus.saturating_sub(other.gpus),
+        }
+    }
+}
+
+/// How far a run has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunState {
+    /// Ordered under this fence; the answer is awaited.
+    Starting(Fence),
+    /// The start was answered, or a hold listed it.
+    Running,
+    /// A stop was ordered.
+    Stopping {
+        /// When, milliseconds of the steady clock.
+        ordered_ms: u64,
+    },
+}
+
+/// Whose run it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunOwner {
+    /// A task of a job here, by its position.
+    Task(JobKey, usize),
+    /// Nobody's here: an earlier owner's, or of a job that ended meanwhile.
+    Nobody {
+        /// When it is stopped if no job claims it.
+        stop_at_ms: u64,
+    },
+}
+
+/// A run that may be on the worker.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Name of its task.
+    pub task: Arc<str>,
+    /// Its number.
+    pub run_id: u64,
+    /// Whose it is.
+    pub owner: RunOwner,
+    /// How far it has come.
+    pub state: RunState,
+    /// What it takes; unknown of an earlier owner's runs.
+    pub room: Option<Room>,
+    /// When its start was ordered.
+    pub ordered_ms: u64,
+    /// When it was first known to be there, by an answer.
+    pub confirmed_ms: u64,
+    /// How long it should take here.
+    pub expected_ms: u64,
+}
+
+/// Whether the worker can be ordered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It has not yet answered a hold under the present fence.
+    Unfenced,
+    /// It has; what runs there is known.
+    Fenced,
+    /// Another owner outranks this one.
+    Outranked,
+}
+
+/// The hold that is on its way or open at the worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OpenHold {
+    /// Fence that it went out with.
+    pub fence: Fence,
+    /// Last end that it acknowledges.
+    pub seen_upto: u64,
+    /// When it was sent.
+    pub sent_ms: u64,
+}
+
+/// One worker of an owner.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    /// What the registry says.
+    pub record: WorkerRecord,
+    /// Whether the registry still lists it.
+    pub listed: bool,
+    /// Highest fence used there.
+    pub fence: Fence,
+    /// Whether it can be ordered.
+    pub standing: Standing,
+    /// Whether it has ever obeyed this owner.
+    pub obeyed: bool,
+    /// What may run there.
+    pub runs: Vec<Run>,
+    /// The hold that is open, if any.
+    pub hold: Option<OpenHold>,
+    /// No call goes there before this instant.
+    pub quiet_until_ms: u64,
+    /// Number of the last end taken in.
+    pub seen_upto: u64,
+    /// Number of the last end that an answered hold has acknowledged.
+    pub acked_upto: u64,
+    /// When the last end was taken in.
+    pub ended_ms: u64,
+    /// Its clock, and the instant of its reading.
+    clock: Option<(u64, u64)>,
+    /// When all leases granted so far have lapsed.
+    pub lapsed_at_ms: u64,
+    /// Recent evidence on it.
+    pub trust: Trust,
+}
+
+impl Worker {
+    /// A worker that this owner has not yet talked to.
+    pub fn new(record: WorkerRecord, fence: Fence) -> Self {
+        Self {
+            record,
+            listed: true,
+            fence,
+            standing: Standing::Unfenced,
+            obeyed: false,
+            runs: Vec::new(),
+            hold: None,
+            quiet_until_ms: 0,
+            seen_upto: 0,
+            acked_upto: 0,
+            ended_ms: 0,
+            clock: None,
+            lapsed_at_ms: 0,
+            trust: Trust::default(),
+        }
+    }
+
+    /// Room beside all that may run there; none with a run of unknown size.
+    pub fn free(&self) -> Room {
+        let mut free = self.record.capacity;
+        for run in &self.runs {
+            match run.room {
+                Some(room) => free = free.minus(&room),
+                None => return Room::default(),
+            }
+        }
+        free
+    }
+
+    /// Whether new tasks may go there.
+    pub fn is_open(&self, now_ms: u64) -> bool {
+        self.standing == Standing::Fenced
+            && self.listed
+            && !self.record.draining
+            && self.trust.admits(now_ms, self.runs.len())
+    }
+
+    /// Position of a run.
+    pub fn position(&self, task: &str, run_id: u64) -> Option<usize> {
+        let same = |run: &Run| run.run_id == run_id && &*run.task == task;
+        self.runs.iter().position(same)
+    }
+
+    /// Takes in a reading of its clock.
+    pub fn read_clock(&mut self, now_ms: u64, clock_ms: u64) {
+        let known_ms = self.clock_ms(now_ms);
+        if known_ms.is_none_or(|known_ms| clock_ms > known_ms) {
+            self.clock = Some((clock_ms, now_ms));
+        }
+    }
+
+    /// A lower bound of its clock; none before its first answer.
+    pub fn clock_ms(&self, now_ms: u64) -> Option<u64> {
+        let (clock_ms, read_ms) = self.clock?;
+        let since_ms = now_ms.saturating_sub(read_ms) as f64;
+        Some(clock_ms + (since_ms * (1.0 - CLOCK_SLOW)) as u64)
+    }
+
+    /// A deadline for an order that goes out now, and notes the lease.
+    pub fn lease(&mut self, now_ms: u64) -> Option<u64> {
+        let deadline_ms = self.clock_ms(now_ms)? + LEASE_MS;
+        let longest_ms = (LEASE_MS as f64 / (1.0 - CLOCK_SLOW)) as u64 + 1;
+        self.lapsed_at_ms = self.lapsed_at_ms.max(now_ms + longest_ms);
+        Some(deadline_ms)
+    }
+
+    /// Raises the fence: earlier orders of unknown fate die with the next hold.
+    pub fn raise(&mut self) {
+        self.fence = self.fence.raised();
+        self.standing = Standing::Unfenced;
+    }
+}
+
+/// Pause of a worker after its first failure; doubles with each further one.
+const PROBATION_MS: u64 = 250;
+/// Longest pause.
+const PROBATION_MAX_MS: u64 = 4000;
+/// Weight of the newest run in the average of speed.
+const SPEED_WEIGHT: f64 = 0.2;
+/// Bounds of the learned factor on run times.
+const SLOWNESS: std::ops::RangeInclusive<f64> = 0.5..=12.0;
+
+/// Evidence on a worker: outcomes and run times.
+///
+/// One failure is enough for a pause, since tasks rarely fail by themselves
+/// and workers that fail everything start everything that they are given.
+/// After the pause one task at a time goes there until one is done.
+#[derive(Clone, Debug)]
+pub struct Trust {
+    failures: u32,
+    paused_until_ms: u64,
+    /// Run times there against the estimates; 1 is as estimated.
+    pub slowness: f64,
+}
+
+impl Default for Trust {
+    fn default() -> Self {
+        Self {
+            failures: 0,
+            paused_until_ms: 0,
+            slowness: 1.0,
+        }
+    }
+}
+
+impl Trust {
+    /// Whether one more task may go there beside `runs` others.
+    pub fn admits(&self, now_ms: u64, runs: usize) -> bool {
+        self.failures == 0 || (now_ms >= self.paused_until_ms && runs == 0)
+    }
+
+    /// Whether it has failed since it last got a task done.
+    pub fn is_doubted(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// A task was done there.
+    pub fn done(&mut self, expected_ms: u64, took_ms: u64) {
+        self.failures = 0;
+        let ratio = took_ms as f64 / (expected_ms.max(1) as f64);
+        let ratio = ratio.clamp(*SLOWNESS.start(), *SLOWNESS.end());
+        self.slowness += SPEED_WEIGHT * (ratio - self.slowness);
+    }
+
+    /// A task failed or stalled there.
+    pub fn failed(&mut self, now_ms: u64) {
+        let pause_ms = PROBATION_MS << self.failures.min(8);
+        self.failures += 1;
+        self.paused_until_ms = now_ms + pause_ms.min(PROBATION_MAX_MS);
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,11 +11,13 @@
 //! * [`view`]: which instance owns a key.
 //! * [`membership`]: who is live, and up to which key time this instance may admit.
 //! * [`config`]: the declarations in force.
+//! * [`dispatch`]: dispatch onto fenced workers of the platform.
 //! * [`drain`]: a planned stop under one budget.
 //! * [`handover`]: what the memory of an instance that left proves.
 //! * [`engine`]: jobs and tasks of one instance, from submission to answer.
 
 pub mod config;
+pub mod dispatch;
 pub mod drain;
 pub mod engine;
 pub mod handover;
--- /dev/null
+++ b/crates/instance/src/edge.rs
@@ -0,0 +1,73 @@
+//! The platform's store and its workers, as the product sees them.
+//!
+//! Implementations translate names and formats and decide nothing.
+
+use derive_more::{Display, Error};
+use trefoil_core::dispatch::order::{HoldOrder, HoldOutcome, OrderOutcome, StartOrder, StopOrder};
+use trefoil_core::dispatch::ownership::ClaimWrite;
+use trefoil_core::dispatch::worker::WorkerRecord;
+use trefoil_schema::dispatch::{Claim, Node};
+
+use crate::declarations::Declarations;
+
+/// Why the store could not be used.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum StoreError {
+    /// No answer: down, slow or cut off.
+    #[display("the store did not answer: {cause}")]
+    NoAnswer {
+        /// What the connection said.
+        cause: String,
+    },
+    /// It answered that it does not serve this call now.
+    #[display("the store refused with status {status}")]
+    Refused {
+        /// HTTP status.
+        status: u16,
+    },
+    /// It holds something that cannot be read.
+    #[display("the store holds an unreadable value at {key}: {cause}")]
+    Unreadable {
+        /// The key.
+        key: String,
+        /// What is wrong with it.
+        cause: String,
+    },
+}
+
+/// Instances and claims, as the store holds them.
+#[derive(Clone, Debug, Default)]
+pub struct Deployment {
+    /// Registered instances.
+    pub nodes: Vec<Node>,
+    /// Claims with the revisions of their records.
+    pub claims: Vec<(Claim, u64)>,
+}
+
+/// The platform's store.
+#[allow(async_fn_in_trait)]
+pub trait Store {
+    /// The newest declarations; none while the operator has written none.
+    async fn declarations(&self) -> Result<Option<Declarations>, StoreError>;
+    /// All instances and claims.
+    async fn deployment(&self) -> Result<Deployment, StoreError>;
+    /// Registered workers of a failure domain.
+    async fn workers(&self, failure_domain: &str) -> Result<Vec<WorkerRecord>, StoreError>;
+    /// Registers an instance, or renews its registration.
+    async fn register(&self, node: &Node) -> Result<(), StoreError>;
+    /// Ends the registration.
+    async fn deregister(&self) -> Result<(), StoreError>;
+    /// Writes a claim if its record still has `revision` (0: none).
+    async fn write_claim(&self, claim: &Claim, revision: u64) -> ClaimWrite;
+}
+
+/// The platform's workers.
+#[allow(async_fn_in_trait)]
+pub trait Workers {
+    /// Starts a run.
+    async fn start(&self, order: &StartOrder) -> OrderOutcome;
+    /// Stops a run.
+    async fn stop(&self, order: &StopOrder) -> OrderOutcome;
+    /// Renews leases and lists runs and ends.
+    async fn hold(&self, order: &HoldOrder) -> HoldOutcome;
+}
--- /dev/null
+++ b/crates/instance/src/feeds.rs
@@ -0,0 +1,108 @@
+//! What is read from the store, and when.
+//!
+//! Reads are plain and periodic: they survive a forgotten history and cost the
+//! same whatever changes. Owners read everything often; others leave that to
+//! the owners that they hear from, which push newer declarations, and read
+//! rarely. Each call is priced, so the periods are as long as the limits allow.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::{info, warn};
+
+use crate::edge::{Store, StoreError, Workers};
+use crate::instance::Instance;
+
+/// Period of an owner's reads: two fit into the two seconds in which
+/// declarations must be in force and draining workers be left alone.
+const OWNER_PERIOD: Duration = Duration::from_millis(700);
+/// Period of the others' reads while an owner tells that it reads.
+const WATCHED_PERIOD: Duration = Duration::from_millis(4000);
+/// Pause after a read that failed.
+const RETRY: Duration = Duration::from_millis(250);
+/// Period of renewing the registration; a third of its life.
+const REGISTER_PERIOD: Duration = Duration::from_millis(1500);
+
+/// Remembers whether a dependency answered, to tell of changes only.
+#[derive(Default)]
+struct Health {
+    failed: bool,
+}
+
+impl Health {
+    fn note<E>(&mut self, instance: &Instance<E>, feed: &'static str, result: Result<(), StoreError>) {
+        match result {
+            Ok(()) if self.failed => info!(instance.log, "store regained"; "feed" => feed),
+            Err(error) if !self.failed => {
+                warn!(instance.log, "store lost"; "feed" => feed, "error" => %error);
+            }
+            Ok(()) | Err(_) => {}
+        }
+    }
+}
+
+/// Reads the store until the process ends.
+pub fn start<E: Store + Workers + 'static>(instance: &Rc<Instance<E>>) {
+    tokio::task::spawn_local(read_forever(Rc::clone(instance)));
+    tokio::task::spawn_local(register_forever(Rc::clone(instance)));
+}
+
+async fn read_forever<E: Store + Workers + 'static>(instance: Rc<Instance<E>>) {
+    let mut health = Health::default();
+    loop {
+        let poked = instance.store_poke.notified();
+        let result = read_once(&instance).await;
+        let failed = result.is_err();
+        health.note(&instance, "reads", result);
+        health.failed = failed;
+        let period = match (failed, instance.owns(), instance.store_is_watched()) {
+            (true, ..) => RETRY,
+            (false, false, true) => WATCHED_PERIOD,
+            (false, ..) => OWNER_PERIOD,
+        };
+        tokio::select! {
+            () = tokio::time::sleep(period) => {}
+            () = poked => {}
+        }
+    }
+}
+
+async fn read_once<E: Store + Workers + 'static>(
+    instance: &Rc<Instance<E>>,
+) -> Result<(), StoreError> {
+    let workers = async {
+        if instance.owns() {
+            let domain = &instance.settings.failure_domain;
+            instance.workers_read(instance.edge.workers(domain).await?);
+        }
+        Ok(())
+    };
+    let deployment = async {
+        let deployment = instance.edge.deployment().await?;
+        instance.deployment_read(deployment.nodes, deployment.claims);
+        Ok(())
+    };
+    let declarations = async {
+        if let Some(declarations) = instance.edge.declarations().await? {
+            instance.set_declarations(declarations);
+        }
+        Ok(())
+    };
+    tokio::try_join!(workers, deployment, declarations)?;
+    Ok(())
+}
+
+async fn register_forever<E: Store + Workers + 'static>(instance: Rc<Instance<E>>) {
+    let mut health = Health::default();
+    loop {
+        let result = instance.edge.register(&instance.me).await;
+        let failed = result.is_err();
+        health.note(&instance, "registration", result);
+        health.failed = failed;
+        let period = if failed { RETRY } else { REGISTER_PERIOD };
+        tokio::time::sleep(period).await;
+        if instance.is_leaving() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/instance/src/instance/calls.rs
@@ -0,0 +1,89 @@
+//! Orders to workers and claims to the store, and their answers.
+
+use std::sync::Arc;
+
+use trefoil_core::dispatch::order::{HoldOrder, OrderOutcome, StartOrder, StopOrder, Target};
+use trefoil_core::dispatch::owner::Answered;
+
+use super::*;
+
+impl<E: Store + Workers + 'static> Instance<E> {
+    pub(super) fn send_start(self: &Rc<Self>, order: StartOrder) {
+        info!(self.log, "start"; "task" => &*order.task, "run" => order.run_id,
+            "worker" => &*order.target.worker_id, "fence" => order.target.fence.token());
+        self.metrics.starts.inc();
+        let instance = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let sent = Instant::now();
+            let outcome = instance.edge.start(&order).await;
+            instance.metrics.start_answer_ms.observe(elapsed_ms(sent));
+            let answer = answered(order.target, order.task, order.run_id, outcome);
+            instance.with_owner(|owner, now_ms, out| owner.start_answered(now_ms, &answer, out));
+        });
+    }
+
+    pub(super) fn send_stop(self: &Rc<Self>, order: StopOrder) {
+        info!(self.log, "stop"; "task" => &*order.task, "run" => order.run_id,
+            "worker" => &*order.target.worker_id, "fence" => order.target.fence.token());
+        self.metrics.stops.inc();
+        let instance = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let outcome = instance.edge.stop(&order).await;
+            let answer = answered(order.target, order.task, order.run_id, outcome);
+            instance.with_owner(|owner, now_ms, out| owner.stop_answered(now_ms, &answer, out));
+        });
+    }
+
+    pub(super) fn send_hold(self: &Rc<Self>, order: HoldOrder) {
+        self.metrics.holds.inc();
+        let instance = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let outcome = instance.edge.hold(&order).await;
+            let (worker, fence) = (order.target.worker, order.target.fence);
+            instance.with_owner(|owner, now_ms, out| {
+                owner.hold_answered(now_ms, worker, fence, outcome, out);
+            });
+        });
+    }
+
+    /// Lets an answer change the owner, if there is one. Fences tell answers
+    /// to an earlier ownership apart.
+    fn with_owner(
+        self: &Rc<Self>,
+        event: impl FnOnce(&mut Owner, u64, &mut Vec<owner::Command>),
+    ) {
+        self.change(|state, now_ms, effects| {
+            if let Some(owner) = &mut state.owner {
+                event(owner, now_ms, &mut effects.owner);
+            }
+        });
+    }
+
+    pub(super) fn send_claim(self: &Rc<Self>, claim: Claim, revision: u64) {
+        let instance = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let write = instance.edge.write_claim(&claim, revision).await;
+            info!(instance.log, "claim written"; "term" => claim.term, "outcome" => ?write);
+            instance.change(|state, now_ms, effects| {
+                let out = &mut effects.ownership;
+                state.ownership.claim_written(now_ms, &claim, &write, out);
+            });
+            instance.store_poke.notify_waiters();
+        });
+    }
+}
+
+fn answered(target: Target, task: Arc<str>, run_id: u64, outcome: OrderOutcome) -> Answered {
+    Answered {
+        worker: target.worker,
+        fence: target.fence,
+        task,
+        run_id,
+        outcome,
+    }
+}
+
+/// Milliseconds since `start`.
+fn elapsed_ms(start: Instant) -> f64 {
+    start.elapsed().as_secs_f64() * 1e3
+}
--- /dev/null
+++ b/crates/instance/src/settings.rs
@@ -0,0 +1,109 @@
+//! The checked settings of an instance.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use derive_more::{Display, Error};
+use serde::Deserialize;
+
+/// Settings of one instance, from a JSON file.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct InstanceSettings {
+    /// Name of the instance; another start of it has the same.
+    pub instance: String,
+    /// Failure domain that it runs in.
+    pub failure_domain: String,
+    /// Where callers connect.
+    pub callers_address: SocketAddr,
+    /// Where the balancer asks whether it is ready.
+    pub ready_address: SocketAddr,
+    /// Where other instances connect.
+    pub links_address: SocketAddr,
+    /// Where metrics are served; none serves none.
+    #[serde(default)]
+    pub metrics_address: Option<SocketAddr>,
+    /// The platform's store.
+    pub store_address: SocketAddr,
+    /// Link addresses of instances that may be up.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Time from the request to stop until the process is killed.
+    #[serde(default = "default_stop_budget_ms")]
+    pub stop_budget_ms: u64,
+}
+
+/// Six seconds, which the platform grants everywhere so far.
+fn default_stop_budget_ms() -> u64 {
+    6000
+}
+
+/// Why settings cannot be used.
+#[derive(Debug, Display, Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[display("cannot read settings from {path}: {source}; hint: check --settings")]
+    File {
+        /// The file.
+        path: String,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// A field is wrong, or the file is no JSON.
+    #[display("settings in {path} are wrong at {field}: {source}")]
+    Field {
+        /// The file.
+        path: String,
+        /// Dotted path of the field; a dot for the whole.
+        field: String,
+        /// What is wrong.
+        source: serde_json::Error,
+    },
+    /// A value is outside its limits.
+    #[display("settings in {path} are wrong at {field}: {expected}")]
+    Value {
+        /// The file.
+        path: String,
+        /// The field.
+        field: &'static str,
+        /// What may stand there.
+        expected: &'static str,
+    },
+}
+
+/// Loads and checks settings.
+pub fn load(path: &Path) -> Result<InstanceSettings, SettingsError> {
+    let name = path.display().to_string();
+    let text = fs::read_to_string(path).map_err(|source| SettingsError::File {
+        path: name.clone(),
+        source,
+    })?;
+    parse(&name, &text)
+}
+
+/// Checks settings that were read from `path`.
+pub fn parse(path: &str, text: &str) -> Result<InstanceSettings, SettingsError> {
+    let mut json = serde_json::Deserializer::from_str(text);
+    let settings: InstanceSettings =
+        serde_path_to_error::deserialize(&mut json).map_err(|error| SettingsError::Field {
+            path: path.to_owned(),
+            field: error.path().to_string(),
+            source: error.into_inner(),
+        })?;
+    let value = |field, expected| SettingsError::Value {
+        path: path.to_owned(),
+        field,
+        expected,
+    };
+    if settings.instance.is_empty() {
+        return Err(value("instance", "a name"));
+    }
+    if settings.failure_domain.is_empty() {
+        return Err(value("failure_domain", "a name"));
+    }
+    if settings.stop_budget_ms == 0 {
+        return Err(value("stop_budget_ms", "more than 0"));
+    }
+    Ok(settings)
+}
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -1,7 +1,7 @@
 //! Messages between instances, operators' resources, settings and the HTTP
 //! API's bodies.
 //!
-//! Everything in [`peer`] comes from `proto/peer.proto` by prost; the rest
+//! [`peer`] and [`dispatch`] come from the files under `proto/` by prost; the rest
 //! comes from the JSON Schemas under `schema/` by typify. The generated code
 //! is committed; `cargo xtask codegen` renews it.
 
@@ -11,6 +11,12 @@
 #[path = "generated/peer.rs"]
 pub mod peer;
 
+/// Messages between the instances of a deployment with fenced workers.
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/dispatch.rs"]
+pub mod dispatch;
+
 /// Settings of an instance.
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
