--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -243,7 +243,9 @@
             job.may_have_run = true;
             job.unsafe_until_ms = now_ms + DELEGATED_GAP_MS;
             let view = self.owners.get(&owner);
-            job.unsafe_domain = view.map(|view| view.failure_domain.clone()).unwrap_or_default();
+            job.unsafe_domain = view
+                .map(|view| view.failure_domain.clone())
+                .unwrap_or_default();
         }
     }
 
@@ -401,6 +403,7 @@
 /// Work of a job by its estimates, thousandths of a core times milliseconds.
 fn work_of(spec: &JobSpec) -> u64 {
     let phases = spec.phases.iter();
-    let work = phases.map(|phase| u64::from(phase.count) * phase.cpu_millicores * phase.estimate_ms);
+    let work =
+        phases.map(|phase| u64::from(phase.count) * phase.cpu_millicores * phase.estimate_ms);
     work.sum()
 }
--- a/crates/core/src/dispatch/job.rs
+++ b/crates/core/src/dispatch/job.rs
@@ -153,7 +153,8 @@
 
 fn tasks_of(spec: &JobSpec) -> Vec<Task> {
     let phases = spec.phases.iter().enumerate();
-    let indexed = phases.flat_map(|(phase, shape)| (0..shape.count).map(move |index| (phase, index)));
+    let indexed =
+        phases.flat_map(|(phase, shape)| (0..shape.count).map(move |index| (phase, index)));
     let task = |(phase, index)| Task {
         phase: phase as u16,
         name: Arc::from(format!("{}.0.{phase}.{index}", spec.id)),
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -172,7 +172,13 @@
             return self.tell(origin, spec.id, outcome, reason, out);
         }
         if self.released {
-            return self.tell(origin, spec.id, Outcome::Returned, "ownership has ended", out);
+            return self.tell(
+                origin,
+                spec.id,
+                Outcome::Returned,
+                "ownership has ended",
+                out,
+            );
         }
         let id = spec.id.clone();
         let mut job = Job::new(spec, origin, now_ms);
@@ -196,7 +202,9 @@
     fn adopt(&mut self, key: JobKey) {
         let names: BTreeMap<Arc<str>, usize> = {
             let tasks = self.jobs[key].tasks.iter().enumerate();
-            tasks.map(|(index, task)| (task.name.clone(), index)).collect()
+            tasks
+                .map(|(index, task)| (task.name.clone(), index))
+                .collect()
         };
         for (name, &index) in &names {
             if let Some((EndKind::Done, _)) = self.orphan_ends.get(name) {
@@ -459,7 +467,8 @@
         while self.ended.front().is_some_and(|ended| old(ended.0)) {
             self.ended.pop_front();
         }
-        self.orphan_ends.retain(|_, end| end.1 + 4 * ADOPT_MS > now_ms);
+        self.orphan_ends
+            .retain(|_, end| end.1 + 4 * ADOPT_MS > now_ms);
     }
 
     /// Starts what fits and sends the holds that are due.
@@ -498,7 +507,8 @@
             }
         }
         for job in self.jobs.values().filter(|job| !job.stopping) {
-            let waiting = |task: &&super::job::Task| matches!(task.state, TaskState::Waiting { .. });
+            let waiting =
+                |task: &&super::job::Task| matches!(task.state, TaskState::Waiting { .. });
             let work = job.tasks.iter().filter(waiting).map(|task| job.phase(task));
             let work = work.map(|phase| phase.cpu_millicores * phase.estimate_ms);
             load.backlog_millicore_ms += work.sum::<u64>();
@@ -541,12 +551,7 @@
     }
 }
 
-fn stop_run(
-    now_ms: u64,
-    run: &mut super::worker::Run,
-    target: Target,
-    out: &mut Vec<Command>,
-) {
+fn stop_run(now_ms: u64, run: &mut super::worker::Run, target: Target, out: &mut Vec<Command>) {
     run.state = RunState::Stopping { ordered_ms: now_ms };
     out.push(Command::Stop(StopOrder {
         target,
--- a/crates/core/src/dispatch/owner/ends.rs
+++ b/crates/core/src/dispatch/owner/ends.rs
@@ -91,7 +91,13 @@
         let spent = task.failures >= job.spec.attempts_max.max(1);
         self.requeue(now_ms, &RunOwner::Task(key, index), 0, out);
         if spent && self.jobs.get(key).is_some_and(|job| !job.stopping) {
-            self.finish(now_ms, key, Outcome::Failed, "a task has no attempts left", out);
+            self.finish(
+                now_ms,
+                key,
+                Outcome::Failed,
+                "a task has no attempts left",
+                out,
+            );
         }
     }
 
--- a/crates/core/src/dispatch/owner/holds.rs
+++ b/crates/core/src/dispatch/owner/holds.rs
@@ -6,9 +6,7 @@
 //! order and tells whether it was carried out before. While the worker does
 //! not answer, its runs are counted as running until their leases lapse.
 
-use super::super::limits::{
-    ACK_IDLE_MS, ADOPT_MS, HOLD_WAIT_MS, LEASE_MAX_MS, PROBE_MS, RETRY_MS,
-};
+use super::super::limits::{ACK_IDLE_MS, ADOPT_MS, HOLD_WAIT_MS, LEASE_MAX_MS, PROBE_MS, RETRY_MS};
 use super::super::order::{HoldOutcome, ListedRun};
 use super::super::worker::{OpenHold, Run};
 use super::*;
@@ -194,7 +192,11 @@
                 job.tasks[index].run_id = listed.run_id;
                 let phase = &job.spec.phases[usize::from(job.tasks[index].phase)];
                 let room = place::room_of(phase);
-                (RunOwner::Task(job_key, index), Some(room), phase.estimate_ms)
+                (
+                    RunOwner::Task(job_key, index),
+                    Some(room),
+                    phase.estimate_ms,
+                )
             }
             None => {
                 // A second run of a task that runs elsewhere is stopped at once.
--- a/crates/core/src/dispatch/owner/place.rs
+++ b/crates/core/src/dispatch/owner/place.rs
@@ -99,7 +99,8 @@
     fn task_waits(&self, key: JobKey, index: usize, now_ms: u64) -> bool {
         let job = &self.jobs[key];
         let task = &job.tasks[index];
-        let due = matches!(task.state, TaskState::Waiting { not_before_ms } if not_before_ms <= now_ms);
+        let due =
+            matches!(task.state, TaskState::Waiting { not_before_ms } if not_before_ms <= now_ms);
         due && job.phase_ready(usize::from(task.phase))
     }
 
@@ -143,7 +144,8 @@
             && *worker.record.service == *job.spec.service
             && worker.trust.admits(now_ms, open.runs)
             && (label.is_empty() || worker.record.labels.contains(label))
-            && (phase.per_worker_max == 0 || self.count_on(open.key, job, index) < phase.per_worker_max);
+            && (phase.per_worker_max == 0
+                || self.count_on(open.key, job, index) < phase.per_worker_max);
         if !allowed {
             return None;
         }
@@ -161,7 +163,9 @@
     fn count_on(&self, key: WorkerKey, job: &Job, index: usize) -> u32 {
         let phase = job.tasks[index].phase;
         let there = job.tasks.iter().filter(|task| task.phase == phase);
-        there.filter(|task| task.state == TaskState::OnWorker(key)).count() as u32
+        there
+            .filter(|task| task.state == TaskState::OnWorker(key))
+            .count() as u32
     }
 
     fn start(
--- a/crates/core/src/dispatch/ownership.rs
+++ b/crates/core/src/dispatch/ownership.rs
@@ -117,7 +117,9 @@
     pub fn owned_by(&self, name: &str) -> Option<&str> {
         let mut claims = self.claims.values();
         let owner = |claim: &&Claim| claim.owner.as_ref().is_some_and(|node| node.name == name);
-        claims.find(owner).map(|claim| claim.failure_domain.as_str())
+        claims
+            .find(owner)
+            .map(|claim| claim.failure_domain.as_str())
     }
 
     /// All other instances known, to be linked.
@@ -254,7 +256,8 @@
         }
         self.vacant_since_ms = None;
         self.owns = true;
-        self.claims.insert(claim.failure_domain.clone(), claim.clone());
+        self.claims
+            .insert(claim.failure_domain.clone(), claim.clone());
         out.push(Command::Acquired(claim));
     }
 
@@ -338,8 +341,8 @@
         let owner = owner.map_or("", |node| node.name.as_str());
         let before = self.peers.values().filter(|peer| {
             let same = peer.node.failure_domain == self.me.failure_domain;
-            let younger = (peer.node.incarnation, &peer.node.name)
-                > (self.me.incarnation, &self.me.name);
+            let younger =
+                (peer.node.incarnation, &peer.node.name) > (self.me.incarnation, &self.me.name);
             same && younger && peer.linked && !peer.leaving && peer.node.name != owner
         });
         before.count() as u64
@@ -349,7 +352,8 @@
     fn reaches_most(&self) -> bool {
         let most = |own: bool| {
             let peers = self.peers.values();
-            let peers = peers.filter(|peer| !own || peer.node.failure_domain == self.me.failure_domain);
+            let peers =
+                peers.filter(|peer| !own || peer.node.failure_domain == self.me.failure_domain);
             let (all, linked) = peers.fold((1, 1), |(all, linked), peer| {
                 (all + 1, linked + usize::from(peer.linked))
             });
--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -30,7 +30,12 @@
 }
 
 impl Health {
-    fn note<E>(&mut self, instance: &Instance<E>, feed: &'static str, result: Result<(), StoreError>) {
+    fn note<E>(
+        &mut self,
+        instance: &Instance<E>,
+        feed: &'static str,
+        result: Result<(), StoreError>,
+    ) {
         match result {
             Ok(()) if self.failed => info!(instance.log, "store regained"; "feed" => feed),
             Err(error) if !self.failed => {
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -172,10 +172,7 @@
     }
 
     /// Lets one event change the state, then carries out what was decided.
-    fn change<T>(
-        self: &Rc<Self>,
-        event: impl FnOnce(&mut State, u64, &mut Effects) -> T,
-    ) -> T {
+    fn change<T>(self: &Rc<Self>, event: impl FnOnce(&mut State, u64, &mut Effects) -> T) -> T {
         let now_ms = self.now_ms();
         let mut effects = Effects::default();
         let result = {
@@ -263,7 +260,9 @@
                         let name = &self.me.name;
                         let out = &mut effects.entry;
                         let mut state = self.state.borrow_mut();
-                        state.entry.ended(self.now_ms(), name, &job_id, outcome, out);
+                        state
+                            .entry
+                            .ended(self.now_ms(), name, &job_id, outcome, out);
                     }
                     Origin::Link(link) => self.send_ended(link, job_id, outcome, reason),
                 }
@@ -337,7 +336,9 @@
             state.next_ticket += 1;
             state.waiters.insert(ticket, sender);
             let deadline_ms = now_ms + timeout_ms;
-            state.entry.submit(now_ms, ticket, spec, deadline_ms, &mut effects.entry);
+            state
+                .entry
+                .submit(now_ms, ticket, spec, deadline_ms, &mut effects.entry);
             ticket
         });
         let guard = TicketGuard {
--- a/crates/instance/src/instance/calls.rs
+++ b/crates/instance/src/instance/calls.rs
@@ -48,10 +48,7 @@
 
     /// Lets an answer change the owner, if there is one. Fences tell answers
     /// to an earlier ownership apart.
-    fn with_owner(
-        self: &Rc<Self>,
-        event: impl FnOnce(&mut Owner, u64, &mut Vec<owner::Command>),
-    ) {
+    fn with_owner(self: &Rc<Self>, event: impl FnOnce(&mut Owner, u64, &mut Vec<owner::Command>)) {
         self.change(|state, now_ms, effects| {
             if let Some(owner) = &mut state.owner {
                 event(owner, now_ms, &mut effects.owner);
--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -209,7 +209,9 @@
                 Body::Ended(ended) => {
                     let outcome = outcome_of(ended.outcome);
                     let out = &mut effects.entry;
-                    state.entry.ended(now_ms, &name, &ended.job_id, outcome, out);
+                    state
+                        .entry
+                        .ended(now_ms, &name, &ended.job_id, outcome, out);
                 }
                 Body::Config(_) | Body::Hello(_) | Body::Handover(_) => {}
             }
@@ -357,9 +359,8 @@
             let name = node.name.as_str();
             let dialed_ms = peers.dialed_ms.get(name);
             let due = dialed_ms.is_none_or(|at_ms| at_ms + REDIAL_MS <= now_ms);
-            let mine = now_ms < DIAL_ALL_MS
-                || *self.me.name < *name
-                || ownership.owned_by(name).is_some();
+            let mine =
+                now_ms < DIAL_ALL_MS || *self.me.name < *name || ownership.owned_by(name).is_some();
             let missing = peers.link_to(name).is_none() && !peers.dialing.contains(name);
             let Ok(address) = node.address.parse::<SocketAddr>() else {
                 continue;
--- a/crates/instance/src/instance/stop.rs
+++ b/crates/instance/src/instance/stop.rs
@@ -57,7 +57,10 @@
             let now_ms = self.now_ms();
             let idle = {
                 let state = self.state.borrow();
-                let owner_idle = state.owner.as_ref().is_none_or(|owner| owner.sizes().jobs == 0);
+                let owner_idle = state
+                    .owner
+                    .as_ref()
+                    .is_none_or(|owner| owner.sizes().jobs == 0);
                 state.entry.is_empty() && owner_idle
             };
             if idle && now_ms >= since_ms + BALANCER_MS {
--- a/crates/instance/src/log.rs
+++ b/crates/instance/src/log.rs
@@ -142,7 +142,10 @@
     loop {
         let mut waiting = buffer.lock();
         while waiting.bytes.is_empty() && !waiting.closed {
-            waiting = buffer.changed.wait(waiting).unwrap_or_else(PoisonError::into_inner);
+            waiting = buffer
+                .changed
+                .wait(waiting)
+                .unwrap_or_else(PoisonError::into_inner);
         }
         let closed = waiting.closed;
         drop(waiting);
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -54,7 +54,11 @@
             start_answer_ms: histogram(&registry, "trefoil_start_answer_ms", "Start to answer.")?,
             stops: counter(&registry, "trefoil_stops_total", "Stops ordered.")?,
             holds: counter(&registry, "trefoil_holds_total", "Holds ordered.")?,
-            bad_requests: counter(&registry, "trefoil_bad_requests_total", "Unusable requests.")?,
+            bad_requests: counter(
+                &registry,
+                "trefoil_bad_requests_total",
+                "Unusable requests.",
+            )?,
             jobs_awaited: gauge(&registry, "trefoil_jobs_awaited", "Callers' jobs here.")?,
             jobs_owned: gauge(&registry, "trefoil_jobs_owned", "Jobs at this owner.")?,
             workers: gauge(&registry, "trefoil_workers", "Workers of this owner.")?,
