--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -23,19 +23,19 @@
 pub enum Command {
     /// Hand a job to an owner.
     Delegate {
-        /// Name of the owner.
-        owner: String,
+        /// The pool, and its owner.
+        to: Owned,
         /// The job; its age counts from the caller's request.
         spec: JobSpec,
         /// Until then runs of an earlier owner may go on.
         unsafe_for_ms: u64,
-        /// Failure domain of that owner.
-        unsafe_domain: String,
+        /// Pool of that owner.
+        unsafe_pool: String,
     },
     /// Tell an owner that nobody awaits a job any more.
     Cancel {
-        /// Name of the owner.
-        owner: String,
+        /// The pool, and its owner.
+        to: Owned,
         /// The job.
         job_id: String,
     },
@@ -48,6 +48,15 @@
     },
 }
 
+/// A pool and the name of its owner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Owned {
+    /// The pool.
+    pub pool: String,
+    /// Name of the instance that owns it.
+    pub owner: String,
+}
+
 /// What a caller is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
@@ -71,10 +80,12 @@
     OtherJob,
 }
 
-/// An owner, as this entry sees it.
+/// A pool, as this entry sees it.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct OwnerView {
-    /// Failure domain that it owns.
+pub struct PoolView {
+    /// Name of its owner.
+    pub owner: String,
+    /// Failure domain of its workers.
     pub failure_domain: String,
     /// Its load, when last heard.
     pub load: Load,
@@ -83,7 +94,7 @@
     pub since_millicore_ms: u64,
 }
 
-impl OwnerView {
+impl PoolView {
     fn wait_ms(&self, home: &str) -> f64 {
         let work = self.load.backlog_millicore_ms + self.since_millicore_ms;
         let wait_ms = work as f64 / self.load.capacity_millicores.max(1) as f64;
@@ -99,8 +110,8 @@
 enum Place {
     /// Here, for an owner to be found.
     Waiting,
-    /// At this owner.
-    Delegated(String),
+    /// At the owner of a pool.
+    Delegated(Owned),
 }
 
 #[derive(Clone, Debug)]
@@ -112,7 +123,7 @@
     place: Place,
     waiting_since_ms: u64,
     unsafe_until_ms: u64,
-    unsafe_domain: String,
+    unsafe_pool: String,
     /// Whether an owner was lost that may have started it.
     may_have_run: bool,
 }
@@ -123,7 +134,7 @@
     home: String,
     jobs: HashMap<String, EntryJob>,
     tickets: HashMap<Ticket, String>,
-    owners: BTreeMap<String, OwnerView>,
+    pools: BTreeMap<String, PoolView>,
 }
 
 impl Entry {
@@ -162,7 +173,7 @@
             place: Place::Waiting,
             waiting_since_ms: now_ms,
             unsafe_until_ms: now_ms,
-            unsafe_domain: String::new(),
+            unsafe_pool: String::new(),
             may_have_run: false,
         };
         self.tickets.insert(ticket, id.clone());
@@ -188,9 +199,9 @@
         let Some(job) = self.jobs.remove(id) else {
             return;
         };
-        if let Place::Delegated(owner) = job.place {
+        if let Place::Delegated(to) = job.place {
             let job_id = id.to_owned();
-            out.push(Command::Cancel { owner, job_id });
+            out.push(Command::Cancel { to, job_id });
         }
     }
 
@@ -198,7 +209,7 @@
     pub fn ended(
         &mut self,
         now_ms: u64,
-        owner: &str,
+        from: &Owned,
         id: &str,
         outcome: Outcome,
         out: &mut Vec<Command>,
@@ -206,7 +217,7 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        if job.place != Place::Delegated(owner.to_owned()) {
+        if job.place != Place::Delegated(from.clone()) {
             return;
         }
         match outcome {
@@ -222,7 +233,7 @@
                 self.answer(id, answer, out);
             }
             Outcome::Returned | Outcome::Lost | Outcome::Unspecified => {
-                if let Some(view) = self.owners.get_mut(owner) {
+                if let Some(view) = self.pools.get_mut(&from.pool) {
                     view.load.serving = false;
                 }
                 self.take_back(now_ms, id, outcome != Outcome::Returned);
@@ -235,50 +246,75 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        let Place::Delegated(owner) = std::mem::replace(&mut job.place, Place::Waiting) else {
+        let Place::Delegated(from) = std::mem::replace(&mut job.place, Place::Waiting) else {
             return;
         };
         job.waiting_since_ms = now_ms;
         if may_run {
             job.may_have_run = true;
             job.unsafe_until_ms = now_ms + DELEGATED_GAP_MS;
-            let view = self.owners.get(&owner);
-            job.unsafe_domain = view
-                .map(|view| view.failure_domain.clone())
-                .unwrap_or_default();
+            job.unsafe_pool = from.pool;
         }
     }
 
-    /// Takes in what an owner tells of its load.
-    pub fn owner_seen(
+    /// Takes in what an owner tells of a pool's load.
+    pub fn pool_seen(
         &mut self,
         now_ms: u64,
-        owner: &str,
+        owned: &Owned,
         failure_domain: &str,
         load: Load,
         out: &mut Vec<Command>,
     ) {
-        let served = self.owners.get(owner).is_some_and(|view| view.load.serving);
-        let view = OwnerView {
+        let known = self.pools.get(&owned.pool);
+        if let Some(other) = known.filter(|view| view.owner != owned.owner) {
+            let owner = other.owner.clone();
+            let pool = owned.pool.clone();
+            self.pool_lost(now_ms, &Owned { pool, owner }, out);
+        }
+        let known = self.pools.get(&owned.pool);
+        let served = known.is_some_and(|view| view.load.serving);
+        let view = PoolView {
+            owner: owned.owner.clone(),
             failure_domain: failure_domain.to_owned(),
             load,
             since_millicore_ms: 0,
         };
-        self.owners.insert(owner.to_owned(), view);
+        self.pools.insert(owned.pool.clone(), view);
         if load.serving && !served {
             self.place_waiting(now_ms, out);
         }
     }
 
-    /// The link to an owner is gone, or it owns nothing any more.
+    /// The pools of an owner, as this entry knows them.
+    pub fn pools_of(&self, owner: &str) -> Vec<Owned> {
+        let pools = self.pools.iter().filter(|(_, view)| view.owner == owner);
+        let owned = |(pool, view): (&String, &PoolView)| Owned {
+            pool: pool.clone(),
+            owner: view.owner.clone(),
+        };
+        pools.map(owned).collect()
+    }
+
+    /// The link to an owner is gone.
     pub fn owner_lost(&mut self, now_ms: u64, owner: &str, out: &mut Vec<Command>) {
-        let place = Place::Delegated(owner.to_owned());
+        for owned in self.pools_of(owner) {
+            self.pool_lost(now_ms, &owned, out);
+        }
+    }
+
+    /// An owner does not own a pool any more.
+    pub fn pool_lost(&mut self, now_ms: u64, owned: &Owned, out: &mut Vec<Command>) {
+        let place = Place::Delegated(owned.clone());
         let delegated = self.jobs.iter().filter(|(_, job)| job.place == place);
         let ids: Vec<String> = delegated.map(|(id, _)| id.clone()).collect();
         for id in &ids {
             self.take_back(now_ms, id, true);
         }
-        self.owners.remove(owner);
+        let known = self.pools.get(&owned.pool);
+        if known.is_some_and(|view| view.owner == owned.owner) {
+            self.pools.remove(&owned.pool);
+        }
         for id in &ids {
             self.place(now_ms, id, out);
         }
@@ -318,9 +354,9 @@
                 reason: "its time is over",
             },
         };
-        if let Place::Delegated(owner) = job.place.clone() {
+        if let Place::Delegated(to) = job.place.clone() {
             let job_id = id.to_owned();
-            out.push(Command::Cancel { owner, job_id });
+            out.push(Command::Cancel { to, job_id });
         }
         self.answer(id, answer, out);
     }
@@ -361,26 +397,29 @@
             return;
         }
         let is_safe = now_ms >= job.unsafe_until_ms;
-        let serving = self.owners.iter_mut().filter(|(_, view)| view.load.serving);
-        let allowed =
-            serving.filter(|(_, view)| is_safe || view.failure_domain == job.unsafe_domain);
+        let serving = self.pools.iter_mut().filter(|(_, view)| view.load.serving);
+        let allowed = serving.filter(|(pool, _)| is_safe || **pool == job.unsafe_pool);
         let home = &self.home;
         let best = allowed.min_by(|left, right| {
             let (left, right) = (left.1.wait_ms(home), right.1.wait_ms(home));
             left.total_cmp(&right)
         });
-        let Some((owner, view)) = best else {
+        let Some((pool, view)) = best else {
             return;
         };
         view.since_millicore_ms += work_of(&job.spec);
-        job.place = Place::Delegated(owner.clone());
+        let to = Owned {
+            pool: pool.clone(),
+            owner: view.owner.clone(),
+        };
+        job.place = Place::Delegated(to.clone());
         let mut spec = job.spec.clone();
         spec.age_ms = now_ms.saturating_sub(job.arrived_ms);
         out.push(Command::Delegate {
-            owner: owner.clone(),
+            to,
             spec,
             unsafe_for_ms: job.unsafe_until_ms.saturating_sub(now_ms),
-            unsafe_domain: job.unsafe_domain.clone(),
+            unsafe_pool: job.unsafe_pool.clone(),
         });
     }
 
@@ -396,7 +435,7 @@
 
     /// Whether any owner takes jobs.
     pub fn is_served(&self) -> bool {
-        self.owners.values().any(|view| view.load.serving)
+        self.pools.values().any(|view| view.load.serving)
     }
 }
 
--- a/crates/core/src/dispatch/limits.rs
+++ b/crates/core/src/dispatch/limits.rs
@@ -8,9 +8,10 @@
 pub const LEASE_MAX_MS: u64 = 1000;
 /// Largest share by which a worker's clock is slow, by the platform's contract.
 pub const CLOCK_SLOW: f64 = 0.02;
-/// Lease asked for with each order. Below [`LEASE_MAX_MS`], so that an order
-/// that is carried out late finds its deadline passed soon.
-pub const LEASE_MS: u64 = 940;
+/// Lease asked for with each order. Counted from [`LINK_SILENT_MS`] after the
+/// origin was last surely there, it ends before callers send their jobs again
+/// (1300 after a loss).
+pub const LEASE_MS: u64 = 820;
 /// How long a worker may keep a hold open until something ends. Two renewals
 /// fit into a lease.
 pub const HOLD_WAIT_MS: u64 = 400;
@@ -33,8 +34,20 @@
 /// The same between instances that own nothing.
 pub const LINK_IDLE_SILENT_MS: u64 = 1800;
 /// From the end of a link until nothing that was delegated over it runs: the
-/// other side's [`LINK_SILENT_MS`], then a lease that it renewed just before.
-pub const DELEGATED_GAP_MS: u64 = LINK_SILENT_MS + LEASE_MAX_MS + 40;
+/// other side's [`LINK_SILENT_MS`], then a lease that it renewed just before,
+/// on a clock that is 2 % slow, and the crossing.
+pub const DELEGATED_GAP_MS: u64 = LINK_SILENT_MS + LEASE_MS + 80;
+/// Workers in one pool at the most when a failure domain's pools are laid out.
+/// 30 workers start some 250 tasks a second, at a quarter of a millisecond each
+/// half of what the smallest instances have.
+pub const POOL_WORKERS_MAX: usize = 30;
+/// An instance lays out a failure domain's pools only when it has been up for
+/// so long: until then workers may still be registering.
+pub const POOLS_SETTLE_MS: u64 = 2000;
+/// An owner yields a pool to an instance that is this much stronger for it.
+pub const YIELD_FACTOR: f64 = 1.9;
+/// An instance must have been linked for so long before a pool is yielded to it.
+pub const YIELD_AFTER_MS: u64 = 3000;
 /// How long runs of an earlier owner may go on unclaimed under a new one. With
 /// the lease that the earlier owner left, it ends before callers send their
 /// jobs again (1300 after the loss).
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -1,4 +1,4 @@
-//! One owner of a failure domain's workers: its jobs, tasks and workers.
+//! The owner of one pool: its jobs, tasks and workers.
 //!
 //! [`Owner`] takes delegated jobs, the registry's workers and the outcomes of
 //! orders, and pushes [`Command`]s. The steps are in the modules below:
@@ -20,7 +20,7 @@
 
 use super::fence::Fence;
 use super::job::{Job, Origin, TaskState};
-use super::limits::{ADOPT_MS, REMEMBER_MS, RETRY_MS};
+use super::limits::{ADOPT_MS, LINK_SILENT_MS, REMEMBER_MS, RETRY_MS};
 use super::order::{
     EndKind, HoldOrder, JobKey, OrderOutcome, Rejection, StartOrder, StopOrder, Target, WorkerKey,
 };
@@ -75,7 +75,7 @@
 /// The jobs and workers of one owner.
 #[derive(Debug)]
 pub struct Owner {
-    failure_domain: Arc<str>,
+    pool: Arc<str>,
     fence: Fence,
     workers: SlotMap<WorkerKey, Worker>,
     worker_ids: HashMap<Arc<str>, WorkerKey>,
@@ -86,15 +86,17 @@
     /// Jobs that ended lately.
     ended: VecDeque<(u64, String, Outcome)>,
     dirty: HashSet<WorkerKey>,
+    /// Until when each origin is known to have had its link.
+    alive_ms: HashMap<Origin, u64>,
     run_seed: u64,
     released: bool,
 }
 
 impl Owner {
     /// An owner in `term`; `run_seed` is larger than that of earlier owners.
-    pub fn new(failure_domain: &str, fence: Fence, run_seed: u64) -> Self {
+    pub fn new(pool: &str, fence: Fence, run_seed: u64) -> Self {
         Self {
-            failure_domain: Arc::from(failure_domain),
+            pool: Arc::from(pool),
             fence,
             workers: SlotMap::with_key(),
             worker_ids: HashMap::new(),
@@ -103,17 +105,46 @@
             orphan_ends: HashMap::new(),
             ended: VecDeque::new(),
             dirty: HashSet::new(),
+            alive_ms: HashMap::new(),
             run_seed,
             released: false,
         }
     }
 
-    /// The failure domain whose workers it owns.
-    pub fn failure_domain(&self) -> &str {
-        &self.failure_domain
+    /// The pool whose workers it owns.
+    pub fn pool(&self) -> &str {
+        &self.pool
     }
 
-    /// Takes in the registry's workers of the failure domain.
+    /// An origin had its link at `alive_ms`, by its own word.
+    pub fn origin_alive(&mut self, origin: Origin, alive_ms: u64) {
+        self.alive_ms.insert(origin, alive_ms);
+    }
+
+    /// How much longer than it may an origin has gone unheard. Leases are cut
+    /// short by that much, however late this instance learns of the loss.
+    fn overdue_ms(&self, now_ms: u64, origin: Option<Origin>) -> u64 {
+        match origin {
+            Some(origin @ Origin::Link(_)) => {
+                let alive_ms = self.alive_ms.get(&origin).copied().unwrap_or(now_ms);
+                now_ms.saturating_sub(alive_ms + LINK_SILENT_MS)
+            }
+            Some(Origin::Local) | None => 0,
+        }
+    }
+
+    /// The most overdue origin of a worker's runs.
+    fn overdue_on(&self, now_ms: u64, key: WorkerKey) -> u64 {
+        let runs = self.workers[key].runs.iter();
+        let overdue = runs.filter_map(|run| match run.owner {
+            RunOwner::Task(job, _) => self.jobs.get(job),
+            RunOwner::Nobody { .. } => None,
+        });
+        let overdue = overdue.map(|job| self.overdue_ms(now_ms, job.origin));
+        overdue.max().unwrap_or(0)
+    }
+
+    /// Takes in the registry's workers of the pool.
     pub fn set_workers(&mut self, now_ms: u64, records: Vec<WorkerRecord>, out: &mut Vec<Command>) {
         let listed: HashSet<Arc<str>> = records.iter().map(|record| record.id.clone()).collect();
         for record in records {
@@ -258,6 +289,7 @@
             out.push(Command::Note(Note::job("origin lost", &id)));
             self.abandon(now_ms, key, out);
         }
+        self.alive_ms.remove(&origin);
         self.settle(now_ms, out);
     }
 
@@ -542,6 +574,17 @@
     pub runs: usize,
 }
 
+impl std::iter::Sum for Sizes {
+    fn sum<I: Iterator<Item = Self>>(sizes: I) -> Self {
+        sizes.fold(Self::default(), |sum, sizes| Self {
+            jobs: sum.jobs + sizes.jobs,
+            workers: sum.workers + sizes.workers,
+            workers_fenced: sum.workers_fenced + sizes.workers_fenced,
+            runs: sum.runs + sizes.runs,
+        })
+    }
+}
+
 fn target_of(key: WorkerKey, worker: &Worker) -> Target {
     Target {
         worker: key,
--- a/crates/core/src/dispatch/owner/holds.rs
+++ b/crates/core/src/dispatch/owner/holds.rs
@@ -22,9 +22,11 @@
 impl Owner {
     /// Sends a hold where one is due, and lets go of workers that have left.
     pub(super) fn hold_if_due(&mut self, now_ms: u64, key: WorkerKey, out: &mut Vec<Command>) {
-        let Some(worker) = self.workers.get_mut(key) else {
+        if !self.workers.contains_key(key) {
             return;
-        };
+        }
+        let overdue_ms = self.overdue_on(now_ms, key);
+        let worker = &mut self.workers[key];
         let unacked = worker.acked_upto < worker.seen_upto;
         if !worker.listed && worker.runs.is_empty() && !unacked {
             let id = worker.record.id.clone();
@@ -45,10 +47,11 @@
             Standing::Fenced if now_ms < worker.ended_ms + ACK_IDLE_MS => return,
             Standing::Fenced => 0,
         };
-        let renews = !worker.runs.is_empty();
-        let deadline_ms = match renews {
-            true => worker.lease(now_ms),
-            false => None,
+        // Runs that are being stopped alone get no more time.
+        let stopping = |run: &Run| matches!(run.state, RunState::Stopping { .. });
+        let deadline_ms = match worker.runs.iter().all(stopping) {
+            true => None,
+            false => worker.lease(now_ms, overdue_ms),
         };
         worker.hold = Some(OpenHold {
             fence: worker.fence,
--- a/crates/core/src/dispatch/owner/place.rs
+++ b/crates/core/src/dispatch/owner/place.rs
@@ -176,8 +176,10 @@
         worker_key: WorkerKey,
         out: &mut Vec<Command>,
     ) {
+        let overdue_ms = self.overdue_ms(now_ms, self.jobs[key].origin);
+        let overdue_ms = overdue_ms.max(self.overdue_on(now_ms, worker_key));
         let worker = &mut self.workers[worker_key];
-        let Some(deadline_ms) = worker.lease(now_ms) else {
+        let Some(deadline_ms) = worker.lease(now_ms, overdue_ms) else {
             return;
         };
         self.run_seed += 1;
--- a/crates/core/src/dispatch/ownership.rs
+++ b/crates/core/src/dispatch/ownership.rs
@@ -1,19 +1,23 @@
-//! Claims on failure domains, and when to make one.
+//! Claims on pools, and when to make one.
 //!
-//! A claim names the owner of a failure domain's workers in a term. Claims are
-//! made by compare-and-swap in the platform's store; where the store does not
-//! answer, a candidate that still reaches most of the others claims without
-//! it. Two claims at once cost time and no promise, since workers obey only
-//! the higher fence; the higher claim is the one that everybody follows.
+//! A claim names the owner of a pool in a term. Claims are made by
+//! compare-and-swap in the platform's store; where the store does not answer, a
+//! candidate that still reaches most of the others claims without it. Two
+//! claims at once cost time and no promise, since workers obey only the higher
+//! fence; the higher claim is the one that everybody follows.
 //!
-//! A vacancy is filled by the youngest candidate: in a rolling restart it is
-//! the one that will not be stopped next.
+//! A vacancy is filled by the instance that is strongest for the pools that it
+//! would then own; among equals by the youngest: in a rolling restart it is the
+//! one that will not be stopped next.
 
 use std::collections::BTreeMap;
 
 use trefoil_schema::dispatch::{Claim, Node};
 
-use super::limits::{CLAIM_STAGGER_MS, CLAIM_STORE_MS, OWNER_LOST_MS};
+use super::limits::{
+    CLAIM_STAGGER_MS, CLAIM_STORE_MS, OWNER_LOST_MS, YIELD_AFTER_MS, YIELD_FACTOR,
+};
+use super::pool;
 
 /// How long an owner that was outranked by an unknown claim leaves it alone.
 const OUTRANKED_PAUSE_MS: u64 = 1500;
@@ -22,6 +26,9 @@
 /// How long an instance after its start looks for an owner before it takes a
 /// claim in the store for vacant: links are dialed in that time.
 const SETTLE_MS: u64 = 300;
+/// For so long an instance that the store lists and that is not linked may
+/// still come: dials take less.
+const LISTED_ONLY_MS: u64 = 800;
 
 /// What the shell must do.
 #[derive(Clone, Debug, PartialEq)]
@@ -33,11 +40,11 @@
         /// Revision that was read.
         revision: u64,
     },
-    /// This instance owns the workers of its failure domain now.
+    /// This instance owns a pool now.
     Acquired(Claim),
-    /// It no longer does.
-    Released,
-    /// Somebody else's claim was learned: the failure domain's new owner.
+    /// It no longer owns this pool.
+    Released(String),
+    /// Somebody else's claim was learned: a pool's new owner.
     Learned(Claim),
 }
 
@@ -68,20 +75,34 @@
     leaving: bool,
 }
 
-/// The ownership of failure domains, as one instance knows it.
+/// A pool of the own failure domain.
+#[derive(Clone, Debug, Default)]
+struct Pool {
+    claim: Option<Claim>,
+    /// Revision and term of the store's record.
+    stored: (u64, u64),
+    vacant_since_ms: Option<u64>,
+    quiet_until_ms: u64,
+    owns: bool,
+    /// Whether its owner would rather see another one own it.
+    yielded: bool,
+}
+
+impl Pool {
+    fn owner(&self) -> Option<&Node> {
+        self.claim.as_ref()?.owner.as_ref()
+    }
+}
+
+/// The ownership of pools, as one instance knows it.
 #[derive(Debug)]
 pub struct Ownership {
     me: Node,
     started_ms: u64,
     peers: BTreeMap<String, Peer>,
-    claims: BTreeMap<String, Claim>,
-    /// Revisions of the store's claim records, with their terms.
-    revisions: BTreeMap<String, (u64, u64)>,
+    pools: BTreeMap<String, Pool>,
     store_read: bool,
     writing: Option<(Claim, u64)>,
-    vacant_since_ms: Option<u64>,
-    quiet_until_ms: u64,
-    owns: bool,
     leaving: bool,
 }
 
@@ -92,34 +113,22 @@
             me,
             started_ms: now_ms,
             peers: BTreeMap::new(),
-            claims: BTreeMap::new(),
-            revisions: BTreeMap::new(),
+            pools: BTreeMap::new(),
             store_read: false,
             writing: None,
-            vacant_since_ms: None,
-            quiet_until_ms: 0,
-            owns: false,
             leaving: false,
         }
     }
 
-    /// Whether this instance owns its failure domain's workers.
-    pub fn owns(&self) -> bool {
-        self.owns
+    /// The claims of this instance, and whether it yields their pools.
+    pub fn own_claims(&self) -> impl Iterator<Item = (&Claim, bool)> {
+        let owned = self.pools.values().filter(|pool| pool.owns);
+        owned.filter_map(|pool| Some((pool.claim.as_ref()?, pool.yielded)))
     }
 
-    /// All claims known.
-    pub fn claims(&self) -> impl Iterator<Item = &Claim> {
-        self.claims.values()
-    }
-
-    /// The failure domain that an instance owns, if any.
-    pub fn owned_by(&self, name: &str) -> Option<&str> {
-        let mut claims = self.claims.values();
-        let owner = |claim: &&Claim| claim.owner.as_ref().is_some_and(|node| node.name == name);
-        claims
-            .find(owner)
-            .map(|claim| claim.failure_domain.as_str())
+    /// Whether this instance owns any pool.
+    pub fn owns_any(&self) -> bool {
+        self.pools.values().any(|pool| pool.owns)
     }
 
     /// All other instances known, to be linked.
@@ -127,6 +136,19 @@
         self.peers.values().map(|peer| &peer.node)
     }
 
+    /// Whether the number of the failure domain's pools is known.
+    pub fn is_laid_out(&self) -> bool {
+        !self.pools.is_empty()
+    }
+
+    /// Takes in the number of the failure domain's pools.
+    pub fn set_pool_count(&mut self, count: u32) {
+        for index in 0..count {
+            let name = pool::name(&self.me.failure_domain, index);
+            self.pools.entry(name).or_default();
+        }
+    }
+
     /// Takes in the store's list of instances.
     pub fn set_members(&mut self, now_ms: u64, nodes: Vec<Node>) {
         self.store_read = true;
@@ -185,37 +207,61 @@
 
     /// Takes in a claim from the store, with its record's revision.
     pub fn stored_claim(&mut self, claim: Claim, revision: u64, out: &mut Vec<Command>) {
-        let domain = claim.failure_domain.clone();
-        self.revisions.insert(domain, (revision, claim.term));
-        self.learn(claim, out);
+        if claim.failure_domain != self.me.failure_domain {
+            return;
+        }
+        let pool = self.pools.entry(claim.pool.clone()).or_default();
+        pool.stored = (revision, claim.term);
+        self.learn(claim, false, out);
     }
 
     /// Takes in a claim from any source; the higher one counts.
-    pub fn learn(&mut self, claim: Claim, out: &mut Vec<Command>) {
-        let known = self.claims.get(&claim.failure_domain);
-        if known.is_some_and(|known| rank(known) >= rank(&claim)) {
+    pub fn learn(&mut self, claim: Claim, yielded: bool, out: &mut Vec<Command>) {
+        if claim.failure_domain != self.me.failure_domain {
             return;
         }
-        let own = claim.failure_domain == self.me.failure_domain;
-        if own {
-            self.vacant_since_ms = None;
+        let pool = self.pools.entry(claim.pool.clone()).or_default();
+        let known = pool.claim.as_ref().map(rank);
+        match known.cmp(&Some(rank(&claim))) {
+            std::cmp::Ordering::Greater => return,
+            std::cmp::Ordering::Equal => {
+                if !pool.owns {
+                    pool.yielded = yielded;
+                }
+                return;
+            }
+            std::cmp::Ordering::Less => {}
+        }
+        pool.vacant_since_ms = None;
+        pool.yielded = yielded;
+        let writing = self.writing.as_ref();
+        if writing.is_some_and(|(writing, _)| writing.pool == claim.pool) {
             self.writing = None;
-            if self.owns {
-                self.owns = false;
-                out.push(Command::Released);
+        }
+        if std::mem::take(&mut pool.owns) {
+            out.push(Command::Released(claim.pool.clone()));
+        }
+        pool.claim = Some(claim.clone());
+        out.push(Command::Learned(claim));
+    }
+
+    /// A worker of a pool obeys a higher fence than this instance's.
+    pub fn outranked(&mut self, now_ms: u64, name: &str, out: &mut Vec<Command>) {
+        if let Some(pool) = self.pools.get_mut(name) {
+            pool.quiet_until_ms = now_ms + OUTRANKED_PAUSE_MS;
+            if std::mem::take(&mut pool.owns) {
+                out.push(Command::Released(name.to_owned()));
             }
         }
-        out.push(Command::Learned(claim.clone()));
-        self.claims.insert(claim.failure_domain.clone(), claim);
     }
 
-    /// A worker obeys a higher fence than this instance's.
-    pub fn outranked(&mut self, now_ms: u64, out: &mut Vec<Command>) {
-        self.quiet_until_ms = now_ms + OUTRANKED_PAUSE_MS;
-        if self.owns {
-            self.owns = false;
-            out.push(Command::Released);
+    /// The process stood still: others may own its pools by now.
+    pub fn stood_still(&mut self, now_ms: u64, out: &mut Vec<Command>) {
+        let names: Vec<String> = self.pools.keys().cloned().collect();
+        for name in names {
+            self.outranked(now_ms, &name, out);
         }
+        self.writing = None;
     }
 
     /// Takes in what became of writing a claim.
@@ -229,20 +275,21 @@
         let pending = self.writing.as_ref().is_some_and(|(sent, _)| sent == claim);
         match write {
             ClaimWrite::Written { revision } => {
-                let domain = claim.failure_domain.clone();
-                self.revisions.insert(domain, (*revision, claim.term));
+                if let Some(pool) = self.pools.get_mut(&claim.pool) {
+                    pool.stored = (*revision, claim.term);
+                }
                 if pending {
                     self.acquire(out);
                 }
             }
-            ClaimWrite::Conflict => self.writing = None,
-            ClaimWrite::NoAnswer if pending && !self.owns => {
+            ClaimWrite::Conflict if pending => self.writing = None,
+            ClaimWrite::NoAnswer if pending => {
                 // Its fate is unknown; the next tick decides without the store.
                 if let Some((_, sent_ms)) = &mut self.writing {
                     *sent_ms = (*sent_ms).min(now_ms.saturating_sub(CLAIM_STORE_MS));
                 }
             }
-            ClaimWrite::NoAnswer => {}
+            ClaimWrite::Conflict | ClaimWrite::NoAnswer => {}
         }
     }
 
@@ -250,73 +297,111 @@
         let Some((claim, _)) = self.writing.take() else {
             return;
         };
-        let known = self.claims.get(&claim.failure_domain);
-        if self.leaving || known.is_some_and(|known| rank(known) > rank(&claim)) {
+        let Some(pool) = self.pools.get_mut(&claim.pool) else {
+            return;
+        };
+        let known = pool.claim.as_ref().map(rank);
+        if self.leaving || known > Some(rank(&claim)) {
             return;
         }
-        self.vacant_since_ms = None;
-        self.owns = true;
-        self.claims
-            .insert(claim.failure_domain.clone(), claim.clone());
+        pool.vacant_since_ms = None;
+        pool.owns = true;
+        pool.yielded = false;
+        pool.claim = Some(claim.clone());
         out.push(Command::Acquired(claim));
     }
 
-    /// Passes time: finds a vacancy and claims it in turn.
+    /// Passes time: finds vacancies and claims one of them in turn.
     pub fn tick(&mut self, now_ms: u64, out: &mut Vec<Command>) {
-        if self.leaving || now_ms < self.quiet_until_ms {
+        if self.leaving {
             return;
         }
         if let Some((_, sent_ms)) = &self.writing {
-            if now_ms >= sent_ms + CLAIM_STORE_MS && self.reaches_most() {
-                self.acquire(out);
+            if now_ms >= sent_ms + CLAIM_STORE_MS {
+                match self.reaches_most() {
+                    true => self.acquire(out),
+                    false => self.writing = None,
+                }
             }
             return;
         }
-        if self.owns {
-            return self.rewrite(now_ms, out);
-        }
-        if !self.is_vacant(now_ms) {
-            self.vacant_since_ms = None;
-            return;
+        let names: Vec<String> = self.pools.keys().cloned().collect();
+        for name in &names {
+            let pool = &self.pools[name];
+            if now_ms < pool.quiet_until_ms {
+                continue;
+            }
+            if pool.owns {
+                self.rewrite(now_ms, name, out);
+                self.consider_yielding(now_ms, name);
+            } else if self.is_due(now_ms, name) {
+                return self.claim(now_ms, name, out);
+            }
         }
-        let since_ms = *self.vacant_since_ms.get_or_insert(now_ms);
+    }
+
+    /// Whether a pool is vacant and this instance's turn to claim it has come.
+    fn is_due(&mut self, now_ms: u64, name: &str) -> bool {
+        let vacant = self.is_vacant(now_ms, &self.pools[name]);
+        let turn = self.turn(now_ms, &self.pools[name]);
         let knows_enough = self.store_read || self.reaches_most();
-        let turn_ms = since_ms + self.turn() * CLAIM_STAGGER_MS;
-        if knows_enough && now_ms >= turn_ms {
-            self.claim(now_ms, out);
+        let Some(pool) = self.pools.get_mut(name) else {
+            return false;
+        };
+        if !vacant {
+            pool.vacant_since_ms = None;
+            return false;
         }
+        let since_ms = *pool.vacant_since_ms.get_or_insert(now_ms);
+        knows_enough && now_ms >= since_ms + turn * CLAIM_STAGGER_MS
     }
 
-    fn claim(&mut self, now_ms: u64, out: &mut Vec<Command>) {
-        let domain = &self.me.failure_domain;
-        let term = self.claims.get(domain).map_or(0, |claim| claim.term);
+    fn claim(&mut self, now_ms: u64, name: &str, out: &mut Vec<Command>) {
+        let pool = &self.pools[name];
+        let term = pool.claim.as_ref().map_or(0, |claim| claim.term);
         let claim = Claim {
-            failure_domain: domain.clone(),
+            pool: name.to_owned(),
+            failure_domain: self.me.failure_domain.clone(),
             term: term + 1,
             owner: Some(self.me.clone()),
         };
-        let revision = self.revisions.get(domain).map_or(0, |known| known.0);
+        let revision = pool.stored.0;
         self.writing = Some((claim.clone(), now_ms));
         out.push(Command::WriteClaim { claim, revision });
     }
 
     /// Brings the store up to date with a claim that was made without it.
-    fn rewrite(&mut self, now_ms: u64, out: &mut Vec<Command>) {
-        let domain = &self.me.failure_domain;
-        let (revision, term) = self.revisions.get(domain).copied().unwrap_or_default();
-        let Some(claim) = self.claims.get(domain).filter(|claim| claim.term > term) else {
+    fn rewrite(&mut self, now_ms: u64, name: &str, out: &mut Vec<Command>) {
+        let Some(pool) = self.pools.get_mut(name) else {
             return;
         };
-        let claim = claim.clone();
-        self.quiet_until_ms = now_ms + REWRITE_MS;
+        let (revision, term) = pool.stored;
+        let Some(claim) = pool.claim.clone().filter(|claim| claim.term > term) else {
+            return;
+        };
+        pool.quiet_until_ms = now_ms + REWRITE_MS;
         out.push(Command::WriteClaim { claim, revision });
     }
 
-    /// Whether the failure domain has no owner that can be reached.
-    fn is_vacant(&self, now_ms: u64) -> bool {
-        let claim = self.claims.get(&self.me.failure_domain);
-        let owner = claim.and_then(|claim| claim.owner.as_ref());
-        let Some(owner) = owner else {
+    /// Yields a pool while another instance is much stronger for it.
+    fn consider_yielding(&mut self, now_ms: u64, name: &str) {
+        let own = strain(self.owned_by(&self.me.name), &self.me);
+        let stronger = |peer: &Peer| {
+            let strain = strain(self.owned_by(&peer.node.name) + 1, &peer.node);
+            peer.is_candidate(&self.me)
+                && peer.linked
+                && now_ms >= peer.changed_ms + YIELD_AFTER_MS
+                && own >= strain * YIELD_FACTOR
+        };
+        let yielded = self.peers.values().any(stronger);
+        if let Some(pool) = self.pools.get_mut(name) {
+            pool.yielded = yielded;
+        }
+    }
+
+    /// Whether a pool has no owner that can be reached and wants to keep it.
+    fn is_vacant(&self, now_ms: u64, pool: &Pool) -> bool {
+        let Some(owner) = pool.owner() else {
             return true;
         };
         if owner.name == self.me.name {
@@ -326,34 +411,55 @@
         let Some(peer) = self.peers.get(&owner.name) else {
             return now_ms >= self.started_ms + SETTLE_MS;
         };
-        let same_life = peer.node.incarnation == owner.incarnation;
         if peer.linked {
-            return peer.leaving || !same_life;
+            let same_life = peer.node.incarnation == owner.incarnation;
+            let yielded = pool.yielded && self.is_stronger_than(owner);
+            return peer.leaving || !same_life || yielded;
         }
         let lost_ms = peer.changed_ms.max(self.started_ms + SETTLE_MS) + OWNER_LOST_MS;
         now_ms >= lost_ms
     }
 
-    /// How many candidates come before this instance.
-    fn turn(&self) -> u64 {
-        let owner = self.claims.get(&self.me.failure_domain);
-        let owner = owner.and_then(|claim| claim.owner.as_ref());
-        let owner = owner.map_or("", |node| node.name.as_str());
+    fn is_stronger_than(&self, owner: &Node) -> bool {
+        let own = strain(self.owned_by(&self.me.name) + 1, &self.me);
+        strain(self.owned_by(&owner.name), owner) >= own * YIELD_FACTOR
+    }
+
+    /// Pools of the failure domain that an instance owns.
+    fn owned_by(&self, name: &str) -> usize {
+        let pools = self.pools.values();
+        let owned = pools.filter(|pool| pool.owner().is_some_and(|owner| owner.name == name));
+        owned.count()
+    }
+
+    /// How many candidates for a pool come before this instance.
+    fn turn(&self, now_ms: u64, pool: &Pool) -> u64 {
+        let owner = pool.owner().map_or("", |node| node.name.as_str());
+        let own = self.order(&self.me);
         let before = self.peers.values().filter(|peer| {
-            let same = peer.node.failure_domain == self.me.failure_domain;
-            let younger =
-                (peer.node.incarnation, &peer.node.name) > (self.me.incarnation, &self.me.name);
-            same && younger && peer.linked && !peer.leaving && peer.node.name != owner
+            let lost_ms = peer.changed_ms.max(self.started_ms) + LISTED_ONLY_MS;
+            let may_be_up = peer.linked || (peer.listed && now_ms < lost_ms);
+            peer.is_candidate(&self.me)
+                && may_be_up
+                && peer.node.name != owner
+                && self.order(&peer.node) < own
         });
         before.count() as u64
     }
 
+    /// Place in the order of candidates; smaller ones come first.
+    fn order(&self, node: &Node) -> (u64, std::cmp::Reverse<u64>, String) {
+        let strain = strain(self.owned_by(&node.name) + 1, node);
+        let youngest_first = std::cmp::Reverse(node.incarnation);
+        ((strain * 1000.0) as u64, youngest_first, node.name.clone())
+    }
+
     /// Whether most of the instances known, or of the failure domain's, are linked.
     fn reaches_most(&self) -> bool {
         let most = |own: bool| {
+            let domain = &self.me.failure_domain;
             let peers = self.peers.values();
-            let peers =
-                peers.filter(|peer| !own || peer.node.failure_domain == self.me.failure_domain);
+            let peers = peers.filter(|peer| !own || peer.node.failure_domain == *domain);
             let (all, linked) = peers.fold((1, 1), |(all, linked), peer| {
                 (all + 1, linked + usize::from(peer.linked))
             });
@@ -363,6 +469,17 @@
     }
 }
 
+impl Peer {
+    fn is_candidate(&self, me: &Node) -> bool {
+        self.node.failure_domain == me.failure_domain && !self.leaving
+    }
+}
+
+/// Pools for each core that an instance has.
+fn strain(pools: usize, node: &Node) -> f64 {
+    pools as f64 * 1000.0 / node.weight_millicores.max(1) as f64
+}
+
 fn rank(claim: &Claim) -> (u64, &str) {
     let owner = claim.owner.as_ref();
     (claim.term, owner.map_or("", |node| node.name.as_str()))
--- /dev/null
+++ b/crates/core/src/dispatch/pool.rs
@@ -0,0 +1,25 @@
+//! Pools: fixed shares of a failure domain's workers.
+//!
+//! The number of a failure domain's pools is written to the store once and
+//! stays, so that every instance puts a worker into the same pool.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::limits::POOL_WORKERS_MAX;
+
+/// Name of a pool.
+pub fn name(failure_domain: &str, index: u32) -> String {
+    format!("{failure_domain}/{index}")
+}
+
+/// How many pools `workers` are laid out in.
+pub fn count_for(workers: usize) -> u32 {
+    workers.div_ceil(POOL_WORKERS_MAX).max(1) as u32
+}
+
+/// The pool of a worker: the index with the highest hash, so that another
+/// number of pools would move as few workers as possible.
+pub fn index_of(worker_id: &str, count: u32) -> u32 {
+    let hash = |index: &u32| xxh3_64_with_seed(worker_id.as_bytes(), u64::from(*index));
+    (0..count).max_by_key(hash).unwrap_or(0)
+}
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -226,10 +226,12 @@
         Some(clock_ms + (since_ms * (1.0 - CLOCK_SLOW)) as u64)
     }
 
-    /// A deadline for an order that goes out now, and notes the lease.
-    pub fn lease(&mut self, now_ms: u64) -> Option<u64> {
-        let deadline_ms = self.clock_ms(now_ms)? + LEASE_MS;
-        let longest_ms = (LEASE_MS as f64 / (1.0 - CLOCK_SLOW)) as u64 + 1;
+    /// A deadline for an order that goes out now, and notes the lease, which
+    /// is `cut_ms` shorter than usual; none where nothing is left of it.
+    pub fn lease(&mut self, now_ms: u64, cut_ms: u64) -> Option<u64> {
+        let lease_ms = LEASE_MS.checked_sub(cut_ms)?;
+        let deadline_ms = self.clock_ms(now_ms)? + lease_ms;
+        let longest_ms = (lease_ms as f64 / (1.0 - CLOCK_SLOW)) as u64 + 1;
         self.lapsed_at_ms = self.lapsed_at_ms.max(now_ms + longest_ms);
         Some(deadline_ms)
     }
--- a/crates/instance/src/edge.rs
+++ b/crates/instance/src/edge.rs
@@ -2,6 +2,8 @@
 //!
 //! Implementations translate names and formats and decide nothing.
 
+use std::collections::HashMap;
+
 use derive_more::{Display, Error};
 use trefoil_core::dispatch::order::{HoldOrder, HoldOutcome, OrderOutcome, StartOrder, StopOrder};
 use trefoil_core::dispatch::ownership::ClaimWrite;
@@ -42,6 +44,8 @@
     pub nodes: Vec<Node>,
     /// Claims with the revisions of their records.
     pub claims: Vec<(Claim, u64)>,
+    /// Numbers of pools by failure domain.
+    pub pool_counts: HashMap<String, u32>,
 }
 
 /// The platform's store.
@@ -57,6 +61,8 @@
     async fn register(&self, node: &Node) -> Result<(), StoreError>;
     /// Ends the registration.
     async fn deregister(&self) -> Result<(), StoreError>;
+    /// Lays out a failure domain's pools, unless that has been done.
+    async fn lay_out(&self, failure_domain: &str, pools: u32) -> Result<(), StoreError>;
     /// Writes a claim if its record still has `revision` (0: none).
     async fn write_claim(&self, claim: &Claim, revision: u64) -> ClaimWrite;
 }
--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 
 use slog::{info, warn};
+use trefoil_core::dispatch::limits::POOLS_SETTLE_MS;
+use trefoil_core::dispatch::pool;
 
 use crate::edge::{Store, StoreError, Workers};
 use crate::instance::Instance;
@@ -75,16 +77,18 @@
 async fn read_once<E: Store + Workers + 'static>(
     instance: &Rc<Instance<E>>,
 ) -> Result<(), StoreError> {
+    let domain = &instance.settings.failure_domain;
     let workers = async {
         if instance.owns() {
-            let domain = &instance.settings.failure_domain;
             instance.workers_read(instance.edge.workers(domain).await?);
         }
         Ok(())
     };
     let deployment = async {
-        let deployment = instance.edge.deployment().await?;
-        instance.deployment_read(deployment.nodes, deployment.claims);
+        instance.deployment_read(instance.edge.deployment().await?);
+        if !instance.is_laid_out() && instance.now_ms() >= POOLS_SETTLE_MS {
+            lay_out(instance).await?;
+        }
         Ok(())
     };
     let declarations = async {
@@ -97,6 +101,22 @@
     Ok(())
 }
 
+/// Lays out the failure domain's pools; the next read tells what holds.
+async fn lay_out<E: Store + Workers + 'static>(
+    instance: &Rc<Instance<E>>,
+) -> Result<(), StoreError> {
+    let domain = &instance.settings.failure_domain;
+    let workers = instance.edge.workers(domain).await?.len();
+    if workers == 0 {
+        return Ok(());
+    }
+    let pools = pool::count_for(workers);
+    info!(instance.log, "laying out pools"; "workers" => workers, "pools" => pools);
+    instance.edge.lay_out(domain, pools).await?;
+    instance.deployment_read(instance.edge.deployment().await?);
+    Ok(())
+}
+
 async fn register_forever<E: Store + Workers + 'static>(instance: Rc<Instance<E>>) {
     let mut health = Health::default();
     loop {
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -15,24 +15,25 @@
 mod stop;
 
 use std::cell::RefCell;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::MissedTickBehavior;
-use trefoil_core::dispatch::entry::{self, Answer, Entry, Ticket};
+use trefoil_core::dispatch::entry::{self, Answer, Entry, Owned, Ticket};
 use trefoil_core::dispatch::fence::Fence;
 use trefoil_core::dispatch::job::Origin;
-use trefoil_core::dispatch::limits::{BEAT_MS, LINK_SILENT_MS};
+use trefoil_core::dispatch::limits::BEAT_MS;
 use trefoil_core::dispatch::owner::{self, Owner};
 use trefoil_core::dispatch::ownership::{self, Ownership};
+use trefoil_core::dispatch::pool;
 use trefoil_core::dispatch::worker::WorkerRecord;
-use trefoil_schema::dispatch::{Claim, Job as JobSpec, Node, Outcome};
+use trefoil_schema::dispatch::{Claim, Delegate, Job as JobSpec, Node, Outcome};
 
 use crate::declarations::Declarations;
-use crate::edge::{Store, Workers};
+use crate::edge::{Deployment, Store, Workers};
 use crate::log::unix_ms;
 use crate::metrics::Metrics;
 use crate::settings::InstanceSettings;
@@ -42,8 +43,12 @@
 /// Period of the instance's ticks: retries and lapses are decided this often.
 const TICK_MS: u64 = 25;
 /// A tick that comes this much late means that the process stood still: others
-/// have given up its links, and its leases may have lapsed.
-const FROZEN_MS: u64 = LINK_SILENT_MS;
+/// have given up its links, and its leases may have lapsed. Others run its jobs
+/// anew only after [`LINK_SILENT_MS`] and [`DELEGATED_GAP_MS`] together.
+///
+/// [`LINK_SILENT_MS`]: trefoil_core::dispatch::limits::LINK_SILENT_MS
+/// [`DELEGATED_GAP_MS`]: trefoil_core::dispatch::limits::DELEGATED_GAP_MS
+const FROZEN_MS: u64 = 900;
 
 /// One instance; `E` reaches the platform.
 pub struct Instance<E> {
@@ -66,31 +71,34 @@
 /// What changes.
 pub(crate) struct State {
     ownership: Ownership,
-    owner: Option<Owner>,
+    owners: BTreeMap<String, Owner>,
     entry: Entry,
     peers: Peers,
     declarations: Option<Rc<Declarations>>,
     worker_records: Vec<WorkerRecord>,
+    pool_count: u32,
     waiters: HashMap<Ticket, oneshot::Sender<Answer>>,
     next_ticket: Ticket,
     ticks: u64,
     ticked_ms: u64,
     store_read_ms: Option<u64>,
     leaving: bool,
+    /// Failure domain of this instance.
+    home: String,
 }
 
 /// Commands of the decisions, to be carried out after the borrow.
 #[derive(Default)]
 struct Effects {
     entry: Vec<entry::Command>,
-    owner: Vec<owner::Command>,
+    owner: Vec<(String, owner::Command)>,
     ownership: Vec<ownership::Command>,
 }
 
 /// One command, whoever gave it.
 enum Effect {
     Entry(entry::Command),
-    Owner(owner::Command),
+    Owner(String, owner::Command),
     Ownership(ownership::Command),
 }
 
@@ -102,20 +110,23 @@
             incarnation: unix_ms(),
             failure_domain: settings.failure_domain.clone(),
             address: settings.links_address.to_string(),
+            weight_millicores: settings.weight_millicores(),
         };
         let state = State {
             ownership: Ownership::new(0, me.clone()),
-            owner: None,
+            owners: BTreeMap::new(),
             entry: Entry::new(&settings.failure_domain),
             peers: Peers::default(),
             declarations: None,
             worker_records: Vec::new(),
+            pool_count: 0,
             waiters: HashMap::new(),
             next_ticket: 0,
             ticks: 0,
             ticked_ms: 0,
             store_read_ms: None,
             leaving: false,
+            home: settings.failure_domain.clone(),
         };
         Rc::new(Self {
             settings,
@@ -148,9 +159,7 @@
         self.change(|state, now_ms, effects| {
             state.entry.tick(now_ms, &mut effects.entry);
             state.ownership.tick(now_ms, &mut effects.ownership);
-            if let Some(owner) = &mut state.owner {
-                owner.tick(now_ms, &mut effects.owner);
-            }
+            state.each_owner(effects, |owner, out| owner.tick(now_ms, out));
             state.ticks += 1;
         });
         if self.state.borrow().ticks.is_multiple_of(BEAT_MS / TICK_MS) {
@@ -167,7 +176,7 @@
             return;
         }
         warn!(self.log, "process stood still"; "late_ms" => late_ms);
-        state.ownership.outranked(now_ms, &mut effects.ownership);
+        state.ownership.stood_still(now_ms, &mut effects.ownership);
         self.drop_links(state, now_ms, effects);
     }
 
@@ -190,7 +199,7 @@
         while let Some(effect) = queue.pop_front() {
             let more = match effect {
                 Effect::Entry(command) => self.carry_out_entry(command),
-                Effect::Owner(command) => self.carry_out_owner(command),
+                Effect::Owner(pool, command) => self.carry_out_owner(pool, command),
                 Effect::Ownership(command) => self.carry_out_ownership(command),
             };
             enqueue(&mut queue, more);
@@ -209,68 +218,72 @@
                 }
             }
             entry::Command::Delegate {
-                owner,
+                to,
                 spec,
                 unsafe_for_ms,
-                unsafe_domain,
+                unsafe_pool,
             } => {
-                info!(self.log, "delegated"; "job" => &spec.id, "owner" => &owner,
-                    "age_ms" => spec.age_ms, "unsafe_for_ms" => unsafe_for_ms);
-                if owner != self.me.name {
-                    self.send_delegate(&owner, spec, unsafe_for_ms, unsafe_domain, &mut effects);
+                info!(self.log, "delegated"; "job" => &spec.id, "pool" => &to.pool,
+                    "owner" => &to.owner, "age_ms" => spec.age_ms,
+                    "unsafe_for_ms" => unsafe_for_ms);
+                let delegate = Delegate {
+                    job: Some(spec),
+                    unsafe_for_ms,
+                    unsafe_pool,
+                    pool: to.pool.clone(),
+                };
+                if to.owner != self.me.name {
+                    self.send_delegate(&to, delegate, &mut effects);
                     return effects;
                 }
                 let mut state = self.state.borrow_mut();
-                let clears = unsafe_domain == self.me.failure_domain;
-                let Some(local) = &mut state.owner else {
-                    let name = self.me.name.clone();
-                    state.entry.owner_lost(now_ms, &name, &mut effects.entry);
-                    return effects;
-                };
-                let out = &mut effects.owner;
-                local.delegate(now_ms, Origin::Local, spec, unsafe_for_ms, clears, out);
+                if !state.delegate(Origin::Local, delegate, now_ms, &mut effects) {
+                    state.entry.pool_lost(now_ms, &to, &mut effects.entry);
+                }
             }
-            entry::Command::Cancel { owner, job_id } => {
-                if owner != self.me.name {
-                    self.send_cancel(&owner, job_id);
-                } else if let Some(local) = &mut self.state.borrow_mut().owner {
-                    local.cancel(now_ms, Origin::Local, &job_id, &mut effects.owner);
+            entry::Command::Cancel { to, job_id } => {
+                if to.owner != self.me.name {
+                    self.send_cancel(&to, job_id);
+                    return effects;
                 }
+                let mut state = self.state.borrow_mut();
+                state.with_owner(&to.pool, &mut effects, |owner, out| {
+                    owner.cancel(now_ms, Origin::Local, &job_id, out);
+                });
             }
         }
         effects
     }
 
-    fn carry_out_owner(self: &Rc<Self>, command: owner::Command) -> Effects {
+    fn carry_out_owner(self: &Rc<Self>, pool: String, command: owner::Command) -> Effects {
         let mut effects = Effects::default();
         match command {
-            owner::Command::Start(order) => self.send_start(order),
-            owner::Command::Stop(order) => self.send_stop(order),
-            owner::Command::Hold(order) => self.send_hold(order),
+            owner::Command::Start(order) => self.send_start(pool, order),
+            owner::Command::Stop(order) => self.send_stop(pool, order),
+            owner::Command::Hold(order) => self.send_hold(pool, order),
             owner::Command::Ended {
                 origin,
                 job_id,
                 outcome,
                 reason,
             } => {
-                info!(self.log, "job ended"; "job" => &job_id, "outcome" => ?outcome,
-                    "reason" => reason);
+                info!(self.log, "job ended"; "job" => &job_id, "pool" => &pool,
+                    "outcome" => ?outcome, "reason" => reason);
                 match origin {
                     Origin::Local => {
-                        let name = &self.me.name;
+                        let owner = self.me.name.clone();
+                        let from = Owned { pool, owner };
                         let out = &mut effects.entry;
                         let mut state = self.state.borrow_mut();
-                        state
-                            .entry
-                            .ended(self.now_ms(), name, &job_id, outcome, out);
+                        state.entry.ended(self.now_ms(), &from, &job_id, outcome, out);
                     }
-                    Origin::Link(link) => self.send_ended(link, job_id, outcome, reason),
+                    Origin::Link(link) => self.send_ended(link, pool, job_id, outcome, reason),
                 }
             }
             owner::Command::Outranked => {
                 let mut state = self.state.borrow_mut();
                 let out = &mut effects.ownership;
-                state.ownership.outranked(self.now_ms(), out);
+                state.ownership.outranked(self.now_ms(), &pool, out);
                 self.store_poke.notify_waiters();
             }
             owner::Command::Note(note) => info!(self.log, "{}", note.event;
@@ -283,14 +296,15 @@
         let mut effects = Effects::default();
         match command {
             ownership::Command::WriteClaim { claim, revision } => {
-                info!(self.log, "claiming"; "term" => claim.term, "revision" => revision);
+                info!(self.log, "claiming"; "pool" => &claim.pool, "term" => claim.term,
+                    "revision" => revision);
                 self.send_claim(claim, revision);
             }
             ownership::Command::Acquired(claim) => self.acquired(&claim, &mut effects),
-            ownership::Command::Released => self.released(&mut effects),
+            ownership::Command::Released(pool) => self.released(pool, &mut effects),
             ownership::Command::Learned(claim) => {
                 let owner = claim.owner.as_ref().map_or("", |node| node.name.as_str());
-                info!(self.log, "owner learned"; "domain" => &claim.failure_domain,
+                info!(self.log, "owner learned"; "pool" => &claim.pool,
                     "term" => claim.term, "owner" => owner);
             }
         }
@@ -298,30 +312,31 @@
     }
 
     fn acquired(self: &Rc<Self>, claim: &Claim, effects: &mut Effects) {
-        info!(self.log, "ownership acquired"; "term" => claim.term);
+        info!(self.log, "ownership acquired"; "pool" => &claim.pool, "term" => claim.term);
         let fence = Fence::new(claim.term, &self.me.name);
-        let mut owner = Owner::new(&claim.failure_domain, fence, unix_ms());
+        let owner = Owner::new(&claim.pool, fence, unix_ms());
         let mut state = self.state.borrow_mut();
-        let records = state.worker_records.clone();
-        if !records.is_empty() {
-            owner.set_workers(self.now_ms(), records, &mut effects.owner);
+        state.owners.insert(claim.pool.clone(), owner);
+        if !state.worker_records.is_empty() {
+            state.deal_workers(self.now_ms(), effects);
         }
-        state.owner = Some(owner);
         drop(state);
         self.store_poke.notify_waiters();
         self.beat();
     }
 
-    fn released(self: &Rc<Self>, effects: &mut Effects) {
-        info!(self.log, "ownership released");
+    fn released(self: &Rc<Self>, pool: String, effects: &mut Effects) {
+        info!(self.log, "ownership released"; "pool" => &pool);
         let now_ms = self.now_ms();
         let mut state = self.state.borrow_mut();
-        if let Some(mut owner) = state.owner.take() {
-            owner.release(now_ms, &mut effects.owner);
+        state.with_owner(&pool, effects, |owner, out| owner.release(now_ms, out));
+        state.owners.remove(&pool);
+        if state.owners.is_empty() {
+            state.worker_records.clear();
         }
-        state.worker_records.clear();
-        let name = self.me.name.clone();
-        state.entry.owner_lost(now_ms, &name, &mut effects.entry);
+        let owner = self.me.name.clone();
+        let owned = Owned { pool, owner };
+        state.entry.pool_lost(now_ms, &owned, &mut effects.entry);
         drop(state);
         self.store_poke.notify_waiters();
         self.beat();
@@ -382,17 +397,27 @@
         self.state.borrow().leaving
     }
 
-    /// Whether it owns its failure domain's workers.
+    /// Whether it owns any pool.
     pub fn owns(&self) -> bool {
-        self.state.borrow().owner.is_some()
+        !self.state.borrow().owners.is_empty()
+    }
+
+    /// Whether the pools of its failure domain are laid out.
+    pub fn is_laid_out(&self) -> bool {
+        self.state.borrow().pool_count > 0
     }
 
     /// Takes in the store's instances and claims.
-    pub fn deployment_read(self: &Rc<Self>, nodes: Vec<Node>, claims: Vec<(Claim, u64)>) {
+    pub fn deployment_read(self: &Rc<Self>, deployment: Deployment) {
         self.change(|state, now_ms, effects| {
             state.store_read_ms = Some(now_ms);
-            state.ownership.set_members(now_ms, nodes);
-            for (claim, revision) in claims {
+            let count = deployment.pool_counts.get(&self.me.failure_domain);
+            if let Some(&count) = count {
+                state.pool_count = count;
+                state.ownership.set_pool_count(count);
+            }
+            state.ownership.set_members(now_ms, deployment.nodes);
+            for (claim, revision) in deployment.claims {
                 let out = &mut effects.ownership;
                 state.ownership.stored_claim(claim, revision, out);
             }
@@ -402,10 +427,8 @@
     /// Takes in the registry's workers of this failure domain.
     pub fn workers_read(self: &Rc<Self>, records: Vec<WorkerRecord>) {
         self.change(|state, now_ms, effects| {
-            if let Some(owner) = &mut state.owner {
-                owner.set_workers(now_ms, records.clone(), &mut effects.owner);
-                state.worker_records = records;
-            }
+            state.worker_records = records;
+            state.deal_workers(now_ms, effects);
         });
     }
 
@@ -417,8 +440,72 @@
 
     fn measure(&self) {
         let state = self.state.borrow();
-        let sizes = state.owner.as_ref().map(Owner::sizes).unwrap_or_default();
-        self.metrics.sizes(state.entry.len(), sizes);
+        let sizes = state.owners.values().map(Owner::sizes);
+        self.metrics.sizes(state.entry.len(), sizes.sum());
+    }
+}
+
+impl State {
+    /// Lets the owner of a pool decide, if this instance has it.
+    fn with_owner<T>(
+        &mut self,
+        pool: &str,
+        effects: &mut Effects,
+        event: impl FnOnce(&mut Owner, &mut Vec<owner::Command>) -> T,
+    ) -> Option<T> {
+        let owner = self.owners.get_mut(pool)?;
+        let mut out = Vec::new();
+        let result = event(owner, &mut out);
+        let commands = out.into_iter().map(|command| (pool.to_owned(), command));
+        effects.owner.extend(commands);
+        Some(result)
+    }
+
+    /// Lets every owner here decide.
+    fn each_owner(
+        &mut self,
+        effects: &mut Effects,
+        mut event: impl FnMut(&mut Owner, &mut Vec<owner::Command>),
+    ) {
+        let pools: Vec<String> = self.owners.keys().cloned().collect();
+        for pool in pools {
+            self.with_owner(&pool, effects, &mut event);
+        }
+    }
+
+    /// Hands a job to the owner of a pool; false if that is not here.
+    fn delegate(
+        &mut self,
+        origin: Origin,
+        delegate: Delegate,
+        now_ms: u64,
+        effects: &mut Effects,
+    ) -> bool {
+        let Some(spec) = delegate.job else {
+            return true;
+        };
+        let clears = delegate.unsafe_pool == delegate.pool;
+        let taken = self.with_owner(&delegate.pool, effects, |owner, out| {
+            owner.delegate(now_ms, origin, spec, delegate.unsafe_for_ms, clears, out);
+        });
+        taken.is_some()
+    }
+
+    /// Gives each owner here the workers of its pool.
+    fn deal_workers(&mut self, now_ms: u64, effects: &mut Effects) {
+        let count = self.pool_count;
+        let mut dealt: HashMap<u32, Vec<WorkerRecord>> = HashMap::new();
+        for record in &self.worker_records {
+            let index = pool::index_of(&record.id, count);
+            dealt.entry(index).or_default().push(record.clone());
+        }
+        let domain = self.home.clone();
+        for index in 0..count {
+            let records = dealt.remove(&index).unwrap_or_default();
+            self.with_owner(&pool::name(&domain, index), effects, |owner, out| {
+                owner.set_workers(now_ms, records, out);
+            });
+        }
     }
 }
 
@@ -439,7 +526,8 @@
 
 fn enqueue(queue: &mut VecDeque<Effect>, effects: Effects) {
     queue.extend(effects.ownership.into_iter().map(Effect::Ownership));
-    queue.extend(effects.owner.into_iter().map(Effect::Owner));
+    let owner = effects.owner.into_iter();
+    queue.extend(owner.map(|(pool, command)| Effect::Owner(pool, command)));
     queue.extend(effects.entry.into_iter().map(Effect::Entry));
 }
 
--- a/crates/instance/src/instance/calls.rs
+++ b/crates/instance/src/instance/calls.rs
@@ -8,7 +8,7 @@
 use super::*;
 
 impl<E: Store + Workers + 'static> Instance<E> {
-    pub(super) fn send_start(self: &Rc<Self>, order: StartOrder) {
+    pub(super) fn send_start(self: &Rc<Self>, pool: String, order: StartOrder) {
         info!(self.log, "start"; "task" => &*order.task, "run" => order.run_id,
             "worker" => &*order.target.worker_id, "fence" => order.target.fence.token());
         self.metrics.starts.inc();
@@ -18,11 +18,11 @@
             let outcome = instance.edge.start(&order).await;
             instance.metrics.start_answer_ms.observe(elapsed_ms(sent));
             let answer = answered(order.target, order.task, order.run_id, outcome);
-            instance.with_owner(|owner, now_ms, out| owner.start_answered(now_ms, &answer, out));
+            instance.with_owner(&pool, |owner, now_ms, out| owner.start_answered(now_ms, &answer, out));
         });
     }
 
-    pub(super) fn send_stop(self: &Rc<Self>, order: StopOrder) {
+    pub(super) fn send_stop(self: &Rc<Self>, pool: String, order: StopOrder) {
         info!(self.log, "stop"; "task" => &*order.task, "run" => order.run_id,
             "worker" => &*order.target.worker_id, "fence" => order.target.fence.token());
         self.metrics.stops.inc();
@@ -30,29 +30,31 @@
         tokio::task::spawn_local(async move {
             let outcome = instance.edge.stop(&order).await;
             let answer = answered(order.target, order.task, order.run_id, outcome);
-            instance.with_owner(|owner, now_ms, out| owner.stop_answered(now_ms, &answer, out));
+            instance.with_owner(&pool, |owner, now_ms, out| owner.stop_answered(now_ms, &answer, out));
         });
     }
 
-    pub(super) fn send_hold(self: &Rc<Self>, order: HoldOrder) {
+    pub(super) fn send_hold(self: &Rc<Self>, pool: String, order: HoldOrder) {
         self.metrics.holds.inc();
         let instance = Rc::clone(self);
         tokio::task::spawn_local(async move {
             let outcome = instance.edge.hold(&order).await;
             let (worker, fence) = (order.target.worker, order.target.fence);
-            instance.with_owner(|owner, now_ms, out| {
+            instance.with_owner(&pool, |owner, now_ms, out| {
                 owner.hold_answered(now_ms, worker, fence, outcome, out);
             });
         });
     }
 
-    /// Lets an answer change the owner, if there is one. Fences tell answers
-    /// to an earlier ownership apart.
-    fn with_owner(self: &Rc<Self>, event: impl FnOnce(&mut Owner, u64, &mut Vec<owner::Command>)) {
+    /// Lets an answer change the owner of a pool, if that is still here. Fences
+    /// tell answers to an earlier ownership apart.
+    fn with_owner(
+        self: &Rc<Self>,
+        pool: &str,
+        event: impl FnOnce(&mut Owner, u64, &mut Vec<owner::Command>),
+    ) {
         self.change(|state, now_ms, effects| {
-            if let Some(owner) = &mut state.owner {
-                event(owner, now_ms, &mut effects.owner);
-            }
+            state.with_owner(pool, effects, |owner, out| event(owner, now_ms, out));
         });
     }
 
@@ -60,7 +62,7 @@
         let instance = Rc::clone(self);
         tokio::task::spawn_local(async move {
             let write = instance.edge.write_claim(&claim, revision).await;
-            info!(instance.log, "claim written"; "term" => claim.term, "outcome" => ?write);
+            info!(instance.log, "claim written"; "pool" => &claim.pool, "term" => claim.term, "outcome" => ?write);
             instance.change(|state, now_ms, effects| {
                 let out = &mut effects.ownership;
                 state.ownership.claim_written(now_ms, &claim, &write, out);
--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -9,9 +9,11 @@
 use bytes::Bytes;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
-use trefoil_core::dispatch::limits::{BEAT_IDLE_MS, LINK_IDLE_SILENT_MS};
+use trefoil_core::dispatch::limits::{BEAT_IDLE_MS, LINK_IDLE_SILENT_MS, LINK_SILENT_MS};
 use trefoil_schema::dispatch::frame::Body;
-use trefoil_schema::dispatch::{Beat, Cancel, ConfigPush, Delegate, Ended, Frame, Hello};
+use trefoil_schema::dispatch::{
+    Beat, Cancel, ConfigPush, Delegate, Ended, Frame, Hello, OwnedPool,
+};
 
 use super::*;
 use crate::links::{self, FrameReader, LinkGuard, LinkSender};
@@ -31,6 +33,10 @@
     /// Version of the declarations that the peer has.
     declarations_version: u64,
     store_fresh_ms: Option<u64>,
+    /// Whether the peer owns a pool, so that silence matters soon.
+    owns: bool,
+    /// Largest time of the peer's clock that it has told.
+    peer_sent_ms: u64,
     _guard: LinkGuard,
 }
 
@@ -131,14 +137,15 @@
                 heard_ms: now_ms,
                 declarations_version: 0,
                 store_fresh_ms: None,
+                owns: false,
+                peer_sent_ms: 0,
                 _guard: LinkGuard::new(tasks),
             };
             state.peers.links.insert(id, link);
         });
         let state = self.state.borrow();
         if let Some(link) = state.peers.links.get(&id) {
-            let frame = self.beat_frame(&state, self.now_ms());
-            link.sender.send(links::encode(&frame));
+            link.sender.send(self.beat_frame(&state, link, self.now_ms()));
         }
     }
 
@@ -164,9 +171,9 @@
         let name = link.peer.name.clone();
         info!(self.log, "link down"; "peer" => &name,
             "silent_ms" => now_ms.saturating_sub(link.heard_ms));
-        if let Some(owner) = &mut state.owner {
-            owner.origin_lost(now_ms, Origin::Link(id), &mut effects.owner);
-        }
+        state.each_owner(effects, |owner, out| {
+            owner.origin_lost(now_ms, Origin::Link(id), out);
+        });
         if state.peers.link_to(&name).is_none() {
             state.ownership.unlinked(now_ms, &name);
         }
@@ -200,20 +207,21 @@
                 Body::Delegate(delegate) => {
                     self.take_delegate(state, id, delegate, now_ms, effects);
                 }
-                Body::Cancel(Cancel { job_id }) => {
-                    if let Some(owner) = &mut state.owner {
-                        let origin = Origin::Link(id);
-                        owner.cancel(now_ms, origin, &job_id, &mut effects.owner);
-                    }
+                Body::Cancel(Cancel { job_id, pool }) => {
+                    state.with_owner(&pool, effects, |owner, out| {
+                        owner.cancel(now_ms, Origin::Link(id), &job_id, out);
+                    });
                 }
                 Body::Ended(ended) => {
                     let outcome = outcome_of(ended.outcome);
+                    let pool = ended.pool;
+                    let from = Owned { pool, owner: name };
                     let out = &mut effects.entry;
                     state
                         .entry
-                        .ended(now_ms, &name, &ended.job_id, outcome, out);
+                        .ended(now_ms, &from, &ended.job_id, outcome, out);
                 }
-                Body::Config(_) | Body::Hello(_) | Body::Handover(_) => {}
+                Body::Config(_) | Body::Hello(_) => {}
             }
         });
     }
@@ -234,23 +242,17 @@
         now_ms: u64,
         effects: &mut Effects,
     ) {
-        let Some(spec) = delegate.job else {
-            return;
-        };
+        let job_id = delegate.job.as_ref().map(|job| job.id.clone());
+        let pool = delegate.pool.clone();
         let origin = Origin::Link(id);
-        let clears = delegate.unsafe_domain == self.me.failure_domain;
-        match &mut state.owner {
-            Some(owner) => {
-                let unsafe_for_ms = delegate.unsafe_for_ms;
-                let out = &mut effects.owner;
-                owner.delegate(now_ms, origin, spec, unsafe_for_ms, clears, out);
-            }
-            None => effects.owner.push(owner::Command::Ended {
+        if !state.delegate(origin, delegate, now_ms, effects) {
+            let ended = owner::Command::Ended {
                 origin,
-                job_id: spec.id,
+                job_id: job_id.unwrap_or_default(),
                 outcome: Outcome::Returned,
-                reason: "this instance owns no workers",
-            }),
+                reason: "this instance does not own the pool",
+            };
+            effects.owner.push((pool, ended));
         }
     }
 
@@ -267,19 +269,25 @@
         };
         let name = link.peer.name.clone();
         link.declarations_version = beat.config_version;
+        link.owns = !beat.owned.is_empty();
+        link.peer_sent_ms = link.peer_sent_ms.max(beat.sent_ms);
         if beat.store_fresh {
             link.store_fresh_ms = Some(now_ms);
         }
+        // What the peer echoes it has got over this very link.
+        if beat.echo_ms > 0 {
+            for owner in state.owners.values_mut() {
+                owner.origin_alive(Origin::Link(id), beat.echo_ms);
+            }
+        }
         state.ownership.heard(&name, beat.leaving);
-        for claim in beat.claims {
-            state.ownership.learn(claim, &mut effects.ownership);
+        let mut known = state.entry.pools_of(&name);
+        for owned in beat.owned {
+            known.retain(|known| owned.claim.as_ref().is_none_or(|claim| claim.pool != known.pool));
+            self.take_owned(state, &name, owned, now_ms, effects);
         }
-        let load = beat.load.unwrap_or_default();
-        let domain = state.ownership.owned_by(&name).map(str::to_owned);
-        let out = &mut effects.entry;
-        match domain {
-            Some(domain) => state.entry.owner_seen(now_ms, &name, &domain, load, out),
-            None => state.entry.owner_lost(now_ms, &name, out),
+        for lost in known {
+            state.entry.pool_lost(now_ms, &lost, &mut effects.entry);
         }
         let version = state.declarations.as_ref().map(|known| known.version);
         if version.is_some_and(|version| version > beat.config_version) {
@@ -287,21 +295,47 @@
         }
     }
 
-    /// What this instance tells its peers now.
-    fn beat_frame(&self, state: &State, now_ms: u64) -> Frame {
-        let load = state.owner.as_ref().map(|owner| owner.load(now_ms));
+    fn take_owned(
+        &self,
+        state: &mut State,
+        owner: &str,
+        owned: OwnedPool,
+        now_ms: u64,
+        effects: &mut Effects,
+    ) {
+        let Some(claim) = owned.claim else {
+            return;
+        };
+        let load = owned.load.unwrap_or_default();
+        let domain = claim.failure_domain.clone();
+        let pool = Owned {
+            pool: claim.pool.clone(),
+            owner: owner.to_owned(),
+        };
+        let out = &mut effects.ownership;
+        state.ownership.learn(claim, owned.yielded, out);
+        let out = &mut effects.entry;
+        state.entry.pool_seen(now_ms, &pool, &domain, load, out);
+    }
+
+    /// What this instance tells one peer now.
+    fn beat_frame(&self, state: &State, link: &Link, now_ms: u64) -> Bytes {
+        let owned = state.ownership.own_claims().map(|(claim, yielded)| OwnedPool {
+            claim: Some(claim.clone()),
+            load: state.owners.get(&claim.pool).map(|owner| owner.load(now_ms)),
+            yielded,
+        });
         let read_ms = state.store_read_ms;
         let fresh = read_ms.is_some_and(|read_ms| read_ms + STORE_FRESH_MS > now_ms);
         let beat = Beat {
-            claims: state.ownership.claims().cloned().collect(),
+            owned: owned.collect(),
             config_version: state.declarations.as_ref().map_or(0, |known| known.version),
             leaving: state.leaving,
-            load,
-            store_fresh: state.owner.is_some() && fresh,
+            store_fresh: !state.owners.is_empty() && fresh,
+            sent_ms: now_ms,
+            echo_ms: link.peer_sent_ms,
         };
-        Frame {
-            body: Some(Body::Beat(beat)),
-        }
+        encode(Body::Beat(beat))
     }
 
     /// Sends heartbeats, closes silent links, dials missing ones.
@@ -309,33 +343,36 @@
         self.change(|state, now_ms, effects| {
             self.close_silent(state, now_ms, effects);
             let idle_round = !state.ticks.is_multiple_of(BEAT_IDLE_MS / TICK_MS);
-            let frame = links::encode(&self.beat_frame(state, now_ms));
-            let own = state.owner.is_some();
+            let own = !state.owners.is_empty();
             let mut stuck = Vec::new();
             for (&id, link) in &state.peers.links {
-                let matters = own || state.ownership.owned_by(&link.peer.name).is_some();
-                if (matters || !idle_round) && !link.sender.send(frame.clone()) {
+                let due = own || link.owns || !idle_round;
+                if due && !link.sender.send(self.beat_frame(state, link, now_ms)) {
                     stuck.push(id);
                 }
             }
             for id in stuck {
                 self.link_down(state, id, now_ms, effects);
             }
-            if let Some(owner) = &state.owner {
-                let load = owner.load(now_ms);
-                let (name, domain) = (&self.me.name, &self.me.failure_domain);
-                let out = &mut effects.entry;
-                state.entry.owner_seen(now_ms, name, domain, load, out);
+            let claims = state.ownership.own_claims();
+            let claims: Vec<Claim> = claims.map(|(claim, _)| claim.clone()).collect();
+            for claim in claims {
+                let load = state.owners.get(&claim.pool).map(|owner| owner.load(now_ms));
+                let owned = Owned {
+                    pool: claim.pool,
+                    owner: self.me.name.clone(),
+                };
+                let (load, out) = (load.unwrap_or_default(), &mut effects.entry);
+                state.entry.pool_seen(now_ms, &owned, &claim.failure_domain, load, out);
             }
         });
         self.dial_missing();
     }
 
     fn close_silent(&self, state: &mut State, now_ms: u64, effects: &mut Effects) {
-        let own = state.owner.is_some();
+        let own = !state.owners.is_empty();
         let silent = |link: &Link| {
-            let matters = own || state.ownership.owned_by(&link.peer.name).is_some();
-            let limit_ms = match matters {
+            let limit_ms = match own || link.owns {
                 true => LINK_SILENT_MS,
                 false => LINK_IDLE_SILENT_MS,
             };
@@ -360,7 +397,7 @@
             let dialed_ms = peers.dialed_ms.get(name);
             let due = dialed_ms.is_none_or(|at_ms| at_ms + REDIAL_MS <= now_ms);
             let mine =
-                now_ms < DIAL_ALL_MS || *self.me.name < *name || ownership.owned_by(name).is_some();
+                now_ms < DIAL_ALL_MS || *self.me.name < *name;
             let missing = peers.link_to(name).is_none() && !peers.dialing.contains(name);
             let Ok(address) = node.address.parse::<SocketAddr>() else {
                 continue;
@@ -380,37 +417,34 @@
         self.state.borrow_mut().peers.dialing.remove(&name);
     }
 
-    pub(super) fn send_delegate(
-        &self,
-        owner: &str,
-        spec: JobSpec,
-        unsafe_for_ms: u64,
-        unsafe_domain: String,
-        effects: &mut Effects,
-    ) {
+    pub(super) fn send_delegate(&self, to: &Owned, delegate: Delegate, effects: &mut Effects) {
         let mut state = self.state.borrow_mut();
-        let frame = encode(Body::Delegate(Delegate {
-            job: Some(spec),
-            unsafe_for_ms,
-            unsafe_domain,
-        }));
-        let link = state.peers.link_to(owner);
+        let frame = encode(Body::Delegate(delegate));
+        let link = state.peers.link_to(&to.owner);
         let sent = link.is_some_and(|link| link.sender.send(frame));
         if !sent {
             let out = &mut effects.entry;
-            state.entry.owner_lost(self.now_ms(), owner, out);
+            state.entry.pool_lost(self.now_ms(), to, out);
         }
     }
 
-    pub(super) fn send_cancel(&self, owner: &str, job_id: String) {
+    pub(super) fn send_cancel(&self, to: &Owned, job_id: String) {
         let state = self.state.borrow();
-        if let Some(link) = state.peers.link_to(owner) {
+        if let Some(link) = state.peers.link_to(&to.owner) {
+            let pool = to.pool.clone();
             // A link that is down cancels everything anyway.
-            link.sender.send(encode(Body::Cancel(Cancel { job_id })));
+            link.sender.send(encode(Body::Cancel(Cancel { job_id, pool })));
         }
     }
 
-    pub(super) fn send_ended(&self, link: u64, job_id: String, outcome: Outcome, reason: &str) {
+    pub(super) fn send_ended(
+        &self,
+        link: u64,
+        pool: String,
+        job_id: String,
+        outcome: Outcome,
+        reason: &str,
+    ) {
         let state = self.state.borrow();
         if let Some(link) = state.peers.links.get(&link) {
             // A link that is down takes its jobs back anyway.
@@ -418,6 +452,7 @@
                 job_id,
                 outcome: outcome.into(),
                 reason: reason.to_owned(),
+                pool,
             })));
         }
     }
--- a/crates/instance/src/instance/stop.rs
+++ b/crates/instance/src/instance/stop.rs
@@ -42,9 +42,7 @@
         let ending = self.drained(since_ms).await;
         self.change(|state, now_ms, effects| {
             state.entry.close(&mut effects.entry);
-            if let Some(owner) = &mut state.owner {
-                owner.release(now_ms, &mut effects.owner);
-            }
+            state.each_owner(effects, |owner, out| owner.release(now_ms, out));
         });
         // Lets the last answers reach their connections.
         tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
@@ -57,11 +55,8 @@
             let now_ms = self.now_ms();
             let idle = {
                 let state = self.state.borrow();
-                let owner_idle = state
-                    .owner
-                    .as_ref()
-                    .is_none_or(|owner| owner.sizes().jobs == 0);
-                state.entry.is_empty() && owner_idle
+                let owned = state.owners.values().map(|owner| owner.sizes().jobs);
+                state.entry.is_empty() && owned.sum::<usize>() == 0
             };
             if idle && now_ms >= since_ms + BALANCER_MS {
                 return Ending::Drained;
--- a/crates/instance/src/settings.rs
+++ b/crates/instance/src/settings.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 
 /// Settings of one instance, from a JSON file.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct InstanceSettings {
     /// Name of the instance; another start of it has the same.
@@ -29,11 +29,27 @@
     /// Link addresses of instances that may be up.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// Share of its cores that the instance may use; decides what it owns.
+    pub cpu_share: f64,
+    /// How many times as fast its processor is.
+    #[serde(default = "default_cores")]
+    pub cores: f64,
     /// Time from the request to stop until the process is killed.
     #[serde(default = "default_stop_budget_ms")]
     pub stop_budget_ms: u64,
 }
 
+impl InstanceSettings {
+    /// Processor that the instance may use, thousandths of a core.
+    pub fn weight_millicores(&self) -> u64 {
+        (self.cpu_share * self.cores * 1000.0) as u64
+    }
+}
+
+fn default_cores() -> f64 {
+    1.0
+}
+
 /// Six seconds, which the platform grants everywhere so far.
 fn default_stop_budget_ms() -> u64 {
     6000
@@ -102,6 +118,9 @@
     if settings.failure_domain.is_empty() {
         return Err(value("failure_domain", "a name"));
     }
+    if settings.weight_millicores() == 0 {
+        return Err(value("cpu_share", "at least a thousandth"));
+    }
     if settings.stop_budget_ms == 0 {
         return Err(value("stop_budget_ms", "more than 0"));
     }
