dispatch: histories in virtual time; leases of silent workers do lapse; stalls double their patience

Cause, found by the new tests: each retried hold renewed what a silent worker might run, so that its runs never counted as lapsed; and a task whose estimate is far too low was stopped as stalled for ever.

--- a/crates/core/src/dispatch/job.rs
+++ b/crates/core/src/dispatch/job.rs
@@ -40,6 +40,8 @@
     pub state: TaskState,
     /// Runs that ended as failed.
     pub failures: u32,
+    /// Runs that were stopped because they took far too long.
+    pub stalls: u32,
     /// Number of its last run; 0 before the first.
     pub run_id: u64,
     /// Worker of its last failed run, to be avoided.
@@ -160,6 +162,7 @@
         name: Arc::from(format!("{}.0.{phase}.{index}", spec.id)),
         state: TaskState::Waiting { not_before_ms: 0 },
         failures: 0,
+        stalls: 0,
         run_id: 0,
         avoid: None,
     };
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -12,7 +12,7 @@
 mod note;
 mod place;
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 use slotmap::SlotMap;
@@ -85,7 +85,7 @@
     orphan_ends: HashMap<Arc<str>, (EndKind, u64)>,
     /// Jobs that ended lately.
     ended: VecDeque<(u64, String, Outcome)>,
-    dirty: HashSet<WorkerKey>,
+    dirty: BTreeSet<WorkerKey>,
     /// Until when each origin is known to have had its link.
     alive_ms: HashMap<Origin, u64>,
     run_seed: u64,
@@ -107,7 +107,7 @@
             job_ids: HashMap::new(),
             orphan_ends: HashMap::new(),
             ended: VecDeque::new(),
-            dirty: HashSet::new(),
+            dirty: BTreeSet::new(),
             alive_ms: HashMap::new(),
             run_seed,
             workers_expected,
@@ -264,6 +264,7 @@
                     let phase = job.spec.phases[usize::from(task.phase)].clone();
                     run.room = Some(place::room_of(&phase));
                     run.expected_ms = phase.estimate_ms;
+                    run.patience_ms = place::patience_ms(run.expected_ms, 0);
                 }
                 task.run_id = task.run_id.max(run.run_id);
                 run.owner = RunOwner::Task(key, index);
@@ -368,7 +369,6 @@
             }
             OrderOutcome::NoAnswer if newest => {
                 worker.raise();
-                worker.trust.failed(now_ms);
                 out.push(Command::Note(Note::run("start unanswered", worker, answer)));
             }
             OrderOutcome::NoAnswer => {}
@@ -519,7 +519,7 @@
             return;
         }
         self.place(now_ms, out);
-        let dirty: Vec<WorkerKey> = self.dirty.drain().collect();
+        let dirty = std::mem::take(&mut self.dirty);
         for key in dirty {
             self.hold_if_due(now_ms, key, out);
         }
--- a/crates/core/src/dispatch/owner/holds.rs
+++ b/crates/core/src/dispatch/owner/holds.rs
@@ -14,11 +14,6 @@
 /// A stop whose end is not listed by then is ordered again: the contract
 /// grants a stop 50, and an answer takes a few.
 const STOP_AGAIN_MS: u64 = 150;
-/// A run is stalled once it has taken this many times what is expected ...
-const STALL_FACTOR: f64 = 3.0;
-/// ... and this much longer. Estimates are off by 0.4, tasks differ by 0.15.
-const STALL_SLACK_MS: u64 = 150;
-
 impl Owner {
     /// Sends a hold where one is due, and lets go of workers that have left.
     pub(super) fn hold_if_due(&mut self, now_ms: u64, key: WorkerKey, out: &mut Vec<Command>) {
@@ -49,7 +44,7 @@
         };
         // Runs that are being stopped alone get no more time.
         let stopping = |run: &Run| matches!(run.state, RunState::Stopping { .. });
-        let deadline_ms = match worker.runs.iter().all(stopping) {
+        let deadline_ms = match worker.silent || worker.runs.iter().all(stopping) {
             true => None,
             false => worker.lease(now_ms, overdue_ms),
         };
@@ -105,6 +100,7 @@
                     out.push(Command::Note(Note::worker("fenced", worker)));
                 }
                 worker.obeyed = true;
+                worker.silent = false;
                 worker.acked_upto = worker.acked_upto.max(hold.seen_upto);
                 for end in ended {
                     self.take_end(now_ms, key, &end, out);
@@ -118,6 +114,7 @@
                     out.push(Command::Note(Note::worker("hold unanswered", worker)));
                 }
                 worker.standing = Standing::Unfenced;
+                worker.silent = true;
                 let idle = worker.runs.is_empty();
                 let pause_ms = if idle { PROBE_MS } else { RETRY_MS };
                 worker.quiet_until_ms = now_ms + pause_ms;
@@ -225,6 +222,7 @@
             ordered_ms: now_ms,
             confirmed_ms: now_ms,
             expected_ms,
+            patience_ms: place::patience_ms(expected_ms, 0),
         });
         // The earlier owner may have renewed its lease just before.
         worker.lapsed_at_ms = worker.lapsed_at_ms.max(now_ms + LEASE_MAX_MS + PROBE_MS);
@@ -272,16 +270,17 @@
             return;
         }
         let target = target_of(key, worker);
-        let mut stalled = false;
+        let mut stalled = Vec::new();
         for run in &mut worker.runs {
             let overdue = match (run.state, run.owner) {
                 (RunState::Starting(_), _) => false,
                 (RunState::Stopping { ordered_ms }, _) => now_ms >= ordered_ms + STOP_AGAIN_MS,
                 (RunState::Running, RunOwner::Nobody { stop_at_ms }) => now_ms >= stop_at_ms,
-                (RunState::Running, RunOwner::Task(..)) => {
-                    let limit_ms = (run.expected_ms as f64 * STALL_FACTOR) as u64 + STALL_SLACK_MS;
-                    let stalls = now_ms >= run.ordered_ms + limit_ms;
-                    stalled |= stalls;
+                (RunState::Running, RunOwner::Task(job, index)) => {
+                    let stalls = now_ms >= run.ordered_ms + run.patience_ms;
+                    if stalls {
+                        stalled.push((job, index));
+                    }
                     stalls
                 }
             };
@@ -293,8 +292,13 @@
                 stop_run(now_ms, run, target.clone(), out);
             }
         }
-        if stalled {
+        if !stalled.is_empty() {
             worker.trust.failed(now_ms);
         }
+        for (job, index) in stalled {
+            if let Some(job) = self.jobs.get_mut(job) {
+                job.tasks[index].stalls += 1;
+            }
+        }
     }
 }
--- a/crates/core/src/dispatch/owner/place.rs
+++ b/crates/core/src/dispatch/owner/place.rs
@@ -21,6 +21,20 @@
 /// 1.5 to 3.
 const REMOTE_FACTOR: f64 = 1.5;
 
+/// A run is stalled once it has taken this many times what is expected ...
+const STALL_FACTOR: f64 = 3.0;
+/// ... and this much longer. Estimates are off by 0.4, tasks differ by 0.15.
+const STALL_SLACK_MS: u64 = 150;
+/// Largest doubling of the patience with a task that has stalled before.
+const STALLS_MAX: u32 = 6;
+
+/// How long a run may take before it is taken for stalled. Each stall of its
+/// task doubles it: then the estimate may be wrong, and not the worker.
+pub(super) fn patience_ms(expected_ms: u64, stalls: u32) -> u64 {
+    let once_ms = (expected_ms as f64 * STALL_FACTOR) as u64 + STALL_SLACK_MS;
+    once_ms << stalls.min(STALLS_MAX)
+}
+
 /// What a task of a phase takes.
 pub(super) fn room_of(phase: &Phase) -> Room {
     Room {
@@ -200,6 +214,7 @@
             ordered_ms: now_ms,
             confirmed_ms: now_ms,
             expected_ms,
+            patience_ms: patience_ms(expected_ms, task.stalls),
         });
         out.push(Command::Start(StartOrder {
             target: target_of(worker_key, worker),
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -107,6 +107,8 @@
     pub confirmed_ms: u64,
     /// How long it should take here.
     pub expected_ms: u64,
+    /// After this time it is taken for stalled.
+    pub patience_ms: u64,
 }
 
 /// Whether the worker can be ordered.
@@ -148,6 +150,9 @@
     pub runs: Vec<Run>,
     /// The hold that is open, if any.
     pub hold: Option<OpenHold>,
+    /// Whether the last hold had no answer: leases are not renewed blindly,
+    /// or what runs there would never be known to have lapsed.
+    pub silent: bool,
     /// No call goes there before this instant.
     pub quiet_until_ms: u64,
     /// Number of the last end taken in.
@@ -175,6 +180,7 @@
             obeyed: false,
             runs: Vec::new(),
             hold: None,
+            silent: false,
             quiet_until_ms: 0,
             seen_upto: 0,
             acked_upto: 0,
--- /dev/null
+++ b/crates/core/tests/dispatch_history.rs
@@ -0,0 +1,459 @@
+//! Histories of a pool under changing owners, with orders that are lost,
+//! carried out late, or answered to nobody: no worker is ever over its
+//! capacity, no task ever runs twice at the same time, and every job ends.
+
+mod dispatch_support;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+
+use arbtest::arbitrary::{self, Unstructured};
+use dispatch_support::{SimWorker, job, owner};
+use rand::{RngCore, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use trefoil_core::dispatch::job::Origin;
+use trefoil_core::dispatch::limits::{ANSWER_MS, DELEGATED_GAP_MS, LINK_SILENT_MS};
+use trefoil_core::dispatch::order::{HoldOrder, HoldOutcome, OrderOutcome, StartOrder, StopOrder};
+use trefoil_core::dispatch::owner::{Answered, Command, Owner};
+use trefoil_schema::dispatch::Outcome;
+
+const WORKERS: usize = 4;
+const JOBS: usize = 12;
+/// A history is given up as stuck after this time.
+const END_MS: u64 = 60_000;
+/// Period of the owners' ticks.
+const TICK_MS: u64 = 25;
+/// Random choices of one history, bytes.
+const CHOICE_BYTES: usize = 100_000;
+const ENTRY: Origin = Origin::Link(1);
+
+#[derive(Clone, Debug)]
+enum Order {
+    Start(StartOrder),
+    Stop(StopOrder),
+    Hold(HoldOrder),
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    /// An order reaches a worker; its answer may not come back.
+    Arrive {
+        owner: usize,
+        order: Order,
+        answered: bool,
+    },
+    /// What an owner learns of an order.
+    Start {
+        owner: usize,
+        order: StartOrder,
+        outcome: OrderOutcome,
+    },
+    Stop {
+        owner: usize,
+        order: StopOrder,
+        outcome: OrderOutcome,
+    },
+    Hold {
+        owner: usize,
+        order: HoldOrder,
+        outcome: HoldOutcome,
+    },
+    Tick {
+        owner: usize,
+    },
+    Submit {
+        job: usize,
+    },
+    /// The present owner is lost to the entry; it may live on for a while.
+    Replace,
+    /// The lost owner notices that its link is down.
+    Notice {
+        owner: usize,
+    },
+    /// The registry lists all workers again.
+    Registry {
+        owner: usize,
+    },
+}
+
+struct History<'a, 'b> {
+    choices: &'a mut Unstructured<'b>,
+    now_ms: u64,
+    events: BinaryHeap<Reverse<(u64, usize)>>,
+    stored: HashMap<usize, Event>,
+    next_event: usize,
+    workers: Vec<SimWorker>,
+    owners: Vec<Owner>,
+    /// Whether each owner still acts.
+    acts: Vec<bool>,
+    /// Until when an owner cannot reach a worker.
+    cuts: HashMap<(usize, String), u64>,
+    open_jobs: BTreeMap<String, u32>,
+    trouble: bool,
+}
+
+impl History<'_, '_> {
+    fn at(&mut self, at_ms: u64, event: Event) {
+        self.stored.insert(self.next_event, event);
+        self.events.push(Reverse((at_ms, self.next_event)));
+        self.next_event += 1;
+    }
+
+    fn chance(&mut self, percent: u8) -> arbitrary::Result<bool> {
+        Ok(self.trouble && self.choices.int_in_range(0..=99_u8)? < percent)
+    }
+
+    fn send(&mut self, owner: usize, order: Order) -> arbitrary::Result<()> {
+        let path_ms = self.choices.int_in_range(1..=3)?;
+        let cut_until_ms = self.cuts.get(&(owner, worker_of(&order)));
+        let is_cut = cut_until_ms.is_some_and(|&until_ms| self.now_ms < until_ms);
+        let fate = match (is_cut || self.chance(6)?, is_cut || self.chance(6)?) {
+            // Lost on the way.
+            (true, true) => None,
+            // Not answered, and carried out late.
+            (true, false) => Some((self.choices.int_in_range(2000..=9000)?, false)),
+            // Carried out, and not answered.
+            (false, true) => Some((path_ms, false)),
+            (false, false) => Some((path_ms, true)),
+        };
+        if fate.is_none_or(|(_, answered)| !answered) {
+            let wait_ms = match &order {
+                Order::Hold(hold) => hold.wait_ms,
+                Order::Start(_) | Order::Stop(_) => 0,
+            };
+            let event = unanswered(owner, order.clone());
+            self.at(self.now_ms + ANSWER_MS + wait_ms, event);
+        }
+        if let Some((delay_ms, answered)) = fate {
+            let event = Event::Arrive {
+                owner,
+                order,
+                answered,
+            };
+            self.at(self.now_ms + delay_ms, event);
+        }
+        Ok(())
+    }
+
+    fn carry_out(&mut self, owner: usize, commands: Vec<Command>) -> arbitrary::Result<()> {
+        for command in commands {
+            match command {
+                Command::Start(order) => self.send(owner, Order::Start(order))?,
+                Command::Stop(order) => self.send(owner, Order::Stop(order))?,
+                Command::Hold(order) => self.send(owner, Order::Hold(order))?,
+                Command::Ended {
+                    job_id, outcome, ..
+                } => self.ended(owner, &job_id, outcome),
+                Command::Outranked | Command::Note(_) => {}
+            }
+        }
+        Ok(())
+    }
+
+    fn ended(&mut self, owner: usize, job_id: &str, outcome: Outcome) {
+        let present = owner + 1 == self.owners.len();
+        match outcome {
+            Outcome::Completed if present => {
+                self.open_jobs.remove(job_id);
+            }
+            Outcome::Completed => {}
+            // Only an owner that was replaced is outranked.
+            other => assert!(!present, "{job_id} {other:?}"),
+        }
+    }
+
+    fn arrive(&mut self, owner: usize, order: Order, answered: bool) -> arbitrary::Result<()> {
+        let now_ms = self.now_ms;
+        let back_ms = now_ms + self.choices.int_in_range(1..=3)?;
+        let id = worker_of(&order);
+        let found = self
+            .workers
+            .iter_mut()
+            .find(|worker| *worker.record.id == *id);
+        let worker = found.expect("orders go to known workers");
+        let event = match order {
+            Order::Start(order) => {
+                let outcome = worker.start(now_ms, &order);
+                Event::Start {
+                    owner,
+                    order,
+                    outcome,
+                }
+            }
+            Order::Stop(order) => {
+                let outcome = worker.stop(now_ms, &order);
+                Event::Stop {
+                    owner,
+                    order,
+                    outcome,
+                }
+            }
+            Order::Hold(order) => {
+                let outcome = worker.hold(now_ms, &order);
+                let event = Event::Hold {
+                    owner,
+                    order,
+                    outcome,
+                };
+                if answered {
+                    // A worker with nothing to tell answers after a while.
+                    let wait_ms: u64 = self.choices.int_in_range(0..=40)?;
+                    self.at(back_ms + wait_ms, event);
+                }
+                return Ok(());
+            }
+        };
+        if answered {
+            self.at(back_ms, event);
+        }
+        Ok(())
+    }
+
+    fn step(&mut self, event: Event) -> arbitrary::Result<()> {
+        let now_ms = self.now_ms;
+        let mut out = Vec::new();
+        let owner = match event {
+            Event::Arrive {
+                owner,
+                order,
+                answered,
+            } => return self.arrive(owner, order, answered),
+            Event::Submit { job } => return self.submit(job),
+            Event::Replace => return self.replace(),
+            Event::Start { owner, .. }
+            | Event::Stop { owner, .. }
+            | Event::Hold { owner, .. }
+            | Event::Tick { owner }
+            | Event::Notice { owner }
+            | Event::Registry { owner } => owner,
+        };
+        if !self.acts[owner] {
+            return Ok(());
+        }
+        let present = owner + 1 == self.owners.len();
+        let actor = &mut self.owners[owner];
+        if present {
+            actor.origin_alive(ENTRY, now_ms);
+        }
+        match event {
+            Event::Start { order, outcome, .. } => {
+                let answer = answered(order.target, order.task, order.run_id, outcome);
+                actor.start_answered(now_ms, &answer, &mut out);
+            }
+            Event::Stop { order, outcome, .. } => {
+                let answer = answered(order.target, order.task, order.run_id, outcome);
+                actor.stop_answered(now_ms, &answer, &mut out);
+            }
+            Event::Hold { order, outcome, .. } => {
+                let (worker, fence) = (order.target.worker, order.target.fence);
+                actor.hold_answered(now_ms, worker, fence, outcome, &mut out);
+            }
+            Event::Tick { .. } => {
+                actor.tick(now_ms, &mut out);
+                self.at(now_ms + TICK_MS, Event::Tick { owner });
+            }
+            Event::Notice { .. } => actor.origin_lost(now_ms, ENTRY, &mut out),
+            Event::Registry { .. } => {
+                let records = self.workers.iter();
+                let records = records.map(|worker| worker.record.clone()).collect();
+                actor.set_workers(now_ms, records, &mut out);
+            }
+            Event::Arrive { .. } | Event::Submit { .. } | Event::Replace => {}
+        }
+        self.carry_out(owner, out)
+    }
+
+    fn submit(&mut self, number: usize) -> arbitrary::Result<()> {
+        let id = format!("job{number}");
+        let tasks = self.choices.int_in_range(1..=5)?;
+        self.open_jobs.insert(id.clone(), tasks);
+        self.delegate(&id, tasks, 0)
+    }
+
+    fn delegate(&mut self, id: &str, tasks: u32, unsafe_for_ms: u64) -> arbitrary::Result<()> {
+        let present = self.owners.len() - 1;
+        let spec = job(id, tasks, 100);
+        let mut out = Vec::new();
+        self.owners[present].delegate(self.now_ms, ENTRY, spec, unsafe_for_ms, true, &mut out);
+        self.carry_out(present, out)
+    }
+
+    fn replace(&mut self) -> arbitrary::Result<()> {
+        let lost = self.owners.len() - 1;
+        // It dies, or goes on until it notices, later than it should.
+        if self.choices.ratio(1, 2)? {
+            self.acts[lost] = false;
+        } else {
+            let late_ms = self.choices.int_in_range(0..=800)?;
+            let notice_ms = self.now_ms + LINK_SILENT_MS + late_ms;
+            self.at(notice_ms, Event::Notice { owner: lost });
+        }
+        let next = self.owners.len();
+        for worker in 0..WORKERS {
+            if self.choices.ratio(1, 4)? {
+                let until_ms = self.now_ms + self.choices.int_in_range(0..=3000_u64)?;
+                self.cuts.insert((next, format!("w{worker}")), until_ms);
+            }
+        }
+        let known = self.choices.int_in_range(1..=WORKERS)?;
+        self.take_over(known)?;
+        let whole_ms: u64 = self.choices.int_in_range(0..=2000)?;
+        self.at(self.now_ms + whole_ms, Event::Registry { owner: next });
+        let jobs: Vec<(String, u32)> = self.open_jobs.clone().into_iter().collect();
+        for (id, tasks) in jobs {
+            self.delegate(&id, tasks, DELEGATED_GAP_MS)?;
+        }
+        Ok(())
+    }
+
+    fn take_over(&mut self, known: usize) -> arbitrary::Result<()> {
+        let term = self.owners.len() as u64 + 1;
+        let mut next = owner(term, WORKERS);
+        let records = self.workers[..known].iter();
+        let records = records.map(|worker| worker.record.clone());
+        let mut out = Vec::new();
+        next.set_workers(self.now_ms, records.collect(), &mut out);
+        self.owners.push(next);
+        self.acts.push(true);
+        let number = self.owners.len() - 1;
+        self.at(self.now_ms + TICK_MS, Event::Tick { owner: number });
+        self.carry_out(number, out)
+    }
+
+    fn check(&mut self) {
+        let mut running: BTreeMap<String, usize> = BTreeMap::new();
+        for worker in &mut self.workers {
+            worker.pass(self.now_ms);
+            assert!(
+                worker.runs.len() <= 2,
+                "over capacity at {} ms",
+                self.now_ms
+            );
+            for run in &worker.runs {
+                *running.entry(run.task.to_string()).or_default() += 1;
+            }
+        }
+        let twice = running.iter().find(|(_, count)| **count > 1);
+        assert_eq!(
+            twice, None,
+            "two runs at the same time at {} ms",
+            self.now_ms
+        );
+    }
+
+    fn run(&mut self) -> arbitrary::Result<()> {
+        while let Some(Reverse((at_ms, number))) = self.events.pop() {
+            self.now_ms = at_ms;
+            let event = self
+                .stored
+                .remove(&number)
+                .expect("an event is stored once");
+            self.step(event)?;
+            self.check();
+            if self.open_jobs.is_empty() && at_ms > 3000 {
+                return Ok(());
+            }
+            // Trouble ends in time for every job to end.
+            self.trouble &= at_ms < END_MS / 2;
+            assert!(at_ms < END_MS, "jobs without an end: {:?}", self.open_jobs);
+        }
+        Ok(())
+    }
+}
+
+fn worker_of(order: &Order) -> String {
+    let target = match order {
+        Order::Start(order) => &order.target,
+        Order::Stop(order) => &order.target,
+        Order::Hold(order) => &order.target,
+    };
+    target.worker_id.to_string()
+}
+
+fn answered(
+    target: trefoil_core::dispatch::order::Target,
+    task: std::sync::Arc<str>,
+    run_id: u64,
+    outcome: OrderOutcome,
+) -> Answered {
+    Answered {
+        worker: target.worker,
+        fence: target.fence,
+        task,
+        run_id,
+        outcome,
+    }
+}
+
+fn unanswered(owner: usize, order: Order) -> Event {
+    let outcome = OrderOutcome::NoAnswer;
+    match order {
+        Order::Start(order) => Event::Start {
+            owner,
+            order,
+            outcome,
+        },
+        Order::Stop(order) => Event::Stop {
+            owner,
+            order,
+            outcome,
+        },
+        Order::Hold(order) => Event::Hold {
+            owner,
+            order,
+            outcome: HoldOutcome::NoAnswer,
+        },
+    }
+}
+
+fn history(choices: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+    let mut workers = Vec::new();
+    for number in 0..WORKERS {
+        let clock_from_ms = choices.int_in_range(0..=100_000)?;
+        let takes_ms = choices.int_in_range(30..=900)?;
+        workers.push(SimWorker::new(
+            &format!("w{number}"),
+            clock_from_ms,
+            takes_ms,
+        ));
+    }
+    let mut history = History {
+        choices,
+        now_ms: 0,
+        events: BinaryHeap::new(),
+        stored: HashMap::new(),
+        next_event: 0,
+        workers,
+        owners: Vec::new(),
+        acts: Vec::new(),
+        cuts: HashMap::new(),
+        open_jobs: BTreeMap::new(),
+        trouble: true,
+    };
+    history.take_over(WORKERS)?;
+    for job in 0..JOBS {
+        let at_ms = history.choices.int_in_range(1..=2500)?;
+        history.at(at_ms, Event::Submit { job });
+    }
+    for _ in 0..history.choices.int_in_range(0..=3)? {
+        let at_ms = history.choices.int_in_range(100..=3000)?;
+        history.at(at_ms, Event::Replace);
+    }
+    history.run()
+}
+
+/// Runs the histories of some seeds; a failure names its seed.
+fn histories(seeds: std::ops::Range<u64>) {
+    for seed in seeds {
+        let mut bytes = vec![0; CHOICE_BYTES];
+        ChaCha8Rng::seed_from_u64(seed).fill_bytes(&mut bytes);
+        println!("seed {seed}");
+        let ended = history(&mut Unstructured::new(&bytes));
+        assert!(ended.is_ok(), "the choices are used up: raise CHOICE_BYTES");
+    }
+}
+
+#[test]
+fn no_worker_is_over_its_capacity_and_no_task_runs_twice_at_once() {
+    histories(0..400);
+}
--- /dev/null
+++ b/crates/core/tests/dispatch_owner.rs
@@ -0,0 +1,333 @@
+//! The owner of a pool: fences, leases, orders without an answer, adoption.
+
+mod dispatch_support;
+
+use dispatch_support::{SimWorker, holds, job, owner, record, starts, stops};
+use trefoil_core::dispatch::job::Origin;
+use trefoil_core::dispatch::limits::{ADOPT_MS, DELEGATED_GAP_MS, LEASE_MS, LINK_SILENT_MS};
+use trefoil_core::dispatch::order::{
+    EndKind, HoldOrder, HoldOutcome, ListedEnd, ListedRun, OrderOutcome, Rejection, StartOrder,
+};
+use trefoil_core::dispatch::owner::{Answered, Command, Owner};
+use trefoil_schema::dispatch::Outcome;
+
+const LINK: Origin = Origin::Link(7);
+
+fn held(running: Vec<ListedRun>, ended: Vec<ListedEnd>) -> HoldOutcome {
+    HoldOutcome::Held {
+        clock_ms: 50_000,
+        running,
+        ended,
+    }
+}
+
+fn answer_hold(
+    owner: &mut Owner,
+    now_ms: u64,
+    order: &HoldOrder,
+    outcome: HoldOutcome,
+) -> Vec<Command> {
+    let mut out = Vec::new();
+    let (worker, fence) = (order.target.worker, order.target.fence);
+    owner.hold_answered(now_ms, worker, fence, outcome, &mut out);
+    out
+}
+
+fn answer_start(
+    owner: &mut Owner,
+    now_ms: u64,
+    order: &StartOrder,
+    outcome: OrderOutcome,
+) -> Vec<Command> {
+    let answer = Answered {
+        worker: order.target.worker,
+        fence: order.target.fence,
+        task: order.task.clone(),
+        run_id: order.run_id,
+        outcome,
+    };
+    let mut out = Vec::new();
+    owner.start_answered(now_ms, &answer, &mut out);
+    out
+}
+
+/// An owner in a term with fenced, empty workers.
+fn fenced_owner(term: u64, ids: &[&str]) -> Owner {
+    let mut owner = owner(term, ids.len());
+    let mut out = Vec::new();
+    owner.set_workers(0, ids.iter().map(|id| record(id)).collect(), &mut out);
+    for hold in holds(&out) {
+        answer_hold(&mut owner, 1, &hold, held(vec![], vec![]));
+    }
+    owner
+}
+
+fn delegate(owner: &mut Owner, now_ms: u64, id: &str, tasks: u32) -> Vec<Command> {
+    let mut out = Vec::new();
+    owner.delegate(now_ms, LINK, job(id, tasks, 100), 0, false, &mut out);
+    out
+}
+
+fn ended(commands: &[Command]) -> Vec<(String, Outcome)> {
+    let ended = commands.iter().filter_map(|command| match command {
+        Command::Ended {
+            job_id, outcome, ..
+        } => Some((job_id.clone(), *outcome)),
+        _ => None,
+    });
+    ended.collect()
+}
+
+fn done(number: u64, order: &StartOrder) -> ListedEnd {
+    ListedEnd {
+        number,
+        task: order.task.clone(),
+        run_id: order.run_id,
+        how: EndKind::Done,
+    }
+}
+
+#[test]
+fn a_job_is_started_held_and_answered() {
+    let mut owner = fenced_owner(1, &["w1"]);
+    let started = starts(&delegate(&mut owner, 10, "a", 2));
+    assert_eq!(started.len(), 2);
+    let clock_ms = 50_010;
+    let first = answer_start(&mut owner, 12, &started[0], OrderOutcome::Done { clock_ms });
+    answer_start(&mut owner, 12, &started[1], OrderOutcome::Done { clock_ms });
+    let hold = &holds(&first)[0];
+    let ends = vec![done(1, &started[0]), done(2, &started[1])];
+    let out = answer_hold(&mut owner, 110, hold, held(vec![], ends));
+    assert_eq!(ended(&out), [("a".to_owned(), Outcome::Completed)]);
+}
+
+#[test]
+fn what_may_run_takes_room_until_a_newer_fence_shows_that_it_does_not() {
+    let mut owner = fenced_owner(1, &["w1"]);
+    let started = starts(&delegate(&mut owner, 10, "a", 2));
+    let out = answer_start(&mut owner, 210, &started[0], OrderOutcome::NoAnswer);
+    // Its fate is unknown: nothing else starts there, and the fence rises.
+    assert!(starts(&out).is_empty());
+    let hold = &holds(&out)[0];
+    assert!(hold.target.fence > started[0].target.fence);
+    assert!(starts(&delegate(&mut owner, 211, "b", 1)).is_empty());
+    let there = ListedRun {
+        task: started[1].task.clone(),
+        run_id: started[1].run_id,
+    };
+    let out = answer_hold(&mut owner, 212, hold, held(vec![there], vec![]));
+    let again = starts(&out);
+    assert_eq!(again.len(), 1, "one task fits beside the one that is there");
+    assert!(again[0].run_id > started[0].run_id);
+}
+
+#[test]
+fn runs_of_a_silent_worker_count_until_their_leases_have_lapsed() {
+    let mut owner = fenced_owner(1, &["w1", "w2"]);
+    let started = starts(&delegate(&mut owner, 10, "a", 1));
+    let out = answer_start(&mut owner, 210, &started[0], OrderOutcome::NoAnswer);
+    let hold = &holds(&out)[0];
+    answer_hold(&mut owner, 410, hold, HoldOutcome::NoAnswer);
+    // The hold may have been carried out and renewed the lease; later ones
+    // renew nothing.
+    let lapse_ms = 210 + LEASE_MS * 100 / 98;
+    owner.tick(600, &mut Vec::new());
+    let mut early = Vec::new();
+    owner.tick(lapse_ms - 1, &mut early);
+    assert!(starts(&early).is_empty());
+    let mut late = Vec::new();
+    owner.tick(lapse_ms + 2, &mut late);
+    let again = starts(&late);
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].target.worker, started[0].target.worker);
+}
+
+#[test]
+fn a_lease_ends_with_the_origins_last_echo_however_late_the_loss_is_noticed() {
+    let mut owner = fenced_owner(1, &["w1"]);
+    owner.origin_alive(LINK, 0);
+    let started = starts(&delegate(&mut owner, 10, "a", 1));
+    let clock_ms = 50_010;
+    let out = answer_start(&mut owner, 12, &started[0], OrderOutcome::Done { clock_ms });
+    let hold = &holds(&out)[0];
+    let there = ListedRun {
+        task: started[0].task.clone(),
+        run_id: started[0].run_id,
+    };
+    // This instance lagged: a second has passed since the origin's echo.
+    let now_ms = LINK_SILENT_MS + 550;
+    let out = answer_hold(&mut owner, now_ms, hold, held(vec![there], vec![]));
+    let deadline_ms = holds(&out)[0].deadline_ms.expect("something is left");
+    assert!(deadline_ms <= 50_000 + now_ms + LEASE_MS - 550);
+}
+
+#[test]
+fn a_new_owner_with_a_part_of_the_registry_waits_for_the_gap() {
+    // Seen on haugland-reg trouble-2: after a zone cut the registry had lost
+    // workers that ran on, and a task started twice.
+    let mut owner = owner(2, 2);
+    let mut out = Vec::new();
+    owner.set_workers(0, vec![record("w1")], &mut out);
+    let hold = &holds(&out)[0];
+    answer_hold(&mut owner, 1, hold, held(vec![], vec![]));
+    let mut out = Vec::new();
+    owner.delegate(2, LINK, job("a", 1, 100), DELEGATED_GAP_MS, true, &mut out);
+    assert!(starts(&out).is_empty(), "w2 may still run the task");
+    owner.set_workers(3, vec![record("w1"), record("w2")], &mut out);
+    let hold = &holds(&out)[0];
+    let out = answer_hold(&mut owner, 4, hold, held(vec![], vec![]));
+    assert_eq!(starts(&out).len(), 1);
+}
+
+#[test]
+fn answers_to_an_earlier_ownership_change_nothing() {
+    let mut earlier = fenced_owner(1, &["w1"]);
+    let started = starts(&delegate(&mut earlier, 10, "a", 1));
+    let mut owner = fenced_owner(2, &["w1"]);
+    // The keys of both tables are the same; the fences are not.
+    let out = answer_start(&mut owner, 12, &started[0], OrderOutcome::OtherLife);
+    assert!(out.is_empty());
+    assert_eq!(owner.sizes().workers_fenced, 1);
+}
+
+#[test]
+fn a_new_owner_adopts_the_runs_of_a_job_that_comes_again() {
+    let mut owner = owner(2, 1);
+    let mut out = Vec::new();
+    owner.set_workers(0, vec![record("w1")], &mut out);
+    let there = ListedRun {
+        task: "a.0.0.0".into(),
+        run_id: 9,
+    };
+    let hold = &holds(&out)[0];
+    answer_hold(&mut owner, 1, hold, held(vec![there], vec![]));
+    let mut out = Vec::new();
+    owner.delegate(20, LINK, job("a", 2, 100), DELEGATED_GAP_MS, true, &mut out);
+    let started = starts(&out);
+    assert_eq!(started.len(), 1, "only the task that does not run");
+    assert_eq!(&*started[0].task, "a.0.0.1");
+}
+
+#[test]
+fn runs_that_nobody_claims_are_stopped() {
+    let mut owner = owner(2, 1);
+    let mut out = Vec::new();
+    owner.set_workers(0, vec![record("w1")], &mut out);
+    let there = ListedRun {
+        task: "a.0.0.0".into(),
+        run_id: 9,
+    };
+    let hold = &holds(&out)[0];
+    answer_hold(&mut owner, 1, hold, held(vec![there], vec![]));
+    let mut out = Vec::new();
+    owner.tick(ADOPT_MS, &mut out);
+    assert!(stops(&out).is_empty());
+    owner.tick(1 + ADOPT_MS, &mut out);
+    assert_eq!(stops(&out).len(), 1);
+}
+
+#[test]
+fn a_job_whose_origin_is_lost_is_stopped_and_may_come_again() {
+    let mut owner = fenced_owner(1, &["w1"]);
+    let started = starts(&delegate(&mut owner, 10, "a", 1));
+    let clock_ms = 50_010;
+    let out = answer_start(&mut owner, 12, &started[0], OrderOutcome::Done { clock_ms });
+    let hold = holds(&out)[0].clone();
+    let mut out = Vec::new();
+    owner.origin_lost(20, LINK, &mut out);
+    assert_eq!(stops(&out).len(), 1);
+    // It comes again while its run is being stopped: nothing starts yet.
+    let mut out = Vec::new();
+    owner.delegate(21, Origin::Link(8), job("a", 1, 100), 0, false, &mut out);
+    assert!(starts(&out).is_empty());
+    let mut end = done(1, &started[0]);
+    end.how = EndKind::Stopped;
+    let out = answer_hold(&mut owner, 30, &hold, held(vec![], vec![end]));
+    assert_eq!(starts(&out).len(), 1);
+}
+
+#[test]
+fn an_outranked_owner_orders_nothing_more_and_says_so() {
+    let mut owner = fenced_owner(1, &["w1"]);
+    let started = starts(&delegate(&mut owner, 10, "a", 1));
+    let out = answer_start(&mut owner, 12, &started[0], OrderOutcome::Fenced);
+    assert!(
+        out.iter()
+            .any(|command| matches!(command, Command::Outranked))
+    );
+    assert_eq!(ended(&out), [("a".to_owned(), Outcome::Lost)]);
+    assert!(starts(&delegate(&mut owner, 13, "b", 1)).is_empty());
+}
+
+#[test]
+fn a_failing_worker_is_left_alone_and_the_task_goes_elsewhere() {
+    let mut owner = fenced_owner(1, &["w1", "w2"]);
+    let started = starts(&delegate(&mut owner, 10, "a", 1));
+    let clock_ms = 50_010;
+    let out = answer_start(&mut owner, 12, &started[0], OrderOutcome::Done { clock_ms });
+    let mut end = done(1, &started[0]);
+    end.how = EndKind::Failed;
+    let out = answer_hold(&mut owner, 20, &holds(&out)[0], held(vec![], vec![end]));
+    let again = starts(&out);
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].target.worker, started[0].target.worker);
+}
+
+#[test]
+fn a_task_that_fails_as_often_as_it_may_fails_its_job() {
+    let mut owner = fenced_owner(1, &["w1", "w2", "w3"]);
+    let mut started = starts(&delegate(&mut owner, 10, "a", 1));
+    for attempt in 1..=3 {
+        let clock_ms = 50_010;
+        let outcome = OrderOutcome::Done { clock_ms };
+        let out = answer_start(&mut owner, 12 * attempt, &started[0], outcome);
+        let mut end = done(1, &started[0]);
+        end.how = EndKind::Failed;
+        let hold = &holds(&out)[0];
+        let out = answer_hold(&mut owner, 12 * attempt + 5, hold, held(vec![], vec![end]));
+        if attempt == 3 {
+            assert_eq!(ended(&out), [("a".to_owned(), Outcome::Failed)]);
+        } else {
+            started = starts(&out);
+        }
+    }
+}
+
+#[test]
+fn a_draining_worker_gets_nothing_new() {
+    let mut owner = fenced_owner(1, &["w1"]);
+    let mut leaving = record("w1");
+    leaving.draining = true;
+    let mut out = Vec::new();
+    owner.set_workers(5, vec![leaving], &mut out);
+    assert!(starts(&delegate(&mut owner, 10, "a", 1)).is_empty());
+}
+
+#[test]
+fn a_start_that_the_worker_knows_as_old_is_tried_with_a_higher_run() {
+    let mut owner = fenced_owner(1, &["w1"]);
+    let started = starts(&delegate(&mut owner, 10, "a", 1));
+    let outcome = OrderOutcome::Rejected(Rejection::OldRun);
+    let out = answer_start(&mut owner, 12, &started[0], outcome);
+    assert!(starts(&out).is_empty());
+    let mut out = Vec::new();
+    owner.tick(200, &mut out);
+    assert!(starts(&out)[0].run_id > started[0].run_id + 1000);
+}
+
+#[test]
+fn the_simulated_worker_keeps_the_contract() {
+    let mut worker = SimWorker::new("w1", 0, 100);
+    let mut owner = fenced_owner(3, &["w1"]);
+    let started = starts(&delegate(&mut owner, 10, "a", 1));
+    let mut order = started[0].clone();
+    order.deadline_ms = 500;
+    assert!(matches!(
+        worker.start(10, &order),
+        OrderOutcome::Done { .. }
+    ));
+    worker.pass(120);
+    assert!(worker.runs.is_empty());
+    let outcome = worker.start(121, &order);
+    assert_eq!(outcome, OrderOutcome::Rejected(Rejection::OldRun));
+}
