--- a/crates/core/src/dispatch/ownership.rs
+++ b/crates/core/src/dispatch/ownership.rs
@@ -252,10 +252,8 @@
         if claim.failure_domain != self.me.failure_domain {
             return;
         }
-        if let Some(owner) = claim.owner.clone() {
-            if owner.name != self.me.name {
-                self.peer(now_ms, &owner);
-            }
+        if let Some(owner) = claim.owner.clone().filter(|node| node.name != self.me.name) {
+            self.peer(now_ms, &owner);
         }
         let pool = self.pools.entry(claim.pool.clone()).or_default();
         let known = pool.claim.as_ref().map(rank);
