--- a/examples/link_churn/main.rs
+++ b/examples/link_churn/main.rs
@@ -1,8 +1,8 @@
 //! Links under churn: a peer that comes and goes while others send to it.
 //!
 //! `cargo run --example link_churn -- SECONDS`: ends with the number of
-//! restarts; a crash of the process is what it looks for. It crashes today:
-//! see `KNOWN-RED.txt` and `docs/design/links.md`.
+//! restarts; a crash of the process is what it looks for: see
+//! `docs/design/links.md`.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/src/links.rs
+++ b/src/links.rs
@@ -1,6 +1,7 @@
-//! Links between instances over nng.
+//! Links between instances over TCP.
 //!
-//! Each instance listens on one PULL socket and dials one PUSH socket a peer.
+//! Each instance listens at one address and dials one connection a peer. A
+//! connection carries length-delimited frames one way, behind a greeting.
 //! What is sent while a frame is on its way gathers into the next frame, so
 //! batching adds no delay. Nothing is ever resent: the layer above matches
 //! answers to requests and times out.
@@ -8,7 +9,6 @@
 mod error;
 mod filter;
 mod inbound;
-mod keeper;
 mod outbound;
 mod probe;
 mod queue;
@@ -20,6 +20,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use tokio::sync::mpsc;
+use tokio_util::codec::LengthDelimitedCodec;
 use trefoil_schema::peer::{InstanceRef, message::Body};
 
 pub use error::{LinkError, LinkReason};
@@ -28,7 +29,6 @@
 pub use stats::{Dropped, LinkStats};
 
 use inbound::Inbound;
-use keeper::Keeper;
 use outbound::{Context, Peer};
 
 /// One message from a peer, delivered at most once.
@@ -51,7 +51,6 @@
     context: Arc<Context>,
     peers: Arc<Peers>,
     inbound: Inbound,
-    _keeper: Keeper,
 }
 
 /// Peers by name, and the sequence numbers that removed peers had reached.
@@ -101,7 +100,7 @@
     ///
     /// # Errors
     ///
-    /// The address can't be listened on, or nng is out of resources.
+    /// The address can't be listened on.
     pub fn start(
         settings: LinkSettings,
         log: slog::Logger,
@@ -110,12 +109,10 @@
         let context = Arc::new(Context::new(settings, log));
         let inbound = Inbound::start(&context, deliver)?;
         let peers = Arc::new(Peers::default());
-        let keeper = Keeper::start(peers.clone(), context.settings.redial_ms)?;
         let shared = Shared {
             context,
             peers,
             inbound,
-            _keeper: keeper,
         };
         let links = Self {
             shared: Arc::new(shared),
@@ -166,6 +163,16 @@
 }
 
 /// Locks; a panic elsewhere leaves the counters and queues usable.
+/// What the accepting side sends first.
+pub const GREETING: &[u8; 8] = b"trefoil1";
+
+/// How frames are delimited on the wire.
+pub(crate) fn codec(settings: &LinkSettings) -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(settings.receive_bytes_max())
+        .new_codec()
+}
+
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/links/error.rs
+++ b/src/links/error.rs
@@ -1,6 +1,7 @@
 //! Errors of the links.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use derive_more::{Display, Error};
 use trefoil_core::verdict::Verdict;
@@ -39,13 +40,13 @@
         /// The bound in bytes.
         bytes_max: usize,
     },
-    /// nng failed while it set up a socket.
-    #[display("nng socket at {address} failed: {source}; is the address in use?")]
+    /// The address cannot be listened on.
+    #[display("links at {address} failed: {source}; is the address in use?")]
     Socket {
         /// The address listened on or dialled.
         address: SocketAddr,
-        /// What nng says.
-        source: nng::Error,
+        /// What the system said.
+        source: Arc<std::io::Error>,
     },
     /// The housekeeping thread did not start.
     #[display("thread of the links did not start; are threads limited?")]
@@ -70,7 +71,8 @@
         Self::not_run(LinkReason::QueueFull { name })
     }
 
-    pub(crate) fn socket(address: SocketAddr, source: nng::Error) -> Self {
+    pub(crate) fn socket(address: SocketAddr, source: std::io::Error) -> Self {
+        let source = Arc::new(source);
         Self::not_run(LinkReason::Socket { address, source })
     }
 }
--- a/src/links/inbound.rs
+++ b/src/links/inbound.rs
@@ -1,108 +1,102 @@
-//! The receiving side: one PULL socket, one receive at a time.
+//! The receiving side: one listener, a task a connection.
 
+use std::io;
+use std::net::{Shutdown, TcpListener as StdListener};
 use std::sync::{Arc, Mutex};
 
-use bytes::Bytes;
-use nng::options::{Options, RecvBufferSize, RecvMaxSize, transport::tcp::NoDelay};
-use nng::{Aio, AioResult, PipeEvent, Protocol, Socket};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
 use prost::Message as _;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, JoinSet};
+use tokio_util::codec::FramedRead;
 use trefoil_schema::peer::Frame;
 
 use super::error::LinkError;
 use super::filter::{Fate, Filter};
 use super::outbound::Context;
-use super::{Incoming, lock};
+use super::{GREETING, Incoming, codec, lock};
 
-/// Frames that nng may hold for the reader; each is at most the frame bound.
-const RECEIVE_BUFFER_FRAMES: i32 = 1;
-
-/// The listening socket; closed by [`Inbound::close`].
+/// Receives frames until it is closed.
 pub(crate) struct Inbound {
-    reader: Arc<Reader>,
+    listener: StdListener,
+    accepting: AbortHandle,
 }
 
 struct Reader {
     context: Arc<Context>,
     deliver: mpsc::Sender<Incoming>,
     filter: Mutex<Filter>,
-    /// Taken out at the close, which also ends the cycle socket-callback-reader.
-    wire: Mutex<Option<(Socket, Aio)>>,
 }
 
 impl Inbound {
-    /// Listens and receives from now on.
+    /// Listens; what arrives goes to `deliver`.
     pub(crate) fn start(
         context: &Arc<Context>,
         deliver: mpsc::Sender<Incoming>,
     ) -> Result<Self, LinkError> {
-        let listen = context.settings.listen;
+        let address = context.settings.listen;
+        let socket = |error: io::Error| LinkError::socket(address, error);
+        let listener = StdListener::bind(address).map_err(socket)?;
+        listener.set_nonblocking(true).map_err(socket)?;
         let reader = Arc::new(Reader {
             context: context.clone(),
             deliver,
             filter: Mutex::default(),
-            wire: Mutex::default(),
         });
-        open(&reader).map_err(|error| LinkError::socket(listen, error))?;
-        Ok(Self { reader })
+        let own = listener.try_clone().map_err(socket)?;
+        let _inside = context.handle.enter();
+        let tokio_listener = TcpListener::from_std(own).map_err(socket)?;
+        let accepting = context.handle.spawn(accept_all(reader, tokio_listener));
+        Ok(Self {
+            listener,
+            accepting: accepting.abort_handle(),
+        })
     }
 
-    /// Closes the socket and waits for the last callback to end.
+    /// Stops listening at once, and ends all connections.
     pub(crate) fn close(&self) {
-        let wire = lock(&self.reader.wire).take();
-        if let Some((socket, aio)) = wire {
-            socket.close();
-            aio.wait();
-        }
+        // The task's own listener goes only when the task is next run.
+        let _ = socket2::SockRef::from(&self.listener).shutdown(Shutdown::Both);
+        self.accepting.abort();
     }
 }
 
-fn open(reader: &Arc<Reader>) -> Result<(), nng::Error> {
-    let settings = &reader.context.settings;
-    let socket = Socket::new(Protocol::Pull0)?;
-    socket.set_opt::<RecvMaxSize>(settings.receive_bytes_max())?;
-    socket.set_opt::<NoDelay>(true)?;
-    // Not every socket type buffers; then there is nothing to bound.
-    let _ = socket.set_opt::<RecvBufferSize>(RECEIVE_BUFFER_FRAMES);
-    let context = reader.context.clone();
-    socket.pipe_notify(move |_, event| {
-        if matches!(event, PipeEvent::RemovePost) {
-            context.counters.disconnects.add(1);
+/// Serves connections; they end with this task.
+async fn accept_all(reader: Arc<Reader>, listener: TcpListener) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    connections.spawn(reader.clone().read_all(stream));
+                }
+            }
+            Some(_) = connections.join_next() => {}
         }
-    })?;
-    let on_receive = reader.clone();
-    let aio = Aio::new(move |_, result| on_receive.received(result))?;
-    socket.listen(&format!("tcp://{}", settings.listen))?;
-    socket.recv_async(&aio)?;
-    *lock(&reader.wire) = Some((socket, aio));
-    // A receive that ended before this point found no wire to go on with.
-    reader.receive_next();
-    Ok(())
+    }
 }
 
 impl Reader {
-    fn received(&self, result: AioResult) {
-        match result {
-            AioResult::Recv(Ok(bytes)) => self.accept(&bytes),
-            AioResult::Recv(Err(nng::Error::Closed)) => return,
-            _ => {}
-        }
-        self.receive_next();
-    }
-
-    /// Starts the next receive unless one runs or the socket is closed.
-    fn receive_next(&self) {
-        if let Some((socket, aio)) = &*lock(&self.wire) {
-            let _ = socket.recv_async(aio);
+    async fn read_all(self: Arc<Self>, mut stream: TcpStream) {
+        if stream.write_all(GREETING).await.is_ok() {
+            let mut frames = FramedRead::new(stream, codec(&self.context.settings));
+            while let Some(Ok(bytes)) = frames.next().await {
+                self.accept(bytes);
+            }
         }
+        self.context.counters.disconnects.add(1);
     }
 
-    fn accept(&self, bytes: &[u8]) {
+    fn accept(&self, bytes: BytesMut) {
         let counters = &self.context.counters;
         counters.frames_in.add(1);
         counters.bytes_in.add(bytes.len());
-        // One copy of the frame; payloads then share it instead of one each.
-        let Ok(frame) = Frame::decode(Bytes::copy_from_slice(bytes)) else {
+        // One copy of the frame, that keeps no more of the read buffer alive;
+        // payloads then share it instead of one each.
+        let Ok(frame) = Frame::decode(Bytes::copy_from_slice(&bytes)) else {
             return counters.rubbish.add(1);
         };
         let fate = lock(&self.filter).judge(&frame, self.context.settings.senders_max);
--- a/src/links/outbound.rs
+++ b/src/links/outbound.rs
@@ -1,74 +1,102 @@
-//! The sending side: one PUSH socket a peer, one frame on its way at a time.
+//! The sending side: one connection a peer, one frame on its way at a time.
+//!
+//! A task a peer dials, waits for the other side's greeting, and then sends
+//! batch after batch. The greeting tells a peer that runs from one whose
+//! kernel alone accepts connections: a frozen process gets nothing that it
+//! would read much later.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use nng::options::{Options, ReconnectMaxTime, ReconnectMinTime, transport::tcp::NoDelay};
-use nng::{Aio, AioResult, PipeEvent, Protocol, Socket};
+use bytes::Bytes;
+use futures_util::SinkExt;
 use prost::Message as _;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::runtime::Handle;
+use tokio::sync::Notify;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+use tokio_util::codec::{FramedWrite, LengthDelimitedCodec};
 use trefoil_schema::peer::{Frame, Message, message::Body};
 
 use super::error::{LinkError, LinkReason};
-use super::lock;
-use super::queue::{Batch, Queue};
+use super::queue::Queue;
 use super::settings::LinkSettings;
-use super::stats::Counters;
+use super::stats::{Counter, Counters};
+use super::{GREETING, codec, lock};
 
-/// nng needs some time to start an operation before it may give it up.
+/// Shortest time that a connection has to take a frame.
 const SEND_TIMEOUT_MIN: Duration = Duration::from_millis(50);
 
-/// What all links of this instance share.
+/// What all peers of one instance share.
 pub(crate) struct Context {
     pub(crate) settings: LinkSettings,
     pub(crate) counters: Counters,
+    /// Where the tasks of the links run.
+    pub(crate) handle: Handle,
     log: slog::Logger,
 }
 
 impl Context {
+    /// # Panics
+    ///
+    /// Outside a tokio runtime.
     pub(crate) fn new(settings: LinkSettings, log: slog::Logger) -> Self {
         Self {
             settings,
             counters: Counters::default(),
+            handle: Handle::current(),
             log,
         }
     }
 }
 
-/// One peer as this instance sends to it.
+/// One peer and what waits for it.
 pub(crate) struct Peer {
     name: String,
     context: Arc<Context>,
     state: Mutex<State>,
+    /// Wakes the task that sends.
+    queued: Notify,
 }
 
 struct State {
     address: SocketAddr,
+    /// Sequence number of the last frame.
     sequence: u64,
     queue: Queue,
-    /// None before the first message and after the close.
-    wire: Option<Wire>,
-    /// Tells the callbacks of one wire from those of its successors.
-    generation: u64,
+    /// The task that dials and sends.
+    carrier: Option<AbortHandle>,
     retired: bool,
 }
 
-struct Wire {
-    socket: Socket,
-    aio: Aio,
-    dialled: Instant,
-    connected: bool,
-    /// Messages in the frame that nng has not yet taken.
-    in_flight: Option<usize>,
-    /// The connection took nothing for as long as a message may wait.
-    stuck: bool,
+type Writer = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
+
+/// A frame and what is to be counted of it.
+struct Outgoing {
+    bytes: Bytes,
+    messages: usize,
+    limit: Duration,
+}
+
+/// Counts messages as lost unless their frame's fate was counted otherwise.
+struct InFlight<'a> {
+    messages: usize,
+    lost: &'a Counter,
 }
 
-impl Wire {
-    /// Closes the socket and waits for the last callback; no lock may be held.
-    fn close(self) {
-        self.socket.close();
-        self.aio.wait();
+impl InFlight<'_> {
+    fn settled(mut self) -> usize {
+        std::mem::take(&mut self.messages)
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.lost.add(self.messages);
     }
 }
 
@@ -83,28 +111,31 @@
             address,
             sequence,
             queue: Queue::default(),
-            wire: None,
-            generation: 0,
+            carrier: None,
             retired: false,
         };
         Arc::new(Self {
             name: name.to_owned(),
             context,
             state: Mutex::new(state),
+            queued: Notify::new(),
         })
     }
 
-    /// Goes over to another address; what waits goes there.
+    /// Dials `address` from now on; what waits goes there.
     pub(crate) fn set_address(self: &Arc<Self>, address: SocketAddr) {
         let mut state = lock(&self.state);
         if state.address == address {
             return;
         }
         state.address = address;
-        self.replace_wire(state);
+        if let Some(old) = state.carrier.take() {
+            old.abort();
+            state.carrier = Some(self.start_carrier(address));
+        }
     }
 
-    /// Queues a message and sends it at once if nothing is on its way.
+    /// Queues a message; it goes out as soon as the connection is free.
     pub(crate) fn send(self: &Arc<Self>, body: Body) -> Result<(), LinkError> {
         let message = Message { body: Some(body) };
         self.check_size(&message)?;
@@ -112,9 +143,8 @@
         if state.retired {
             return Err(LinkError::unknown_peer(&self.name));
         }
-        if state.wire.is_none() {
-            let wire = self.dial(&mut state)?;
-            state.wire = Some(wire);
+        if state.carrier.is_none() {
+            state.carrier = Some(self.start_carrier(state.address));
         }
         let now = Instant::now();
         self.drop_late(&mut state, now);
@@ -122,28 +152,12 @@
             self.context.counters.queue_full.add(1);
             return Err(LinkError::queue_full(&self.name));
         }
-        self.flush(&mut state, now);
+        self.queued.notify_one();
         Ok(())
     }
 
-    /// Drops what is late; dials anew where a dial or connection is stuck.
-    pub(crate) fn tend(self: &Arc<Self>) {
-        let mut state = lock(&self.state);
-        let now = Instant::now();
-        self.drop_late(&mut state, now);
-        let redial = Duration::from_millis(self.context.settings.redial_ms);
-        let stuck = state.wire.as_ref().is_some_and(|wire| {
-            let unanswered = !wire.connected && now.duration_since(wire.dialled) > redial;
-            unanswered || wire.stuck
-        });
-        if stuck {
-            self.context.counters.redials.add(1);
-            self.replace_wire(state);
-        }
-    }
-
-    /// Refuses further messages and drops the waiting ones; returns the last
-    /// sequence number used.
+    /// Takes no more messages, drops those that wait and returns the sequence
+    /// number of the last frame.
     pub(crate) fn retire(&self) -> u64 {
         let mut state = lock(&self.state);
         state.retired = true;
@@ -152,11 +166,10 @@
         state.sequence
     }
 
-    /// Closes the connection; no callback runs afterwards.
+    /// Closes the connection.
     pub(crate) fn close(&self) {
-        let wire = lock(&self.state).wire.take();
-        if let Some(wire) = wire {
-            wire.close();
+        if let Some(carrier) = lock(&self.state).carrier.take() {
+            carrier.abort();
         }
     }
 
@@ -170,140 +183,124 @@
         Err(LinkError::not_run(reason))
     }
 
-    /// Closes the wire, if there is one, and dials anew.
-    fn replace_wire(self: &Arc<Self>, mut state: MutexGuard<'_, State>) {
-        let Some(old) = state.wire.take() else {
-            return;
-        };
-        if let Some(count) = old.in_flight {
-            self.context.counters.lost.add(count);
-        }
-        // On failure the next message tries again.
-        state.wire = self.dial(&mut state).ok();
-        drop(state);
-        old.close();
-    }
-
-    fn dial(self: &Arc<Self>, state: &mut State) -> Result<Wire, LinkError> {
-        state.generation += 1;
-        let address = state.address;
-        self.open(address, state.generation)
-            .map_err(|error| LinkError::socket(address, error))
+    fn start_carrier(self: &Arc<Self>, address: SocketAddr) -> AbortHandle {
+        let carrier = Arc::clone(self).carry(address);
+        self.context.handle.spawn(carrier).abort_handle()
     }
 
-    fn open(self: &Arc<Self>, address: SocketAddr, generation: u64) -> Result<Wire, nng::Error> {
+    /// Dials and sends until it is aborted.
+    async fn carry(self: Arc<Self>, address: SocketAddr) {
         let settings = &self.context.settings;
-        let reconnect_min = Duration::from_millis(settings.reconnect_min_ms);
-        let reconnect_max = Duration::from_millis(settings.reconnect_max_ms);
-        let socket = Socket::new(Protocol::Push0)?;
-        socket.set_opt::<NoDelay>(true)?;
-        socket.set_opt::<ReconnectMinTime>(Some(reconnect_min))?;
-        socket.set_opt::<ReconnectMaxTime>(Some(reconnect_max))?;
-        let peer = self.clone();
-        socket.pipe_notify(move |_, event| peer.notified(generation, event))?;
-        let peer = self.clone();
-        let aio = Aio::new(move |_, result| peer.sent(generation, result))?;
-        socket.dial_async(&format!("tcp://{address}"))?;
-        Ok(Wire {
-            socket,
-            aio,
-            dialled: Instant::now(),
-            connected: false,
-            in_flight: None,
-            stuck: false,
-        })
+        let pause_min = Duration::from_millis(settings.reconnect_min_ms);
+        let pause_max = Duration::from_millis(settings.reconnect_max_ms);
+        let mut pause = pause_min;
+        loop {
+            if let Some((read, writer)) = self.dial(address).await {
+                pause = pause_min;
+                self.connected(true);
+                self.send_batches(read, writer).await;
+                self.connected(false);
+            }
+            self.drop_late(&mut lock(&self.state), Instant::now());
+            tokio::time::sleep(pause).await;
+            pause = pause_max.min(pause * 2);
+        }
     }
 
-    /// A connection came or went.
-    fn notified(&self, generation: u64, event: PipeEvent) {
-        let connected = match event {
-            PipeEvent::AddPost => true,
-            PipeEvent::RemovePost => false,
-            _ => return,
+    /// Connects and awaits the greeting.
+    async fn dial(&self, address: SocketAddr) -> Option<(OwnedReadHalf, Writer)> {
+        let limit = Duration::from_millis(self.context.settings.redial_ms);
+        let greeted = async {
+            let stream = TcpStream::connect(address).await.ok()?;
+            stream.set_nodelay(true).ok()?;
+            let (mut read, write) = stream.into_split();
+            let mut greeting = [0; GREETING.len()];
+            read.read_exact(&mut greeting).await.ok()?;
+            (greeting == *GREETING).then_some((read, write))
         };
+        let Ok(greeted) = timeout(limit, greeted).await else {
+            self.context.counters.redials.add(1);
+            return None;
+        };
+        let (read, write) = greeted?;
+        Some((read, FramedWrite::new(write, codec(&self.context.settings))))
+    }
+
+    fn connected(&self, connected: bool) {
         let counters = &self.context.counters;
         match connected {
             true => counters.connects.add(1),
             false => counters.disconnects.add(1),
         }
-        let mut state = lock(&self.state);
-        if state.generation != generation {
-            return;
-        }
-        let now = Instant::now();
-        let Some(wire) = &mut state.wire else {
-            return;
-        };
-        wire.connected = connected;
-        wire.dialled = now;
         slog::info!(self.context.log, "link"; "peer" => &self.name, "connected" => connected);
-        self.drop_late(&mut state, now);
-        self.flush(&mut state, now);
     }
 
-    /// nng has taken the frame, or given it up.
-    fn sent(&self, generation: u64, result: AioResult) {
-        let mut state = lock(&self.state);
-        if state.generation != generation {
-            return;
-        }
-        let Some(wire) = &mut state.wire else {
-            return;
-        };
-        let count = wire.in_flight.take().unwrap_or(0);
-        match result {
-            AioResult::Send(Err((_, nng::Error::TimedOut))) => {
-                wire.stuck = true;
-                self.context.counters.late.add(count);
+    /// Sends what waits until the connection ends or takes nothing more.
+    async fn send_batches(&self, mut read: OwnedReadHalf, mut writer: Writer) {
+        let mut nothing = [0; 1];
+        loop {
+            if let Some(frame) = self.next_frame() {
+                if !self.send_frame(&mut writer, frame).await {
+                    return;
+                }
+                continue;
+            }
+            // The other side never sends: whatever comes is the end.
+            tokio::select! {
+                () = self.queued.notified() => {}
+                _ = read.read(&mut nothing) => return,
             }
-            AioResult::Send(Err(_)) => self.context.counters.lost.add(count),
-            _ => self.context.counters.messages_out.add(count),
         }
-        let now = Instant::now();
-        self.drop_late(&mut state, now);
-        self.flush(&mut state, now);
-    }
-
-    fn drop_late(&self, state: &mut State, now: Instant) {
-        let count = state.queue.drop_late(now, &self.context.settings);
-        self.context.counters.late.add(count);
     }
 
-    /// Sends the next frame if the link is up and idle.
-    fn flush(&self, state: &mut State, now: Instant) {
-        let State { wire, queue, .. } = state;
-        let Some(wire) = wire else {
-            return;
-        };
-        if !wire.connected || wire.stuck || wire.in_flight.is_some() {
-            return;
-        }
-        let Some(batch) = queue.take_batch(now, &self.context.settings) else {
-            return;
-        };
-        state.sequence += 1;
-        self.send_frame(wire, batch, state.sequence, now);
-    }
-
-    fn send_frame(&self, wire: &mut Wire, batch: Batch, sequence: u64, now: Instant) {
+    fn next_frame(&self) -> Option<Outgoing> {
         let settings = &self.context.settings;
+        let mut state = lock(&self.state);
+        let now = Instant::now();
+        self.drop_late(&mut state, now);
+        let batch = state.queue.take_batch(now, settings)?;
+        state.sequence += 1;
         let late = Duration::from_millis(settings.late_ms);
         let left = late.saturating_sub(now.duration_since(batch.oldest));
-        let _ = wire.aio.set_timeout(Some(left.max(SEND_TIMEOUT_MIN)));
-        let count = batch.messages.len();
+        let messages = batch.messages.len();
         let frame = Frame {
             from: Some(settings.me.clone()),
-            sequence,
+            sequence: state.sequence,
             messages: batch.messages,
         };
-        let bytes = frame.encode_to_vec();
+        Some(Outgoing {
+            bytes: frame.encode_to_vec().into(),
+            messages,
+            limit: left.max(SEND_TIMEOUT_MIN),
+        })
+    }
+
+    /// Whether the connection took the frame.
+    async fn send_frame(&self, writer: &mut Writer, frame: Outgoing) -> bool {
         let counters = &self.context.counters;
         // Counted first: a receiver that has the frame finds it counted.
         counters.frames_out.add(1);
-        counters.bytes_out.add(bytes.len());
-        match wire.socket.send_async(&wire.aio, &bytes[..]) {
-            Ok(()) => wire.in_flight = Some(count),
-            Err(_) => counters.lost.add(count),
+        counters.bytes_out.add(frame.bytes.len());
+        let in_flight = InFlight {
+            messages: frame.messages,
+            lost: &counters.lost,
+        };
+        match timeout(frame.limit, writer.send(frame.bytes)).await {
+            Ok(Ok(())) => {
+                counters.messages_out.add(in_flight.settled());
+                true
+            }
+            Ok(Err(_)) => false,
+            Err(_) => {
+                counters.late.add(in_flight.settled());
+                counters.redials.add(1);
+                false
+            }
         }
     }
+
+    fn drop_late(&self, state: &mut State, now: Instant) {
+        let count = state.queue.drop_late(now, &self.context.settings);
+        self.context.counters.late.add(count);
+    }
 }
