--- a/crates/core/src/dispatch/job.rs
+++ b/crates/core/src/dispatch/job.rs
@@ -117,6 +117,9 @@
 
     /// Longest time that the rest of the job takes, by its estimates.
     pub fn remaining_ms(&self) -> u64 {
+        if let [only] = self.spec.phases.as_slice() {
+            return only.estimate_ms;
+        }
         let open = self
             .tasks
             .iter()
@@ -143,6 +146,9 @@
 
 /// The longest chain of estimates through the phases.
 fn chain_ms(phases: &[Phase]) -> u64 {
+    if let [only] = phases {
+        return only.estimate_ms;
+    }
     let mut ends_ms: Vec<u64> = Vec::with_capacity(phases.len());
     for phase in phases {
         let before = phase.after.iter();
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -3,7 +3,8 @@
 //! [`Owner`] takes delegated jobs, the registry's workers and the outcomes of
 //! orders, and pushes [`Command`]s. The steps are in the modules below:
 //!
-//! * [`place`]: which task starts where, and when.
+//! * [`queue`]: the order in which waiting jobs are tried.
+//! * [`place`]: which task starts where.
 //! * [`holds`]: leases, ends, and the fate of orders without an answer.
 //! * [`ends`]: what an end means for its task and job.
 
@@ -11,6 +12,7 @@
 mod holds;
 mod note;
 mod place;
+mod queue;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
@@ -81,6 +83,7 @@
     worker_ids: HashMap<Arc<str>, WorkerKey>,
     jobs: SlotMap<JobKey, Job>,
     job_ids: HashMap<String, JobKey>,
+    queue: queue::Queue,
     /// Ends of tasks that no job here has claimed, with their instants.
     orphan_ends: HashMap<Arc<str>, (EndKind, u64)>,
     /// Jobs that ended lately.
@@ -105,6 +108,7 @@
             worker_ids: HashMap::new(),
             jobs: SlotMap::with_key(),
             job_ids: HashMap::new(),
+            queue: queue::Queue::default(),
             orphan_ends: HashMap::new(),
             ended: VecDeque::new(),
             dirty: BTreeSet::new(),
@@ -222,6 +226,7 @@
         let key = self.jobs.insert(job);
         self.job_ids.insert(id, key);
         self.adopt(key);
+        self.queue.invalidate();
         if self.jobs[key].is_done() {
             self.finish(now_ms, key, Outcome::Completed, "its tasks were done", out);
         }
@@ -503,6 +508,7 @@
             return;
         }
         self.dirty.extend(self.workers.keys());
+        self.queue.invalidate();
         self.expire(now_ms, out);
         self.settle(now_ms, out);
         let old = |at_ms: u64| at_ms + REMEMBER_MS < now_ms;
--- a/crates/core/src/dispatch/owner/ends.rs
+++ b/crates/core/src/dispatch/owner/ends.rs
@@ -117,6 +117,7 @@
         };
         let not_before_ms = now_ms + delay_ms;
         job.tasks[index].state = TaskState::Waiting { not_before_ms };
+        self.queue.invalidate();
         self.drop_if_ended(key);
     }
 }
--- a/crates/core/src/dispatch/owner/holds.rs
+++ b/crates/core/src/dispatch/owner/holds.rs
@@ -99,7 +99,9 @@
                     worker.standing = Standing::Fenced;
                     out.push(Command::Note(Note::worker("fenced", worker)));
                 }
-                worker.obeyed = true;
+                if !std::mem::replace(&mut worker.obeyed, true) {
+                    self.queue.invalidate();
+                }
                 worker.silent = false;
                 worker.acked_upto = worker.acked_upto.max(hold.seen_upto);
                 for end in ended {
--- a/crates/core/src/dispatch/owner/place.rs
+++ b/crates/core/src/dispatch/owner/place.rs
@@ -1,18 +1,13 @@
-//! Which task starts where, and when.
+//! Which task starts where.
 //!
-//! Jobs are tried in order of their latest start: the instant by which a job's
-//! longest chain must begin to meet its objective. Jobs that have missed it
-//! come after all that have not, those that have missed even the late
-//! objective last. A task goes to the worker that it fits best, slow and
-//! doubted ones last.
+//! Jobs are tried in the queue's order. A task goes to the worker that it fits
+//! best, slow ones last; workers in doubt are not among them.
 
 use trefoil_schema::dispatch::Phase;
 
 use super::super::worker::{Room, Run};
 use super::*;
 
-/// Up to this multiple of the objective, an answer is late but not worthless.
-const LATE_FACTOR: f64 = 3.0;
 /// Weight of the room that a placement strands, against the time that it takes.
 const STRANDED_WEIGHT: f64 = 0.3;
 /// Cost of the worker on which the task failed before.
@@ -44,30 +39,6 @@
     }
 }
 
-/// Order in which jobs are tried: smaller first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Urgency {
-    tier: u8,
-    latest_start_ms: u64,
-}
-
-fn urgency(job: &Job, now_ms: u64) -> Urgency {
-    let remaining_ms = job.remaining_ms();
-    let due_ms = job.objective_ms(1.0);
-    let late_ms = job.objective_ms(LATE_FACTOR);
-    let (tier, end_ms) = if now_ms + remaining_ms <= due_ms {
-        (0, due_ms)
-    } else if now_ms + remaining_ms <= late_ms {
-        (1, late_ms)
-    } else {
-        (2, late_ms)
-    };
-    Urgency {
-        tier,
-        latest_start_ms: end_ms.saturating_sub(remaining_ms),
-    }
-}
-
 /// A worker that takes tasks, and the room left there.
 struct Open {
     key: WorkerKey,
@@ -78,23 +49,40 @@
 impl Owner {
     /// Starts every waiting task that fits, most urgent first.
     pub(super) fn place(&mut self, now_ms: u64, out: &mut Vec<Command>) {
+        let fenced = self.all_fenced();
+        self.queue.refresh(&self.jobs, now_ms, fenced);
         let mut open = self.open_workers(now_ms);
-        if open.is_empty() || self.jobs.is_empty() {
+        if self.queue.none_fits(widest(&open)) {
             return;
         }
-        let fenced = self.all_fenced();
-        let mut jobs: Vec<(Urgency, JobKey)> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| job_waits(job, now_ms, fenced))
-            .map(|(key, job)| (urgency(job, now_ms), key))
-            .collect();
-        jobs.sort_unstable();
-        for (_, key) in jobs {
-            for index in 0..self.jobs[key].tasks.len() {
-                if self.task_waits(key, index, now_ms) {
-                    self.place_task(now_ms, key, index, &mut open, out);
-                }
+        let queue = std::mem::take(&mut self.queue);
+        for key in queue.jobs() {
+            self.place_job(now_ms, key, &mut open, out);
+            if queue.none_fits(widest(&open)) {
+                break;
+            }
+        }
+        self.queue = queue;
+    }
+
+    /// Starts the waiting tasks of a job that fit.
+    fn place_job(
+        &mut self,
+        now_ms: u64,
+        key: JobKey,
+        open: &mut [Open],
+        out: &mut Vec<Command>,
+    ) {
+        let tasks = self.jobs.get(key).map_or(0, |job| job.tasks.len());
+        // Tasks of one phase take the same: where one does not fit, none does.
+        let mut full_phase = None;
+        for index in 0..tasks {
+            let phase = Some(self.jobs[key].tasks[index].phase);
+            if phase == full_phase || !self.task_waits(key, index, now_ms) {
+                continue;
+            }
+            if !self.place_task(now_ms, key, index, open, out) {
+                full_phase = phase;
             }
         }
     }
@@ -107,7 +95,8 @@
             free: worker.free(),
             runs: worker.runs.len(),
         });
-        open.filter(|open| open.free.cpu_millicores > 0).collect()
+        let some_fits = |open: &Open| !self.queue.none_fits(open.free.cpu_millicores);
+        open.filter(some_fits).collect()
     }
 
     fn task_waits(&self, key: JobKey, index: usize, now_ms: u64) -> bool {
@@ -118,6 +107,7 @@
         due && job.phase_ready(usize::from(task.phase))
     }
 
+    /// Starts a task where it costs least; false where it fits nowhere.
     fn place_task(
         &mut self,
         now_ms: u64,
@@ -125,7 +115,7 @@
         index: usize,
         open: &mut [Open],
         out: &mut Vec<Command>,
-    ) {
+    ) -> bool {
         let job = &self.jobs[key];
         let task = &job.tasks[index];
         let phase = job.phase(task);
@@ -135,11 +125,12 @@
             Some((cost, position))
         });
         let Some((_, position)) = costs.min_by(|left, right| left.0.total_cmp(&right.0)) else {
-            return;
+            return false;
         };
         open[position].free = open[position].free.minus(&room);
         open[position].runs += 1;
         self.start(now_ms, key, index, open[position].key, out);
+        true
     }
 
     /// Cost of a task on a worker; none where it may not go.
@@ -226,9 +217,8 @@
     }
 }
 
-/// Whether any task of a job may be started now.
-fn job_waits(job: &Job, now_ms: u64, fenced: bool) -> bool {
-    let safe = now_ms >= job.unsafe_until_ms || (job.fencing_clears && fenced);
-    let waiting = |task: &super::super::job::Task| matches!(task.state, TaskState::Waiting { .. });
-    safe && !job.stopping && job.tasks.iter().any(waiting)
+/// The largest free processor share of a worker.
+fn widest(open: &[Open]) -> u64 {
+    let free = open.iter().map(|open| open.free.cpu_millicores);
+    free.max().unwrap_or(0)
 }
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -81,6 +81,8 @@
     next_ticket: Ticket,
     ticks: u64,
     ticked_ms: u64,
+    /// When anything last happened here; ticks do all the while.
+    active_ms: u64,
     store_read_ms: Option<u64>,
     leaving: bool,
     /// Failure domain of this instance.
@@ -124,6 +126,7 @@
             next_ticket: 0,
             ticks: 0,
             ticked_ms: 0,
+            active_ms: 0,
             store_read_ms: None,
             leaving: false,
             home: settings.failure_domain.clone(),
@@ -161,6 +164,10 @@
             state.ownership.tick(now_ms, &mut effects.ownership);
             state.each_owner(effects, |owner, out| owner.tick(now_ms, out));
             state.ticks += 1;
+            // A busy process reads its peers' heartbeats late.
+            let late_ms = now_ms.saturating_sub(state.ticked_ms + TICK_MS);
+            state.peers.excuse(late_ms);
+            state.ticked_ms = now_ms;
         });
         if self.state.borrow().ticks.is_multiple_of(BEAT_MS / TICK_MS) {
             self.beat();
@@ -170,8 +177,8 @@
 
     /// Gives up everything that rests on time if the process stood still.
     fn thaw(self: &Rc<Self>, state: &mut State, now_ms: u64, effects: &mut Effects) {
-        let late_ms = now_ms.saturating_sub(state.ticked_ms + TICK_MS);
-        state.ticked_ms = now_ms;
+        let late_ms = now_ms.saturating_sub(state.active_ms + TICK_MS);
+        state.active_ms = now_ms;
         if late_ms < FROZEN_MS {
             return;
         }
--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -44,6 +44,17 @@
     _guard: LinkGuard,
 }
 
+impl Link {
+    /// Sends a heartbeat; false if the peer does not keep up.
+    fn beat(&self, beat: &Beat) -> bool {
+        let echo_ms = self.peer_sent_ms;
+        self.sender.send(encode(Body::Beat(Beat {
+            echo_ms,
+            ..beat.clone()
+        })))
+    }
+}
+
 /// All links.
 #[derive(Default)]
 pub(crate) struct Peers {
@@ -58,6 +69,13 @@
         self.links.values().find(|link| link.peer.name == name)
     }
 
+    /// Counts no silence for a time in which this process did not run.
+    pub(super) fn excuse(&mut self, late_ms: u64) {
+        for link in self.links.values_mut() {
+            link.heard_ms += late_ms;
+        }
+    }
+
     /// Whether another instance tells that it reads the store.
     pub(super) fn store_is_fresh(&self, now_ms: u64) -> bool {
         let mut links = self.links.values();
@@ -149,8 +167,7 @@
         });
         let state = self.state.borrow();
         if let Some(link) = state.peers.links.get(&id) {
-            link.sender
-                .send(self.beat_frame(&state, link, self.now_ms()));
+            link.beat(&self.beat_now(&state, self.now_ms()));
         }
     }
 
@@ -332,30 +349,25 @@
         state.entry.pool_seen(now_ms, &pool, &domain, load, out);
     }
 
-    /// What this instance tells one peer now.
-    fn beat_frame(&self, state: &State, link: &Link, now_ms: u64) -> Bytes {
-        let owned = state
-            .ownership
-            .own_claims()
-            .map(|(claim, yielded)| OwnedPool {
-                claim: Some(claim.clone()),
-                load: state
-                    .owners
-                    .get(&claim.pool)
-                    .map(|owner| owner.load(now_ms)),
-                yielded,
-            });
+    /// What this instance tells every peer now.
+    fn beat_now(&self, state: &State, now_ms: u64) -> Beat {
+        let load_of = |pool: &str| state.owners.get(pool).map(|owner| owner.load(now_ms));
+        let owned = state.ownership.own_claims();
+        let owned = owned.map(|(claim, yielded)| OwnedPool {
+            claim: Some(claim.clone()),
+            load: load_of(&claim.pool),
+            yielded,
+        });
         let read_ms = state.store_read_ms;
         let fresh = read_ms.is_some_and(|read_ms| read_ms + STORE_FRESH_MS > now_ms);
-        let beat = Beat {
+        Beat {
             owned: owned.collect(),
             config_version: state.declarations.as_ref().map_or(0, |known| known.version),
             leaving: state.leaving,
             store_fresh: !state.owners.is_empty() && fresh,
             sent_ms: now_ms,
-            echo_ms: link.peer_sent_ms,
-        };
-        encode(Body::Beat(beat))
+            echo_ms: 0,
+        }
     }
 
     /// Sends heartbeats, closes silent links, dials missing ones.
@@ -364,31 +376,19 @@
             self.close_silent(state, now_ms, effects);
             let idle_round = !state.ticks.is_multiple_of(BEAT_IDLE_MS / TICK_MS);
             let own = !state.owners.is_empty();
+            let beat = self.beat_now(state, now_ms);
             let mut stuck = Vec::new();
             for (&id, link) in &state.peers.links {
                 let due = own || link.owns || !idle_round;
-                if due && !link.sender.send(self.beat_frame(state, link, now_ms)) {
+                if due && !link.beat(&beat) {
                     stuck.push(id);
                 }
             }
             for id in stuck {
                 self.link_down(state, id, now_ms, effects);
             }
-            let claims = state.ownership.own_claims();
-            let claims: Vec<Claim> = claims.map(|(claim, _)| claim.clone()).collect();
-            for claim in claims {
-                let load = state
-                    .owners
-                    .get(&claim.pool)
-                    .map(|owner| owner.load(now_ms));
-                let owned = Owned {
-                    pool: claim.pool,
-                    owner: self.me.name.clone(),
-                };
-                let (load, out) = (load.unwrap_or_default(), &mut effects.entry);
-                state
-                    .entry
-                    .pool_seen(now_ms, &owned, &claim.failure_domain, load, out);
+            for owned in beat.owned {
+                self.take_owned(state, &self.me.name, owned, now_ms, effects);
             }
         });
         self.dial_missing();
