--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -224,11 +224,13 @@
             Outcome::Completed => self.answer(id, Answer::Completed, out),
             Outcome::Failed => self.answer(id, Answer::Failed, out),
             Outcome::NotRun => {
-                let reason = "no worker can run it";
-                let retry_after_ms = RETRY_AFTER_MS;
-                let answer = Answer::NotRun {
-                    retry_after_ms,
-                    reason,
+                let reason = "no worker came free in time";
+                let answer = match job.may_have_run {
+                    true => Answer::MayHaveRun { reason },
+                    false => Answer::NotRun {
+                        retry_after_ms: RETRY_AFTER_MS,
+                        reason,
+                    },
                 };
                 self.answer(id, answer, out);
             }
--- a/crates/core/src/dispatch/job.rs
+++ b/crates/core/src/dispatch/job.rs
@@ -6,6 +6,12 @@
 
 use super::order::WorkerKey;
 
+/// Up to this multiple of the objective, an answer is late but not worthless.
+pub const LATE_FACTOR: f64 = 3.0;
+/// A job that has not started is given up when the late objective, which rests
+/// on a rough estimate, has passed by this factor.
+const HOPELESS_FACTOR: f64 = 1.5;
+
 /// Whoever delegated a job and awaits its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Origin {
@@ -136,6 +142,17 @@
         phases_ms.into_iter().max().unwrap_or(0)
     }
 
+    /// Whether an answer can no longer be of use: the caller will have left, or
+    /// the late objective has passed by far. Estimates are off by half.
+    pub fn is_hopeless(&self, now_ms: u64) -> bool {
+        let leaves_ms = match self.spec.patience_ms {
+            0 => u64::MAX,
+            patience_ms => self.arrived_ms + patience_ms,
+        };
+        let too_late_ms = self.objective_ms(LATE_FACTOR * HOPELESS_FACTOR);
+        now_ms + self.remaining_ms() / 2 > leaves_ms || now_ms > too_late_ms
+    }
+
     /// When the caller's objective passes, by the estimates.
     pub fn objective_ms(&self, times: f64) -> u64 {
         let chain_ms = chain_ms(&self.spec.phases) as f64;
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -510,6 +510,7 @@
         self.dirty.extend(self.workers.keys());
         self.queue.invalidate();
         self.expire(now_ms, out);
+        self.refuse_hopeless(now_ms, out);
         self.settle(now_ms, out);
         let old = |at_ms: u64| at_ms + REMEMBER_MS < now_ms;
         while self.ended.front().is_some_and(|ended| old(ended.0)) {
@@ -519,6 +520,25 @@
             .retain(|_, end| end.1 + 4 * ADOPT_MS > now_ms);
     }
 
+    /// Refuses jobs of which nothing has run and that are of no use any more,
+    /// so that their callers know at once.
+    fn refuse_hopeless(&mut self, now_ms: u64, out: &mut Vec<Command>) {
+        let hopeless = |job: &Job| {
+            let safe = now_ms >= job.unsafe_until_ms;
+            safe && !job.started && !job.stopping && job.is_hopeless(now_ms)
+        };
+        let keys: Vec<JobKey> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| hopeless(job))
+            .map(|(key, _)| key)
+            .collect();
+        for key in keys {
+            let reason = "no worker came free in time";
+            self.finish(now_ms, key, Outcome::NotRun, reason, out);
+        }
+    }
+
     /// Starts what fits and sends the holds that are due.
     fn settle(&mut self, now_ms: u64, out: &mut Vec<Command>) {
         if self.released {
--- a/crates/core/src/dispatch/owner/place.rs
+++ b/crates/core/src/dispatch/owner/place.rs
@@ -66,13 +66,7 @@
     }
 
     /// Starts the waiting tasks of a job that fit.
-    fn place_job(
-        &mut self,
-        now_ms: u64,
-        key: JobKey,
-        open: &mut [Open],
-        out: &mut Vec<Command>,
-    ) {
+    fn place_job(&mut self, now_ms: u64, key: JobKey, open: &mut [Open], out: &mut Vec<Command>) {
         let tasks = self.jobs.get(key).map_or(0, |job| job.tasks.len());
         // Tasks of one phase take the same: where one does not fit, none does.
         let mut full_phase = None;
--- a/crates/core/src/dispatch/owner/queue.rs
+++ b/crates/core/src/dispatch/owner/queue.rs
@@ -8,12 +8,9 @@
 
 use slotmap::SlotMap;
 
-use super::super::job::{Job, Task, TaskState};
+use super::super::job::{Job, LATE_FACTOR, Task, TaskState};
 use super::super::order::JobKey;
 
-/// Up to this multiple of the objective, an answer is late but not worthless.
-pub(super) const LATE_FACTOR: f64 = 3.0;
-
 /// Place in the order: smaller is tried first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Urgency {
--- a/crates/core/tests/dispatch_owner.rs
+++ b/crates/core/tests/dispatch_owner.rs
@@ -331,3 +331,36 @@
     let outcome = worker.start(121, &order);
     assert_eq!(outcome, OrderOutcome::Rejected(Rejection::OldRun));
 }
+
+#[test]
+fn a_job_that_nobody_can_use_any_more_is_refused_and_never_starts() {
+    let mut owner = fenced_owner(1, &["w1"]);
+    delegate(&mut owner, 10, "a", 2);
+    let mut spec = job("b", 1, 100);
+    spec.patience_ms = 400;
+    let mut out = Vec::new();
+    owner.delegate(10, LINK, spec, 0, false, &mut out);
+    owner.tick(359, &mut out);
+    assert!(
+        ended(&out).is_empty(),
+        "it could still be done in half its estimate"
+    );
+    owner.tick(361, &mut out);
+    assert_eq!(ended(&out), [("b".to_owned(), Outcome::NotRun)]);
+    assert!(starts(&out).is_empty());
+}
+
+#[test]
+fn a_job_far_beyond_its_late_objective_is_refused() {
+    let mut owner = fenced_owner(1, &["w1"]);
+    delegate(&mut owner, 10, "a", 2);
+    let mut spec = job("b", 1, 100);
+    spec.stretch = 1.6;
+    let mut out = Vec::new();
+    owner.delegate(10, LINK, spec, 0, false, &mut out);
+    let late_ms = 10 + 3 * (160 + 60);
+    owner.tick(late_ms, &mut out);
+    assert!(ended(&out).is_empty(), "its estimate may be too low");
+    owner.tick(late_ms * 3 / 2, &mut out);
+    assert_eq!(ended(&out), [("b".to_owned(), Outcome::NotRun)]);
+}
