--- a/tests/testsuite/metrics.rs
+++ b/tests/testsuite/metrics.rs
@@ -18,7 +18,7 @@
 
 use crate::support::pair::Pair;
 
-const OPERATING: &str = include_str!("../../docs/OPERATING.md");
+const OPERATIONS: &str = include_str!("../../docs/OPERATIONS.md");
 /// Past the second after which an entry asks a key's owner again.
 const SLOW_MS: u64 = 1_300;
 const STEP: Duration = Duration::from_millis(20);
@@ -139,7 +139,7 @@
     }
     let kinds = kinds(&pages.concat());
     for name in kinds.lines().filter_map(|line| line.split(' ').next()) {
-        assert!(OPERATING.contains(&format!("`{name}`")), "{name}");
+        assert!(OPERATIONS.contains(&format!("`{name}`")), "{name}");
     }
     expect![[r#"
         trefoil_admission_lead_ms gauge
