--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -234,11 +234,13 @@
                 };
                 self.answer(id, answer, out);
             }
-            Outcome::Returned | Outcome::Lost | Outcome::Unspecified => {
+            Outcome::Returned | Outcome::Stopped | Outcome::Lost | Outcome::Unspecified => {
                 if let Some(view) = self.pools.get_mut(&from.pool) {
                     view.load.serving = false;
                 }
-                self.take_back(now_ms, id, outcome != Outcome::Returned);
+                job_ran(job, outcome);
+                let may_run = !matches!(outcome, Outcome::Returned | Outcome::Stopped);
+                self.take_back(now_ms, id, may_run);
                 self.place(now_ms, id, out);
             }
         }
@@ -441,6 +443,11 @@
     }
 }
 
+/// Notes that something of a job ran, so that it is never said not to have run.
+fn job_ran(job: &mut EntryJob, outcome: Outcome) {
+    job.may_have_run |= outcome != Outcome::Returned;
+}
+
 /// Work of a job by its estimates, thousandths of a core times milliseconds.
 fn work_of(spec: &JobSpec) -> u64 {
     let phases = spec.phases.iter();
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -249,6 +249,7 @@
         for (name, &index) in &names {
             if let Some((EndKind::Done, _)) = self.orphan_ends.get(name) {
                 self.jobs[key].tasks[index].state = TaskState::Done;
+                self.jobs[key].started = true;
             }
         }
         for (worker_key, worker) in &mut self.workers {
@@ -449,9 +450,11 @@
         self.released = true;
         let keys: Vec<JobKey> = self.jobs.keys().collect();
         for key in keys {
-            let outcome = match self.jobs[key].on_workers() {
-                true => Outcome::Lost,
-                false => Outcome::Returned,
+            let job = &self.jobs[key];
+            let outcome = match (job.on_workers(), job.started) {
+                (true, _) => Outcome::Lost,
+                (false, true) => Outcome::Stopped,
+                (false, false) => Outcome::Returned,
             };
             self.finish(now_ms, key, outcome, "ownership has ended", out);
         }
@@ -600,6 +603,7 @@
             workers: self.workers.len(),
             workers_fenced: self.workers.values().filter(fenced).count(),
             runs: self.workers.values().map(|worker| worker.runs.len()).sum(),
+            queue_sorts: self.queue.sorts(),
         }
     }
 }
@@ -615,6 +619,8 @@
     pub workers_fenced: usize,
     /// Runs that may be on workers.
     pub runs: usize,
+    /// How often the queue was sorted.
+    pub queue_sorts: u64,
 }
 
 impl std::iter::Sum for Sizes {
@@ -624,6 +630,7 @@
             workers: sum.workers + sizes.workers,
             workers_fenced: sum.workers_fenced + sizes.workers_fenced,
             runs: sum.runs + sizes.runs,
+            queue_sorts: sum.queue_sorts + sizes.queue_sorts,
         })
     }
 }
--- a/crates/core/src/dispatch/owner/ends.rs
+++ b/crates/core/src/dispatch/owner/ends.rs
@@ -67,6 +67,7 @@
             return;
         };
         job.tasks[index].state = TaskState::Done;
+        job.started = true;
         if job.is_done() && !job.stopping {
             self.finish(now_ms, key, Outcome::Completed, "all tasks are done", out);
         } else {
--- a/crates/core/src/dispatch/owner/queue.rs
+++ b/crates/core/src/dispatch/owner/queue.rs
@@ -23,6 +23,8 @@
 pub(super) struct Queue {
     order: Vec<(Urgency, JobKey)>,
     stale: bool,
+    /// How often the order was made.
+    sorts: u64,
     /// Smallest processor share that a waiting task takes.
     smallest_millicores: u64,
 }
@@ -39,6 +41,7 @@
         if !std::mem::take(&mut self.stale) {
             return;
         }
+        self.sorts += 1;
         self.order.clear();
         self.smallest_millicores = u64::MAX;
         for (key, job) in jobs {
@@ -51,6 +54,11 @@
         self.order.sort_unstable();
     }
 
+    /// How often the order was made.
+    pub(super) fn sorts(&self) -> u64 {
+        self.sorts
+    }
+
     /// The jobs in order.
     pub(super) fn jobs(&self) -> impl Iterator<Item = JobKey> + '_ {
         self.order.iter().map(|&(_, key)| key)
--- /dev/null
+++ b/crates/core/tests/dispatch_entry.rs
@@ -0,0 +1,147 @@
+//! Callers' jobs at an entry: delegation, losses, and what callers are told.
+
+mod dispatch_support;
+
+use dispatch_support::job;
+use trefoil_core::dispatch::entry::{Answer, Command, Entry, Owned};
+use trefoil_core::dispatch::limits::{DELEGATED_GAP_MS, UNPLACED_MAX_MS};
+use trefoil_schema::dispatch::{Load, Outcome};
+
+const FAR_MS: u64 = 1_000_000;
+
+fn owned(pool: &str, owner: &str) -> Owned {
+    Owned {
+        pool: pool.to_owned(),
+        owner: owner.to_owned(),
+    }
+}
+
+fn load(backlog_millicore_ms: u64) -> Load {
+    Load {
+        serving: true,
+        capacity_millicores: 10_000,
+        backlog_millicore_ms,
+        free_millicores: 10_000,
+    }
+}
+
+fn seen(entry: &mut Entry, now_ms: u64, pool: &str, owner: &str, backlog: u64) -> Vec<Command> {
+    let domain = pool.split('/').next().unwrap_or(pool);
+    let mut out = Vec::new();
+    entry.pool_seen(now_ms, &owned(pool, owner), domain, load(backlog), &mut out);
+    out
+}
+
+fn submit(entry: &mut Entry, now_ms: u64, ticket: u64, id: &str) -> Vec<Command> {
+    let mut out = Vec::new();
+    entry.submit(now_ms, ticket, job(id, 1, 100), FAR_MS, &mut out);
+    out
+}
+
+fn delegated(commands: &[Command]) -> Vec<(Owned, u64, String)> {
+    let delegated = commands.iter().filter_map(|command| match command {
+        Command::Delegate {
+            to,
+            unsafe_for_ms,
+            unsafe_pool,
+            ..
+        } => Some((to.clone(), *unsafe_for_ms, unsafe_pool.clone())),
+        _ => None,
+    });
+    delegated.collect()
+}
+
+fn answers(commands: &[Command]) -> Vec<(u64, Answer)> {
+    let answers = commands.iter().filter_map(|command| match command {
+        Command::Answer { ticket, answer } => Some((*ticket, *answer)),
+        _ => None,
+    });
+    answers.collect()
+}
+
+#[test]
+fn a_job_goes_to_the_pool_with_the_shortest_wait() {
+    let mut entry = Entry::new("forde");
+    seen(&mut entry, 0, "forde/0", "a", 1_000_000);
+    seen(&mut entry, 0, "bergen/0", "b", 0);
+    let out = submit(&mut entry, 1, 1, "x");
+    assert_eq!(delegated(&out)[0].0, owned("bergen/0", "b"));
+}
+
+#[test]
+fn after_a_loss_the_same_pool_may_have_it_at_once_and_others_after_the_gap() {
+    let mut entry = Entry::new("forde");
+    seen(&mut entry, 0, "forde/0", "a", 0);
+    submit(&mut entry, 1, 1, "x");
+    let mut out = Vec::new();
+    entry.owner_lost(100, "a", &mut out);
+    assert!(delegated(&seen(&mut entry, 110, "bergen/0", "b", 0)).is_empty());
+    let out = seen(&mut entry, 120, "forde/0", "c", 0);
+    let expected = (
+        owned("forde/0", "c"),
+        DELEGATED_GAP_MS - 20,
+        "forde/0".to_owned(),
+    );
+    assert_eq!(delegated(&out), [expected]);
+    entry.owner_lost(200, "c", &mut Vec::new());
+    let mut out = Vec::new();
+    entry.tick(200 + DELEGATED_GAP_MS, &mut out);
+    assert_eq!(delegated(&out)[0].0, owned("bergen/0", "b"));
+}
+
+#[test]
+fn only_a_job_of_which_nothing_ran_is_said_not_to_have_run() {
+    for (outcome, may_have_run) in [(Outcome::Returned, false), (Outcome::Stopped, true)] {
+        let mut entry = Entry::new("forde");
+        seen(&mut entry, 0, "forde/0", "a", 0);
+        submit(&mut entry, 1, 1, "x");
+        let mut out = Vec::new();
+        entry.ended(2, &owned("forde/0", "a"), "x", outcome, &mut out);
+        entry.owner_lost(3, "a", &mut out);
+        entry.tick(3 + UNPLACED_MAX_MS, &mut out);
+        let (_, answer) = answers(&out)[0];
+        assert_eq!(matches!(answer, Answer::MayHaveRun { .. }), may_have_run);
+        assert_eq!(matches!(answer, Answer::NotRun { .. }), !may_have_run);
+    }
+}
+
+#[test]
+fn a_caller_that_leaves_cancels_its_job_and_others_keep_theirs() {
+    let mut entry = Entry::new("forde");
+    seen(&mut entry, 0, "forde/0", "a", 0);
+    submit(&mut entry, 1, 1, "x");
+    assert!(
+        submit(&mut entry, 2, 2, "x").is_empty(),
+        "the same job once"
+    );
+    let mut out = Vec::new();
+    entry.caller_left(1, &mut out);
+    assert!(out.is_empty(), "somebody still waits");
+    entry.caller_left(2, &mut out);
+    assert!(matches!(out[0], Command::Cancel { .. }));
+    assert!(entry.is_empty());
+}
+
+#[test]
+fn an_id_with_another_job_is_told_apart() {
+    let mut entry = Entry::new("forde");
+    seen(&mut entry, 0, "forde/0", "a", 0);
+    submit(&mut entry, 1, 1, "x");
+    let mut out = Vec::new();
+    entry.submit(2, 2, job("x", 2, 100), FAR_MS, &mut out);
+    assert_eq!(answers(&out), [(2, Answer::OtherJob)]);
+}
+
+#[test]
+fn answers_of_an_owner_that_no_longer_has_the_job_are_dropped() {
+    let mut entry = Entry::new("forde");
+    seen(&mut entry, 0, "forde/0", "a", 0);
+    submit(&mut entry, 1, 1, "x");
+    let mut out = Vec::new();
+    let other = owned("forde/0", "b");
+    entry.ended(2, &other, "x", Outcome::Completed, &mut out);
+    assert!(out.is_empty());
+    let owner = owned("forde/0", "a");
+    entry.ended(3, &owner, "x", Outcome::Completed, &mut out);
+    assert_eq!(answers(&out), [(1, Answer::Completed)]);
+}
--- a/crates/core/tests/dispatch_owner.rs
+++ b/crates/core/tests/dispatch_owner.rs
@@ -364,3 +364,46 @@
     owner.tick(late_ms * 3 / 2, &mut out);
     assert_eq!(ended(&out), [("b".to_owned(), Outcome::NotRun)]);
 }
+
+#[test]
+fn a_job_that_ran_in_part_is_not_returned_as_if_nothing_had_run() {
+    // Seen on mahoe-pay-grown hunt-c8f2-3: REFUSED, a task had started.
+    let mut owner = fenced_owner(1, &["w1"]);
+    let started = starts(&delegate(&mut owner, 10, "a", 3));
+    assert_eq!(started.len(), 2, "two fit");
+    let clock_ms = 50_010;
+    let outcome = OrderOutcome::Done { clock_ms };
+    let out = answer_start(&mut owner, 12, &started[0], outcome);
+    answer_start(&mut owner, 12, &started[1], outcome);
+    let mut leaving = record("w1");
+    leaving.draining = true;
+    owner.set_workers(13, vec![leaving], &mut Vec::new());
+    let ends = vec![done(1, &started[0]), done(2, &started[1])];
+    answer_hold(&mut owner, 110, &holds(&out)[0], held(vec![], ends));
+    delegate(&mut owner, 111, "b", 1);
+    let mut out = Vec::new();
+    owner.release(120, &mut out);
+    let mut told = ended(&out);
+    told.sort();
+    let expected = [
+        ("a".to_owned(), Outcome::Stopped),
+        ("b".to_owned(), Outcome::Returned),
+    ];
+    assert_eq!(told, expected);
+}
+
+#[test]
+fn answers_do_not_sort_a_long_queue_anew() {
+    // Seen on haugland-reg-grown trouble-1: each answer sorted the queue anew.
+    let mut owner = fenced_owner(1, &["w1"]);
+    let started = starts(&delegate(&mut owner, 10, "first", 2));
+    for number in 0..100 {
+        delegate(&mut owner, 11, &format!("waits{number}"), 4);
+    }
+    let before = owner.sizes().queue_sorts;
+    let outcome = OrderOutcome::Done { clock_ms: 50_010 };
+    for _ in 0..100 {
+        answer_start(&mut owner, 12, &started[0], outcome);
+    }
+    assert_eq!(owner.sizes().queue_sorts, before);
+}
--- /dev/null
+++ b/crates/core/tests/dispatch_ownership.rs
@@ -0,0 +1,173 @@
+//! Claims on pools: who makes one, when, and what ends ownership.
+
+use trefoil_core::dispatch::limits::{CLAIM_STAGGER_MS, CLAIM_STORE_MS, OWNER_LOST_MS};
+use trefoil_core::dispatch::ownership::{ClaimWrite, Command, Ownership};
+use trefoil_schema::dispatch::{Claim, Node};
+
+const POOL: &str = "forde/0";
+
+fn node(name: &str, incarnation: u64, weight_millicores: u64) -> Node {
+    Node {
+        name: name.to_owned(),
+        incarnation,
+        failure_domain: "forde".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        weight_millicores,
+    }
+}
+
+fn claim(owner: &Node, term: u64) -> Claim {
+    Claim {
+        pool: POOL.to_owned(),
+        failure_domain: "forde".to_owned(),
+        term,
+        owner: Some(owner.clone()),
+        workers: 4,
+    }
+}
+
+/// An instance that has read the store: one pool, these other instances.
+fn instance(me: &Node, others: &[Node]) -> Ownership {
+    let mut ownership = Ownership::new(0, me.clone());
+    ownership.set_pool_count(1);
+    ownership.set_members(0, others.to_vec());
+    ownership
+}
+
+fn tick(ownership: &mut Ownership, now_ms: u64) -> Vec<Command> {
+    let mut out = Vec::new();
+    ownership.tick(now_ms, &mut out);
+    out
+}
+
+/// The first instant, in steps of 10 ms, at which a claim is written.
+fn claims_at(ownership: &mut Ownership, from_ms: u64, until_ms: u64) -> Option<u64> {
+    let mut instants = (from_ms..until_ms).step_by(10);
+    instants.find(|&now_ms| !tick(ownership, now_ms).is_empty())
+}
+
+#[test]
+fn a_vacant_pool_is_claimed_and_owned_once_the_store_holds_the_claim() {
+    let me = node("a", 1, 250);
+    let mut ownership = instance(&me, &[]);
+    let out = tick(&mut ownership, 10);
+    let Command::WriteClaim { claim, revision } = &out[0] else {
+        panic!("{out:?}");
+    };
+    assert_eq!((claim.term, *revision), (1, 0));
+    let mut out = Vec::new();
+    let written = ClaimWrite::Written { revision: 7 };
+    ownership.claim_written(20, claim, &written, &mut out);
+    assert_eq!(out, [Command::Acquired(claim.clone())]);
+    assert!(ownership.owns_any());
+}
+
+#[test]
+fn the_youngest_of_equal_candidates_comes_first_and_the_strongest_before_it() {
+    let (old, young) = (node("a", 1, 250), node("b", 2, 250));
+    let strong = node("c", 0, 500);
+    let mut first = instance(&young, &[old.clone()]);
+    first.linked(0, &old);
+    assert_eq!(claims_at(&mut first, 0, 1000), Some(0));
+    let mut second = instance(&old, &[young.clone(), strong.clone()]);
+    second.linked(0, &young);
+    second.linked(0, &strong);
+    assert_eq!(claims_at(&mut second, 0, 1000), Some(2 * CLAIM_STAGGER_MS));
+}
+
+#[test]
+fn an_owner_whose_link_breaks_is_followed_after_a_moment() {
+    let (me, owner) = (node("a", 1, 250), node("b", 2, 250));
+    let mut ownership = instance(&me, &[owner.clone()]);
+    ownership.linked(0, &owner);
+    ownership.stored_claim(0, claim(&owner, 1), 5, &mut Vec::new());
+    assert_eq!(claims_at(&mut ownership, 0, 2000), None);
+    ownership.unlinked(2000, "b");
+    let at_ms = claims_at(&mut ownership, 2000, 4000);
+    assert_eq!(at_ms, Some(2000 + OWNER_LOST_MS));
+}
+
+#[test]
+fn an_owner_that_was_never_linked_is_given_time() {
+    // Seen on haugland-reg trouble-2: an instance that had started while the
+    // store was away took the pool from an owner that it did not know.
+    let (me, owner) = (node("a", 1, 250), node("b", 2, 250));
+    let mut ownership = instance(&me, &[]);
+    let began_ms = 5000;
+    ownership.set_members(began_ms, vec![]);
+    ownership.stored_claim(began_ms, claim(&owner, 1), 5, &mut Vec::new());
+    assert_eq!(claims_at(&mut ownership, began_ms, began_ms + 600), None);
+    assert!(
+        ownership.peers().any(|peer| peer.name == "b"),
+        "it is dialed"
+    );
+    ownership.linked(began_ms + 600, &owner);
+    assert_eq!(claims_at(&mut ownership, began_ms + 600, 9000), None);
+}
+
+#[test]
+fn an_owner_that_is_leaving_is_followed_at_once() {
+    let (me, owner) = (node("a", 1, 250), node("b", 2, 250));
+    let mut ownership = instance(&me, &[owner.clone()]);
+    ownership.linked(0, &owner);
+    ownership.stored_claim(0, claim(&owner, 1), 5, &mut Vec::new());
+    ownership.heard("b", true);
+    assert_eq!(claims_at(&mut ownership, 10, 2000), Some(10));
+}
+
+#[test]
+fn without_the_store_only_an_instance_that_reaches_most_claims() {
+    let me = node("a", 1, 250);
+    let others = [node("b", 0, 250), node("c", 0, 250)];
+    for (linked, claims) in [(2, true), (0, false)] {
+        let mut ownership = instance(&me, &others);
+        for other in &others[..linked] {
+            ownership.linked(0, other);
+        }
+        let out = tick(&mut ownership, 2000);
+        let Command::WriteClaim { claim, .. } = &out[0] else {
+            panic!("{out:?}");
+        };
+        let claim = claim.clone();
+        let mut out = Vec::new();
+        ownership.claim_written(2100, &claim, &ClaimWrite::NoAnswer, &mut out);
+        out.extend(tick(&mut ownership, 2000 + CLAIM_STORE_MS));
+        assert_eq!(out.contains(&Command::Acquired(claim)), claims);
+    }
+}
+
+#[test]
+fn a_higher_claim_ends_ownership() {
+    let (me, other) = (node("a", 1, 250), node("b", 2, 250));
+    let mut ownership = instance(&me, &[other.clone()]);
+    let out = tick(&mut ownership, 2000);
+    let Command::WriteClaim { claim: own, .. } = &out[0] else {
+        panic!("{out:?}");
+    };
+    let written = ClaimWrite::Written { revision: 7 };
+    ownership.claim_written(2010, own, &written, &mut Vec::new());
+    let mut out = Vec::new();
+    ownership.learn(2020, claim(&other, 2), false, &mut out);
+    assert_eq!(out[0], Command::Released(POOL.to_owned()));
+    assert!(!ownership.owns_any());
+}
+
+#[test]
+fn fewer_workers_are_believed_only_after_a_while() {
+    let me = node("a", 1, 250);
+    let mut ownership = instance(&me, &[]);
+    let out = tick(&mut ownership, 10);
+    let Command::WriteClaim { claim, .. } = &out[0] else {
+        panic!("{out:?}");
+    };
+    let written = ClaimWrite::Written { revision: 7 };
+    ownership.claim_written(20, claim, &written, &mut Vec::new());
+    let workers = |ownership: &Ownership| ownership.own_claims().next().map(|own| own.0.workers);
+    ownership.set_workers(100, POOL, 16);
+    assert_eq!(workers(&ownership), Some(16));
+    ownership.set_workers(200, POOL, 3);
+    ownership.set_workers(8000, POOL, 3);
+    assert_eq!(workers(&ownership), Some(16));
+    ownership.set_workers(8200, POOL, 3);
+    assert_eq!(workers(&ownership), Some(3));
+}
