--- a/crates/core/tests/dispatch_ownership.rs
+++ b/crates/core/tests/dispatch_ownership.rs
@@ -66,7 +66,7 @@
 fn the_youngest_of_equal_candidates_comes_first_and_the_strongest_before_it() {
     let (old, young) = (node("a", 1, 250), node("b", 2, 250));
     let strong = node("c", 0, 500);
-    let mut first = instance(&young, &[old.clone()]);
+    let mut first = instance(&young, std::slice::from_ref(&old));
     first.linked(0, &old);
     assert_eq!(claims_at(&mut first, 0, 1000), Some(0));
     let mut second = instance(&old, &[young.clone(), strong.clone()]);
@@ -78,7 +78,7 @@
 #[test]
 fn an_owner_whose_link_breaks_is_followed_after_a_moment() {
     let (me, owner) = (node("a", 1, 250), node("b", 2, 250));
-    let mut ownership = instance(&me, &[owner.clone()]);
+    let mut ownership = instance(&me, std::slice::from_ref(&owner));
     ownership.linked(0, &owner);
     ownership.stored_claim(0, claim(&owner, 1), 5, &mut Vec::new());
     assert_eq!(claims_at(&mut ownership, 0, 2000), None);
@@ -108,7 +108,7 @@
 #[test]
 fn an_owner_that_is_leaving_is_followed_at_once() {
     let (me, owner) = (node("a", 1, 250), node("b", 2, 250));
-    let mut ownership = instance(&me, &[owner.clone()]);
+    let mut ownership = instance(&me, std::slice::from_ref(&owner));
     ownership.linked(0, &owner);
     ownership.stored_claim(0, claim(&owner, 1), 5, &mut Vec::new());
     ownership.heard("b", true);
@@ -139,7 +139,7 @@
 #[test]
 fn a_higher_claim_ends_ownership() {
     let (me, other) = (node("a", 1, 250), node("b", 2, 250));
-    let mut ownership = instance(&me, &[other.clone()]);
+    let mut ownership = instance(&me, std::slice::from_ref(&other));
     let out = tick(&mut ownership, 2000);
     let Command::WriteClaim { claim: own, .. } = &out[0] else {
         panic!("{out:?}");
