declarations: pulled by who lacks them, read by changes when large, looked up by host; pools laid out once workers have registered

And pools were laid out for the 32 to 41 workers that had registered after two seconds, 2 a failure domain in place of 4. Instances that start in a cut-off failure domain dial the seeds again, and learn of others from the first link.

--- a/crates/core/src/dispatch/ownership.rs
+++ b/crates/core/src/dispatch/ownership.rs
@@ -197,6 +197,11 @@
         peer
     }
 
+    /// Another instance tells of this one: it is worth a dial.
+    pub fn know(&mut self, now_ms: u64, node: &Node) {
+        self.peer(now_ms, node);
+    }
+
     /// A link to an instance is up.
     pub fn linked(&mut self, now_ms: u64, node: &Node) {
         let peer = self.peer(now_ms, node);
--- a/crates/instance/src/declarations.rs
+++ b/crates/instance/src/declarations.rs
@@ -3,6 +3,8 @@
 //! They come from the platform's store, or from another instance that read a
 //! newer version; a version is never replaced by an older one.
 
+use std::collections::HashMap;
+
 use serde::{Deserialize, Serialize};
 
 /// The operator's declarations in one version.
@@ -41,12 +43,43 @@
     pub needs_advice: bool,
 }
 
-impl Declarations {
+/// Declarations in force, with their routes by host: there may be thousands,
+/// and every request looks one up.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    declarations: Declarations,
+    by_host: HashMap<String, Vec<usize>>,
+}
+
+impl RouteTable {
+    /// Indexes declarations.
+    pub fn new(declarations: Declarations) -> Self {
+        let mut by_host: HashMap<String, Vec<usize>> = HashMap::new();
+        for (index, route) in declarations.routes.iter().enumerate() {
+            let host = route.host.to_ascii_lowercase();
+            by_host.entry(host).or_default().push(index);
+        }
+        Self {
+            declarations,
+            by_host,
+        }
+    }
+
+    /// The declarations.
+    pub fn declarations(&self) -> &Declarations {
+        &self.declarations
+    }
+
+    /// Their version.
+    pub fn version(&self) -> u64 {
+        self.declarations.version
+    }
+
     /// The route with the longest prefix that a request matches.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let matching = self.routes.iter();
-        let matching = matching.filter(|route| route.host.eq_ignore_ascii_case(host));
-        let matching = matching.filter(|route| path.starts_with(&route.path_prefix));
+        let routes = self.by_host.get(&host.to_ascii_lowercase())?;
+        let routes = routes.iter().map(|&index| &self.declarations.routes[index]);
+        let matching = routes.filter(|route| path.starts_with(&route.path_prefix));
         matching.max_by_key(|route| route.path_prefix.len())
     }
 }
--- a/crates/instance/src/edge.rs
+++ b/crates/instance/src/edge.rs
@@ -51,7 +51,8 @@
 /// The platform's store.
 #[allow(async_fn_in_trait)]
 pub trait Store {
-    /// The newest declarations; none while the operator has written none.
+    /// The newest declarations; none while the operator has written none, or
+    /// where they have not changed since the last call.
     async fn declarations(&self) -> Result<Option<Declarations>, StoreError>;
     /// All instances and claims.
     async fn deployment(&self) -> Result<Deployment, StoreError>;
--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -25,6 +25,12 @@
 /// Period of renewing the registration; a third of its life.
 const REGISTER_PERIOD: Duration = Duration::from_millis(1500);
 
+/// The number of registered workers has settled when it has grown by no more
+/// than this ...
+const SETTLED_GROWTH_PERCENT: usize = 5;
+/// ... for so long: a worker registers with its heartbeat, each 1500 ms.
+const SETTLED_MS: u64 = 1600;
+
 /// Remembers whether a dependency answered, to tell of changes only.
 #[derive(Default)]
 struct Health {
@@ -56,9 +62,10 @@
 
 async fn read_forever<E: Store + Workers + 'static>(instance: Rc<Instance<E>>) {
     let mut health = Health::default();
+    let mut registered = Registered::default();
     loop {
         let poked = instance.store_poke.notified();
-        let result = read_once(&instance).await;
+        let result = read_once(&instance, &mut registered).await;
         let failed = result.is_err();
         health.note(&instance, "reads", result);
         health.failed = failed;
@@ -76,6 +83,7 @@
 
 async fn read_once<E: Store + Workers + 'static>(
     instance: &Rc<Instance<E>>,
+    registered: &mut Registered,
 ) -> Result<(), StoreError> {
     let domain = &instance.settings.failure_domain;
     let workers = async {
@@ -87,7 +95,7 @@
     let deployment = async {
         instance.deployment_read(instance.edge.deployment().await?);
         if !instance.is_laid_out() && instance.now_ms() >= POOLS_SETTLE_MS {
-            lay_out(instance).await?;
+            lay_out(instance, registered).await?;
         }
         Ok(())
     };
@@ -101,13 +109,33 @@
     Ok(())
 }
 
-/// Lays out the failure domain's pools; the next read tells what holds.
+/// How many workers were registered, and since when hardly more came.
+#[derive(Default)]
+struct Registered {
+    workers: usize,
+    since_ms: u64,
+}
+
+impl Registered {
+    /// Whether the number has settled: workers register over some seconds when
+    /// everything starts together.
+    fn settles(&mut self, workers: usize, now_ms: u64) -> bool {
+        if workers * 100 > self.workers * (100 + SETTLED_GROWTH_PERCENT) {
+            self.workers = workers;
+            self.since_ms = now_ms;
+        }
+        workers > 0 && now_ms >= self.since_ms + SETTLED_MS
+    }
+}
+
+/// Lays out the failure domain's pools once its workers have registered.
 async fn lay_out<E: Store + Workers + 'static>(
     instance: &Rc<Instance<E>>,
+    registered: &mut Registered,
 ) -> Result<(), StoreError> {
     let domain = &instance.settings.failure_domain;
     let workers = instance.edge.workers(domain).await?.len();
-    if workers == 0 {
+    if !registered.settles(workers, instance.now_ms()) {
         return Ok(());
     }
     let pools = pool::count_for(workers);
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -32,7 +32,7 @@
 use trefoil_core::dispatch::worker::WorkerRecord;
 use trefoil_schema::dispatch::{Claim, Delegate, Job as JobSpec, Node, Outcome};
 
-use crate::declarations::Declarations;
+use crate::declarations::{Declarations, RouteTable};
 use crate::edge::{Deployment, Store, Workers};
 use crate::log::unix_ms;
 use crate::metrics::Metrics;
@@ -74,7 +74,7 @@
     owners: BTreeMap<String, Owner>,
     entry: Entry,
     peers: Peers,
-    declarations: Option<Rc<Declarations>>,
+    declarations: Option<Rc<RouteTable>>,
     worker_records: Vec<WorkerRecord>,
     pool_count: u32,
     waiters: HashMap<Ticket, oneshot::Sender<Answer>>,
@@ -84,6 +84,8 @@
     /// When anything last happened here; ticks do all the while.
     active_ms: u64,
     store_read_ms: Option<u64>,
+    /// Since when others have had newer declarations.
+    behind_since_ms: Option<u64>,
     leaving: bool,
     /// Failure domain of this instance.
     home: String,
@@ -128,6 +130,7 @@
             ticked_ms: 0,
             active_ms: 0,
             store_read_ms: None,
+            behind_since_ms: None,
             leaving: false,
             home: settings.failure_domain.clone(),
         };
@@ -378,22 +381,24 @@
     }
 
     /// Declarations in force; none before the first.
-    pub fn declarations(&self) -> Option<Rc<Declarations>> {
+    pub fn declarations(&self) -> Option<Rc<RouteTable>> {
         self.state.borrow().declarations.clone()
     }
 
     /// Puts declarations in force unless newer ones are.
     pub fn set_declarations(&self, declarations: Declarations) {
         let mut state = self.state.borrow_mut();
-        let known = state.declarations.as_ref().map_or(0, |known| known.version);
+        let known = state
+            .declarations
+            .as_ref()
+            .map_or(0, |known| known.version());
         if state.declarations.is_some() && declarations.version <= known {
             return;
         }
         info!(self.log, "declarations in force"; "version" => declarations.version,
             "before" => known, "routes" => declarations.routes.len());
-        state.declarations = Some(Rc::new(declarations));
-        drop(state);
-        self.push_declarations();
+        state.declarations = Some(Rc::new(RouteTable::new(declarations)));
+        state.behind_since_ms = None;
     }
 
     /// Whether callers' requests can be served here.
@@ -456,6 +461,13 @@
 }
 
 impl State {
+    /// Version of the declarations in force; 0 before the first.
+    fn declarations_version(&self) -> u64 {
+        self.declarations
+            .as_ref()
+            .map_or(0, |known| known.version())
+    }
+
     /// Lets the owner of a pool decide, if this instance has it.
     fn with_owner<T>(
         &mut self,
--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -13,7 +13,7 @@
 use trefoil_core::dispatch::limits::{BEAT_IDLE_MS, LINK_IDLE_SILENT_MS, LINK_SILENT_MS};
 use trefoil_schema::dispatch::frame::Body;
 use trefoil_schema::dispatch::{
-    Beat, Cancel, ConfigPush, Delegate, Ended, Frame, Hello, OwnedPool,
+    Beat, Cancel, ConfigPush, ConfigRequest, Delegate, Ended, Frame, Hello, OwnedPool,
 };
 
 use super::*;
@@ -26,6 +26,10 @@
 const REDIAL_OTHER_MS: u64 = 1000;
 /// So long after its start an instance dials all others that it learns of.
 const DIAL_ALL_MS: u64 = 2000;
+/// The store has so long to bring newer declarations before a peer is asked.
+const ASK_AFTER_MS: u64 = 300;
+/// Pause between two such questions to one peer.
+const ASK_AGAIN_MS: u64 = 1000;
 /// A read of the store that is no older counts as watching it.
 const STORE_FRESH_MS: u64 = 1500;
 
@@ -34,8 +38,8 @@
     peer: Node,
     sender: LinkSender,
     heard_ms: u64,
-    /// Version of the declarations that the peer has.
-    declarations_version: u64,
+    /// When the peer was last asked for its declarations.
+    asked_ms: Option<u64>,
     store_fresh_ms: Option<u64>,
     /// Whether the peer owns a pool, so that silence matters soon.
     owns: bool,
@@ -62,6 +66,7 @@
     next_link: u64,
     dialing: HashSet<String>,
     dialed_ms: HashMap<String, u64>,
+    seeds_dialed_ms: u64,
 }
 
 impl Peers {
@@ -99,8 +104,9 @@
         }
     }
 
-    /// Dials the seeds once; what they tell leads to all others.
+    /// Dials the seeds; what they tell leads to all others.
     pub fn dial_seeds(self: &Rc<Self>) {
+        self.state.borrow_mut().peers.seeds_dialed_ms = self.now_ms();
         for &seed in &self.settings.seeds {
             if seed != self.settings.links_address {
                 let instance = Rc::clone(self);
@@ -121,12 +127,17 @@
         };
         let hello = Body::Hello(Hello {
             node: Some(self.me.clone()),
+            known: self.state.borrow().ownership.peers().cloned().collect(),
         });
         opened.sender.send(encode(hello));
         let mut reader = opened.reader;
         let first = tokio::time::timeout(Duration::from_millis(LINK_SILENT_MS), reader.next());
         let Ok(Ok(Some(Frame {
-            body: Some(Body::Hello(Hello { node: Some(node) })),
+            body:
+                Some(Body::Hello(Hello {
+                    node: Some(node),
+                    known,
+                })),
         }))) = first.await
         else {
             return;
@@ -140,6 +151,11 @@
             peers.next_link
         };
         let reading = tokio::task::spawn_local(Rc::clone(&self).read_link(id, reader));
+        self.change(|state, now_ms, _| {
+            for node in known.iter().filter(|node| node.name != self.me.name) {
+                state.ownership.know(now_ms, node);
+            }
+        });
         self.link_up(id, node, opened.sender, vec![reading, opened.writer]);
     }
 
@@ -157,7 +173,7 @@
                 peer: node,
                 sender,
                 heard_ms: now_ms,
-                declarations_version: 0,
+                asked_ms: None,
                 store_fresh_ms: None,
                 owns: false,
                 peer_sent_ms: 0,
@@ -247,6 +263,9 @@
                         .entry
                         .ended(now_ms, &from, &ended.job_id, outcome, out);
                 }
+                Body::ConfigRequest(request) => {
+                    self.send_declarations(state, id, request.version);
+                }
                 Body::Config(_) | Body::Hello(_) => {}
             }
         });
@@ -294,7 +313,6 @@
             return;
         };
         let name = link.peer.name.clone();
-        link.declarations_version = beat.config_version;
         link.owns = !beat.owned.is_empty();
         link.peer_sent_ms = link.peer_sent_ms.max(beat.sent_ms);
         if beat.store_fresh {
@@ -320,9 +338,30 @@
         for lost in known {
             state.entry.pool_lost(now_ms, &lost, &mut effects.entry);
         }
-        let version = state.declarations.as_ref().map(|known| known.version);
-        if version.is_some_and(|version| version > beat.config_version) {
-            self.push_to(state, id);
+        if beat.config_version > state.declarations_version() {
+            self.catch_up(state, id, now_ms);
+        }
+    }
+
+    /// A peer has newer declarations: the store is read, and if that does not
+    /// bring them, the peer is asked. A large configuration is thus not sent by
+    /// every peer that has it.
+    fn catch_up(&self, state: &mut State, id: u64, now_ms: u64) {
+        let since_ms = *state.behind_since_ms.get_or_insert(now_ms);
+        if since_ms == now_ms {
+            self.store_poke.notify_waiters();
+        }
+        let version = state.declarations_version();
+        let Some(link) = state.peers.links.get_mut(&id) else {
+            return;
+        };
+        let asked = link
+            .asked_ms
+            .is_some_and(|at_ms| now_ms < at_ms + ASK_AGAIN_MS);
+        if now_ms >= since_ms + ASK_AFTER_MS && !asked {
+            link.asked_ms = Some(now_ms);
+            link.sender
+                .send(encode(Body::ConfigRequest(ConfigRequest { version })));
         }
     }
 
@@ -362,7 +401,7 @@
         let fresh = read_ms.is_some_and(|read_ms| read_ms + STORE_FRESH_MS > now_ms);
         Beat {
             owned: owned.collect(),
-            config_version: state.declarations.as_ref().map_or(0, |known| known.version),
+            config_version: state.declarations_version(),
             leaving: state.leaving,
             store_fresh: !state.owners.is_empty() && fresh,
             sent_ms: now_ms,
@@ -413,6 +452,13 @@
 
     fn dial_missing(self: &Rc<Self>) {
         let now_ms = self.now_ms();
+        let alone = {
+            let peers = &self.state.borrow().peers;
+            peers.links.is_empty() && now_ms >= peers.seeds_dialed_ms + REDIAL_OTHER_MS
+        };
+        if alone {
+            self.dial_seeds();
+        }
         let mut state = self.state.borrow_mut();
         let State {
             ownership, peers, ..
@@ -484,32 +530,21 @@
         }
     }
 
-    /// Sends the declarations to every peer that has older ones.
-    pub(super) fn push_declarations(&self) {
-        let mut state = self.state.borrow_mut();
-        let version = state.declarations.as_ref().map_or(0, |known| known.version);
-        let links = state.peers.links.iter();
-        let behind = links.filter(|(_, link)| link.declarations_version < version);
-        let ids: Vec<u64> = behind.map(|(&id, _)| id).collect();
-        for id in ids {
-            self.push_to(&mut state, id);
-        }
-    }
-
-    fn push_to(&self, state: &mut State, id: u64) {
-        let Some(declarations) = state.declarations.clone() else {
+    /// Answers a peer that asked for newer declarations.
+    fn send_declarations(&self, state: &State, id: u64, version: u64) {
+        let newer = state.declarations.as_ref();
+        let newer = newer.filter(|known| known.version() > version);
+        let (Some(table), Some(link)) = (newer, state.peers.links.get(&id)) else {
             return;
         };
-        let body = match serde_json::to_vec(&*declarations) {
-            Ok(body) => body.into(),
-            Err(error) => return warn!(self.log, "cannot encode declarations"; "error" => %error),
-        };
-        if let Some(link) = state.peers.links.get_mut(&id) {
-            link.declarations_version = declarations.version;
-            link.sender.send(encode(Body::Config(ConfigPush {
-                version: declarations.version,
-                body,
-            })));
+        match serde_json::to_vec(table.declarations()) {
+            Ok(body) => {
+                link.sender.send(encode(Body::Config(ConfigPush {
+                    version: table.version(),
+                    body: body.into(),
+                })));
+            }
+            Err(error) => warn!(self.log, "cannot encode declarations"; "error" => %error),
         }
     }
 }
