owner: run times learned by class; a worker's slowness against the estimate, not against itself

And the slowness of a worker was learned from what had been expected with that slowness, so that it drifted back to 1.

--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -4,6 +4,7 @@
 //! orders, and pushes [`Command`]s. The steps are in the modules below:
 //!
 //! * [`queue`]: the order in which waiting jobs are tried.
+//! * [`run_times`]: how long tasks take.
 //! * [`place`]: which task starts where.
 //! * [`holds`]: leases, ends, and the fate of orders without an answer.
 //! * [`ends`]: what an end means for its task and job.
@@ -13,6 +14,7 @@
 mod note;
 mod place;
 mod queue;
+mod run_times;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
@@ -84,6 +86,7 @@
     jobs: SlotMap<JobKey, Job>,
     job_ids: HashMap<String, JobKey>,
     queue: queue::Queue,
+    run_times: run_times::RunTimes,
     /// Ends of tasks that no job here has claimed, with their instants.
     orphan_ends: HashMap<Arc<str>, (EndKind, u64)>,
     /// Jobs that ended lately.
@@ -109,6 +112,7 @@
             jobs: SlotMap::with_key(),
             job_ids: HashMap::new(),
             queue: queue::Queue::default(),
+            run_times: run_times::RunTimes::default(),
             orphan_ends: HashMap::new(),
             ended: VecDeque::new(),
             dirty: BTreeSet::new(),
@@ -220,6 +224,8 @@
             );
         }
         let id = spec.id.clone();
+        let mut spec = spec;
+        self.run_times.refine(&mut spec);
         let mut job = Job::new(spec, origin, now_ms);
         job.unsafe_until_ms = now_ms + unsafe_for_ms;
         job.fencing_clears = fencing_clears;
@@ -269,6 +275,7 @@
                     task.state = TaskState::OnWorker(worker_key);
                     let phase = job.spec.phases[usize::from(task.phase)].clone();
                     run.room = Some(place::room_of(&phase));
+                    run.estimate_ms = phase.estimate_ms;
                     run.expected_ms = phase.estimate_ms;
                     run.patience_ms = place::patience_ms(run.expected_ms, 0);
                 }
--- a/crates/core/src/dispatch/owner/ends.rs
+++ b/crates/core/src/dispatch/owner/ends.rs
@@ -26,7 +26,15 @@
         let run = worker.runs.swap_remove(position);
         let took_ms = now_ms.saturating_sub(run.ordered_ms);
         match end.how {
-            EndKind::Done => worker.trust.done(run.expected_ms, took_ms),
+            EndKind::Done => {
+                let slowness = worker.trust.slowness;
+                worker.trust.done(run.estimate_ms, took_ms);
+                if let RunOwner::Task(job, _) = run.owner
+                    && let Some(job) = self.jobs.get(job)
+                {
+                    self.run_times.done(&job.spec.class, took_ms, slowness);
+                }
+            }
             EndKind::Failed => worker.trust.failed(now_ms),
             EndKind::Stopped | EndKind::Lapsed => {}
         }
--- a/crates/core/src/dispatch/owner/holds.rs
+++ b/crates/core/src/dispatch/owner/holds.rs
@@ -223,6 +223,7 @@
             room,
             ordered_ms: now_ms,
             confirmed_ms: now_ms,
+            estimate_ms: expected_ms,
             expected_ms,
             patience_ms: place::patience_ms(expected_ms, 0),
         });
--- a/crates/core/src/dispatch/owner/place.rs
+++ b/crates/core/src/dispatch/owner/place.rs
@@ -186,7 +186,11 @@
         job.started = true;
         let phase = job.phase(&job.tasks[index]);
         let room = room_of(phase);
-        let expected_ms = (phase.estimate_ms as f64 * worker.trust.slowness) as u64;
+        let estimate_ms = phase.estimate_ms;
+        let expected_ms = (estimate_ms as f64 * worker.trust.slowness) as u64;
+        // A caller's estimate may be far too low for its class.
+        let mean_ms = self.run_times.mean_ms(&job.spec.class);
+        let mean_ms = mean_ms.map_or(0, |mean_ms| (mean_ms * worker.trust.slowness) as u64);
         let task = &mut job.tasks[index];
         task.run_id = self.run_seed.max(task.run_id + 1);
         task.state = TaskState::OnWorker(worker_key);
@@ -198,8 +202,9 @@
             room: Some(room),
             ordered_ms: now_ms,
             confirmed_ms: now_ms,
+            estimate_ms,
             expected_ms,
-            patience_ms: patience_ms(expected_ms, task.stalls),
+            patience_ms: patience_ms(expected_ms.max(mean_ms), task.stalls),
         });
         out.push(Command::Start(StartOrder {
             target: target_of(worker_key, worker),
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -105,6 +105,8 @@
     pub ordered_ms: u64,
     /// When it was first known to be there, by an answer.
     pub confirmed_ms: u64,
+    /// How long it should take on a worker of common speed.
+    pub estimate_ms: u64,
     /// How long it should take here.
     pub expected_ms: u64,
     /// After this time it is taken for stalled.
@@ -292,10 +294,10 @@
         self.failures > 0
     }
 
-    /// A task was done there.
-    pub fn done(&mut self, expected_ms: u64, took_ms: u64) {
+    /// A task was done there that takes `estimate_ms` at common speed.
+    pub fn done(&mut self, estimate_ms: u64, took_ms: u64) {
         self.failures = 0;
-        let ratio = took_ms as f64 / (expected_ms.max(1) as f64);
+        let ratio = took_ms as f64 / (estimate_ms.max(1) as f64);
         let ratio = ratio.clamp(*SLOWNESS.start(), *SLOWNESS.end());
         self.slowness += SPEED_WEIGHT * (ratio - self.slowness);
     }
--- a/crates/core/tests/dispatch_owner.rs
+++ b/crates/core/tests/dispatch_owner.rs
@@ -407,3 +407,51 @@
     }
     assert_eq!(owner.sizes().queue_sorts, before);
 }
+
+#[test]
+fn a_task_whose_estimate_is_far_below_its_class_is_not_taken_for_stalled() {
+    // Seen on mahoe-pay-grown trouble-2, job 29e1579ba310c344: estimated at 227
+    // ms in a class of 900, stopped after 731.
+    let mut owner = fenced_owner(1, &["w1"]);
+    let mut now_ms = 10;
+    let pay = |id: String, estimate_ms| {
+        let mut spec = job(&id, 1, estimate_ms);
+        spec.class = "pay".to_owned();
+        spec
+    };
+    let run = |owner: &mut Owner, now_ms: u64, id: String, estimate_ms| {
+        let mut out = Vec::new();
+        owner.delegate(
+            now_ms,
+            Origin::Local,
+            pay(id, estimate_ms),
+            0,
+            false,
+            &mut out,
+        );
+        let started = starts(&out)[0].clone();
+        let clock_ms = 50_000 + now_ms;
+        let out = answer_start(owner, now_ms, &started, OrderOutcome::Done { clock_ms });
+        (started, holds(&out))
+    };
+    for number in 0..12 {
+        let (started, held_open) = run(&mut owner, now_ms, format!("learn{number}"), 900);
+        now_ms += 900;
+        let hold = held_open[0].clone();
+        answer_hold(
+            &mut owner,
+            now_ms,
+            &hold,
+            held(vec![], vec![done(number + 1, &started)]),
+        );
+    }
+    let (_, _) = run(&mut owner, now_ms, "short".to_owned(), 227);
+    let mut out = Vec::new();
+    owner.tick(now_ms + 900, &mut out);
+    assert!(
+        stops(&out).is_empty(),
+        "it takes as long as others of its class"
+    );
+    owner.tick(now_ms + 900 * 3 + 500, &mut out);
+    assert_eq!(stops(&out).len(), 1);
+}
