--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -5,23 +5,21 @@
 //! owner of the same workers, which sees what runs there, and to any other
 //! owner only after nothing of it can run any more.
 
+mod choice;
+
 use std::collections::{BTreeMap, HashMap};
 
 use trefoil_schema::dispatch::{Job as JobSpec, Load, Outcome};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::limits::{DELEGATED_GAP_MS, RETRY_AFTER_MS, UNPLACED_MAX_MS};
 
+use choice::{choose, width_of, work_of};
+
+pub use choice::PoolView;
+
 /// One caller's request.
 pub type Ticket = u64;
 
-/// Extra wait, milliseconds, that a pool in another failure domain must save:
-/// two crossings and one more heartbeat's age.
-const REMOTE_COST_MS: f64 = 15.0;
-/// Pools without room that are compared for one job. Comparing all of them
-/// would send every entry's jobs to the same one until the next heartbeat.
-const CHOICES: usize = 2;
-
 /// What an entry's shell must do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
@@ -84,40 +82,6 @@
     OtherJob,
 }
 
-/// A pool, as this entry sees it.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct PoolView {
-    /// Name of its owner.
-    pub owner: String,
-    /// Failure domain of its workers.
-    pub failure_domain: String,
-    /// Its load, when last heard.
-    pub load: Load,
-    /// Work that this entry delegated since, thousandths of a core times
-    /// milliseconds.
-    pub since_millicore_ms: u64,
-    /// Room that this work takes, thousandths of a core.
-    pub since_millicores: u64,
-}
-
-impl PoolView {
-    fn free_millicores(&self) -> u64 {
-        self.load
-            .free_millicores
-            .saturating_sub(self.since_millicores)
-    }
-
-    /// Wait of a job that comes now, if there is no room for it at once.
-    fn wait_ms(&self, home: &str) -> f64 {
-        let work = self.load.backlog_millicore_ms + self.since_millicore_ms;
-        let wait_ms = work as f64 / self.load.capacity_millicores.max(1) as f64;
-        match self.failure_domain == home {
-            true => wait_ms,
-            false => wait_ms + REMOTE_COST_MS,
-        }
-    }
-}
-
 /// Where a job is.
 #[derive(Clone, Debug, PartialEq)]
 enum Place {
@@ -460,58 +424,3 @@
 fn job_ran(job: &mut EntryJob, outcome: Outcome) {
     job.may_have_run |= outcome != Outcome::Returned;
 }
-
-/// The pool for a job: one of the own failure domain with room for all of it,
-/// one of another with room, or the one with the shorter wait of a few.
-///
-/// The choice among equals is by a hash of the job's id, so that entries that
-/// see the same loads spread their jobs.
-fn choose<'a>(
-    pools: impl Iterator<Item = (&'a String, &'a PoolView)>,
-    home: &str,
-    spec: &JobSpec,
-) -> Option<String> {
-    let width = width_of(spec);
-    let mut drawn: Vec<(f64, &String, &PoolView)> = pools
-        .map(|(pool, view)| (draw(&spec.id, pool, view), pool, view))
-        .collect();
-    drawn.sort_by(|left, right| right.0.total_cmp(&left.0));
-    let has_room = |view: &PoolView| view.free_millicores() >= width;
-    let at_home = drawn
-        .iter()
-        .find(|(_, _, view)| has_room(view) && view.failure_domain == home);
-    let with_room = at_home.or_else(|| drawn.iter().find(|(_, _, view)| has_room(view)));
-    let chosen = with_room.or_else(|| {
-        let few = drawn.iter().take(CHOICES);
-        few.min_by(|left, right| left.2.wait_ms(home).total_cmp(&right.2.wait_ms(home)))
-    });
-    chosen.map(|(_, pool, _)| (*pool).clone())
-}
-
-/// A draw for a pool, larger ones first: pools with more room are drawn first
-/// in proportion to it (weighted rendezvous hashing).
-fn draw(job_id: &str, pool: &str, view: &PoolView) -> f64 {
-    let hash = xxh3_64_with_seed(pool.as_bytes(), xxh3_64(job_id.as_bytes()));
-    let unit = (hash >> 11) as f64 / (1_u64 << 53) as f64;
-    let weight = match view.free_millicores() {
-        0 => view.load.capacity_millicores as f64 / 1e3,
-        free => free as f64,
-    };
-    unit.max(f64::MIN_POSITIVE).ln() / weight.max(1.0)
-}
-
-/// Processor that all first tasks of a job take, thousandths of a core.
-fn width_of(spec: &JobSpec) -> u64 {
-    let first = spec.phases.iter().filter(|phase| phase.after.is_empty());
-    first
-        .map(|phase| u64::from(phase.count) * phase.cpu_millicores)
-        .sum()
-}
-
-/// Work of a job by its estimates, thousandths of a core times milliseconds.
-fn work_of(spec: &JobSpec) -> u64 {
-    let phases = spec.phases.iter();
-    let work =
-        phases.map(|phase| u64::from(phase.count) * phase.cpu_millicores * phase.estimate_ms);
-    work.sum()
-}
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -6,10 +6,16 @@
 //! * [`queue`]: the order in which waiting jobs are tried.
 //! * [`run_times`]: how long tasks take.
 //! * [`place`]: which task starts where.
+//! * [`answers`]: what became of starts and stops.
 //! * [`holds`]: leases, ends, and the fate of orders without an answer.
+//! * [`adopt`]: what an earlier owner left behind.
 //! * [`ends`]: what an end means for its task and job.
 
+mod adopt;
+mod answers;
+mod command;
 mod ends;
+mod figures;
 mod holds;
 mod note;
 mod place;
@@ -20,7 +26,7 @@
 use std::sync::Arc;
 
 use slotmap::SlotMap;
-use trefoil_schema::dispatch::{Job as JobSpec, Load, Outcome};
+use trefoil_schema::dispatch::{Job as JobSpec, Outcome};
 
 use super::fence::Fence;
 use super::job::{Job, Origin, TaskState};
@@ -29,53 +35,14 @@
     EndKind, HoldOrder, JobKey, OrderOutcome, Rejection, StartOrder, StopOrder, Target, WorkerKey,
 };
 use super::worker::{RunOwner, RunState, Standing, Worker, WorkerRecord};
+pub use command::{Answered, Command};
+pub use figures::Sizes;
 pub use note::Note;
 
 /// Added to run numbers when a worker knows a later run: an earlier owner's
 /// clock was ahead. Covers half a minute.
 const RUN_LEAP: u64 = 30_000;
 
-/// What the owner's shell must do.
-#[derive(Debug)]
-pub enum Command {
-    /// Send a start.
-    Start(StartOrder),
-    /// Send a stop.
-    Stop(StopOrder),
-    /// Send a hold.
-    Hold(HoldOrder),
-    /// Tell the origin how its job ended.
-    Ended {
-        /// Who delegated it.
-        origin: Origin,
-        /// The job.
-        job_id: String,
-        /// How it ended.
-        outcome: Outcome,
-        /// Why, for people.
-        reason: &'static str,
-    },
-    /// Another owner outranks this one on a worker.
-    Outranked,
-    /// Write a line on a decision.
-    Note(Note),
-}
-
-/// What became of a start or stop.
-#[derive(Clone, Debug)]
-pub struct Answered {
-    /// The worker.
-    pub worker: WorkerKey,
-    /// Fence of the order.
-    pub fence: Fence,
-    /// Task of the order.
-    pub task: Arc<str>,
-    /// Run of the order.
-    pub run_id: u64,
-    /// What became of it.
-    pub outcome: OrderOutcome,
-}
-
 /// The jobs and workers of one owner.
 #[derive(Debug)]
 pub struct Owner {
@@ -244,48 +211,6 @@
         ended.find(|(_, id, _)| id == job_id).map(|ended| ended.2)
     }
 
-    /// Gives runs and ends of an earlier owner to the tasks of a job.
-    fn adopt(&mut self, key: JobKey) {
-        let names: BTreeMap<Arc<str>, usize> = {
-            let tasks = self.jobs[key].tasks.iter().enumerate();
-            tasks
-                .map(|(index, task)| (task.name.clone(), index))
-                .collect()
-        };
-        for (name, &index) in &names {
-            if let Some((EndKind::Done, _)) = self.orphan_ends.get(name) {
-                self.jobs[key].tasks[index].state = TaskState::Done;
-                self.jobs[key].started = true;
-            }
-        }
-        for (worker_key, worker) in &mut self.workers {
-            for run in &mut worker.runs {
-                let free = matches!(run.owner, RunOwner::Nobody { .. });
-                let stopping = matches!(run.state, RunState::Stopping { .. });
-                let Some(&index) = names.get(&run.task).filter(|_| free) else {
-                    continue;
-                };
-                let job = &mut self.jobs[key];
-                let task = &mut job.tasks[index];
-                if stopping {
-                    // Comes free when its end is listed.
-                    let not_before_ms = u64::MAX;
-                    task.state = TaskState::Waiting { not_before_ms };
-                } else {
-                    task.state = TaskState::OnWorker(worker_key);
-                    let phase = job.spec.phases[usize::from(task.phase)].clone();
-                    run.room = Some(place::room_of(&phase));
-                    run.estimate_ms = phase.estimate_ms;
-                    run.expected_ms = phase.estimate_ms;
-                    run.patience_ms = place::patience_ms(run.expected_ms, 0);
-                }
-                task.run_id = task.run_id.max(run.run_id);
-                run.owner = RunOwner::Task(key, index);
-                job.started = true;
-            }
-        }
-    }
-
     /// Ends a job that its origin no longer awaits; its runs are stopped.
     pub fn cancel(&mut self, now_ms: u64, origin: Origin, job_id: &str, out: &mut Vec<Command>) {
         let key = self.job_ids.get(job_id).copied();
@@ -359,95 +284,6 @@
         }
     }
 
-    /// Takes in what became of a start.
-    pub fn start_answered(&mut self, now_ms: u64, answer: &Answered, out: &mut Vec<Command>) {
-        if !answer.fence.same_ownership(self.fence) {
-            return;
-        }
-        let Some(worker) = self.workers.get_mut(answer.worker) else {
-            return;
-        };
-        let newest = answer.fence == worker.fence;
-        let position = worker.position(&answer.task, answer.run_id);
-        match answer.outcome {
-            OrderOutcome::Done { clock_ms } => {
-                worker.read_clock(now_ms, clock_ms);
-                if let Some(position) = position {
-                    let run = &mut worker.runs[position];
-                    if matches!(run.state, RunState::Starting(_)) {
-                        run.state = RunState::Running;
-                        run.confirmed_ms = now_ms;
-                    }
-                }
-            }
-            OrderOutcome::NoAnswer if newest => {
-                worker.raise();
-                out.push(Command::Note(Note::run("start unanswered", worker, answer)));
-            }
-            OrderOutcome::NoAnswer => {}
-            OrderOutcome::Fenced if newest => self.outranked(now_ms, answer.worker, out),
-            OrderOutcome::OtherLife => self.life_over(now_ms, answer.worker, out),
-            OrderOutcome::Fenced | OrderOutcome::Rejected(_) => {
-                out.push(Command::Note(Note::run("start rejected", worker, answer)));
-                match answer.outcome {
-                    OrderOutcome::Rejected(Rejection::Unhealthy) => worker.trust.failed(now_ms),
-                    OrderOutcome::Rejected(Rejection::OldRun) => self.run_seed += RUN_LEAP,
-                    // What is known of it is wrong: look again.
-                    OrderOutcome::Rejected(_) => worker.raise(),
-                    _ => {}
-                }
-                if let Some(position) = position {
-                    let run = worker.runs.swap_remove(position);
-                    self.requeue(now_ms, &run.owner, RETRY_MS, out);
-                }
-            }
-        }
-        self.dirty.insert(answer.worker);
-        self.settle(now_ms, out);
-    }
-
-    /// Takes in what became of a stop; the run's end is listed by a hold.
-    pub fn stop_answered(&mut self, now_ms: u64, answer: &Answered, out: &mut Vec<Command>) {
-        if !answer.fence.same_ownership(self.fence) {
-            return;
-        }
-        let Some(worker) = self.workers.get_mut(answer.worker) else {
-            return;
-        };
-        let newest = answer.fence == worker.fence;
-        match answer.outcome {
-            OrderOutcome::Done { clock_ms } => worker.read_clock(now_ms, clock_ms),
-            OrderOutcome::NoAnswer if newest => worker.raise(),
-            OrderOutcome::Fenced if newest => self.outranked(now_ms, answer.worker, out),
-            OrderOutcome::OtherLife => self.life_over(now_ms, answer.worker, out),
-            OrderOutcome::NoAnswer | OrderOutcome::Fenced | OrderOutcome::Rejected(_) => {}
-        }
-        self.dirty.insert(answer.worker);
-        self.settle(now_ms, out);
-    }
-
-    /// Another owner has taken the worker: this one is no longer the owner.
-    fn outranked(&mut self, now_ms: u64, key: WorkerKey, out: &mut Vec<Command>) {
-        let worker = &mut self.workers[key];
-        worker.standing = Standing::Outranked;
-        out.push(Command::Note(Note::worker("outranked", worker)));
-        out.push(Command::Outranked);
-        self.release(now_ms, out);
-    }
-
-    /// The worker's life is over, and all that ran there with it.
-    fn life_over(&mut self, now_ms: u64, key: WorkerKey, out: &mut Vec<Command>) {
-        let Some(worker) = self.workers.remove(key) else {
-            return;
-        };
-        self.worker_ids.remove(&worker.record.id);
-        self.dirty.remove(&key);
-        out.push(Command::Note(Note::worker("life over", &worker)));
-        for run in worker.runs {
-            self.requeue(now_ms, &run.owner, 0, out);
-        }
-    }
-
     /// Gives up all ownership: nothing is ordered any more. Jobs of which
     /// nothing runs go back; of the others it is said that they may run.
     pub fn release(&mut self, now_ms: u64, out: &mut Vec<Command>) {
@@ -560,86 +396,6 @@
             self.hold_if_due(now_ms, key, out);
         }
     }
-
-    /// Whether every worker of the pool has obeyed this owner's fence, so that
-    /// no earlier owner's order can start anything. A registry that lost
-    /// workers while the store was away does not tell of all of them.
-    pub fn all_fenced(&self) -> bool {
-        let open = |worker: &Worker| worker.listed && !worker.obeyed;
-        let obeyed = self.workers.values().filter(|worker| worker.obeyed).count();
-        obeyed >= self.workers_expected.max(1) && !self.workers.values().any(open)
-    }
-
-    /// Workers that the registry lists.
-    pub fn workers_listed(&self) -> usize {
-        self.workers.values().filter(|worker| worker.listed).count()
-    }
-
-    /// Load of the workers, for entries to choose by.
-    pub fn load(&self, now_ms: u64) -> Load {
-        let open = self.workers.values().filter(|worker| {
-            worker.listed && worker.standing == Standing::Fenced && !worker.record.draining
-        });
-        let mut load = Load::default();
-        for worker in open.filter(|worker| !worker.trust.is_doubted()) {
-            load.serving = true;
-            load.capacity_millicores += worker.record.capacity.cpu_millicores;
-            load.free_millicores += worker.free().cpu_millicores;
-            for run in &worker.runs {
-                let cpu = run.room.map_or(0, |room| room.cpu_millicores);
-                let end_ms = run.ordered_ms + run.expected_ms;
-                load.backlog_millicore_ms += cpu * end_ms.saturating_sub(now_ms);
-            }
-        }
-        for job in self.jobs.values().filter(|job| !job.stopping) {
-            let waiting =
-                |task: &&super::job::Task| matches!(task.state, TaskState::Waiting { .. });
-            let work = job.tasks.iter().filter(waiting).map(|task| job.phase(task));
-            let work = work.map(|phase| phase.cpu_millicores * phase.estimate_ms);
-            load.backlog_millicore_ms += work.sum::<u64>();
-        }
-        load.serving &= !self.released;
-        load
-    }
-
-    /// Counts for metrics and tests: jobs here, workers fenced, runs.
-    pub fn sizes(&self) -> Sizes {
-        let fenced = |worker: &&Worker| worker.standing == Standing::Fenced;
-        Sizes {
-            jobs: self.jobs.len(),
-            workers: self.workers.len(),
-            workers_fenced: self.workers.values().filter(fenced).count(),
-            runs: self.workers.values().map(|worker| worker.runs.len()).sum(),
-            queue_sorts: self.queue.sorts(),
-        }
-    }
-}
-
-/// Sizes of an owner's tables.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Sizes {
-    /// Jobs that have not ended.
-    pub jobs: usize,
-    /// Workers known.
-    pub workers: usize,
-    /// Workers that can be ordered.
-    pub workers_fenced: usize,
-    /// Runs that may be on workers.
-    pub runs: usize,
-    /// How often the queue was sorted.
-    pub queue_sorts: u64,
-}
-
-impl std::iter::Sum for Sizes {
-    fn sum<I: Iterator<Item = Self>>(sizes: I) -> Self {
-        sizes.fold(Self::default(), |sum, sizes| Self {
-            jobs: sum.jobs + sizes.jobs,
-            workers: sum.workers + sizes.workers,
-            workers_fenced: sum.workers_fenced + sizes.workers_fenced,
-            runs: sum.runs + sizes.runs,
-            queue_sorts: sum.queue_sorts + sizes.queue_sorts,
-        })
-    }
 }
 
 fn target_of(key: WorkerKey, worker: &Worker) -> Target {
--- /dev/null
+++ b/crates/core/src/dispatch/owner/answers.rs
@@ -0,0 +1,98 @@
+//! What became of starts and stops.
+//!
+//! A rejected order was not carried out; an order without an answer may have
+//! been, or may be yet (see [`holds`]); a refused fence ends
+//! ownership, unless the order was outranked by a later one of this owner.
+
+use super::*;
+
+impl Owner {
+    /// Takes in what became of a start.
+    pub fn start_answered(&mut self, now_ms: u64, answer: &Answered, out: &mut Vec<Command>) {
+        if !answer.fence.same_ownership(self.fence) {
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(answer.worker) else {
+            return;
+        };
+        let newest = answer.fence == worker.fence;
+        let position = worker.position(&answer.task, answer.run_id);
+        match answer.outcome {
+            OrderOutcome::Done { clock_ms } => {
+                worker.read_clock(now_ms, clock_ms);
+                if let Some(position) = position {
+                    let run = &mut worker.runs[position];
+                    if matches!(run.state, RunState::Starting(_)) {
+                        run.state = RunState::Running;
+                        run.confirmed_ms = now_ms;
+                    }
+                }
+            }
+            OrderOutcome::NoAnswer if newest => {
+                worker.raise();
+                out.push(Command::Note(Note::run("start unanswered", worker, answer)));
+            }
+            OrderOutcome::NoAnswer => {}
+            OrderOutcome::Fenced if newest => self.outranked(now_ms, answer.worker, out),
+            OrderOutcome::OtherLife => self.life_over(now_ms, answer.worker, out),
+            OrderOutcome::Fenced | OrderOutcome::Rejected(_) => {
+                out.push(Command::Note(Note::run("start rejected", worker, answer)));
+                match answer.outcome {
+                    OrderOutcome::Rejected(Rejection::Unhealthy) => worker.trust.failed(now_ms),
+                    OrderOutcome::Rejected(Rejection::OldRun) => self.run_seed += RUN_LEAP,
+                    // What is known of it is wrong: look again.
+                    OrderOutcome::Rejected(_) => worker.raise(),
+                    _ => {}
+                }
+                if let Some(position) = position {
+                    let run = worker.runs.swap_remove(position);
+                    self.requeue(now_ms, &run.owner, RETRY_MS);
+                }
+            }
+        }
+        self.dirty.insert(answer.worker);
+        self.settle(now_ms, out);
+    }
+
+    /// Takes in what became of a stop; the run's end is listed by a hold.
+    pub fn stop_answered(&mut self, now_ms: u64, answer: &Answered, out: &mut Vec<Command>) {
+        if !answer.fence.same_ownership(self.fence) {
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(answer.worker) else {
+            return;
+        };
+        let newest = answer.fence == worker.fence;
+        match answer.outcome {
+            OrderOutcome::Done { clock_ms } => worker.read_clock(now_ms, clock_ms),
+            OrderOutcome::NoAnswer if newest => worker.raise(),
+            OrderOutcome::Fenced if newest => self.outranked(now_ms, answer.worker, out),
+            OrderOutcome::OtherLife => self.life_over(now_ms, answer.worker, out),
+            OrderOutcome::NoAnswer | OrderOutcome::Fenced | OrderOutcome::Rejected(_) => {}
+        }
+        self.dirty.insert(answer.worker);
+        self.settle(now_ms, out);
+    }
+
+    /// Another owner has taken the worker: this one is no longer the owner.
+    pub(super) fn outranked(&mut self, now_ms: u64, key: WorkerKey, out: &mut Vec<Command>) {
+        let worker = &mut self.workers[key];
+        worker.standing = Standing::Outranked;
+        out.push(Command::Note(Note::worker("outranked", worker)));
+        out.push(Command::Outranked);
+        self.release(now_ms, out);
+    }
+
+    /// The worker's life is over, and all that ran there with it.
+    pub(super) fn life_over(&mut self, now_ms: u64, key: WorkerKey, out: &mut Vec<Command>) {
+        let Some(worker) = self.workers.remove(key) else {
+            return;
+        };
+        self.worker_ids.remove(&worker.record.id);
+        self.dirty.remove(&key);
+        out.push(Command::Note(Note::worker("life over", &worker)));
+        for run in worker.runs {
+            self.requeue(now_ms, &run.owner, 0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/owner/command.rs
@@ -0,0 +1,51 @@
+//! What goes out of an owner, and what comes back.
+
+use std::sync::Arc;
+
+use trefoil_schema::dispatch::Outcome;
+
+use super::Note;
+use crate::dispatch::fence::Fence;
+use crate::dispatch::job::Origin;
+use crate::dispatch::order::{HoldOrder, OrderOutcome, StartOrder, StopOrder, WorkerKey};
+
+/// What the owner's shell must do.
+#[derive(Debug)]
+pub enum Command {
+    /// Send a start.
+    Start(StartOrder),
+    /// Send a stop.
+    Stop(StopOrder),
+    /// Send a hold.
+    Hold(HoldOrder),
+    /// Tell the origin how its job ended.
+    Ended {
+        /// Who delegated it.
+        origin: Origin,
+        /// The job.
+        job_id: String,
+        /// How it ended.
+        outcome: Outcome,
+        /// Why, for people.
+        reason: &'static str,
+    },
+    /// Another owner outranks this one on a worker.
+    Outranked,
+    /// Write a line on a decision.
+    Note(Note),
+}
+
+/// What became of a start or stop.
+#[derive(Clone, Debug)]
+pub struct Answered {
+    /// The worker.
+    pub worker: WorkerKey,
+    /// Fence of the order.
+    pub fence: Fence,
+    /// Task of the order.
+    pub task: Arc<str>,
+    /// Run of the order.
+    pub run_id: u64,
+    /// What became of it.
+    pub outcome: OrderOutcome,
+}
--- a/crates/core/src/dispatch/owner/ends.rs
+++ b/crates/core/src/dispatch/owner/ends.rs
@@ -50,7 +50,7 @@
                 self.task_failed(now_ms, job, index, key, out);
             }
             (EndKind::Done, RunOwner::Nobody { .. }) => self.take_orphan_end(now_ms, end, out),
-            (_, owner) => self.requeue(now_ms, &owner, 0, out),
+            (_, owner) => self.requeue(now_ms, &owner, 0),
         }
     }
 
@@ -98,7 +98,7 @@
         task.failures += 1;
         task.avoid = Some(worker);
         let spent = task.failures >= job.spec.attempts_max.max(1);
-        self.requeue(now_ms, &RunOwner::Task(key, index), 0, out);
+        self.requeue(now_ms, &RunOwner::Task(key, index), 0);
         if spent && self.jobs.get(key).is_some_and(|job| !job.stopping) {
             self.finish(
                 now_ms,
@@ -111,13 +111,7 @@
     }
 
     /// Lets a task wait again after a run that was not its end.
-    pub(super) fn requeue(
-        &mut self,
-        now_ms: u64,
-        owner: &RunOwner,
-        delay_ms: u64,
-        _out: &mut Vec<Command>,
-    ) {
+    pub(super) fn requeue(&mut self, now_ms: u64, owner: &RunOwner, delay_ms: u64) {
         let RunOwner::Task(key, index) = *owner else {
             return;
         };
--- /dev/null
+++ b/crates/core/src/dispatch/owner/figures.rs
@@ -0,0 +1,87 @@
+//! What an owner tells of its state: load for entries, sizes for metrics.
+
+use trefoil_schema::dispatch::Load;
+
+use super::*;
+use crate::dispatch::job::Task;
+
+/// Sizes of an owner's tables.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sizes {
+    /// Jobs that have not ended.
+    pub jobs: usize,
+    /// Workers known.
+    pub workers: usize,
+    /// Workers that can be ordered.
+    pub workers_fenced: usize,
+    /// Runs that may be on workers.
+    pub runs: usize,
+    /// How often the queue was sorted.
+    pub queue_sorts: u64,
+}
+
+impl std::iter::Sum for Sizes {
+    fn sum<I: Iterator<Item = Self>>(sizes: I) -> Self {
+        sizes.fold(Self::default(), |sum, sizes| Self {
+            jobs: sum.jobs + sizes.jobs,
+            workers: sum.workers + sizes.workers,
+            workers_fenced: sum.workers_fenced + sizes.workers_fenced,
+            runs: sum.runs + sizes.runs,
+            queue_sorts: sum.queue_sorts + sizes.queue_sorts,
+        })
+    }
+}
+
+impl Owner {
+    /// Whether every worker of the pool has obeyed this owner's fence, so that
+    /// no earlier owner's order can start anything. A registry that lost
+    /// workers while the store was away does not tell of all of them.
+    pub fn all_fenced(&self) -> bool {
+        let open = |worker: &Worker| worker.listed && !worker.obeyed;
+        let obeyed = self.workers.values().filter(|worker| worker.obeyed).count();
+        obeyed >= self.workers_expected.max(1) && !self.workers.values().any(open)
+    }
+
+    /// Workers that the registry lists.
+    pub fn workers_listed(&self) -> usize {
+        self.workers.values().filter(|worker| worker.listed).count()
+    }
+
+    /// Load of the workers, for entries to choose by.
+    pub fn load(&self, now_ms: u64) -> Load {
+        let open = self.workers.values().filter(|worker| {
+            worker.listed && worker.standing == Standing::Fenced && !worker.record.draining
+        });
+        let mut load = Load::default();
+        for worker in open.filter(|worker| !worker.trust.is_doubted()) {
+            load.serving = true;
+            load.capacity_millicores += worker.record.capacity.cpu_millicores;
+            load.free_millicores += worker.free().cpu_millicores;
+            for run in &worker.runs {
+                let cpu = run.room.map_or(0, |room| room.cpu_millicores);
+                let end_ms = run.ordered_ms + run.expected_ms;
+                load.backlog_millicore_ms += cpu * end_ms.saturating_sub(now_ms);
+            }
+        }
+        for job in self.jobs.values().filter(|job| !job.stopping) {
+            let waiting = |task: &&Task| matches!(task.state, TaskState::Waiting { .. });
+            let work = job.tasks.iter().filter(waiting).map(|task| job.phase(task));
+            let work = work.map(|phase| phase.cpu_millicores * phase.estimate_ms);
+            load.backlog_millicore_ms += work.sum::<u64>();
+        }
+        load.serving &= !self.released;
+        load
+    }
+
+    /// Counts for metrics and tests: jobs here, workers fenced, runs.
+    pub fn sizes(&self) -> Sizes {
+        let fenced = |worker: &&Worker| worker.standing == Standing::Fenced;
+        Sizes {
+            jobs: self.jobs.len(),
+            workers: self.workers.len(),
+            workers_fenced: self.workers.values().filter(fenced).count(),
+            runs: self.workers.values().map(|worker| worker.runs.len()).sum(),
+            queue_sorts: self.queue.sorts(),
+        }
+    }
+}
--- a/crates/core/src/dispatch/owner/holds.rs
+++ b/crates/core/src/dispatch/owner/holds.rs
@@ -168,7 +168,7 @@
             let mut note = Note::job("run is not there", &run.task);
             note.worker = self.workers[key].record.id.to_string();
             out.push(Command::Note(note));
-            self.requeue(now_ms, &run.owner, 0, out);
+            self.requeue(now_ms, &run.owner, 0);
         }
         for listed in strangers {
             self.take_stranger(now_ms, key, listed, out);
@@ -263,7 +263,7 @@
         worker.raise();
         let runs = std::mem::take(&mut worker.runs);
         for run in runs {
-            self.requeue(now_ms, &run.owner, 0, out);
+            self.requeue(now_ms, &run.owner, 0);
         }
     }
 
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -6,16 +6,22 @@
 //! these out after the borrow has ended; commands to this instance itself are
 //! events again.
 //!
+//! * [`effects`]: what the decisions' commands do.
 //! * [`calls`]: orders to workers and claims to the store, and their answers.
-//! * [`peers`]: links to other instances and their frames.
+//! * [`peers`]: links to other instances.
+//! * [`frames`]: what goes over them.
+//! * [`beats`]: heartbeats to all of them.
 //! * [`stop`]: the planned stop.
 
+mod beats;
 mod calls;
+mod effects;
+mod frames;
 mod peers;
 mod stop;
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -37,6 +43,7 @@
 use crate::log::unix_ms;
 use crate::metrics::Metrics;
 use crate::settings::InstanceSettings;
+use effects::Effects;
 use peers::Peers;
 pub use stop::Ending;
 
@@ -91,21 +98,6 @@
     home: String,
 }
 
-/// Commands of the decisions, to be carried out after the borrow.
-#[derive(Default)]
-struct Effects {
-    entry: Vec<entry::Command>,
-    owner: Vec<(String, owner::Command)>,
-    ownership: Vec<ownership::Command>,
-}
-
-/// One command, whoever gave it.
-enum Effect {
-    Entry(entry::Command),
-    Owner(String, owner::Command),
-    Ownership(ownership::Command),
-}
-
 impl<E: Store + Workers + 'static> Instance<E> {
     /// An instance that knows nothing yet.
     pub fn new(settings: InstanceSettings, log: Logger, metrics: Metrics, edge: E) -> Rc<Self> {
@@ -203,158 +195,6 @@
         result
     }
 
-    fn carry_out(self: &Rc<Self>, effects: Effects) {
-        let mut queue = VecDeque::new();
-        enqueue(&mut queue, effects);
-        while let Some(effect) = queue.pop_front() {
-            let more = match effect {
-                Effect::Entry(command) => self.carry_out_entry(command),
-                Effect::Owner(pool, command) => self.carry_out_owner(pool, command),
-                Effect::Ownership(command) => self.carry_out_ownership(command),
-            };
-            enqueue(&mut queue, more);
-        }
-    }
-
-    fn carry_out_entry(self: &Rc<Self>, command: entry::Command) -> Effects {
-        let mut effects = Effects::default();
-        let now_ms = self.now_ms();
-        match command {
-            entry::Command::Answer { ticket, answer } => {
-                let waiter = self.state.borrow_mut().waiters.remove(&ticket);
-                if let Some(waiter) = waiter {
-                    // A caller that has just left needs no answer.
-                    let _ = waiter.send(answer);
-                }
-            }
-            entry::Command::Delegate {
-                to,
-                spec,
-                unsafe_for_ms,
-                unsafe_pool,
-            } => {
-                info!(self.log, "delegated"; "job" => &spec.id, "pool" => &to.pool,
-                    "owner" => &to.owner, "age_ms" => spec.age_ms,
-                    "unsafe_for_ms" => unsafe_for_ms);
-                let delegate = Delegate {
-                    job: Some(spec),
-                    unsafe_for_ms,
-                    unsafe_pool,
-                    pool: to.pool.clone(),
-                };
-                if to.owner != self.me.name {
-                    self.send_delegate(&to, delegate, &mut effects);
-                    return effects;
-                }
-                let mut state = self.state.borrow_mut();
-                if !state.delegate(Origin::Local, delegate, now_ms, &mut effects) {
-                    state.entry.pool_lost(now_ms, &to, &mut effects.entry);
-                }
-            }
-            entry::Command::Cancel { to, job_id } => {
-                if to.owner != self.me.name {
-                    self.send_cancel(&to, job_id);
-                    return effects;
-                }
-                let mut state = self.state.borrow_mut();
-                state.with_owner(&to.pool, &mut effects, |owner, out| {
-                    owner.cancel(now_ms, Origin::Local, &job_id, out);
-                });
-            }
-        }
-        effects
-    }
-
-    fn carry_out_owner(self: &Rc<Self>, pool: String, command: owner::Command) -> Effects {
-        let mut effects = Effects::default();
-        match command {
-            owner::Command::Start(order) => self.send_start(pool, order),
-            owner::Command::Stop(order) => self.send_stop(pool, order),
-            owner::Command::Hold(order) => self.send_hold(pool, order),
-            owner::Command::Ended {
-                origin,
-                job_id,
-                outcome,
-                reason,
-            } => {
-                info!(self.log, "job ended"; "job" => &job_id, "pool" => &pool,
-                    "outcome" => ?outcome, "reason" => reason);
-                match origin {
-                    Origin::Local => {
-                        let owner = self.me.name.clone();
-                        let from = Owned { pool, owner };
-                        let out = &mut effects.entry;
-                        let mut state = self.state.borrow_mut();
-                        state
-                            .entry
-                            .ended(self.now_ms(), &from, &job_id, outcome, out);
-                    }
-                    Origin::Link(link) => self.send_ended(link, pool, job_id, outcome, reason),
-                }
-            }
-            owner::Command::Outranked => {
-                let mut state = self.state.borrow_mut();
-                let out = &mut effects.ownership;
-                state.ownership.outranked(self.now_ms(), &pool, out);
-                self.store_poke.notify_waiters();
-            }
-            owner::Command::Note(note) => info!(self.log, "{}", note.event;
-                "task" => note.subject, "worker" => note.worker, "detail" => note.detail),
-        }
-        effects
-    }
-
-    fn carry_out_ownership(self: &Rc<Self>, command: ownership::Command) -> Effects {
-        let mut effects = Effects::default();
-        match command {
-            ownership::Command::WriteClaim { claim, revision } => {
-                info!(self.log, "claiming"; "pool" => &claim.pool, "term" => claim.term,
-                    "revision" => revision);
-                self.send_claim(claim, revision);
-            }
-            ownership::Command::Acquired(claim) => self.acquired(&claim, &mut effects),
-            ownership::Command::Released(pool) => self.released(pool, &mut effects),
-            ownership::Command::Learned(claim) => {
-                let owner = claim.owner.as_ref().map_or("", |node| node.name.as_str());
-                info!(self.log, "owner learned"; "pool" => &claim.pool,
-                    "term" => claim.term, "owner" => owner);
-            }
-        }
-        effects
-    }
-
-    fn acquired(self: &Rc<Self>, claim: &Claim, effects: &mut Effects) {
-        info!(self.log, "ownership acquired"; "pool" => &claim.pool, "term" => claim.term);
-        let fence = Fence::new(claim.term, &self.me.name);
-        let expected = claim.workers as usize;
-        let owner = Owner::new(&claim.pool, fence, unix_ms(), expected);
-        let mut state = self.state.borrow_mut();
-        state.owners.insert(claim.pool.clone(), owner);
-        if !state.worker_records.is_empty() {
-            state.deal_workers(self.now_ms(), effects);
-        }
-        drop(state);
-        self.store_poke.notify_waiters();
-        self.beat();
-    }
-
-    fn released(self: &Rc<Self>, pool: String, effects: &mut Effects) {
-        info!(self.log, "ownership released"; "pool" => &pool);
-        let now_ms = self.now_ms();
-        let mut state = self.state.borrow_mut();
-        state.with_owner(&pool, effects, |owner, out| owner.release(now_ms, out));
-        state.owners.remove(&pool);
-        if state.owners.is_empty() {
-            state.worker_records.clear();
-        }
-        let owner = self.me.name.clone();
-        let owned = Owned { pool, owner };
-        state.entry.pool_lost(now_ms, &owned, &mut effects.entry);
-        drop(state);
-        self.store_poke.notify_waiters();
-        self.beat();
-    }
-
     /// Runs a caller's job and awaits its answer; a caller that goes away
     /// cancels it.
     pub async fn submit(self: &Rc<Self>, spec: JobSpec, timeout_ms: u64) -> Answer {
@@ -550,15 +390,3 @@
         });
     }
 }
-
-fn enqueue(queue: &mut VecDeque<Effect>, effects: Effects) {
-    queue.extend(effects.ownership.into_iter().map(Effect::Ownership));
-    let owner = effects.owner.into_iter();
-    queue.extend(owner.map(|(pool, command)| Effect::Owner(pool, command)));
-    queue.extend(effects.entry.into_iter().map(Effect::Entry));
-}
-
-/// How an outcome reads in a frame.
-fn outcome_of(number: i32) -> Outcome {
-    Outcome::try_from(number).unwrap_or(Outcome::Unspecified)
-}
--- /dev/null
+++ b/crates/instance/src/instance/effects.rs
@@ -0,0 +1,184 @@
+//! Commands of the decisions, carried out after the state's borrow has ended.
+//!
+//! Commands to this instance itself lead to further ones; all are carried out
+//! in order, before the event that began it is over.
+
+use std::collections::VecDeque;
+
+use super::*;
+
+/// Commands of the decisions, to be carried out after the borrow.
+#[derive(Default)]
+pub(super) struct Effects {
+    pub(super) entry: Vec<entry::Command>,
+    pub(super) owner: Vec<(String, owner::Command)>,
+    pub(super) ownership: Vec<ownership::Command>,
+}
+
+/// One command, whoever gave it.
+enum Effect {
+    Entry(entry::Command),
+    Owner(String, owner::Command),
+    Ownership(ownership::Command),
+}
+
+impl<E: Store + Workers + 'static> Instance<E> {
+    pub(super) fn carry_out(self: &Rc<Self>, effects: Effects) {
+        let mut queue = VecDeque::new();
+        enqueue(&mut queue, effects);
+        while let Some(effect) = queue.pop_front() {
+            let more = match effect {
+                Effect::Entry(command) => self.carry_out_entry(command),
+                Effect::Owner(pool, command) => self.carry_out_owner(pool, command),
+                Effect::Ownership(command) => self.carry_out_ownership(command),
+            };
+            enqueue(&mut queue, more);
+        }
+    }
+
+    fn carry_out_entry(self: &Rc<Self>, command: entry::Command) -> Effects {
+        let mut effects = Effects::default();
+        let now_ms = self.now_ms();
+        match command {
+            entry::Command::Answer { ticket, answer } => {
+                let waiter = self.state.borrow_mut().waiters.remove(&ticket);
+                if let Some(waiter) = waiter {
+                    // A caller that has just left needs no answer.
+                    let _ = waiter.send(answer);
+                }
+            }
+            entry::Command::Delegate {
+                to,
+                spec,
+                unsafe_for_ms,
+                unsafe_pool,
+            } => {
+                info!(self.log, "delegated"; "job" => &spec.id, "pool" => &to.pool,
+                    "owner" => &to.owner, "age_ms" => spec.age_ms,
+                    "unsafe_for_ms" => unsafe_for_ms);
+                let delegate = Delegate {
+                    job: Some(spec),
+                    unsafe_for_ms,
+                    unsafe_pool,
+                    pool: to.pool.clone(),
+                };
+                if to.owner != self.me.name {
+                    self.send_delegate(&to, delegate, &mut effects);
+                    return effects;
+                }
+                let mut state = self.state.borrow_mut();
+                if !state.delegate(Origin::Local, delegate, now_ms, &mut effects) {
+                    state.entry.pool_lost(now_ms, &to, &mut effects.entry);
+                }
+            }
+            entry::Command::Cancel { to, job_id } => {
+                if to.owner != self.me.name {
+                    self.send_cancel(&to, job_id);
+                    return effects;
+                }
+                let mut state = self.state.borrow_mut();
+                state.with_owner(&to.pool, &mut effects, |owner, out| {
+                    owner.cancel(now_ms, Origin::Local, &job_id, out);
+                });
+            }
+        }
+        effects
+    }
+
+    fn carry_out_owner(self: &Rc<Self>, pool: String, command: owner::Command) -> Effects {
+        let mut effects = Effects::default();
+        match command {
+            owner::Command::Start(order) => self.send_start(pool, order),
+            owner::Command::Stop(order) => self.send_stop(pool, order),
+            owner::Command::Hold(order) => self.send_hold(pool, order),
+            owner::Command::Ended {
+                origin,
+                job_id,
+                outcome,
+                reason,
+            } => {
+                info!(self.log, "job ended"; "job" => &job_id, "pool" => &pool,
+                    "outcome" => ?outcome, "reason" => reason);
+                match origin {
+                    Origin::Local => {
+                        let owner = self.me.name.clone();
+                        let from = Owned { pool, owner };
+                        let out = &mut effects.entry;
+                        let mut state = self.state.borrow_mut();
+                        state
+                            .entry
+                            .ended(self.now_ms(), &from, &job_id, outcome, out);
+                    }
+                    Origin::Link(link) => self.send_ended(link, pool, job_id, outcome, reason),
+                }
+            }
+            owner::Command::Outranked => {
+                let mut state = self.state.borrow_mut();
+                let out = &mut effects.ownership;
+                state.ownership.outranked(self.now_ms(), &pool, out);
+                self.store_poke.notify_waiters();
+            }
+            owner::Command::Note(note) => info!(self.log, "{}", note.event;
+                "task" => note.subject, "worker" => note.worker, "detail" => note.detail),
+        }
+        effects
+    }
+
+    fn carry_out_ownership(self: &Rc<Self>, command: ownership::Command) -> Effects {
+        let mut effects = Effects::default();
+        match command {
+            ownership::Command::WriteClaim { claim, revision } => {
+                info!(self.log, "claiming"; "pool" => &claim.pool, "term" => claim.term,
+                    "revision" => revision);
+                self.send_claim(claim, revision);
+            }
+            ownership::Command::Acquired(claim) => self.acquired(&claim, &mut effects),
+            ownership::Command::Released(pool) => self.released(pool, &mut effects),
+            ownership::Command::Learned(claim) => {
+                let owner = claim.owner.as_ref().map_or("", |node| node.name.as_str());
+                info!(self.log, "owner learned"; "pool" => &claim.pool,
+                    "term" => claim.term, "owner" => owner);
+            }
+        }
+        effects
+    }
+
+    fn acquired(self: &Rc<Self>, claim: &Claim, effects: &mut Effects) {
+        info!(self.log, "ownership acquired"; "pool" => &claim.pool, "term" => claim.term);
+        let fence = Fence::new(claim.term, &self.me.name);
+        let expected = claim.workers as usize;
+        let owner = Owner::new(&claim.pool, fence, unix_ms(), expected);
+        let mut state = self.state.borrow_mut();
+        state.owners.insert(claim.pool.clone(), owner);
+        if !state.worker_records.is_empty() {
+            state.deal_workers(self.now_ms(), effects);
+        }
+        drop(state);
+        self.store_poke.notify_waiters();
+        self.beat();
+    }
+
+    fn released(self: &Rc<Self>, pool: String, effects: &mut Effects) {
+        info!(self.log, "ownership released"; "pool" => &pool);
+        let now_ms = self.now_ms();
+        let mut state = self.state.borrow_mut();
+        state.with_owner(&pool, effects, |owner, out| owner.release(now_ms, out));
+        state.owners.remove(&pool);
+        if state.owners.is_empty() {
+            state.worker_records.clear();
+        }
+        let owner = self.me.name.clone();
+        let owned = Owned { pool, owner };
+        state.entry.pool_lost(now_ms, &owned, &mut effects.entry);
+        drop(state);
+        self.store_poke.notify_waiters();
+        self.beat();
+    }
+}
+
+fn enqueue(queue: &mut VecDeque<Effect>, effects: Effects) {
+    queue.extend(effects.ownership.into_iter().map(Effect::Ownership));
+    let owner = effects.owner.into_iter();
+    queue.extend(owner.map(|(pool, command)| Effect::Owner(pool, command)));
+    queue.extend(effects.entry.into_iter().map(Effect::Entry));
+}
--- /dev/null
+++ b/crates/instance/src/instance/frames.rs
@@ -0,0 +1,237 @@
+//! Frames from and to other instances, once a link is up.
+
+use trefoil_schema::dispatch::frame::Body;
+use trefoil_schema::dispatch::{
+    Beat, Cancel, ConfigPush, ConfigRequest, Delegate, Ended, Frame, OwnedPool,
+};
+
+use super::peers::encode;
+use super::*;
+
+/// The store has so long to bring newer declarations before a peer is asked.
+const ASK_AFTER_MS: u64 = 300;
+/// Pause between two such questions to one peer.
+const ASK_AGAIN_MS: u64 = 1000;
+
+impl<E: Store + Workers + 'static> Instance<E> {
+    pub(super) fn take_frame(self: &Rc<Self>, id: u64, frame: Frame) {
+        let Some(body) = frame.body else {
+            return;
+        };
+        if let Body::Config(push) = body {
+            return self.take_declarations(&push);
+        }
+        self.change(|state, now_ms, effects| {
+            let Some(link) = state.peers.links.get_mut(&id) else {
+                return;
+            };
+            link.heard_ms = now_ms;
+            let name = link.peer.name.clone();
+            match body {
+                Body::Beat(beat) => self.take_beat(state, id, beat, now_ms, effects),
+                Body::Delegate(delegate) => {
+                    self.take_delegate(state, id, delegate, now_ms, effects);
+                }
+                Body::Cancel(Cancel { job_id, pool }) => {
+                    state.with_owner(&pool, effects, |owner, out| {
+                        owner.cancel(now_ms, Origin::Link(id), &job_id, out);
+                    });
+                }
+                Body::Ended(ended) => {
+                    let outcome = outcome_of(ended.outcome);
+                    let pool = ended.pool;
+                    let from = Owned { pool, owner: name };
+                    let out = &mut effects.entry;
+                    state
+                        .entry
+                        .ended(now_ms, &from, &ended.job_id, outcome, out);
+                }
+                Body::ConfigRequest(request) => {
+                    self.send_declarations(state, id, request.version);
+                }
+                Body::Config(_) | Body::Hello(_) => {}
+            }
+        });
+    }
+
+    fn take_delegate(
+        &self,
+        state: &mut State,
+        id: u64,
+        delegate: Delegate,
+        now_ms: u64,
+        effects: &mut Effects,
+    ) {
+        let job_id = delegate.job.as_ref().map(|job| job.id.clone());
+        let pool = delegate.pool.clone();
+        let origin = Origin::Link(id);
+        if !state.delegate(origin, delegate, now_ms, effects) {
+            let ended = owner::Command::Ended {
+                origin,
+                job_id: job_id.unwrap_or_default(),
+                outcome: Outcome::Returned,
+                reason: "this instance does not own the pool",
+            };
+            effects.owner.push((pool, ended));
+        }
+    }
+
+    fn take_beat(
+        &self,
+        state: &mut State,
+        id: u64,
+        beat: Beat,
+        now_ms: u64,
+        effects: &mut Effects,
+    ) {
+        let Some(link) = state.peers.links.get_mut(&id) else {
+            return;
+        };
+        let name = link.peer.name.clone();
+        link.owns = !beat.owned.is_empty();
+        link.peer_sent_ms = link.peer_sent_ms.max(beat.sent_ms);
+        if beat.store_fresh {
+            link.store_fresh_ms = Some(now_ms);
+        }
+        // What the peer echoes it has got over this very link.
+        if beat.echo_ms > 0 {
+            for owner in state.owners.values_mut() {
+                owner.origin_alive(Origin::Link(id), beat.echo_ms);
+            }
+        }
+        state.ownership.heard(&name, beat.leaving);
+        let mut known = state.entry.pools_of(&name);
+        for owned in beat.owned {
+            known.retain(|known| {
+                owned
+                    .claim
+                    .as_ref()
+                    .is_none_or(|claim| claim.pool != known.pool)
+            });
+            self.take_owned(state, &name, owned, now_ms, effects);
+        }
+        for lost in known {
+            state.entry.pool_lost(now_ms, &lost, &mut effects.entry);
+        }
+        if beat.config_version > state.declarations_version() {
+            self.catch_up(state, id, now_ms);
+        }
+    }
+
+    pub(super) fn take_owned(
+        &self,
+        state: &mut State,
+        owner: &str,
+        owned: OwnedPool,
+        now_ms: u64,
+        effects: &mut Effects,
+    ) {
+        let Some(claim) = owned.claim else {
+            return;
+        };
+        let load = owned.load.unwrap_or_default();
+        let domain = claim.failure_domain.clone();
+        let pool = Owned {
+            pool: claim.pool.clone(),
+            owner: owner.to_owned(),
+        };
+        let out = &mut effects.ownership;
+        state.ownership.learn(now_ms, claim, owned.yielded, out);
+        let out = &mut effects.entry;
+        state.entry.pool_seen(now_ms, &pool, &domain, load, out);
+    }
+
+    /// A peer has newer declarations: the store is read, and if that does not
+    /// bring them, the peer is asked. A large configuration is thus not sent by
+    /// every peer that has it.
+    fn catch_up(&self, state: &mut State, id: u64, now_ms: u64) {
+        let since_ms = *state.behind_since_ms.get_or_insert(now_ms);
+        if since_ms == now_ms {
+            self.store_poke.notify_waiters();
+        }
+        let version = state.declarations_version();
+        let Some(link) = state.peers.links.get_mut(&id) else {
+            return;
+        };
+        let asked = link
+            .asked_ms
+            .is_some_and(|at_ms| now_ms < at_ms + ASK_AGAIN_MS);
+        if now_ms >= since_ms + ASK_AFTER_MS && !asked {
+            link.asked_ms = Some(now_ms);
+            link.sender
+                .send(encode(Body::ConfigRequest(ConfigRequest { version })));
+        }
+    }
+
+    fn take_declarations(&self, push: &ConfigPush) {
+        match serde_json::from_slice(&push.body) {
+            Ok(declarations) => self.set_declarations(declarations),
+            Err(error) => warn!(self.log, "a peer's declarations are unreadable";
+                "version" => push.version, "error" => %error),
+        }
+    }
+
+    /// Answers a peer that asked for newer declarations.
+    fn send_declarations(&self, state: &State, id: u64, version: u64) {
+        let newer = state.declarations.as_ref();
+        let newer = newer.filter(|known| known.version() > version);
+        let (Some(table), Some(link)) = (newer, state.peers.links.get(&id)) else {
+            return;
+        };
+        match serde_json::to_vec(table.declarations()) {
+            Ok(body) => {
+                link.sender.send(encode(Body::Config(ConfigPush {
+                    version: table.version(),
+                    body: body.into(),
+                })));
+            }
+            Err(error) => warn!(self.log, "cannot encode declarations"; "error" => %error),
+        }
+    }
+
+    pub(super) fn send_delegate(&self, to: &Owned, delegate: Delegate, effects: &mut Effects) {
+        let mut state = self.state.borrow_mut();
+        let frame = encode(Body::Delegate(delegate));
+        let link = state.peers.link_to(&to.owner);
+        let sent = link.is_some_and(|link| link.sender.send(frame));
+        if !sent {
+            let out = &mut effects.entry;
+            state.entry.pool_lost(self.now_ms(), to, out);
+        }
+    }
+
+    pub(super) fn send_cancel(&self, to: &Owned, job_id: String) {
+        let state = self.state.borrow();
+        if let Some(link) = state.peers.link_to(&to.owner) {
+            let pool = to.pool.clone();
+            // A link that is down cancels everything anyway.
+            link.sender
+                .send(encode(Body::Cancel(Cancel { job_id, pool })));
+        }
+    }
+
+    pub(super) fn send_ended(
+        &self,
+        link: u64,
+        pool: String,
+        job_id: String,
+        outcome: Outcome,
+        reason: &str,
+    ) {
+        let state = self.state.borrow();
+        if let Some(link) = state.peers.links.get(&link) {
+            // A link that is down takes its jobs back anyway.
+            link.sender.send(encode(Body::Ended(Ended {
+                job_id,
+                outcome: outcome.into(),
+                reason: reason.to_owned(),
+                pool,
+            })));
+        }
+    }
+}
+
+/// How an outcome reads in a frame.
+fn outcome_of(number: i32) -> Outcome {
+    Outcome::try_from(number).unwrap_or(Outcome::Unspecified)
+}
