--- a/crates/core/src/dispatch/ownership.rs
+++ b/crates/core/src/dispatch/ownership.rs
@@ -93,6 +93,8 @@
     vacant_since_ms: Option<u64>,
     quiet_until_ms: u64,
     owns: bool,
+    /// Highest term in which this instance has owned it.
+    owned_term: u64,
     /// Whether its owner would rather see another one own it.
     yielded: bool,
 }
@@ -244,7 +246,21 @@
             term: claim.term,
             workers: claim.workers,
         };
-        self.learn(now_ms, claim, false, out);
+        self.learn(now_ms, claim.clone(), false, out);
+        self.take_up(now_ms, claim, out);
+    }
+
+    /// A claim of this instance whose answer was lost stands in the store.
+    fn take_up(&mut self, now_ms: u64, claim: Claim, out: &mut Vec<Command>) {
+        let Some(pool) = self.pools.get(&claim.pool) else {
+            return;
+        };
+        let newest = pool.claim.as_ref().map(rank) == Some(rank(&claim));
+        let mine = claim.owner.as_ref() == Some(&self.me);
+        if mine && newest && !pool.owns && claim.term > pool.owned_term {
+            self.writing = Some((claim, now_ms));
+            self.acquire(out);
+        }
     }
 
     /// Takes in a claim from any source; the higher one counts.
@@ -346,6 +362,7 @@
         }
         pool.vacant_since_ms = None;
         pool.owns = true;
+        pool.owned_term = claim.term;
         pool.yielded = false;
         pool.claim = Some(claim.clone());
         out.push(Command::Acquired(claim));
--- a/crates/core/tests/dispatch_ownership.rs
+++ b/crates/core/tests/dispatch_ownership.rs
@@ -171,3 +171,24 @@
     ownership.set_workers(8200, POOL, 3);
     assert_eq!(workers(&ownership), Some(3));
 }
+
+#[test]
+fn a_claim_whose_answer_was_lost_is_taken_up_when_it_is_read() {
+    // Seen in the soak, seed 151: terms rose by one with each lost answer.
+    let me = node("a", 1, 250);
+    let mut ownership = instance(&me, &[node("b", 0, 250)]);
+    let out = tick(&mut ownership, 2000);
+    let Command::WriteClaim { claim, .. } = &out[0] else {
+        panic!("{out:?}");
+    };
+    let mut out = Vec::new();
+    ownership.claim_written(2010, claim, &ClaimWrite::NoAnswer, &mut out);
+    assert!(tick(&mut ownership, 2020).is_empty(), "it reaches nobody");
+    ownership.stored_claim(2030, claim.clone(), 9, &mut out);
+    assert!(out.contains(&Command::Acquired(claim.clone())));
+    // After it was outranked, the same claim does not bring ownership back.
+    ownership.outranked(2040, POOL, &mut Vec::new());
+    let mut out = Vec::new();
+    ownership.stored_claim(2050, claim.clone(), 9, &mut out);
+    assert!(out.is_empty());
+}
