--- a/crates/fakes/src/relay.rs
+++ b/crates/fakes/src/relay.rs
@@ -26,10 +26,32 @@
     Whole,
     /// Bytes are held back and connections stay open, as in a partition.
     Silent,
+    /// The same for bytes towards the relayed address only.
+    SilentForth,
+    /// The same for bytes from the relayed address only.
+    SilentBack,
     /// Connections are closed and new ones refused.
     Closed,
 }
 
+/// Which way bytes go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    Forth,
+    Back,
+}
+
+impl LinkState {
+    fn holds_back(self, way: Way) -> bool {
+        match self {
+            Self::Silent => true,
+            Self::SilentForth => way == Way::Forth,
+            Self::SilentBack => way == Way::Back,
+            Self::Whole | Self::Closed => false,
+        }
+    }
+}
+
 /// An order over HTTP, `POST /fake/cut`.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -142,7 +164,7 @@
 }
 
 async fn relay(near: TcpStream, to: SocketAddr, mut state: watch::Receiver<LinkState>) {
-    if wait_whole(&mut state).await.is_err() {
+    if wait_whole(&mut state, Way::Forth).await.is_err() {
         return;
     }
     let Ok(far) = TcpStream::connect(to).await else {
@@ -154,20 +176,20 @@
     let (far_read, far_write) = far.into_split();
     // Either way's end, by its peer or by an order, ends the connection.
     tokio::select! {
-        _ = pass(near_read, far_write, state.clone()) => {}
-        _ = pass(far_read, near_write, state) => {}
+        _ = pass(near_read, far_write, state.clone(), Way::Forth) => {}
+        _ = pass(far_read, near_write, state, Way::Back) => {}
     }
 }
 
 /// Waits until bytes may pass; an error closes the connection.
-async fn wait_whole(state: &mut watch::Receiver<LinkState>) -> io::Result<()> {
+async fn wait_whole(state: &mut watch::Receiver<LinkState>, way: Way) -> io::Result<()> {
     let state = state
-        .wait_for(|state| *state != LinkState::Silent)
+        .wait_for(|state| !state.holds_back(way))
         .await
         .map_err(io::Error::other)?;
     match *state {
         LinkState::Closed => Err(io::ErrorKind::ConnectionReset.into()),
-        LinkState::Whole | LinkState::Silent => Ok(()),
+        _ => Ok(()),
     }
 }
 
@@ -175,10 +197,11 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut state: watch::Receiver<LinkState>,
+    way: Way,
 ) -> io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
-        wait_whole(&mut state).await?;
+        wait_whole(&mut state, way).await?;
         let count = tokio::select! {
             count = from.read(&mut buffer) => count?,
             _ = state.changed() => continue,
@@ -187,7 +210,7 @@
             return Ok(());
         }
         // Bytes read before a cut are held back with the rest.
-        wait_whole(&mut state).await?;
+        wait_whole(&mut state, way).await?;
         to.write_all(&buffer[..count]).await?;
     }
 }
