leaving: a complete hand-over counts as the leaver's end

Cause: a successor that held the whole memory of a leaver still took it for the key's owner until the leaver's word that it ends arrived, or its silence was noticed: not_vouched for keys that it could answer. Ruled out: memory that came late (its lines say that it had come) and a view that came late.

--- a/crates/core/src/handover.rs
+++ b/crates/core/src/handover.rs
@@ -86,6 +86,11 @@
         self.closed
     }
 
+    /// The scope of memory that came by `path`, if any did.
+    pub fn scope_of(&self, path: &[Member]) -> Option<Scope> {
+        self.by_path.get(path).copied()
+    }
+
     /// What is known of a key that is not remembered here. `view_version` is
     /// the newest view known here, by which `succession` was found.
     pub fn absence(&self, key: &JobKey, succession: &Succession, view_version: u64) -> Absence {
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -41,7 +41,7 @@
 use derive_more::{Display, Error};
 use slog::Logger;
 use tokio::sync::watch;
-use trefoil_core::handover::Scopes;
+use trefoil_core::handover::{Absence, Scopes};
 use trefoil_core::key::JobKey;
 use trefoil_core::membership::{
     Event, MemberStatus, Membership, MembershipParams, PeerState, Route,
@@ -165,7 +165,23 @@
 
     /// Where a submission under `key` belongs now.
     pub fn route(&self, key: &JobKey) -> Route {
-        self.membership().route(key)
+        let route = self.membership().route(key);
+        match route {
+            Route::Peer(_) if self.has_taken_over(key) => Route::OwnerLost,
+            route => route,
+        }
+    }
+
+    /// Whether all that a key's owner knew was handed to this instance. Such
+    /// an owner takes no job any more, though its last heartbeat is recent and
+    /// its word that it ends may be late or lost.
+    fn has_taken_over(&self, key: &JobKey) -> bool {
+        let succession = self.membership().succession(key);
+        succession.is_some_and(|(succession, version)| {
+            let mine = succession.holder == self.me;
+            let absence = self.scopes().absence(key, &succession, version);
+            mine && absence == Absence::NeverStarted
+        })
     }
 
     /// Whether the newest view has this instance.
--- a/src/peers/recall.rs
+++ b/src/peers/recall.rs
@@ -4,6 +4,7 @@
 
 use std::time::{Duration, Instant};
 
+use slog::info;
 use trefoil_core::engine::JobAnswer;
 use trefoil_core::handover::Absence;
 use trefoil_core::key::JobKey;
@@ -64,9 +65,16 @@
         let succession = self.membership().succession(key);
         let absent = match &succession {
             Some((succession, version)) if succession.holder == self.me => {
-                match self.scopes().absence(key, succession, *version) {
+                let scopes = self.scopes();
+                match scopes.absence(key, succession, *version) {
                     Absence::NeverStarted => owner_left(),
-                    Absence::Unknown => owner_lost(),
+                    Absence::Unknown => {
+                        info!(self.context.log, "nothing is proved of a key";
+                            "key" => key.as_str(), "issued_ms" => key.issued_ms(),
+                            "stored" => succession.stored, "view" => version,
+                            "scope" => ?scopes.scope_of(&succession.path));
+                        owner_lost()
+                    }
                 }
             }
             Some(_) => unknown_owner(UNSETTLED_RETRY_MS),
