--- a/crates/fakes/src/relay.rs
+++ b/crates/fakes/src/relay.rs
@@ -52,6 +52,40 @@
     }
 }
 
+/// What every connection of a relay follows.
+#[derive(Clone, Copy, Debug, Default)]
+struct Orders {
+    state: LinkState,
+    /// Connections of an earlier generation are silent for good.
+    generation: u64,
+}
+
+/// One connection's view of the relay's orders.
+#[derive(Clone)]
+struct Connection {
+    orders: watch::Receiver<Orders>,
+    generation: u64,
+}
+
+impl Connection {
+    fn new(orders: watch::Receiver<Orders>) -> Self {
+        let generation = orders.borrow().generation;
+        Self { orders, generation }
+    }
+
+    /// Waits until bytes may pass; an error closes the connection.
+    async fn wait_whole(&mut self, way: Way) -> io::Result<()> {
+        let generation = self.generation;
+        let passes =
+            |orders: &Orders| generation == orders.generation && !orders.state.holds_back(way);
+        let orders = self.orders.wait_for(passes).await;
+        match orders.map_err(io::Error::other)?.state {
+            LinkState::Closed => Err(io::ErrorKind::ConnectionReset.into()),
+            _ => Ok(()),
+        }
+    }
+}
+
 /// An order over HTTP, `POST /fake/cut`.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -79,7 +113,7 @@
     pub address: SocketAddr,
     /// Address of orders, where there is one.
     pub control_address: Option<SocketAddr>,
-    state: Arc<watch::Sender<LinkState>>,
+    orders: Arc<watch::Sender<Orders>>,
     task: JoinHandle<()>,
     _control: Option<Server>,
 }
@@ -87,7 +121,12 @@
 impl RelayHandle {
     /// Changes the state of the link.
     pub fn set(&self, state: LinkState) {
-        self.state.send_replace(state);
+        self.orders.send_modify(|orders| orders.state = state);
+    }
+
+    /// Silences for good the connections that are open now; new ones work.
+    pub fn silence_open(&self) {
+        self.orders.send_modify(|orders| orders.generation += 1);
     }
 
     /// Waits for as long as the relay runs.
@@ -113,49 +152,49 @@
 ) -> io::Result<RelayHandle> {
     let listener = TcpListener::bind(listen).await?;
     let address = listener.local_addr()?;
-    let state = Arc::new(watch::Sender::new(LinkState::default()));
+    let orders = Arc::new(watch::Sender::new(Orders::default()));
     let control = match control {
-        Some(control) => Some(serve_control(control, Arc::clone(&state)).await?),
+        Some(control) => Some(serve_control(control, Arc::clone(&orders)).await?),
         None => None,
     };
     Ok(RelayHandle {
         address,
         control_address: control.as_ref().map(Server::address),
-        task: tokio::spawn(accept_all(listener, to, state.subscribe())),
-        state,
+        task: tokio::spawn(accept_all(listener, to, orders.subscribe())),
+        orders,
         _control: control,
     })
 }
 
 async fn serve_control(
     address: SocketAddr,
-    state: Arc<watch::Sender<LinkState>>,
+    orders: Arc<watch::Sender<Orders>>,
 ) -> io::Result<Server> {
     let listener = TcpListener::bind(address).await?;
-    Server::start(listener, move |request| order(Arc::clone(&state), request))
+    Server::start(listener, move |request| order(Arc::clone(&orders), request))
 }
 
-async fn order(state: Arc<watch::Sender<LinkState>>, request: Request<Incoming>) -> Answer {
+async fn order(orders: Arc<watch::Sender<Orders>>, request: Request<Incoming>) -> Answer {
     if request.uri().path() != "/fake/cut" {
         return http::error(StatusCode::NOT_FOUND, "no such order");
     }
     let body = http::read_body(request).await?;
     match http::from_json::<CutOrder>(&body) {
         Ok(order) => {
-            state.send_replace(order.into());
+            orders.send_modify(|orders| orders.state = order.into());
             http::ok_json(&order)
         }
         Err(error) => http::error(StatusCode::BAD_REQUEST, &error.to_string()),
     }
 }
 
-async fn accept_all(listener: TcpListener, to: SocketAddr, state: watch::Receiver<LinkState>) {
+async fn accept_all(listener: TcpListener, to: SocketAddr, orders: watch::Receiver<Orders>) {
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => {
                 if let Ok((stream, _)) = accepted {
-                    connections.spawn(relay(stream, to, state.clone()));
+                    connections.spawn(relay(stream, to, Connection::new(orders.clone())));
                 }
             }
             Some(_) = connections.join_next() => {}
@@ -163,8 +202,8 @@
     }
 }
 
-async fn relay(near: TcpStream, to: SocketAddr, mut state: watch::Receiver<LinkState>) {
-    if wait_whole(&mut state, Way::Forth).await.is_err() {
+async fn relay(near: TcpStream, to: SocketAddr, mut connection: Connection) {
+    if connection.wait_whole(Way::Forth).await.is_err() {
         return;
     }
     let Ok(far) = TcpStream::connect(to).await else {
@@ -176,41 +215,29 @@
     let (far_read, far_write) = far.into_split();
     // Either way's end, by its peer or by an order, ends the connection.
     tokio::select! {
-        _ = pass(near_read, far_write, state.clone(), Way::Forth) => {}
-        _ = pass(far_read, near_write, state, Way::Back) => {}
-    }
-}
-
-/// Waits until bytes may pass; an error closes the connection.
-async fn wait_whole(state: &mut watch::Receiver<LinkState>, way: Way) -> io::Result<()> {
-    let state = state
-        .wait_for(|state| !state.holds_back(way))
-        .await
-        .map_err(io::Error::other)?;
-    match *state {
-        LinkState::Closed => Err(io::ErrorKind::ConnectionReset.into()),
-        _ => Ok(()),
+        _ = pass(near_read, far_write, connection.clone(), Way::Forth) => {}
+        _ = pass(far_read, near_write, connection, Way::Back) => {}
     }
 }
 
 async fn pass(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    mut state: watch::Receiver<LinkState>,
+    mut connection: Connection,
     way: Way,
 ) -> io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
-        wait_whole(&mut state, way).await?;
+        connection.wait_whole(way).await?;
         let count = tokio::select! {
             count = from.read(&mut buffer) => count?,
-            _ = state.changed() => continue,
+            _ = connection.orders.changed() => continue,
         };
         if count == 0 {
             return Ok(());
         }
         // Bytes read before a cut are held back with the rest.
-        wait_whole(&mut state, way).await?;
+        connection.wait_whole(way).await?;
         to.write_all(&buffer[..count]).await?;
     }
 }
