owner: a job outlives the link that it was delegated over

Cause: when a link between two instances broke, its owner stopped all runs of the entry's jobs at once, and the entry waited out the gap though both were well. Now the owner starts nothing more of them and stops them 400 ms later, unless the entry has delegated them again by another link. Leases are still counted from the entry's last echo, so the gap stays as long as it was. Ruled out: callers' own connections, whose reset ends their job in any case.

--- a/crates/core/src/dispatch/job.rs
+++ b/crates/core/src/dispatch/job.rs
@@ -73,6 +73,8 @@
     pub fencing_clears: bool,
     /// Whether the job's runs are being stopped.
     pub stopping: bool,
+    /// Whether the origin's link broke: nothing new starts until it is back.
+    pub paused: bool,
     /// Whether any task was ever ordered to start.
     pub started: bool,
 }
@@ -91,6 +93,7 @@
             unsafe_until_ms: now_ms,
             fencing_clears: false,
             stopping: false,
+            paused: false,
             started: false,
         }
     }
--- a/crates/core/src/dispatch/limits.rs
+++ b/crates/core/src/dispatch/limits.rs
@@ -33,6 +33,10 @@
 pub const LINK_SILENT_MS: u64 = 450;
 /// The same between instances that own nothing.
 pub const LINK_IDLE_SILENT_MS: u64 = 1800;
+/// How long an owner keeps the jobs of an origin whose link broke: the other
+/// side notices within a heartbeat, dials, and delegates them again. Leases are
+/// counted from the origin's last echo all the while.
+pub const RESUME_MS: u64 = 400;
 /// From the end of a link until nothing that was delegated over it runs: the
 /// other side's [`LINK_SILENT_MS`], then a lease that it renewed just before,
 /// on a clock that is 2 % slow, and the crossing.
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -30,7 +30,7 @@
 
 use super::fence::Fence;
 use super::job::{Job, Origin, TaskState};
-use super::limits::{ADOPT_MS, LINK_SILENT_MS, REMEMBER_MS, RETRY_MS};
+use super::limits::{ADOPT_MS, LINK_SILENT_MS, REMEMBER_MS, RESUME_MS, RETRY_MS};
 use super::order::{
     EndKind, HoldOrder, JobKey, OrderOutcome, Rejection, StartOrder, StopOrder, Target, WorkerKey,
 };
@@ -61,6 +61,8 @@
     dirty: BTreeSet<WorkerKey>,
     /// Until when each origin is known to have had its link.
     alive_ms: HashMap<Origin, u64>,
+    /// Origins whose links broke lately, oldest first, with the instants.
+    lost_origins: VecDeque<(u64, Origin)>,
     run_seed: u64,
     /// Workers that the pool had when its registry was last whole.
     workers_expected: usize,
@@ -84,6 +86,7 @@
             ended: VecDeque::new(),
             dirty: BTreeSet::new(),
             alive_ms: HashMap::new(),
+            lost_origins: VecDeque::new(),
             run_seed,
             workers_expected,
             released: false,
@@ -172,7 +175,9 @@
             let job = &mut self.jobs[key];
             if !job.stopping {
                 job.origin = Some(origin);
-                return;
+                job.paused = false;
+                self.queue.invalidate();
+                return self.settle(now_ms, out);
             }
             // Its runs are being stopped; the new job waits for their ends.
             self.detach(key, now_ms);
@@ -223,8 +228,32 @@
         self.settle(now_ms, out);
     }
 
-    /// Ends all jobs of an origin that went away.
+    /// The link of an origin broke. Nothing new starts for its jobs, and they
+    /// end unless the origin comes back soon with another link.
     pub fn origin_lost(&mut self, now_ms: u64, origin: Origin, out: &mut Vec<Command>) {
+        if !self.alive_ms.contains_key(&origin) {
+            // Nothing tells how long its leases may go on.
+            return self.origin_gone(now_ms, origin, out);
+        }
+        self.lost_origins.push_back((now_ms, origin));
+        for (_, job) in &mut self.jobs {
+            job.paused |= job.origin == Some(origin);
+        }
+        self.queue.invalidate();
+    }
+
+    /// Ends the jobs of origins that have not come back in time.
+    fn expire_origins(&mut self, now_ms: u64, out: &mut Vec<Command>) {
+        while let Some(&(lost_ms, origin)) = self.lost_origins.front()
+            && now_ms >= lost_ms + RESUME_MS
+        {
+            self.lost_origins.pop_front();
+            self.origin_gone(now_ms, origin, out);
+        }
+    }
+
+    /// Ends all jobs of an origin that went away.
+    fn origin_gone(&mut self, now_ms: u64, origin: Origin, out: &mut Vec<Command>) {
         let lost = |(key, job): (JobKey, &Job)| (job.origin == Some(origin)).then_some(key);
         let keys: Vec<JobKey> = self.jobs.iter().filter_map(lost).collect();
         for key in keys {
@@ -355,6 +384,7 @@
         }
         self.dirty.extend(self.workers.keys());
         self.queue.invalidate();
+        self.expire_origins(now_ms, out);
         self.expire(now_ms, out);
         self.refuse_hopeless(now_ms, out);
         self.settle(now_ms, out);
--- a/crates/core/src/dispatch/owner/queue.rs
+++ b/crates/core/src/dispatch/owner/queue.rs
@@ -91,7 +91,7 @@
 /// of it may be started.
 fn smallest_waiting(job: &Job, now_ms: u64, fenced: bool) -> Option<u64> {
     let safe = now_ms >= job.unsafe_until_ms || (job.fencing_clears && fenced);
-    if !safe || job.stopping {
+    if !safe || job.stopping || job.paused {
         return None;
     }
     let waiting = |task: &&Task| matches!(task.state, TaskState::Waiting { .. });
--- a/crates/core/tests/dispatch_support/mod.rs
+++ b/crates/core/tests/dispatch_support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod orders;
+
 use std::sync::Arc;
 
 use trefoil_core::dispatch::fence::Fence;
--- /dev/null
+++ b/crates/core/tests/dispatch_support/orders.rs
@@ -0,0 +1,86 @@
+//! What an owner is told and what it orders, a line each.
+
+use trefoil_core::dispatch::job::Origin;
+use trefoil_core::dispatch::order::{
+    EndKind, HoldOrder, HoldOutcome, ListedEnd, ListedRun, OrderOutcome, StartOrder,
+};
+use trefoil_core::dispatch::owner::{Answered, Command, Owner};
+use trefoil_schema::dispatch::Outcome;
+
+use super::{holds, job, owner, record};
+
+pub const LINK: Origin = Origin::Link(7);
+
+pub fn held(running: Vec<ListedRun>, ended: Vec<ListedEnd>) -> HoldOutcome {
+    HoldOutcome::Held {
+        clock_ms: 50_000,
+        running,
+        ended,
+    }
+}
+
+pub fn answer_hold(
+    owner: &mut Owner,
+    now_ms: u64,
+    order: &HoldOrder,
+    outcome: HoldOutcome,
+) -> Vec<Command> {
+    let mut out = Vec::new();
+    let (worker, fence) = (order.target.worker, order.target.fence);
+    owner.hold_answered(now_ms, worker, fence, outcome, &mut out);
+    out
+}
+
+pub fn answer_start(
+    owner: &mut Owner,
+    now_ms: u64,
+    order: &StartOrder,
+    outcome: OrderOutcome,
+) -> Vec<Command> {
+    let answer = Answered {
+        worker: order.target.worker,
+        fence: order.target.fence,
+        task: order.task.clone(),
+        run_id: order.run_id,
+        outcome,
+    };
+    let mut out = Vec::new();
+    owner.start_answered(now_ms, &answer, &mut out);
+    out
+}
+
+/// An owner in a term with fenced, empty workers.
+pub fn fenced_owner(term: u64, ids: &[&str]) -> Owner {
+    let mut owner = owner(term, ids.len());
+    let mut out = Vec::new();
+    owner.set_workers(0, ids.iter().map(|id| record(id)).collect(), &mut out);
+    for hold in holds(&out) {
+        answer_hold(&mut owner, 1, &hold, held(vec![], vec![]));
+    }
+    owner
+}
+
+pub fn delegate(owner: &mut Owner, now_ms: u64, id: &str, tasks: u32) -> Vec<Command> {
+    let mut out = Vec::new();
+    owner.delegate(now_ms, LINK, job(id, tasks, 100), 0, false, &mut out);
+    out
+}
+
+pub fn ended(commands: &[Command]) -> Vec<(String, Outcome)> {
+    let ended = commands.iter().filter_map(|command| match command {
+        Command::Ended {
+            job_id, outcome, ..
+        } => Some((job_id.clone(), *outcome)),
+        _ => None,
+    });
+    ended.collect()
+}
+
+pub fn done(number: u64, order: &StartOrder) -> ListedEnd {
+    ListedEnd {
+        number,
+        task: order.task.clone(),
+        run_id: order.run_id,
+        how: EndKind::Done,
+    }
+}
