owner: a run whose end was not told is asked for before it is taken for stalled

Cause: where answers of workers are lost, a run that had ended was told only with the next hold, up to 700 ms later; it was taken for stalled meanwhile and its worker paused.

--- a/crates/core/src/dispatch/owner/adopt.rs
+++ b/crates/core/src/dispatch/owner/adopt.rs
@@ -37,7 +37,7 @@
                     run.room = Some(place::room_of(&phase));
                     run.estimate_ms = phase.estimate_ms;
                     run.expected_ms = phase.estimate_ms;
-                    run.patience_ms = place::patience_ms(run.expected_ms, 0);
+                    run.patience = place::patience(run.expected_ms, 0);
                 }
                 task.run_id = task.run_id.max(run.run_id);
                 run.owner = RunOwner::Task(key, index);
--- a/crates/core/src/dispatch/owner/holds.rs
+++ b/crates/core/src/dispatch/owner/holds.rs
@@ -8,12 +8,16 @@
 
 use super::super::limits::{ACK_IDLE_MS, ADOPT_MS, HOLD_WAIT_MS, LEASE_MAX_MS, PROBE_MS, RETRY_MS};
 use super::super::order::{HoldOutcome, ListedRun};
-use super::super::worker::{OpenHold, Run};
+use super::super::worker::{OpenHold, Patience, Run};
 use super::*;
 
 /// A stop whose end is not listed by then is ordered again: the contract
 /// grants a stop 50, and an answer takes a few.
 const STOP_AGAIN_MS: u64 = 150;
+/// What a worker said of its runs holds for so long when one is about to be
+/// taken for stalled; it is asked again otherwise.
+const HEARD_FRESH_MS: u64 = 60;
+
 impl Owner {
     /// Sends a hold where one is due, and lets go of workers that have left.
     pub(super) fn hold_if_due(&mut self, now_ms: u64, key: WorkerKey, out: &mut Vec<Command>) {
@@ -103,6 +107,7 @@
                     self.queue.invalidate();
                 }
                 worker.silent = false;
+                worker.heard_ms = now_ms;
                 worker.acked_upto = worker.acked_upto.max(hold.seen_upto);
                 for end in ended {
                     self.take_end(now_ms, key, &end, out);
@@ -225,7 +230,7 @@
             confirmed_ms: now_ms,
             estimate_ms: expected_ms,
             expected_ms,
-            patience_ms: place::patience_ms(expected_ms, 0),
+            patience: place::patience(expected_ms, 0),
         });
         // The earlier owner may have renewed its lease just before.
         worker.lapsed_at_ms = worker.lapsed_at_ms.max(now_ms + LEASE_MAX_MS + PROBE_MS);
@@ -273,18 +278,28 @@
             return;
         }
         let target = target_of(key, worker);
+        let heard_ms = worker.heard_ms;
         let mut stalled = Vec::new();
+        let mut unheard = false;
         for run in &mut worker.runs {
             let overdue = match (run.state, run.owner) {
                 (RunState::Starting(_), _) => false,
                 (RunState::Stopping { ordered_ms }, _) => now_ms >= ordered_ms + STOP_AGAIN_MS,
                 (RunState::Running, RunOwner::Nobody { stop_at_ms }) => now_ms >= stop_at_ms,
                 (RunState::Running, RunOwner::Task(job, index)) => {
-                    let stalls = now_ms >= run.ordered_ms + run.patience_ms;
-                    if stalls {
+                    let Patience { check_ms, stall_ms } = run.patience;
+                    let late = now_ms >= run.ordered_ms + stall_ms;
+                    // It may have ended, and the answer that told it was lost.
+                    let fresh = now_ms < heard_ms + HEARD_FRESH_MS;
+                    let check_at_ms = run.ordered_ms + check_ms;
+                    unheard |= match late {
+                        true => !fresh,
+                        false => now_ms >= check_at_ms && heard_ms < check_at_ms,
+                    };
+                    if late && fresh {
                         stalled.push((job, index));
                     }
-                    stalls
+                    late && fresh
                 }
             };
             if overdue {
@@ -298,6 +313,10 @@
         if !stalled.is_empty() {
             worker.trust.failed(now_ms);
         }
+        if unheard {
+            // The next hold is answered at once, and takes the open one's place.
+            worker.raise();
+        }
         for (job, index) in stalled {
             if let Some(job) = self.jobs.get_mut(job) {
                 job.tasks[index].stalls += 1;
--- a/crates/core/src/dispatch/owner/place.rs
+++ b/crates/core/src/dispatch/owner/place.rs
@@ -5,7 +5,7 @@
 
 use trefoil_schema::dispatch::Phase;
 
-use super::super::worker::{Room, Run};
+use super::super::worker::{Patience, Room, Run};
 use super::*;
 
 /// Weight of the room that a placement strands, against the time that it takes.
@@ -20,14 +20,23 @@
 const STALL_FACTOR: f64 = 3.0;
 /// ... and this much longer. Estimates are off by 0.4, tasks differ by 0.15.
 const STALL_SLACK_MS: u64 = 150;
+/// A run's end is asked for once it has taken this many times what is expected
+/// ...
+const CHECK_FACTOR: f64 = 1.6;
+/// ... and this much longer: nine in ten have ended and told it by then.
+const CHECK_SLACK_MS: u64 = 50;
 /// Largest doubling of the patience with a task that has stalled before.
 const STALLS_MAX: u32 = 6;
 
-/// How long a run may take before it is taken for stalled. Each stall of its
-/// task doubles it: then the estimate may be wrong, and not the worker.
-pub(super) fn patience_ms(expected_ms: u64, stalls: u32) -> u64 {
-    let once_ms = (expected_ms as f64 * STALL_FACTOR) as u64 + STALL_SLACK_MS;
-    once_ms << stalls.min(STALLS_MAX)
+/// How long a run may take. Each stall of its task doubles the time after which
+/// it is taken for stalled: then the estimate may be wrong, and not the worker.
+pub(super) fn patience(expected_ms: u64, stalls: u32) -> Patience {
+    let times = |factor: f64| (expected_ms as f64 * factor) as u64;
+    let once_ms = times(STALL_FACTOR) + STALL_SLACK_MS;
+    Patience {
+        check_ms: times(CHECK_FACTOR) + CHECK_SLACK_MS,
+        stall_ms: once_ms << stalls.min(STALLS_MAX),
+    }
 }
 
 /// What a task of a phase takes.
@@ -204,7 +213,7 @@
             confirmed_ms: now_ms,
             estimate_ms,
             expected_ms,
-            patience_ms: patience_ms(expected_ms.max(mean_ms), task.stalls),
+            patience: patience(expected_ms.max(mean_ms), task.stalls),
         });
         out.push(Command::Start(StartOrder {
             target: target_of(worker_key, worker),
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -109,8 +109,17 @@
     pub estimate_ms: u64,
     /// How long it should take here.
     pub expected_ms: u64,
+    /// How long it may take before something is done about it.
+    pub patience: Patience,
+}
+
+/// How long a run may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Patience {
+    /// After this time its end should have been told: the worker is asked.
+    pub check_ms: u64,
     /// After this time it is taken for stalled.
-    pub patience_ms: u64,
+    pub stall_ms: u64,
 }
 
 /// Whether the worker can be ordered.
@@ -152,6 +161,8 @@
     pub runs: Vec<Run>,
     /// The hold that is open, if any.
     pub hold: Option<OpenHold>,
+    /// When a hold was last answered.
+    pub heard_ms: u64,
     /// Whether the last hold had no answer: leases are not renewed blindly,
     /// or what runs there would never be known to have lapsed.
     pub silent: bool,
@@ -182,6 +193,7 @@
             obeyed: false,
             runs: Vec::new(),
             hold: None,
+            heard_ms: 0,
             silent: false,
             quiet_until_ms: 0,
             seen_upto: 0,
