ownership: beyond 48 instances, links with the owners of a few pools only

Each instance now uses and watches 4 pools of its failure domain and 2 of others, drawn by rendezvous hashing, and links with their owners. A claim that another instance was faster with is not tried again at once. Tests: dispatch_neighbours.

--- a/crates/core/src/dispatch/ownership.rs
+++ b/crates/core/src/dispatch/ownership.rs
@@ -11,12 +11,13 @@
 //! one that will not be stopped next.
 
 mod candidates;
+mod neighbours;
 
 use std::collections::BTreeMap;
 
 use trefoil_schema::dispatch::{Claim, Node};
 
-use super::limits::CLAIM_STORE_MS;
+use super::limits::{CLAIM_STAGGER_MS, CLAIM_STORE_MS};
 use super::pool;
 
 /// How long an owner that was outranked by an unknown claim leaves it alone.
@@ -112,6 +113,8 @@
     started_ms: u64,
     peers: BTreeMap<String, Peer>,
     pools: BTreeMap<String, Pool>,
+    /// Highest claims on other failure domains' pools.
+    remote: BTreeMap<String, Claim>,
     store_read: bool,
     writing: Option<(Claim, u64)>,
     leaving: bool,
@@ -125,6 +128,7 @@
             started_ms: now_ms,
             peers: BTreeMap::new(),
             pools: BTreeMap::new(),
+            remote: BTreeMap::new(),
             store_read: false,
             writing: None,
             leaving: false,
@@ -142,7 +146,7 @@
         self.pools.values().any(|pool| pool.owns)
     }
 
-    /// All other instances known, to be linked.
+    /// All other instances known.
     pub fn peers(&self) -> impl Iterator<Item = &Node> {
         self.peers.values().map(|peer| &peer.node)
     }
@@ -238,7 +242,7 @@
         out: &mut Vec<Command>,
     ) {
         if claim.failure_domain != self.me.failure_domain {
-            return;
+            return self.learn_remote(claim);
         }
         let pool = self.pools.entry(claim.pool.clone()).or_default();
         pool.stored = Stored {
@@ -266,7 +270,7 @@
     /// Takes in a claim from any source; the higher one counts.
     pub fn learn(&mut self, now_ms: u64, claim: Claim, yielded: bool, out: &mut Vec<Command>) {
         if claim.failure_domain != self.me.failure_domain {
-            return;
+            return self.learn_remote(claim);
         }
         if let Some(owner) = claim.owner.clone().filter(|node| node.name != self.me.name) {
             self.peer(now_ms, &owner);
@@ -297,6 +301,14 @@
         out.push(Command::Learned(claim));
     }
 
+    /// Takes in a claim on another failure domain's pool.
+    fn learn_remote(&mut self, claim: Claim) {
+        let known = self.remote.get(&claim.pool);
+        if known.is_none_or(|known| rank(known) < rank(&claim)) {
+            self.remote.insert(claim.pool.clone(), claim);
+        }
+    }
+
     /// A worker of a pool obeys a higher fence than this instance's.
     pub fn outranked(&mut self, now_ms: u64, name: &str, out: &mut Vec<Command>) {
         if let Some(pool) = self.pools.get_mut(name) {
@@ -338,7 +350,13 @@
                     self.acquire(out);
                 }
             }
-            ClaimWrite::Conflict if pending => self.writing = None,
+            ClaimWrite::Conflict if pending => {
+                self.writing = None;
+                if let Some(pool) = self.pools.get_mut(&claim.pool) {
+                    // The store is read meanwhile; other pools have their turn.
+                    pool.quiet_until_ms = now_ms + CLAIM_STAGGER_MS;
+                }
+            }
             ClaimWrite::NoAnswer if pending => {
                 // Its fate is unknown; the next tick decides without the store.
                 if let Some((_, sent_ms)) = &mut self.writing {
@@ -391,7 +409,7 @@
             if pool.owns {
                 self.rewrite(now_ms, name, out);
                 self.consider_yielding(now_ms, name);
-            } else if self.is_due(now_ms, name) {
+            } else if self.cares_for(name) && self.is_due(now_ms, name) {
                 return self.claim(now_ms, name, out);
             }
         }
--- a/crates/core/src/dispatch/ownership/candidates.rs
+++ b/crates/core/src/dispatch/ownership/candidates.rs
@@ -13,19 +13,23 @@
 /// still come: dials take less.
 const LISTED_ONLY_MS: u64 = 800;
 
+/// Candidates that are waited for at the most.
+const TURN_MAX: usize = 8;
+
 impl Ownership {
     /// Whether a pool is vacant and this instance's turn to claim it has come.
     pub(super) fn is_due(&mut self, now_ms: u64, name: &str) -> bool {
-        let vacant = self.is_vacant(now_ms, &self.pools[name]);
-        let turn = self.turn(now_ms, &self.pools[name]);
+        if !self.is_vacant(now_ms, &self.pools[name]) {
+            if let Some(pool) = self.pools.get_mut(name) {
+                pool.vacant_since_ms = None;
+            }
+            return false;
+        }
+        let turn = self.turn(now_ms, name);
         let knows_enough = self.store_read || self.reaches_most();
         let Some(pool) = self.pools.get_mut(name) else {
             return false;
         };
-        if !vacant {
-            pool.vacant_since_ms = None;
-            return false;
-        }
         let since_ms = *pool.vacant_since_ms.get_or_insert(now_ms);
         knows_enough && now_ms >= since_ms + turn * CLAIM_STAGGER_MS
     }
@@ -55,18 +59,24 @@
     }
 
     /// How many candidates for a pool come before this instance.
-    fn turn(&self, now_ms: u64, pool: &Pool) -> u64 {
-        let owner = pool.owner().map_or("", |node| node.name.as_str());
+    fn turn(&self, now_ms: u64, name: &str) -> u64 {
+        let owner = self.pools[name].owner();
+        let owner = owner.map_or("", |node| node.name.as_str());
         let own = self.order(&self.me);
         let before = self.peers.values().filter(|peer| {
-            let lost_ms = peer.changed_ms.max(self.started_ms) + LISTED_ONLY_MS;
-            let may_be_up = peer.linked || (peer.listed && now_ms < lost_ms);
             peer.is_candidate(&self.me)
-                && may_be_up
+                && self.may_be_up(now_ms, peer)
                 && peer.node.name != owner
                 && self.order(&peer.node) < own
+                && (self.is_mesh() || self.watches(&peer.node, name))
         });
-        before.count() as u64
+        before.take(TURN_MAX).count() as u64
+    }
+
+    fn may_be_up(&self, now_ms: u64, peer: &Peer) -> bool {
+        // Where not all are linked, the store's list has to do.
+        let lost_ms = peer.changed_ms.max(self.started_ms) + LISTED_ONLY_MS;
+        peer.linked || (peer.listed && (!self.is_mesh() || now_ms < lost_ms))
     }
 
     /// Place in the order of candidates; smaller ones come first.
@@ -106,9 +116,10 @@
 
     /// Whether most of the instances known, or of the failure domain's, are linked.
     pub(super) fn reaches_most(&self) -> bool {
+        let judges = self.judges();
         let most = |own: bool| {
             let domain = &self.me.failure_domain;
-            let peers = self.peers.values();
+            let peers = judges.iter();
             let peers = peers.filter(|peer| !own || peer.node.failure_domain == *domain);
             let (all, linked) = peers.fold((1, 1), |(all, linked), peer| {
                 (all + 1, linked + usize::from(peer.linked))
--- /dev/null
+++ b/crates/core/src/dispatch/ownership/neighbours.rs
@@ -0,0 +1,121 @@
+//! Which instances link with which, and which pools an instance watches.
+//!
+//! A small deployment's instances all link with each other. In a larger one
+//! that would cost each of them a heartbeat for every other one, so an instance
+//! links with the owners of a few pools only: those that it delegates to, and
+//! whose ownership it takes over if they go. Which pools these are follows from
+//! the names alone (rendezvous hashing), so that everybody knows who else
+//! watches a pool, and a pool's owner has about as many links in a deployment
+//! of any size.
+//!
+//! What is given up: while the store is away, instances that did not watch a
+//! pool do not learn of its new owner, and use their other pools.
+
+use trefoil_schema::dispatch::Node;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use super::{Ownership, Peer};
+
+/// Up to so many others, all instances link with all: at 35 an owner spends
+/// 350 heartbeats a second on them, a hundredth of a core.
+const MESH_MAX: usize = 48;
+/// Pools of the own failure domain that an instance uses and watches: a pool
+/// of 17 is watched by a quarter of its failure domain's instances.
+const HOME_POOLS: usize = 4;
+/// Pools of other failure domains that an instance uses.
+const REMOTE_POOLS: usize = 2;
+
+impl Ownership {
+    /// Whether all instances link with all.
+    pub fn is_mesh(&self) -> bool {
+        self.peers.len() <= MESH_MAX
+    }
+
+    /// The instances to link with.
+    pub fn wanted(&self) -> Vec<&Node> {
+        let all = self.peers.values().map(|peer| &peer.node);
+        if self.is_mesh() {
+            return all.collect();
+        }
+        let mut wanted: Vec<&Node> = self.used_owners().flatten().collect();
+        wanted.retain(|node| node.name != self.me.name);
+        wanted.sort_by(|left, right| left.name.cmp(&right.name));
+        wanted.dedup_by(|left, right| left.name == right.name);
+        match wanted.is_empty() {
+            // Nobody is known to own anything: whoever is asked may know.
+            true => all.take(MESH_MAX).collect(),
+            false => wanted,
+        }
+    }
+
+    /// What a link's other side is told of: all instances, or all owners.
+    pub fn introduced(&self) -> Vec<Node> {
+        if self.is_mesh() {
+            return self.peers.values().map(|peer| peer.node.clone()).collect();
+        }
+        let claims = self.pools.values().filter_map(|pool| pool.claim.as_ref());
+        let claims = claims.chain(self.remote.values());
+        claims.filter_map(|claim| claim.owner.clone()).collect()
+    }
+
+    /// Whether every pool that this instance uses has an owner that it is
+    /// linked with. Until then the store may know of a new one.
+    pub fn is_settled(&self) -> bool {
+        self.is_mesh()
+            || self.used_owners().all(|owner| {
+                owner.is_some_and(|owner| {
+                    let peer = self.peers.get(&owner.name);
+                    owner.name == self.me.name || peer.is_some_and(|peer| peer.linked)
+                })
+            })
+    }
+
+    /// Owners of the pools that this instance uses; none where one has none.
+    fn used_owners(&self) -> impl Iterator<Item = Option<&Node>> {
+        let home = nearest(&self.me.name, self.pools.keys(), HOME_POOLS);
+        let home = home.into_iter().map(|name| self.pools[name].owner());
+        let remote = nearest(&self.me.name, self.remote.keys(), REMOTE_POOLS);
+        let remote = remote
+            .into_iter()
+            .map(|name| self.remote[name].owner.as_ref());
+        home.chain(remote)
+    }
+
+    /// Whether this instance sees to it that a pool has an owner: it watches
+    /// the pool, or the store lists its owner no more.
+    pub(super) fn cares_for(&self, name: &str) -> bool {
+        if self.is_mesh() || self.watches(&self.me, name) {
+            return true;
+        }
+        let owner = self.pools[name].owner();
+        let peer = owner.and_then(|owner| self.peers.get(&owner.name));
+        !peer.is_some_and(|peer| peer.listed || peer.linked)
+    }
+
+    /// Whether an instance of this failure domain watches a pool of it.
+    pub(super) fn watches(&self, node: &Node, name: &str) -> bool {
+        let watched = nearest(&node.name, self.pools.keys(), HOME_POOLS);
+        watched.contains(&name)
+    }
+
+    /// Peers by which this instance judges whether it is cut off.
+    pub(super) fn judges(&self) -> Vec<&Peer> {
+        let wanted = self.wanted();
+        let peers = wanted.iter().filter_map(|node| self.peers.get(&node.name));
+        peers.collect()
+    }
+}
+
+/// The few pools that an instance's name is nearest to.
+fn nearest<'a>(
+    instance: &str,
+    pools: impl Iterator<Item = &'a String>,
+    count: usize,
+) -> Vec<&'a str> {
+    let seed = xxh3_64(instance.as_bytes());
+    let mut near: Vec<(u64, &str)> = pools
+        .map(|name| (xxh3_64_with_seed(name.as_bytes(), seed), name.as_str()))
+        .collect();
+    near.sort_unstable_by(|left, right| right.cmp(left));
+    near.into_iter().take(count).map(|(_, name)| name).collect()
+}
--- /dev/null
+++ b/crates/core/tests/dispatch_neighbours.rs
@@ -0,0 +1,137 @@
+//! Links and watched pools in deployments of many instances.
+
+use std::collections::BTreeMap;
+
+use trefoil_core::dispatch::ownership::{Command, Ownership};
+use trefoil_core::dispatch::pool;
+use trefoil_schema::dispatch::{Claim, Node};
+
+const DOMAINS: [&str; 3] = ["bergen-a", "bergen-b", "forde"];
+const POOLS: u32 = 17;
+
+fn node(number: usize) -> Node {
+    Node {
+        name: format!("entry-{number}"),
+        incarnation: number as u64,
+        failure_domain: DOMAINS[number % DOMAINS.len()].to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        weight_millicores: 250,
+    }
+}
+
+/// The owner of a pool: some instance of the failure domain.
+fn owner_of(domain: usize, index: u32) -> Node {
+    node(domain + DOMAINS.len() * index as usize)
+}
+
+fn claims() -> Vec<Claim> {
+    let claim = |domain: usize, index: u32| Claim {
+        pool: pool::name(DOMAINS[domain], index),
+        failure_domain: DOMAINS[domain].to_owned(),
+        term: 1,
+        owner: Some(owner_of(domain, index)),
+        workers: 60,
+    };
+    let domains = 0..DOMAINS.len();
+    domains
+        .flat_map(|domain| (0..POOLS).map(move |index| claim(domain, index)))
+        .collect()
+}
+
+/// An instance of a deployment of `count` that has read the store.
+fn instance(me: usize, count: usize, claims: &[Claim]) -> Ownership {
+    let mut ownership = Ownership::new(0, node(me));
+    ownership.set_pool_count(POOLS);
+    ownership.set_members(0, (0..count).map(node).collect());
+    for claim in claims {
+        ownership.stored_claim(0, claim.clone(), 1, &mut Vec::new());
+    }
+    ownership
+}
+
+fn names(nodes: &[&Node]) -> Vec<String> {
+    nodes.iter().map(|node| node.name.clone()).collect()
+}
+
+#[test]
+fn a_small_deployments_instances_all_link_with_each_other() {
+    let ownership = instance(7, 36, &[]);
+    assert_eq!(ownership.wanted().len(), 35);
+    assert!(ownership.is_settled());
+}
+
+#[test]
+fn links_of_an_owner_do_not_grow_with_the_deployment() {
+    for count in [300, 1200] {
+        let claims = claims();
+        let mut links: BTreeMap<String, usize> = BTreeMap::new();
+        for me in 0..count {
+            let ownership = instance(me, count, &claims);
+            let wanted = names(&ownership.wanted());
+            assert!((1..=6).contains(&wanted.len()), "{wanted:?}");
+            for name in wanted {
+                *links.entry(name).or_default() += 1;
+            }
+        }
+        let owners = DOMAINS.len() * POOLS as usize;
+        assert_eq!(links.len(), owners, "every owner has links");
+        let most = links.values().max().unwrap();
+        let mean = links.values().sum::<usize>() / owners;
+        assert!(*most < 2 * mean, "{most} against {mean}");
+    }
+}
+
+#[test]
+fn an_instance_is_settled_once_it_is_linked_with_the_owners_that_it_wants() {
+    let mut ownership = instance(200, 300, &claims());
+    assert!(!ownership.is_settled());
+    let wanted: Vec<Node> = ownership.wanted().into_iter().cloned().collect();
+    for node in &wanted {
+        ownership.linked(10, node);
+    }
+    assert!(ownership.is_settled());
+    ownership.unlinked(20, &wanted[0].name);
+    assert!(!ownership.is_settled());
+}
+
+/// Pools that an instance claims within four seconds, each claim refused.
+fn claimed(ownership: &mut Ownership) -> Vec<String> {
+    let mut pools = Vec::new();
+    for now_ms in (0..4000).step_by(25) {
+        let mut out = Vec::new();
+        ownership.tick(now_ms, &mut out);
+        for command in out {
+            if let Command::WriteClaim { claim, .. } = command {
+                let write = trefoil_core::dispatch::ownership::ClaimWrite::Conflict;
+                ownership.claim_written(now_ms, &claim, &write, &mut Vec::new());
+                pools.push(claim.pool);
+            }
+        }
+    }
+    pools.sort();
+    pools.dedup();
+    pools
+}
+
+#[test]
+fn pools_that_others_watch_are_left_to_them_while_their_owners_are_listed() {
+    let mut ownership = instance(200, 300, &claims());
+    // No link is up: the owners of the watched pools are taken for lost.
+    assert_eq!(claimed(&mut ownership).len(), 4);
+}
+
+#[test]
+fn a_pool_whose_owner_the_store_lists_no_more_is_claimed_by_whoever_is_left() {
+    let mut ownership = instance(200, 300, &claims());
+    let left = (0..300).filter(|number| *number != 2).map(node);
+    ownership.set_members(1, left.collect());
+    let orphan = pool::name("forde", 0);
+    assert_eq!(owner_of(2, 0), node(2));
+    assert!(claimed(&mut ownership).contains(&orphan));
+}
+
+#[test]
+fn who_knows_of_no_owner_asks_anybody() {
+    let ownership = instance(200, 300, &[]);
+    assert_eq!(ownership.wanted().len(), 48);
+}
--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -69,10 +69,12 @@
         let failed = result.is_err();
         health.note(&instance, "reads", result);
         health.failed = failed;
-        let period = match (failed, instance.owns(), instance.store_is_watched()) {
-            (true, ..) => RETRY,
-            (false, false, true) => WATCHED_PERIOD,
-            (false, ..) => OWNER_PERIOD,
+        let left_to_others =
+            !instance.owns() && instance.store_is_watched() && !instance.is_unsettled();
+        let period = match (failed, left_to_others) {
+            (true, _) => RETRY,
+            (false, true) => WATCHED_PERIOD,
+            (false, false) => OWNER_PERIOD,
         };
         tokio::select! {
             () = tokio::time::sleep(period) => {}
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -57,6 +57,10 @@
 /// [`DELEGATED_GAP_MS`]: trefoil_core::dispatch::limits::DELEGATED_GAP_MS
 const FROZEN_MS: u64 = 900;
 
+/// The store is read often for so long for the successor of an owner that was
+/// lost: a claim takes two seconds at the most.
+const UNSETTLED_MAX_MS: u64 = 5000;
+
 /// One instance; `E` reaches the platform.
 pub struct Instance<E> {
     /// What it runs with.
@@ -91,6 +95,8 @@
     /// When anything last happened here; ticks do all the while.
     active_ms: u64,
     store_read_ms: Option<u64>,
+    /// Since when a wanted owner has not been linked.
+    unsettled_since_ms: Option<u64>,
     /// Since when others have had newer declarations.
     behind_since_ms: Option<u64>,
     leaving: bool,
@@ -122,6 +128,7 @@
             ticked_ms: 0,
             active_ms: 0,
             store_read_ms: None,
+            unsettled_since_ms: None,
             behind_since_ms: None,
             leaving: false,
             home: settings.failure_domain.clone(),
@@ -287,6 +294,20 @@
         });
     }
 
+    /// Whether an owner that this instance wants a link with may have a
+    /// successor that only the store tells of; only for a while, since it may
+    /// have none.
+    pub fn is_unsettled(&self) -> bool {
+        let mut state = self.state.borrow_mut();
+        if state.ownership.is_settled() {
+            state.unsettled_since_ms = None;
+            return false;
+        }
+        let now_ms = self.now_ms();
+        let since_ms = *state.unsettled_since_ms.get_or_insert(now_ms);
+        now_ms < since_ms + UNSETTLED_MAX_MS
+    }
+
     /// Whether some owner read the store in the last second, so that this
     /// instance can leave that to it.
     pub fn store_is_watched(&self) -> bool {
--- a/crates/instance/src/instance/beats.rs
+++ b/crates/instance/src/instance/beats.rs
@@ -44,6 +44,7 @@
     pub(super) fn beat(self: &Rc<Self>) {
         self.change(|state, now_ms, effects| {
             self.close_silent(state, now_ms, effects);
+            self.close_unwanted(state, now_ms, effects);
             let idle_round = !state.ticks.is_multiple_of(BEAT_IDLE_MS / TICK_MS);
             let own = !state.owners.is_empty();
             let beat = self.beat_now(state, now_ms);
--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -1,15 +1,15 @@
 //! Links to other instances: dials, losses.
 //!
-//! Every two instances have a link. The one that starts dials all others; of
-//! two that know of each other, the one with the smaller name dials again, and
-//! the other one more rarely.
+//! In a small deployment every two instances have a link. The one that starts
+//! dials all others; of two that know of each other, the one with the smaller
+//! name dials again, and the other one more rarely. In a larger one each dials
+//! those that it wants a link with, and closes links that it no longer wants.
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinHandle;
 use trefoil_core::dispatch::limits::LINK_SILENT_MS;
 use trefoil_schema::dispatch::frame::Body;
 use trefoil_schema::dispatch::{Frame, Hello};
@@ -25,9 +25,23 @@
 /// So long after its start an instance dials all others that it learns of.
 const DIAL_ALL_MS: u64 = 2000;
 
+/// A link that this instance dialed is closed when it has not been wanted for
+/// so long: pools change their owners for a moment and change back.
+const UNWANTED_MS: u64 = 5000;
+
+/// Which side opened a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Side {
+    Dialed,
+    Accepted,
+}
+
 /// One open link.
 pub(crate) struct Link {
     pub(super) peer: Node,
+    side: Side,
+    /// When this instance last wanted it.
+    wanted_ms: u64,
     pub(super) sender: LinkSender,
     pub(super) heard_ms: u64,
     /// When the peer was last asked for its declarations.
@@ -81,7 +95,7 @@
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    tokio::task::spawn_local(Rc::clone(&self).serve_link(stream));
+                    tokio::task::spawn_local(Rc::clone(&self).serve_link(stream, Side::Accepted));
                 }
                 Err(error) => warn!(self.log, "cannot accept a link"; "error" => %error),
             }
@@ -96,7 +110,7 @@
                 let instance = Rc::clone(self);
                 tokio::task::spawn_local(async move {
                     if let Ok(stream) = links::dial(seed).await {
-                        instance.serve_link(stream).await;
+                        instance.serve_link(stream, Side::Dialed).await;
                     }
                 });
             }
@@ -104,14 +118,14 @@
     }
 
     /// Opens a link; both sides say who they are first.
-    async fn serve_link(self: Rc<Self>, stream: TcpStream) {
+    async fn serve_link(self: Rc<Self>, stream: TcpStream, side: Side) {
         let opened = match links::open(stream) {
             Ok(opened) => opened,
             Err(error) => return warn!(self.log, "cannot open a link"; "error" => %error),
         };
         let hello = Body::Hello(Hello {
             node: Some(self.me.clone()),
-            known: self.state.borrow().ownership.peers().cloned().collect(),
+            known: self.state.borrow().ownership.introduced(),
         });
         opened.sender.send(encode(hello));
         let mut reader = opened.reader;
@@ -140,28 +154,32 @@
                 state.ownership.know(now_ms, node);
             }
         });
-        self.link_up(id, node, opened.sender, vec![reading, opened.writer]);
+        let tasks = LinkGuard::new(vec![reading, opened.writer]);
+        self.link_up(id, node, side, opened.sender, tasks);
     }
 
     fn link_up(
         self: &Rc<Self>,
         id: u64,
         node: Node,
+        side: Side,
         sender: LinkSender,
-        tasks: Vec<JoinHandle<()>>,
+        guard: LinkGuard,
     ) {
         info!(self.log, "link up"; "peer" => &node.name, "incarnation" => node.incarnation);
         self.change(|state, now_ms, _| {
             state.ownership.linked(now_ms, &node);
             let link = Link {
                 peer: node,
+                side,
+                wanted_ms: now_ms,
                 sender,
                 heard_ms: now_ms,
                 asked_ms: None,
                 store_fresh_ms: None,
                 owns: false,
                 peer_sent_ms: 0,
-                _guard: LinkGuard::new(tasks),
+                _guard: guard,
             };
             state.peers.links.insert(id, link);
         });
@@ -215,6 +233,33 @@
         }
     }
 
+    /// Closes links that this instance dialed and has not wanted for a while.
+    pub(super) fn close_unwanted(&self, state: &mut State, now_ms: u64, effects: &mut Effects) {
+        let State {
+            ownership, peers, ..
+        } = state;
+        if !ownership.is_mesh() {
+            let wanted: HashSet<&str> = ownership
+                .wanted()
+                .into_iter()
+                .map(|node| node.name.as_str())
+                .collect();
+            for link in peers.links.values_mut() {
+                if wanted.contains(link.peer.name.as_str()) {
+                    link.wanted_ms = now_ms;
+                }
+            }
+            let unwanted =
+                |link: &Link| link.side == Side::Dialed && now_ms >= link.wanted_ms + UNWANTED_MS;
+            let links = peers.links.iter();
+            let unwanted = links.filter(|(_, link)| unwanted(link));
+            let ids: Vec<u64> = unwanted.map(|(&id, _)| id).collect();
+            for id in ids {
+                self.link_down(state, id, now_ms, effects);
+            }
+        }
+    }
+
     pub(super) fn dial_missing(self: &Rc<Self>) {
         let now_ms = self.now_ms();
         let alone = {
@@ -228,11 +273,13 @@
         let State {
             ownership, peers, ..
         } = &mut *state;
-        for node in ownership.peers() {
+        let is_mesh = ownership.is_mesh();
+        for node in ownership.wanted() {
             let name = node.name.as_str();
             let dialed_ms = peers.dialed_ms.get(name);
             let due = dialed_ms.is_none_or(|at_ms| at_ms + REDIAL_MS <= now_ms);
-            let mine = now_ms < DIAL_ALL_MS
+            let mine = !is_mesh
+                || now_ms < DIAL_ALL_MS
                 || *self.me.name < *name
                 || dialed_ms.is_none_or(|at_ms| at_ms + REDIAL_OTHER_MS <= now_ms);
             let missing = peers.link_to(name).is_none() && !peers.dialing.contains(name);
@@ -249,7 +296,7 @@
 
     async fn dial_peer(self: Rc<Self>, name: String, address: SocketAddr) {
         if let Ok(stream) = links::dial(address).await {
-            Rc::clone(&self).serve_link(stream).await;
+            Rc::clone(&self).serve_link(stream, Side::Dialed).await;
         }
         self.state.borrow_mut().peers.dialing.remove(&name);
     }
