--- a/crates/core/src/dispatch/limits.rs
+++ b/crates/core/src/dispatch/limits.rs
@@ -16,8 +16,10 @@
 /// fit into a lease.
 pub const HOLD_WAIT_MS: u64 = 400;
 /// Longest wait for a worker's answer, beyond the wait asked for. Sound
-/// workers answer in a few milliseconds; a late answer costs one more call.
-pub const ANSWER_MS: u64 = 200;
+/// workers answer in a few milliseconds; a late answer costs one more call. It
+/// outlasts the pause of an instance that has used up its share of a tenth of
+/// a second.
+pub const ANSWER_MS: u64 = 100;
 /// Pause before a worker that did not answer is called again.
 pub const RETRY_MS: u64 = 100;
 /// The same, for a worker on which nothing can run any more.
