--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -318,11 +318,13 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in ids {
-            self.give_up(&id, out);
+            self.give_up(&id, "its time is over", out);
         }
     }
 
-    fn give_up(&mut self, id: &str, out: &mut Vec<Command>) {
+    /// Answers a job that does not end in time; `reason` is why, where an owner
+    /// has it.
+    fn give_up(&mut self, id: &str, reason: &'static str, out: &mut Vec<Command>) {
         let job = &self.jobs[id];
         let answer = match &job.place {
             Place::Waiting if !job.may_have_run => Answer::NotRun {
@@ -332,9 +334,7 @@
             Place::Waiting => Answer::MayHaveRun {
                 reason: "the owner of its workers was lost",
             },
-            Place::Delegated(_) => Answer::MayHaveRun {
-                reason: "its time is over",
-            },
+            Place::Delegated(_) => Answer::MayHaveRun { reason },
         };
         if let Place::Delegated(to) = job.place.clone() {
             let job_id = id.to_owned();
@@ -347,7 +347,7 @@
     pub fn close(&mut self, out: &mut Vec<Command>) {
         let ids: Vec<String> = self.jobs.keys().cloned().collect();
         for id in ids {
-            self.give_up(&id, out);
+            self.give_up(&id, "the instance ends", out);
         }
     }
 
