--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -111,7 +111,7 @@
             name: settings.instance.clone(),
             incarnation: unix_ms(),
             failure_domain: settings.failure_domain.clone(),
-            address: settings.links_address.to_string(),
+            address: settings.links_advertised_address().to_string(),
             weight_millicores: settings.weight_millicores(),
         };
         let state = State {
--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -106,7 +106,7 @@
     pub fn dial_seeds(self: &Rc<Self>) {
         self.state.borrow_mut().peers.seeds_dialed_ms = self.now_ms();
         for &seed in &self.settings.seeds {
-            if seed != self.settings.links_address {
+            if seed != self.settings.links_advertised_address() {
                 let instance = Rc::clone(self);
                 tokio::task::spawn_local(async move {
                     if let Ok(stream) = links::dial(seed).await {
--- a/crates/instance/src/settings.rs
+++ b/crates/instance/src/settings.rs
@@ -21,6 +21,9 @@
     pub ready_address: SocketAddr,
     /// Where other instances connect.
     pub links_address: SocketAddr,
+    /// Where other instances are told to connect, if that is another address.
+    #[serde(default)]
+    pub links_advertised_address: Option<SocketAddr>,
     /// Where metrics are served; none serves none.
     #[serde(default)]
     pub metrics_address: Option<SocketAddr>,
@@ -40,6 +43,11 @@
 }
 
 impl InstanceSettings {
+    /// The address that other instances are told.
+    pub fn links_advertised_address(&self) -> SocketAddr {
+        self.links_advertised_address.unwrap_or(self.links_address)
+    }
+
     /// Processor that the instance may use, thousandths of a core.
     pub fn weight_millicores(&self) -> u64 {
         (self.cpu_share * self.cores * 1000.0) as u64
