feeds: few instances count the workers at first, and registrations back off

Ruled out: claims (done in 1.3 s once laid out) and links. Now the first two instances of a failure domain count, further pairs 2 s later each, and a refused registration waits longer, for a time of its own.

--- a/crates/core/src/dispatch/limits.rs
+++ b/crates/core/src/dispatch/limits.rs
@@ -55,6 +55,9 @@
 /// An instance lays out a failure domain's pools only when it has been up for
 /// so long: until then workers may still be registering.
 pub const POOLS_SETTLE_MS: u64 = 2000;
+/// Each further pair of instances of a failure domain waits so much longer:
+/// each counts the workers, which takes a reading of the whole registry.
+pub const POOLS_STAGGER_MS: u64 = 2000;
 /// An owner yields a pool to an instance that is this much stronger for it.
 pub const YIELD_FACTOR: f64 = 1.9;
 /// An instance must have been linked for so long before a pool is yielded to it.
--- a/crates/core/src/dispatch/ownership.rs
+++ b/crates/core/src/dispatch/ownership.rs
@@ -151,9 +151,16 @@
         self.peers.values().map(|peer| &peer.node)
     }
 
-    /// Whether the number of the failure domain's pools is known.
-    pub fn is_laid_out(&self) -> bool {
-        !self.pools.is_empty()
+    /// Instances of the failure domain, as the store lists them, whose names
+    /// come before this one's.
+    pub fn listed_before(&self) -> usize {
+        let peers = self.peers.values();
+        let before = peers.filter(|peer| {
+            peer.listed
+                && peer.node.failure_domain == self.me.failure_domain
+                && peer.node.name < self.me.name
+        });
+        before.count()
     }
 
     /// Takes in the number of the failure domain's pools.
--- a/crates/core/tests/dispatch_neighbours.rs
+++ b/crates/core/tests/dispatch_neighbours.rs
@@ -12,7 +12,7 @@
 fn node(number: usize) -> Node {
     Node {
         name: format!("entry-{number}"),
-        incarnation: number as u64,
+        incarnation: 1 + number as u64,
         failure_domain: DOMAINS[number % DOMAINS.len()].to_owned(),
         address: "127.0.0.1:1".to_owned(),
         weight_millicores: 250,
@@ -135,3 +135,11 @@
     let ownership = instance(200, 300, &[]);
     assert_eq!(ownership.wanted().len(), 48);
 }
+
+#[test]
+fn few_instances_come_before_the_others_of_their_failure_domain() {
+    // Only those count the workers at first, when everything starts together.
+    let ranks = (0..300).map(|me| instance(me, 300, &[]).listed_before());
+    let first = ranks.filter(|rank| *rank < 2).count();
+    assert_eq!(first, 2 * DOMAINS.len());
+}
--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use slog::{info, warn};
-use trefoil_core::dispatch::limits::POOLS_SETTLE_MS;
 use trefoil_core::dispatch::pool;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::edge::{Store, StoreError, Workers};
 use crate::instance::Instance;
@@ -25,6 +25,10 @@
 /// Period of renewing the registration; a third of its life.
 const REGISTER_PERIOD: Duration = Duration::from_millis(1500);
 
+/// Longest pause after a registration that failed, as doublings of [`RETRY`]: a
+/// second, a fifth of the registration's life.
+const REGISTER_DOUBLINGS_MAX: u32 = 2;
+
 /// The number of registered workers has settled when it has grown by no more
 /// than this ...
 const SETTLED_GROWTH_PERCENT: usize = 5;
@@ -96,7 +100,7 @@
     };
     let deployment = async {
         instance.deployment_read(instance.edge.deployment().await?);
-        if !instance.is_laid_out() && instance.now_ms() >= POOLS_SETTLE_MS {
+        if instance.may_lay_out() {
             lay_out(instance, registered).await?;
         }
         Ok(())
@@ -149,15 +153,29 @@
 
 async fn register_forever<E: Store + Workers + 'static>(instance: Rc<Instance<E>>) {
     let mut health = Health::default();
+    let mut failures = 0;
     loop {
         let result = instance.edge.register(&instance.me).await;
         let failed = result.is_err();
         health.note(&instance, "registration", result);
         health.failed = failed;
-        let period = if failed { RETRY } else { REGISTER_PERIOD };
+        failures = if failed { failures + 1 } else { 0 };
+        let period = match failures {
+            0 => REGISTER_PERIOD,
+            _ => backoff(&instance.me.name, failures),
+        };
         tokio::time::sleep(period).await;
         if instance.is_leaving() {
             return;
         }
     }
 }
+
+/// Pause after a registration that failed so many times: all instances of a
+/// large deployment that start together make more writes than the store takes
+/// in a second, so each waits longer and for a time of its own.
+fn backoff(name: &str, failures: u32) -> Duration {
+    let longest = RETRY * 2_u32.pow(failures.min(REGISTER_DOUBLINGS_MAX));
+    let draw = xxh3_64_with_seed(name.as_bytes(), u64::from(failures)) >> 11;
+    longest.mul_f64((1.0 + draw as f64 / (1_u64 << 53) as f64) / 2.0)
+}
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -31,7 +31,7 @@
 use trefoil_core::dispatch::entry::{self, Answer, Entry, Owned, Ticket};
 use trefoil_core::dispatch::fence::Fence;
 use trefoil_core::dispatch::job::Origin;
-use trefoil_core::dispatch::limits::BEAT_MS;
+use trefoil_core::dispatch::limits::{BEAT_MS, POOLS_SETTLE_MS, POOLS_STAGGER_MS};
 use trefoil_core::dispatch::owner::{self, Owner};
 use trefoil_core::dispatch::ownership::{self, Ownership};
 use trefoil_core::dispatch::pool;
@@ -264,9 +264,13 @@
         !self.state.borrow().owners.is_empty()
     }
 
-    /// Whether the pools of its failure domain are laid out.
-    pub fn is_laid_out(&self) -> bool {
-        self.state.borrow().pool_count > 0
+    /// Whether it is this instance's turn to lay out the pools of its failure
+    /// domain.
+    pub fn may_lay_out(&self) -> bool {
+        let state = self.state.borrow();
+        let pairs_before = state.ownership.listed_before() as u64 / 2;
+        let turn_ms = POOLS_SETTLE_MS + pairs_before * POOLS_STAGGER_MS;
+        state.pool_count == 0 && self.now_ms() >= turn_ms
     }
 
     /// Takes in the store's instances and claims.
