--- a/crates/core/src/dispatch/order.rs
+++ b/crates/core/src/dispatch/order.rs
@@ -60,7 +60,7 @@
     /// End of the lease by the worker's clock; none renews nothing.
     pub deadline_ms: Option<u64>,
     /// Number of the last end that was taken in.
-    pub seen_upto: u64,
+    pub ends_upto: u64,
     /// How long the answer may wait for something to end.
     pub wait_ms: u64,
 }
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -8,6 +8,7 @@
 //! * [`place`]: which task starts where.
 //! * [`answers`]: what became of starts and stops.
 //! * [`holds`]: leases, ends, and the fate of orders without an answer.
+//! * [`overdue`]: runs that take longer than they should.
 //! * [`adopt`]: what an earlier owner left behind.
 //! * [`ends`]: what an end means for its task and job.
 
@@ -18,6 +19,7 @@
 mod figures;
 mod holds;
 mod note;
+mod overdue;
 mod place;
 mod queue;
 mod run_times;
--- a/crates/core/src/dispatch/owner/ends.rs
+++ b/crates/core/src/dispatch/owner/ends.rs
@@ -15,10 +15,10 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        if end.number <= worker.seen_upto {
+        if end.number <= worker.ends_upto {
             return;
         }
-        worker.seen_upto = end.number;
+        worker.ends_upto = end.number;
         worker.ended_ms = now_ms;
         let Some(position) = worker.position(&end.task, end.run_id) else {
             return self.take_orphan_end(now_ms, end, out);
--- a/crates/core/src/dispatch/owner/holds.rs
+++ b/crates/core/src/dispatch/owner/holds.rs
@@ -8,16 +8,9 @@
 
 use super::super::limits::{ACK_IDLE_MS, ADOPT_MS, HOLD_WAIT_MS, LEASE_MAX_MS, PROBE_MS, RETRY_MS};
 use super::super::order::{HoldOutcome, ListedRun};
-use super::super::worker::{OpenHold, Patience, Run};
+use super::super::worker::{OpenHold, Run};
 use super::*;
 
-/// A stop whose end is not listed by then is ordered again: the contract
-/// grants a stop 50, and an answer takes a few.
-const STOP_AGAIN_MS: u64 = 150;
-/// What a worker said of its runs holds for so long when one is about to be
-/// taken for stalled; it is asked again otherwise.
-const HEARD_FRESH_MS: u64 = 60;
-
 impl Owner {
     /// Sends a hold where one is due, and lets go of workers that have left.
     pub(super) fn hold_if_due(&mut self, now_ms: u64, key: WorkerKey, out: &mut Vec<Command>) {
@@ -26,7 +19,7 @@
         }
         let overdue_ms = self.overdue_on(now_ms, key);
         let worker = &mut self.workers[key];
-        let unacked = worker.acked_upto < worker.seen_upto;
+        let unacked = worker.acked_upto < worker.ends_upto;
         if worker.has_left(now_ms) && worker.runs.is_empty() && !unacked {
             let id = worker.record.id.clone();
             self.workers.remove(key);
@@ -54,13 +47,13 @@
         };
         worker.hold = Some(OpenHold {
             fence: worker.fence,
-            seen_upto: worker.seen_upto,
+            ends_upto: worker.ends_upto,
             sent_ms: now_ms,
         });
         out.push(Command::Hold(HoldOrder {
             target: target_of(key, worker),
             deadline_ms,
-            seen_upto: worker.seen_upto,
+            ends_upto: worker.ends_upto,
             wait_ms,
         }));
     }
@@ -108,7 +101,7 @@
                 }
                 worker.silent = false;
                 worker.heard_ms = now_ms;
-                worker.acked_upto = worker.acked_upto.max(hold.seen_upto);
+                worker.acked_upto = worker.acked_upto.max(hold.ends_upto);
                 for end in ended {
                     self.take_end(now_ms, key, &end, out);
                 }
@@ -271,56 +264,4 @@
             self.requeue(now_ms, &run.owner, 0);
         }
     }
-
-    fn stop_overdue(&mut self, now_ms: u64, key: WorkerKey, out: &mut Vec<Command>) {
-        let worker = &mut self.workers[key];
-        if worker.standing != Standing::Fenced {
-            return;
-        }
-        let target = target_of(key, worker);
-        let heard_ms = worker.heard_ms;
-        let mut stalled = Vec::new();
-        let mut unheard = false;
-        for run in &mut worker.runs {
-            let overdue = match (run.state, run.owner) {
-                (RunState::Starting(_), _) => false,
-                (RunState::Stopping { ordered_ms }, _) => now_ms >= ordered_ms + STOP_AGAIN_MS,
-                (RunState::Running, RunOwner::Nobody { stop_at_ms }) => now_ms >= stop_at_ms,
-                (RunState::Running, RunOwner::Task(job, index)) => {
-                    let Patience { check_ms, stall_ms } = run.patience;
-                    let late = now_ms >= run.ordered_ms + stall_ms;
-                    // It may have ended, and the answer that told it was lost.
-                    let fresh = now_ms < heard_ms + HEARD_FRESH_MS;
-                    let check_at_ms = run.ordered_ms + check_ms;
-                    unheard |= match late {
-                        true => !fresh,
-                        false => now_ms >= check_at_ms && heard_ms < check_at_ms,
-                    };
-                    if late && fresh {
-                        stalled.push((job, index));
-                    }
-                    late && fresh
-                }
-            };
-            if overdue {
-                let mut note = Note::job("run is overdue", &run.task);
-                note.detail = format!("{:?} expected_ms {}", run.state, run.expected_ms);
-                note.worker = worker.record.id.to_string();
-                out.push(Command::Note(note));
-                stop_run(now_ms, run, target.clone(), out);
-            }
-        }
-        if !stalled.is_empty() {
-            worker.trust.failed(now_ms);
-        }
-        if unheard {
-            // The next hold is answered at once, and takes the open one's place.
-            worker.raise();
-        }
-        for (job, index) in stalled {
-            if let Some(job) = self.jobs.get_mut(job) {
-                job.tasks[index].stalls += 1;
-            }
-        }
-    }
 }
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -139,7 +139,7 @@
     /// Fence that it went out with.
     pub fence: Fence,
     /// Last end that it acknowledges.
-    pub seen_upto: u64,
+    pub ends_upto: u64,
     /// When it was sent.
     pub sent_ms: u64,
 }
@@ -169,7 +169,7 @@
     /// No call goes there before this instant.
     pub quiet_until_ms: u64,
     /// Number of the last end taken in.
-    pub seen_upto: u64,
+    pub ends_upto: u64,
     /// Number of the last end that an answered hold has acknowledged.
     pub acked_upto: u64,
     /// When the last end was taken in.
@@ -196,7 +196,7 @@
             heard_ms: 0,
             silent: false,
             quiet_until_ms: 0,
-            seen_upto: 0,
+            ends_upto: 0,
             acked_upto: 0,
             ended_ms: 0,
             clock: None,
--- a/crates/core/tests/dispatch_support/mod.rs
+++ b/crates/core/tests/dispatch_support/mod.rs
@@ -208,7 +208,7 @@
         if let Some(deadline_ms) = order.deadline_ms {
             self.extend(now_ms, deadline_ms);
         }
-        self.ended.retain(|end| end.number > order.seen_upto);
+        self.ended.retain(|end| end.number > order.ends_upto);
         HoldOutcome::Held {
             clock_ms: self.clock_ms(now_ms),
             running: self
