owner: the workers of a pool are told to those that may own it next

Now owners tell the workers of their pools to the instances of their failure domain, when they change and on each new link.

--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -11,6 +11,7 @@
 //! * [`peers`]: links to other instances.
 //! * [`frames`]: what goes over them.
 //! * [`beats`]: heartbeats to all of them.
+//! * [`workers`]: the workers of pools, from the registry and from their owners.
 //! * [`stop`]: the planned stop.
 
 mod beats;
@@ -19,6 +20,7 @@
 mod frames;
 mod peers;
 mod stop;
+mod workers;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -34,7 +36,6 @@
 use trefoil_core::dispatch::limits::{BEAT_MS, POOLS_SETTLE_MS, POOLS_STAGGER_MS};
 use trefoil_core::dispatch::owner::{self, Owner};
 use trefoil_core::dispatch::ownership::{self, Ownership};
-use trefoil_core::dispatch::pool;
 use trefoil_core::dispatch::worker::WorkerRecord;
 use trefoil_schema::dispatch::{Claim, Delegate, Job as JobSpec, Node, Outcome};
 
@@ -87,6 +88,8 @@
     peers: Peers,
     declarations: Option<Rc<RouteTable>>,
     worker_records: Vec<WorkerRecord>,
+    /// Workers of the failure domain's pools, as their owners last told.
+    pool_workers: HashMap<String, Vec<WorkerRecord>>,
     pool_count: u32,
     waiters: HashMap<Ticket, oneshot::Sender<Answer>>,
     next_ticket: Ticket,
@@ -121,6 +124,7 @@
             peers: Peers::default(),
             declarations: None,
             worker_records: Vec::new(),
+            pool_workers: HashMap::new(),
             pool_count: 0,
             waiters: HashMap::new(),
             next_ticket: 0,
@@ -377,28 +381,6 @@
         });
         taken.is_some()
     }
-
-    /// Gives each owner here the workers of its pool.
-    fn deal_workers(&mut self, now_ms: u64, effects: &mut Effects) {
-        let count = self.pool_count;
-        let mut dealt: HashMap<u32, Vec<WorkerRecord>> = HashMap::new();
-        for record in &self.worker_records {
-            let index = pool::index_of(&record.id, count);
-            dealt.entry(index).or_default().push(record.clone());
-        }
-        let domain = self.home.clone();
-        for index in 0..count {
-            let records = dealt.remove(&index).unwrap_or_default();
-            let pool = pool::name(&domain, index);
-            let listed = self.with_owner(&pool, effects, |owner, out| {
-                owner.set_workers(now_ms, records, out);
-                owner.workers_listed()
-            });
-            if let Some(listed) = listed {
-                self.ownership.set_workers(now_ms, &pool, listed as u64);
-            }
-        }
-    }
 }
 
 /// Tells the entry when its caller's request is over.
--- a/crates/instance/src/instance/effects.rs
+++ b/crates/instance/src/instance/effects.rs
@@ -150,8 +150,10 @@
         let owner = Owner::new(&claim.pool, fence, unix_ms(), expected);
         let mut state = self.state.borrow_mut();
         state.owners.insert(claim.pool.clone(), owner);
-        if !state.worker_records.is_empty() {
-            state.deal_workers(self.now_ms(), effects);
+        let now_ms = self.now_ms();
+        match state.worker_records.is_empty() {
+            true => state.give_told_workers(&claim.pool, now_ms, effects),
+            false => state.deal_workers(now_ms, effects),
         }
         drop(state);
         self.store_poke.notify_waiters();
--- a/crates/instance/src/instance/frames.rs
+++ b/crates/instance/src/instance/frames.rs
@@ -49,6 +49,7 @@
                 Body::ConfigRequest(request) => {
                     self.send_declarations(state, id, request.version);
                 }
+                Body::PoolWorkers(told) => state.take_workers(told),
                 Body::Config(_) | Body::Hello(_) => {}
             }
         });
--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -186,6 +186,7 @@
         let state = self.state.borrow();
         if let Some(link) = state.peers.links.get(&id) {
             link.beat(&self.beat_now(&state, self.now_ms()));
+            state.tell_all_workers(link);
         }
     }
 
