--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -1,12 +1,13 @@
 //! Dispatch onto fenced workers: who owns a worker, and what runs on it.
 //!
 //! Each failure domain's workers are laid out in *pools* ([`pool`]). A pool has
-//! one *owner*, the only instance that orders its workers. Callers reach any instance; as an *entry* it delegates whole
-//! jobs to an owner and carries the answers. What makes this safe is not that
-//! owners agree but that a worker obeys only the highest fence it has seen:
+//! one *owner*, the only instance that orders its workers. Callers reach any
+//! instance; as an *entry* it delegates whole jobs to an owner and carries the
+//! answers. What makes this safe is not that owners agree but that a worker
+//! obeys only the highest fence it has seen:
 //!
 //! * [`fence`]: fencing tokens, ordered by term of ownership, then by a counter.
-//! * [`ownership`]: claims on pools, and when to make one.
+//! * [`ownership`]: claims on pools, when to make one, and whom to link with.
 //! * [`entry`]: callers' jobs, delegated and delegated anew.
 //! * [`owner`]: jobs, tasks and workers of one owner.
 //! * [`worker`]: what an owner knows of one worker.
--- a/crates/core/src/dispatch/ownership.rs
+++ b/crates/core/src/dispatch/ownership.rs
@@ -416,7 +416,7 @@
             if pool.owns {
                 self.rewrite(now_ms, name, out);
                 self.consider_yielding(now_ms, name);
-            } else if self.cares_for(name) && self.is_due(now_ms, name) {
+            } else if self.is_responsible_for(name) && self.is_due(now_ms, name) {
                 return self.claim(now_ms, name, out);
             }
         }
--- a/crates/core/src/dispatch/ownership/candidates.rs
+++ b/crates/core/src/dispatch/ownership/candidates.rs
@@ -116,10 +116,10 @@
 
     /// Whether most of the instances known, or of the failure domain's, are linked.
     pub(super) fn reaches_most(&self) -> bool {
-        let judges = self.judges();
+        let wanted = self.wanted_peers();
         let most = |own: bool| {
             let domain = &self.me.failure_domain;
-            let peers = judges.iter();
+            let peers = wanted.iter();
             let peers = peers.filter(|peer| !own || peer.node.failure_domain == *domain);
             let (all, linked) = peers.fold((1, 1), |(all, linked), peer| {
                 (all + 1, linked + usize::from(peer.linked))
--- a/crates/core/src/dispatch/ownership/neighbours.rs
+++ b/crates/core/src/dispatch/ownership/neighbours.rs
@@ -83,7 +83,7 @@
 
     /// Whether this instance sees to it that a pool has an owner: it watches
     /// the pool, or the store lists its owner no more.
-    pub(super) fn cares_for(&self, name: &str) -> bool {
+    pub(super) fn is_responsible_for(&self, name: &str) -> bool {
         if self.is_mesh() || self.watches(&self.me, name) {
             return true;
         }
@@ -98,8 +98,8 @@
         watched.contains(&name)
     }
 
-    /// Peers by which this instance judges whether it is cut off.
-    pub(super) fn judges(&self) -> Vec<&Peer> {
+    /// Peers by which this instance wanted_peers whether it is cut off.
+    pub(super) fn wanted_peers(&self) -> Vec<&Peer> {
         let wanted = self.wanted();
         let peers = wanted.iter().filter_map(|node| self.peers.get(&node.name));
         peers.collect()
