--- a/crates/core/src/dispatch/ownership/neighbours.rs
+++ b/crates/core/src/dispatch/ownership/neighbours.rs
@@ -98,7 +98,7 @@
         watched.contains(&name)
     }
 
-    /// Peers by which this instance wanted_peers whether it is cut off.
+    /// Peers by which this instance judges whether it is cut off.
     pub(super) fn wanted_peers(&self) -> Vec<&Peer> {
         let wanted = self.wanted();
         let peers = wanted.iter().filter_map(|node| self.peers.get(&node.name));
