--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -12,6 +12,7 @@
 use trefoil_schema::dispatch::{Job as JobSpec, Load, Outcome};
 
 use super::limits::{DELEGATED_GAP_MS, RETRY_AFTER_MS, UNPLACED_MAX_MS};
+use super::owner::Ending;
 
 use choice::{choose, width_of, work_of};
 
@@ -183,14 +184,9 @@
     }
 
     /// Takes in how an owner says that a job ended.
-    pub fn ended(
-        &mut self,
-        now_ms: u64,
-        from: &Owned,
-        id: &str,
-        outcome: Outcome,
-        out: &mut Vec<Command>,
-    ) {
+    pub fn ended(&mut self, now_ms: u64, from: &Owned, ending: &Ending, out: &mut Vec<Command>) {
+        let id = ending.job_id.as_str();
+        let outcome = ending.outcome;
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -205,7 +201,7 @@
                 let answer = match job.may_have_run {
                     true => Answer::MayHaveRun { reason },
                     false => Answer::NotRun {
-                        retry_after_ms: RETRY_AFTER_MS,
+                        retry_after_ms: ending.retry_after_ms.max(RETRY_AFTER_MS),
                         reason,
                     },
                 };
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -23,6 +23,7 @@
 mod place;
 mod queue;
 mod run_times;
+mod settings;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
@@ -37,9 +38,10 @@
     EndKind, HoldOrder, JobKey, OrderOutcome, Rejection, StartOrder, StopOrder, Target, WorkerKey,
 };
 use super::worker::{RunOwner, RunState, Standing, Worker, WorkerRecord};
-pub use command::{Answered, Command};
+pub use command::{Answered, Command, Ending};
 pub use figures::Sizes;
 pub use note::Note;
+pub use settings::Settings;
 
 /// Added to run numbers when a worker knows a later run: an earlier owner's
 /// clock was ahead. Covers half a minute.
@@ -69,6 +71,7 @@
     /// Workers that the pool had when its registry was last whole.
     workers_expected: usize,
     released: bool,
+    settings: Settings,
 }
 
 impl Owner {
@@ -92,9 +95,17 @@
             run_seed,
             workers_expected,
             released: false,
+            settings: Settings::default(),
         }
     }
 
+    /// The same owner with other settings.
+    #[must_use]
+    pub fn with_settings(mut self, settings: Settings) -> Self {
+        self.settings = settings;
+        self
+    }
+
     /// The pool whose workers it owns.
     pub fn pool(&self) -> &str {
         &self.pool
@@ -371,10 +382,14 @@
         reason: &'static str,
         out: &mut Vec<Command>,
     ) {
-        out.push(Command::Ended {
-            origin,
+        let ending = Ending {
             job_id,
             outcome,
+            retry_after_ms: 0,
+        };
+        out.push(Command::Ended {
+            origin,
+            ending,
             reason,
         });
     }
--- a/crates/core/src/dispatch/owner/command.rs
+++ b/crates/core/src/dispatch/owner/command.rs
@@ -22,10 +22,8 @@
     Ended {
         /// Who delegated it.
         origin: Origin,
-        /// The job.
-        job_id: String,
         /// How it ended.
-        outcome: Outcome,
+        ending: Ending,
         /// Why, for people.
         reason: &'static str,
     },
@@ -35,6 +33,17 @@
     Note(Note),
 }
 
+/// How a job ended at its owner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ending {
+    /// The job.
+    pub job_id: String,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// When a job that was refused is worth sending again; 0 where unknown.
+    pub retry_after_ms: u64,
+}
+
 /// What became of a start or stop.
 #[derive(Clone, Debug)]
 pub struct Answered {
--- a/crates/core/tests/dispatch_entry.rs
+++ b/crates/core/tests/dispatch_entry.rs
@@ -5,6 +5,7 @@
 use dispatch_support::job;
 use trefoil_core::dispatch::entry::{Answer, Command, Entry, Owned};
 use trefoil_core::dispatch::limits::{DELEGATED_GAP_MS, UNPLACED_MAX_MS};
+use trefoil_core::dispatch::owner::Ending;
 use trefoil_schema::dispatch::{Load, Outcome};
 
 const FAR_MS: u64 = 1_000_000;
@@ -16,6 +17,14 @@
     }
 }
 
+fn ending(job_id: &str, outcome: Outcome) -> Ending {
+    Ending {
+        job_id: job_id.to_owned(),
+        outcome,
+        retry_after_ms: 0,
+    }
+}
+
 fn load(backlog_millicore_ms: u64) -> Load {
     let idle = backlog_millicore_ms == 0;
     Load {
@@ -111,7 +120,7 @@
         seen(&mut entry, 0, "forde/0", "a", 0);
         submit(&mut entry, 1, 1, "x");
         let mut out = Vec::new();
-        entry.ended(2, &owned("forde/0", "a"), "x", outcome, &mut out);
+        entry.ended(2, &owned("forde/0", "a"), &ending("x", outcome), &mut out);
         entry.owner_lost(3, "a", &mut out);
         entry.tick(3 + UNPLACED_MAX_MS, &mut out);
         let (_, answer) = answers(&out)[0];
@@ -154,9 +163,9 @@
     submit(&mut entry, 1, 1, "x");
     let mut out = Vec::new();
     let other = owned("forde/0", "b");
-    entry.ended(2, &other, "x", Outcome::Completed, &mut out);
+    entry.ended(2, &other, &ending("x", Outcome::Completed), &mut out);
     assert!(out.is_empty());
     let owner = owned("forde/0", "a");
-    entry.ended(3, &owner, "x", Outcome::Completed, &mut out);
+    entry.ended(3, &owner, &ending("x", Outcome::Completed), &mut out);
     assert_eq!(answers(&out), [(1, Answer::Completed)]);
 }
--- a/crates/core/tests/dispatch_history.rs
+++ b/crates/core/tests/dispatch_history.rs
@@ -141,9 +141,9 @@
                 Command::Start(order) => self.send(owner, Order::Start(order))?,
                 Command::Stop(order) => self.send(owner, Order::Stop(order))?,
                 Command::Hold(order) => self.send(owner, Order::Hold(order))?,
-                Command::Ended {
-                    job_id, outcome, ..
-                } => self.ended(owner, &job_id, outcome),
+                Command::Ended { ending, .. } => {
+                    self.ended(owner, &ending.job_id, ending.outcome);
+                }
                 Command::Outranked | Command::Note(_) => {}
             }
         }
--- a/crates/core/tests/dispatch_support/orders.rs
+++ b/crates/core/tests/dispatch_support/orders.rs
@@ -68,9 +68,7 @@
 
 pub fn ended(commands: &[Command]) -> Vec<(String, Outcome)> {
     let ended = commands.iter().filter_map(|command| match command {
-        Command::Ended {
-            job_id, outcome, ..
-        } => Some((job_id.clone(), *outcome)),
+        Command::Ended { ending, .. } => Some((ending.job_id.clone(), ending.outcome)),
         _ => None,
     });
     ended.collect()
--- a/crates/instance/src/instance/effects.rs
+++ b/crates/instance/src/instance/effects.rs
@@ -93,23 +93,21 @@
             owner::Command::Hold(order) => self.send_hold(pool, order),
             owner::Command::Ended {
                 origin,
-                job_id,
-                outcome,
+                ending,
                 reason,
             } => {
-                info!(self.log, "job ended"; "job" => &job_id, "pool" => &pool,
-                    "outcome" => ?outcome, "reason" => reason);
+                info!(self.log, "job ended"; "job" => &ending.job_id, "pool" => &pool,
+                    "outcome" => ?ending.outcome, "reason" => reason,
+                    "retry_after_ms" => ending.retry_after_ms);
                 match origin {
                     Origin::Local => {
                         let owner = self.me.name.clone();
                         let from = Owned { pool, owner };
                         let out = &mut effects.entry;
                         let mut state = self.state.borrow_mut();
-                        state
-                            .entry
-                            .ended(self.now_ms(), &from, &job_id, outcome, out);
+                        state.entry.ended(self.now_ms(), &from, &ending, out);
                     }
-                    Origin::Link(link) => self.send_ended(link, pool, job_id, outcome, reason),
+                    Origin::Link(link) => self.send_ended(link, pool, ending, reason),
                 }
             }
             owner::Command::Outranked => {
--- a/crates/instance/src/instance/frames.rs
+++ b/crates/instance/src/instance/frames.rs
@@ -5,6 +5,8 @@
     Beat, Cancel, ConfigPush, ConfigRequest, Delegate, Ended, Frame, OwnedPool,
 };
 
+use trefoil_core::dispatch::owner::Ending;
+
 use super::peers::encode;
 use super::*;
 
@@ -38,13 +40,15 @@
                     });
                 }
                 Body::Ended(ended) => {
-                    let outcome = outcome_of(ended.outcome);
+                    let ending = Ending {
+                        job_id: ended.job_id,
+                        outcome: outcome_of(ended.outcome),
+                        retry_after_ms: ended.retry_after_ms,
+                    };
                     let pool = ended.pool;
                     let from = Owned { pool, owner: name };
                     let out = &mut effects.entry;
-                    state
-                        .entry
-                        .ended(now_ms, &from, &ended.job_id, outcome, out);
+                    state.entry.ended(now_ms, &from, &ending, out);
                 }
                 Body::ConfigRequest(request) => {
                     self.send_declarations(state, id, request.version);
@@ -67,10 +71,14 @@
         let pool = delegate.pool.clone();
         let origin = Origin::Link(id);
         if !state.delegate(origin, delegate, now_ms, effects) {
-            let ended = owner::Command::Ended {
-                origin,
+            let ending = Ending {
                 job_id: job_id.unwrap_or_default(),
                 outcome: Outcome::Returned,
+                retry_after_ms: 0,
+            };
+            let ended = owner::Command::Ended {
+                origin,
+                ending,
                 reason: "this instance does not own the pool",
             };
             effects.owner.push((pool, ended));
@@ -211,22 +219,16 @@
         }
     }
 
-    pub(super) fn send_ended(
-        &self,
-        link: u64,
-        pool: String,
-        job_id: String,
-        outcome: Outcome,
-        reason: &str,
-    ) {
+    pub(super) fn send_ended(&self, link: u64, pool: String, ending: Ending, reason: &str) {
         let state = self.state.borrow();
         if let Some(link) = state.peers.links.get(&link) {
             // A link that is down takes its jobs back anyway.
             link.sender.send(encode(Body::Ended(Ended {
-                job_id,
-                outcome: outcome.into(),
+                job_id: ending.job_id,
+                outcome: ending.outcome.into(),
                 reason: reason.to_owned(),
                 pool,
+                retry_after_ms: ending.retry_after_ms,
             })));
         }
     }
