owner: jobs are judged when they come and refused at once; shares, priority, begun jobs first

Cause: an owner queued without limit and refused a job only when it was hopeless, about when its caller left; by latest start alone, above the room, every job was tried just before it was of no use, tasks of many jobs were interleaved, and a class with short tasks fared worst. Failures of hopeless jobs paused every worker that they touched.

Now each waiting job has its begin forecast from the expected ends of what runs; it waits if that is in time, or late with room beside what is admitted, and is refused at once otherwise, with the time at which its work would have been done. Begun jobs go first; then those in time, classes within their share, priority, latest start. A job whose tasks fail on several workers is blamed itself, and shows with one run at a time whether it can be done.

--- a/crates/core/src/dispatch/job.rs
+++ b/crates/core/src/dispatch/job.rs
@@ -1,5 +1,6 @@
 //! A job's tasks and their order.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 
 use trefoil_schema::dispatch::{Job as JobSpec, Phase};
@@ -50,8 +51,6 @@
     pub stalls: u32,
     /// Number of its last run; 0 before the first.
     pub run_id: u64,
-    /// Worker of its last failed run, to be avoided.
-    pub avoid: Option<WorkerKey>,
 }
 
 /// One job at its owner.
@@ -77,6 +76,8 @@
     pub paused: bool,
     /// Whether any task was ever ordered to start.
     pub started: bool,
+    /// Workers on which tasks of it failed, each once; others are tried first.
+    pub failed_on: Vec<WorkerKey>,
 }
 
 impl Job {
@@ -95,6 +96,7 @@
             stopping: false,
             paused: false,
             started: false,
+            failed_on: Vec::new(),
         }
     }
 
@@ -113,6 +115,21 @@
         }
     }
 
+    /// Whether its failures are likely its own fault: tasks have failed on
+    /// several workers, and none was ever done.
+    pub fn is_suspect(&self) -> bool {
+        let done = |task: &Task| task.state == TaskState::Done;
+        self.failed_on.len() > 1 && !self.tasks.iter().any(done)
+    }
+
+    /// The task by which a suspect job shows soonest whether it can be done:
+    /// the one that has failed most often.
+    pub fn probe(&self) -> Option<usize> {
+        let tasks = self.tasks.iter().enumerate();
+        let most = tasks.max_by_key(|(index, task)| (task.failures, Reverse(*index)));
+        most.map(|(index, _)| index)
+    }
+
     /// Whether every task is done.
     pub fn is_done(&self) -> bool {
         self.tasks.iter().all(|task| task.state == TaskState::Done)
@@ -148,12 +165,41 @@
     /// Whether an answer can no longer be of use: the caller will have left, or
     /// the late objective has passed by far. Estimates are off by half.
     pub fn is_hopeless(&self, now_ms: u64) -> bool {
-        let leaves_ms = match self.spec.patience_ms {
+        now_ms + self.remaining_ms() / 2 > self.leaves_ms() || now_ms > self.too_late_ms()
+    }
+
+    /// From when on its answer is surely of no use, even if its work is
+    /// underestimated.
+    pub fn too_late_ms(&self) -> u64 {
+        self.objective_ms(LATE_FACTOR * HOPELESS_FACTOR)
+    }
+
+    /// When the caller stops waiting for its answer.
+    pub fn leaves_ms(&self) -> u64 {
+        match self.spec.patience_ms {
             0 => u64::MAX,
             patience_ms => self.arrived_ms + patience_ms,
-        };
-        let too_late_ms = self.objective_ms(LATE_FACTOR * HOPELESS_FACTOR);
-        now_ms + self.remaining_ms() / 2 > leaves_ms || now_ms > too_late_ms
+        }
+    }
+
+    /// Processor that its waiting tasks take together, thousandths of a core:
+    /// those of phases that may begin.
+    pub fn waiting_millicores(&self) -> u64 {
+        let waiting = |task: &&Task| matches!(task.state, TaskState::Waiting { .. });
+        let tasks = self.tasks.iter().filter(waiting);
+        let ready = tasks.filter(|task| self.phase_ready(usize::from(task.phase)));
+        ready.map(|task| self.phase(task).cpu_millicores).sum()
+    }
+
+    /// Work that is not begun, by its estimates: thousandths of a core times
+    /// milliseconds.
+    pub fn waiting_work(&self) -> u64 {
+        let waiting = |task: &&Task| matches!(task.state, TaskState::Waiting { .. });
+        let phases = self.tasks.iter().filter(waiting);
+        let phases = phases.map(|task| self.phase(task));
+        phases
+            .map(|phase| phase.cpu_millicores * phase.estimate_ms)
+            .sum()
     }
 
     /// When the caller's objective passes, by the estimates.
@@ -190,7 +236,6 @@
         failures: 0,
         stalls: 0,
         run_id: 0,
-        avoid: None,
     };
     indexed.map(task).collect()
 }
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -3,6 +3,9 @@
 //! [`Owner`] takes delegated jobs, the registry's workers and the outcomes of
 //! orders, and pushes [`Command`]s. The steps are in the modules below:
 //!
+//! * [`admission`]: which jobs may wait, and what refused callers are told.
+//! * [`forecast`]: when waiting jobs can begin.
+//! * [`shares`]: each class's share of the room.
 //! * [`queue`]: the order in which waiting jobs are tried.
 //! * [`run_times`]: how long tasks take.
 //! * [`place`]: which task starts where.
@@ -12,18 +15,22 @@
 //! * [`adopt`]: what an earlier owner left behind.
 //! * [`ends`]: what an end means for its task and job.
 
+mod admission;
 mod adopt;
 mod answers;
 mod command;
 mod ends;
 mod figures;
+mod forecast;
 mod holds;
 mod note;
 mod overdue;
 mod place;
 mod queue;
+mod rate;
 mod run_times;
 mod settings;
+mod shares;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
@@ -71,6 +78,7 @@
     /// Workers that the pool had when its registry was last whole.
     workers_expected: usize,
     released: bool,
+    admission: admission::Admission,
     settings: Settings,
 }
 
@@ -95,6 +103,7 @@
             run_seed,
             workers_expected,
             released: false,
+            admission: admission::Admission::default(),
             settings: Settings::default(),
         }
     }
@@ -221,7 +230,9 @@
         if self.jobs[key].is_done() {
             self.finish(now_ms, key, Outcome::Completed, "its tasks were done", out);
         }
+        let work = self.jobs.get(key).map_or(0, Job::waiting_work);
         self.settle(now_ms, out);
+        self.judge_new(now_ms, key, work, out);
     }
 
     fn remembered(&self, job_id: &str) -> Option<Outcome> {
@@ -374,6 +385,25 @@
         }
     }
 
+    /// Tells the origin that nothing of the job has run or will, and forgets it.
+    fn refuse(&mut self, now_ms: u64, key: JobKey, reason: &'static str, out: &mut Vec<Command>) {
+        let retry_after_ms = self.retry_after_ms(now_ms, key);
+        let job = &self.jobs[key];
+        if let Some(origin) = job.origin {
+            let ending = Ending {
+                job_id: job.spec.id.clone(),
+                outcome: Outcome::NotRun,
+                retry_after_ms,
+            };
+            out.push(Command::Ended {
+                origin,
+                ending,
+                reason,
+            });
+        }
+        self.abandon(now_ms, key, out);
+    }
+
     fn tell(
         &self,
         origin: Origin,
@@ -405,6 +435,7 @@
         self.expire(now_ms, out);
         self.refuse_hopeless(now_ms, out);
         self.settle(now_ms, out);
+        self.judge_all(now_ms, out);
         let old = |at_ms: u64| at_ms + REMEMBER_MS < now_ms;
         while self.ended.front().is_some_and(|ended| old(ended.0)) {
             self.ended.pop_front();
@@ -427,8 +458,7 @@
             .map(|(key, _)| key)
             .collect();
         for key in keys {
-            let reason = "no worker came free in time";
-            self.finish(now_ms, key, Outcome::NotRun, reason, out);
+            self.refuse(now_ms, key, "no worker came free in time", out);
         }
     }
 
--- a/crates/core/src/dispatch/owner/ends.rs
+++ b/crates/core/src/dispatch/owner/ends.rs
@@ -35,25 +35,52 @@
                     self.run_times.done(&job.spec.class, took_ms, slowness);
                 }
             }
-            EndKind::Failed => worker.trust.failed(now_ms),
+            EndKind::Failed => self.blame(now_ms, key, run.owner),
             EndKind::Stopped | EndKind::Lapsed => {}
         }
         if end.how != EndKind::Done {
             let mut note = Note::job("run ended", &end.task);
-            note.worker = worker.record.id.to_string();
+            note.worker = self.workers[key].record.id.to_string();
             note.detail = format!("{:?} after {took_ms} ms", end.how);
             out.push(Command::Note(note));
         }
         match (end.how, run.owner) {
             (EndKind::Done, RunOwner::Task(job, index)) => self.task_done(now_ms, job, index, out),
             (EndKind::Failed, RunOwner::Task(job, index)) => {
-                self.task_failed(now_ms, job, index, key, out);
+                self.task_failed(now_ms, job, index, out);
             }
             (EndKind::Done, RunOwner::Nobody { .. }) => self.take_orphan_end(now_ms, end, out),
             (_, owner) => self.requeue(now_ms, &owner, 0),
         }
     }
 
+    /// A run failed: by its worker's fault or its job's?
+    ///
+    /// Load pattern: jobs that can never be done, many at once. Each of their
+    /// runs fails on another worker; were all of these paused for it, there
+    /// would be no room left for the others' jobs. So the worker is paused only
+    /// for the first: once tasks of one job have failed on several workers and
+    /// none was done, the job is blamed, and the workers are taken back.
+    fn blame(&mut self, now_ms: u64, key: WorkerKey, owner: RunOwner) {
+        let RunOwner::Task(job, _) = owner else {
+            return self.workers[key].trust.failed(now_ms);
+        };
+        let Some(job) = self.jobs.get_mut(job) else {
+            return self.workers[key].trust.failed(now_ms);
+        };
+        if !job.failed_on.contains(&key) {
+            job.failed_on.push(key);
+        }
+        if !job.is_suspect() {
+            return self.workers[key].trust.failed(now_ms);
+        }
+        for &blamed in &job.failed_on {
+            if let Some(worker) = self.workers.get_mut(blamed) {
+                worker.trust.forgive();
+            }
+        }
+    }
+
     /// An end of a run that is not known here: an earlier owner started it.
     fn take_orphan_end(&mut self, now_ms: u64, end: &ListedEnd, out: &mut Vec<Command>) {
         match self.find_task(&end.task) {
@@ -83,20 +110,12 @@
         }
     }
 
-    fn task_failed(
-        &mut self,
-        now_ms: u64,
-        key: JobKey,
-        index: usize,
-        worker: WorkerKey,
-        out: &mut Vec<Command>,
-    ) {
+    fn task_failed(&mut self, now_ms: u64, key: JobKey, index: usize, out: &mut Vec<Command>) {
         let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
         let task = &mut job.tasks[index];
         task.failures += 1;
-        task.avoid = Some(worker);
         let spent = task.failures >= job.spec.attempts_max.max(1);
         self.requeue(now_ms, &RunOwner::Task(key, index), 0);
         if spent && self.jobs.get(key).is_some_and(|job| !job.stopping) {
--- a/crates/core/src/dispatch/owner/place.rs
+++ b/crates/core/src/dispatch/owner/place.rs
@@ -6,11 +6,12 @@
 use trefoil_schema::dispatch::Phase;
 
 use super::super::worker::{Patience, Room, Run};
+use super::shares::Shares;
 use super::*;
 
 /// Weight of the room that a placement strands, against the time that it takes.
 const STRANDED_WEIGHT: f64 = 0.3;
-/// Cost of the worker on which the task failed before.
+/// Cost of a worker on which a task of the job failed before.
 const AVOID_COST: f64 = 100.0;
 /// Factor on run time away from the task's data; the platform's contract says
 /// 1.5 to 3.
@@ -58,15 +59,23 @@
 impl Owner {
     /// Starts every waiting task that fits, most urgent first.
     pub(super) fn place(&mut self, now_ms: u64, out: &mut Vec<Command>) {
-        let fenced = self.all_fenced();
-        self.queue.refresh(&self.jobs, now_ms, fenced);
+        if self.queue.is_stale() {
+            let fenced = self.all_fenced();
+            let shares = self.shares();
+            self.queue.refresh(&self.jobs, &shares, now_ms, fenced);
+        }
         let mut open = self.open_workers(now_ms);
         if self.queue.none_fits(widest(&open)) {
             return;
         }
         let queue = std::mem::take(&mut self.queue);
+        let mut first_waits = false;
         for key in queue.jobs() {
-            self.place_job(now_ms, key, &mut open, out);
+            let may_begin = !first_waits || self.jobs.get(key).is_some_and(|job| job.started);
+            if may_begin || self.fits_whole(now_ms, key, &open) {
+                self.place_job(now_ms, key, &mut open, out);
+                first_waits |= self.jobs.get(key).is_some_and(|job| !job.started);
+            }
             if queue.none_fits(widest(&open)) {
                 break;
             }
@@ -74,6 +83,40 @@
         self.queue = queue;
     }
 
+    /// Whether there is room for all waiting tasks of a job at once. A job that
+    /// is not first may begin only then: begun in part, its rest would go before
+    /// the jobs that it has overtaken.
+    fn fits_whole(&self, now_ms: u64, key: JobKey, open: &[Open]) -> bool {
+        let Some(job) = self.jobs.get(key) else {
+            return false;
+        };
+        let waiting = (0..job.tasks.len()).filter(|&index| self.task_waits(key, index, now_ms));
+        let rooms: Vec<Room> = waiting
+            .map(|index| room_of(job.phase(&job.tasks[index])))
+            .collect();
+        let Some(&room) = rooms.first() else {
+            return false;
+        };
+        let fit = open.iter().map(|open| open.free.count_of(&room));
+        fit.sum::<u64>() >= rooms.len() as u64
+    }
+
+    /// Room in use by the classes that have jobs.
+    fn shares(&self) -> Shares {
+        let mut shares = Shares::default();
+        for job in self.jobs.values().filter(|job| !job.stopping) {
+            shares.uses(&job.spec.class, 0);
+        }
+        for run in self.workers.values().flat_map(|worker| &worker.runs) {
+            if let (RunOwner::Task(key, _), Some(room)) = (run.owner, run.room)
+                && let Some(job) = self.jobs.get(key)
+            {
+                shares.uses(&job.spec.class, room.cpu_millicores);
+            }
+        }
+        shares
+    }
+
     /// Starts the waiting tasks of a job that fit.
     fn place_job(&mut self, now_ms: u64, key: JobKey, open: &mut [Open], out: &mut Vec<Command>) {
         let tasks = self.jobs.get(key).map_or(0, |job| job.tasks.len());
@@ -107,7 +150,9 @@
         let task = &job.tasks[index];
         let due =
             matches!(task.state, TaskState::Waiting { not_before_ms } if not_before_ms <= now_ms);
-        due && job.phase_ready(usize::from(task.phase))
+        // One run at a time shows whether it can be done at all.
+        let held = job.is_suspect() && (job.probe() != Some(index) || job.on_workers());
+        due && !held && job.phase_ready(usize::from(task.phase))
     }
 
     /// Starts a task where it costs least; false where it fits nowhere.
@@ -162,7 +207,7 @@
         let distance = if remote { REMOTE_FACTOR } else { 1.0 };
         let left = open.free.minus(room).cpu_millicores as f64;
         let stranded = left / worker.record.capacity.cpu_millicores.max(1) as f64;
-        let avoided = job.tasks[index].avoid == Some(open.key);
+        let avoided = job.failed_on.contains(&open.key);
         let avoid = if avoided { AVOID_COST } else { 0.0 };
         Some(worker.trust.slowness * distance + STRANDED_WEIGHT * stranded + avoid)
     }
--- a/crates/core/src/dispatch/owner/queue.rs
+++ b/crates/core/src/dispatch/owner/queue.rs
@@ -1,27 +1,53 @@
 //! The order in which waiting jobs are tried.
 //!
-//! Jobs are ordered by their latest start: the instant by which a job's longest
-//! chain must begin to meet its objective. Jobs that have missed it come after
-//! all that have not, those that have missed even the late objective last. The
-//! order is kept between events and made anew when a job or a task begins to
-//! wait and with each tick: a long queue is scanned often and changes rarely.
+//! A job that has begun comes first: its room is taken already, and only its
+//! end makes that worth anything. The others are ordered by
+//!
+//! 1. whether they can still meet their objective, or only the late one;
+//! 2. whether their class uses more than its share of the room ([`shares`]);
+//! 3. their declared priority;
+//! 4. their latest start: the instant by which a job's longest chain must begin
+//!    to meet its objective.
+//!
+//! Load pattern: more comes than there is room for. By latest start alone every
+//! job is tried just before it is of no use, and most that begin end late.
+//!
+//! The order is kept between events and made anew when a job or a task begins
+//! to wait and with each tick: a long queue is scanned often and changes rarely.
+//!
+//! [`shares`]: super::shares
 
 use slotmap::SlotMap;
 
-use super::super::job::{Job, LATE_FACTOR, Task, TaskState};
+use super::super::job::{Job, Task, TaskState};
 use super::super::order::JobKey;
+use super::shares::Shares;
 
 /// Place in the order: smaller is tried first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Urgency {
-    tier: u8,
+struct Rank {
+    unbegun: bool,
+    lateness: Lateness,
+    over_share: bool,
+    priority: u32,
     latest_start_ms: u64,
 }
 
+/// Which objective a job can still meet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Lateness {
+    /// Its own.
+    InTime,
+    /// The late one.
+    Late,
+    /// None.
+    TooLate,
+}
+
 /// Waiting jobs, most urgent first.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
-    order: Vec<(Urgency, JobKey)>,
+    order: Vec<(Rank, JobKey)>,
     stale: bool,
     /// How often the order was made.
     sorts: u64,
@@ -35,12 +61,21 @@
         self.stale = true;
     }
 
-    /// Makes the order anew if it has to be; `fenced` tells whether all
-    /// workers obey, so that unsafe jobs may start.
-    pub(super) fn refresh(&mut self, jobs: &SlotMap<JobKey, Job>, now_ms: u64, fenced: bool) {
-        if !std::mem::take(&mut self.stale) {
-            return;
-        }
+    /// Whether the order has to be made anew.
+    pub(super) fn is_stale(&self) -> bool {
+        self.stale
+    }
+
+    /// Makes the order anew; `fenced` tells whether all workers obey, so that
+    /// unsafe jobs may start.
+    pub(super) fn refresh(
+        &mut self,
+        jobs: &SlotMap<JobKey, Job>,
+        shares: &Shares,
+        now_ms: u64,
+        fenced: bool,
+    ) {
+        self.stale = false;
         self.sorts += 1;
         self.order.clear();
         self.smallest_millicores = u64::MAX;
@@ -49,11 +84,16 @@
                 continue;
             };
             self.smallest_millicores = self.smallest_millicores.min(smallest);
-            self.order.push((urgency(job, now_ms), key));
+            self.order.push((rank(job, shares, now_ms), key));
         }
         self.order.sort_unstable();
     }
 
+    /// Whether nothing waits.
+    pub(super) fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
+
     /// How often the order was made.
     pub(super) fn sorts(&self) -> u64 {
         self.sorts
@@ -70,20 +110,30 @@
     }
 }
 
-fn urgency(job: &Job, now_ms: u64) -> Urgency {
-    let remaining_ms = job.remaining_ms();
-    let due_ms = job.objective_ms(1.0);
-    let late_ms = job.objective_ms(LATE_FACTOR);
-    let (tier, end_ms) = if now_ms + remaining_ms <= due_ms {
-        (0, due_ms)
-    } else if now_ms + remaining_ms <= late_ms {
-        (1, late_ms)
-    } else {
-        (2, late_ms)
+fn rank(job: &Job, shares: &Shares, now_ms: u64) -> Rank {
+    let lateness = lateness(job, now_ms);
+    let end_ms = match lateness {
+        Lateness::InTime => job.objective_ms(1.0),
+        Lateness::Late | Lateness::TooLate => job.too_late_ms(),
     };
-    Urgency {
-        tier,
-        latest_start_ms: end_ms.saturating_sub(remaining_ms),
+    Rank {
+        unbegun: !job.started,
+        lateness,
+        over_share: shares.is_over(&job.spec.class),
+        priority: job.spec.priority,
+        latest_start_ms: end_ms.saturating_sub(job.remaining_ms()),
+    }
+}
+
+/// What a job that begins at an instant can still meet.
+pub(super) fn lateness(job: &Job, begin_ms: u64) -> Lateness {
+    let end_ms = begin_ms + job.remaining_ms();
+    if end_ms <= job.objective_ms(1.0) {
+        Lateness::InTime
+    } else if end_ms <= job.too_late_ms() && end_ms <= job.leaves_ms() {
+        Lateness::Late
+    } else {
+        Lateness::TooLate
     }
 }
 
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -51,6 +51,14 @@
             && self.gpus >= other.gpus
     }
 
+    /// How many times `other` fits into this.
+    pub fn count_of(&self, other: &Self) -> u64 {
+        let times = |have: u64, need: u64| have.checked_div(need).unwrap_or(u64::MAX);
+        let cpu = times(self.cpu_millicores, other.cpu_millicores);
+        let memory = times(self.memory_mb, other.memory_mb);
+        cpu.min(memory).min(times(self.gpus, other.gpus))
+    }
+
     /// What is left without `other`.
     #[must_use]
     pub fn minus(&self, other: &Self) -> Self {
@@ -231,6 +239,16 @@
             && self.trust.admits(now_ms, self.runs.len())
     }
 
+    /// Whether new tasks may go there, or may once it has answered a call that
+    /// is on its way.
+    pub fn takes_tasks_soon(&self, now_ms: u64) -> bool {
+        self.standing != Standing::Outranked
+            && !self.silent
+            && !self.has_left(now_ms)
+            && !self.record.draining
+            && !self.trust.is_doubted()
+    }
+
     /// Position of a run.
     pub fn position(&self, task: &str, run_id: u64) -> Option<usize> {
         let same = |run: &Run| run.run_id == run_id && &*run.task == task;
@@ -320,6 +338,14 @@
         self.slowness += SPEED_WEIGHT * (ratio - self.slowness);
     }
 
+    /// Its only failure lately was its job's fault. Several are its own: they
+    /// are of several jobs.
+    pub fn forgive(&mut self) {
+        if self.failures == 1 {
+            self.failures = 0;
+        }
+    }
+
     /// A task failed or stalled there.
     pub fn failed(&mut self, now_ms: u64) {
         let pause_ms = PROBATION_MS << self.failures.min(8);
--- a/crates/replay/src/bin/trefoil-replay.rs
+++ b/crates/replay/src/bin/trefoil-replay.rs
@@ -21,9 +21,10 @@
     let settings = Settings {
         admits_all: matches.get_flag("admit-all"),
     };
+    let brief = matches.get_flag("brief");
     for pattern in chosen {
         for seed in 1..=seeds {
-            print!("{}", replay(pattern, seed, settings));
+            print!("{}", replay(pattern, seed, settings, brief));
         }
     }
 }
@@ -46,6 +47,12 @@
                 .default_value("1")
                 .value_parser(value_parser!(u64)),
         )
+        .arg(
+            Arg::new("brief")
+                .long("brief")
+                .help("one line a replay")
+                .action(ArgAction::SetTrue),
+        )
         .arg(
             Arg::new("admit-all")
                 .long("admit-all")
@@ -54,7 +61,7 @@
         )
 }
 
-fn replay(pattern: &Pattern, seed: u64, settings: Settings) -> String {
+fn replay(pattern: &Pattern, seed: u64, settings: Settings, brief: bool) -> String {
     let arrivals = arrivals::draw(pattern, seed);
     let seen = world::run(pattern, &arrivals, settings);
     let figures = Figures::count(pattern, &arrivals, &seen);
@@ -64,5 +71,8 @@
         figures: &figures,
         bound,
     };
-    table.to_string()
+    match brief {
+        true => format!("{}\n", table.line()),
+        false => table.to_string(),
+    }
 }
--- a/crates/replay/src/figures.rs
+++ b/crates/replay/src/figures.rs
@@ -164,6 +164,32 @@
     pub bound: f64,
 }
 
+impl Table<'_> {
+    /// All classes together, on one line.
+    pub fn line(&self) -> String {
+        let figures = self.figures;
+        let credit = figures.credit(self.pattern);
+        let owed = figures.sum(|class| class.owed).max(1) as f64;
+        let share = |count: fn(&ClassFigures) -> u64| figures.sum(count) as f64 / owed;
+        let refusal_ms = figures.refusal_ms();
+        format!(
+            "{:<14} credit {credit:.3} of {:.3} ({:.2}); in aim {:.3} late {:.3} useless {:.3} \
+             refused {:.3} (p50 {} p99 {} ms) failed {:.3} left {:.3}",
+            self.pattern.name,
+            self.bound,
+            credit / self.bound,
+            share(|class| class.in_aim),
+            share(|class| class.late),
+            share(|class| class.useless),
+            share(|class| class.refused),
+            quantile(&refusal_ms, 0.5),
+            quantile(&refusal_ms, 0.99),
+            share(|class| class.failed),
+            share(|class| class.left),
+        )
+    }
+}
+
 impl Display for Table<'_> {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         let credit = self.figures.credit(self.pattern);
