entry, owner: refused jobs are tried elsewhere; a class over its share needs half its slack; room kept for begun late jobs

Cause: pools fill unevenly and loads are up to 100 ms old, so an owner refused while another had room; jobs of a class over its share were let in up to their last millisecond and overtaken by others; a task of three quarters of a worker waited for ever, since each end gave back less than it takes.

--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -11,7 +11,7 @@
 
 use trefoil_schema::dispatch::{Job as JobSpec, Load, Outcome};
 
-use super::limits::{DELEGATED_GAP_MS, RETRY_AFTER_MS, UNPLACED_MAX_MS};
+use super::limits::{DELEGATED_GAP_MS, POOLS_TRIED_MAX, RETRY_AFTER_MS, UNPLACED_MAX_MS};
 use super::owner::Ending;
 
 use choice::{choose, width_of, work_of};
@@ -104,6 +104,8 @@
     unsafe_pool: String,
     /// Whether an owner was lost that may have started it.
     may_have_run: bool,
+    /// Pools whose owners have refused it.
+    refused_by: Vec<String>,
 }
 
 /// The jobs that callers of this instance await.
@@ -153,6 +155,7 @@
             unsafe_until_ms: now_ms,
             unsafe_pool: String::new(),
             may_have_run: false,
+            refused_by: Vec::new(),
         };
         self.tickets.insert(ticket, id.clone());
         self.jobs.insert(id.clone(), job);
@@ -196,17 +199,7 @@
         match outcome {
             Outcome::Completed => self.answer(id, Answer::Completed, out),
             Outcome::Failed => self.answer(id, Answer::Failed, out),
-            Outcome::NotRun => {
-                let reason = "no worker came free in time";
-                let answer = match job.may_have_run {
-                    true => Answer::MayHaveRun { reason },
-                    false => Answer::NotRun {
-                        retry_after_ms: ending.retry_after_ms.max(RETRY_AFTER_MS),
-                        reason,
-                    },
-                };
-                self.answer(id, answer, out);
-            }
+            Outcome::NotRun => self.refused(now_ms, from, ending, out),
             Outcome::Returned | Outcome::Stopped | Outcome::Lost | Outcome::Unspecified => {
                 if let Some(view) = self.pools.get_mut(&from.pool) {
                     view.load.serving = false;
@@ -219,6 +212,38 @@
         }
     }
 
+    /// An owner has no room for a job in time: another may.
+    ///
+    /// Load pattern: pools fill unevenly, and what is known of them is up to a
+    /// heartbeat old, so that some refuse while others have room.
+    fn refused(&mut self, now_ms: u64, from: &Owned, ending: &Ending, out: &mut Vec<Command>) {
+        let id = ending.job_id.as_str();
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.refused_by.push(from.pool.clone());
+        if job.refused_by.len() < POOLS_TRIED_MAX && !job.may_have_run {
+            self.take_back(now_ms, id, false);
+            self.place(now_ms, id, out);
+        }
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let elsewhere = job.place != Place::Delegated(from.clone()) && job.place != Place::Waiting;
+        if elsewhere {
+            return;
+        }
+        let reason = "no worker comes free in time";
+        let answer = match job.may_have_run {
+            true => Answer::MayHaveRun { reason },
+            false => Answer::NotRun {
+                retry_after_ms: ending.retry_after_ms.max(RETRY_AFTER_MS),
+                reason,
+            },
+        };
+        self.answer(id, answer, out);
+    }
+
     fn take_back(&mut self, now_ms: u64, id: &str, may_run: bool) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
@@ -376,7 +401,9 @@
         }
         let is_safe = now_ms >= job.unsafe_until_ms;
         let serving = self.pools.iter().filter(|(_, view)| view.load.serving);
-        let allowed = serving.filter(|(pool, _)| is_safe || **pool == job.unsafe_pool);
+        let allowed = serving.filter(|(pool, _)| {
+            (is_safe || **pool == job.unsafe_pool) && !job.refused_by.contains(pool)
+        });
         let Some(pool) = choose(allowed, &self.home, &job.spec) else {
             return;
         };
--- a/crates/core/src/dispatch/limits.rs
+++ b/crates/core/src/dispatch/limits.rs
@@ -79,3 +79,6 @@
 pub const UNPLACED_MAX_MS: u64 = 1000;
 /// What a refused caller is told to wait: an ownership changes in that time.
 pub const RETRY_AFTER_MS: u64 = 1000;
+/// Owners that are asked for one job before its caller is refused. Each costs
+/// two crossings of a link, and a job that waits has only a little time.
+pub const POOLS_TRIED_MAX: usize = 3;
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -9,6 +9,7 @@
 //! * [`queue`]: the order in which waiting jobs are tried.
 //! * [`run_times`]: how long tasks take.
 //! * [`place`]: which task starts where.
+//! * [`reserve`]: room kept for begun jobs that are late.
 //! * [`answers`]: what became of starts and stops.
 //! * [`holds`]: leases, ends, and the fate of orders without an answer.
 //! * [`overdue`]: runs that take longer than they should.
@@ -28,6 +29,7 @@
 mod place;
 mod queue;
 mod rate;
+mod reserve;
 mod run_times;
 mod settings;
 mod shares;
@@ -39,7 +41,7 @@
 use trefoil_schema::dispatch::{Job as JobSpec, Outcome};
 
 use super::fence::Fence;
-use super::job::{Job, Origin, TaskState};
+use super::job::{Job, Origin, Task, TaskState};
 use super::limits::{ADOPT_MS, LINK_SILENT_MS, REMEMBER_MS, RESUME_MS, RETRY_MS};
 use super::order::{
     EndKind, HoldOrder, JobKey, OrderOutcome, Rejection, StartOrder, StopOrder, Target, WorkerKey,
--- a/crates/core/src/dispatch/owner/admission.rs
+++ b/crates/core/src/dispatch/owner/admission.rs
@@ -13,6 +13,10 @@
 //!   wait for the refusal;
 //! * never: it is refused at once.
 //!
+//! A new job is judged more strictly than one that waits already, so that few
+//! are let in and refused later: jobs that come after it and go before it take
+//! room too, as much as their classes have lately.
+//!
 //! A refused caller is told when to come back: when the work that was refused
 //! before it would have been done, had it waited. Callers so come back one after
 //! the other at the speed at which the workers can serve them.
@@ -22,6 +26,7 @@
 use super::forecast::Forecast;
 use super::queue::{Lateness, lateness};
 use super::rate::Rate;
+use super::shares::Shares;
 use super::*;
 
 /// Share of the workers' room that tasks of about half a worker can use, until
@@ -29,6 +34,16 @@
 const USABLE_SHARE: f64 = 0.85;
 /// Weight of the newest reading of that share; it is read with each tick.
 const USABLE_WEIGHT: f64 = 0.05;
+/// Share of the time that it has to spare in which a new job of a class over
+/// its share must be forecast to begin: the others' jobs go before it. Of jobs
+/// let in up to the last millisecond half begin too late, and their callers
+/// learn it then: with 1.0 half of the refusals in a burst of all classes came
+/// later than 69 ms, with 0.5 later than 34 ms, and no less is served.
+const SLACK_SHARE: f64 = 0.5;
+/// Share of the room that a job can count on in any case.
+const OWN_SHARE_MIN: f64 = 0.25;
+/// Classes whose work is counted; a deployment has a few dozen queues in use.
+const CLASSES_MAX: usize = 1024;
 /// Longest time after which a refused caller is told to come back: a burst
 /// that lasts longer is no burst any more.
 const RETRY_AFTER_MAX_MS: u64 = 20_000;
@@ -39,20 +54,30 @@
 const RETRY_AFTER_MIN_MS: u64 = 1000;
 
 /// What is known of the load.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Admission {
-    /// Work of the jobs that were let in.
-    admitted: Rate,
+    /// Work of all jobs that came.
+    offered: Rate,
+    /// Work of the jobs that were let in, by class.
+    admitted: HashMap<String, Admitted>,
     /// Share of the room that was in use whenever jobs waited for room.
     usable_share: f64,
     /// When the work refused so far would have been done.
     owed_until_ms: u64,
 }
 
+/// What was let in of one class.
+#[derive(Clone, Copy, Debug)]
+struct Admitted {
+    priority: u32,
+    work: Rate,
+}
+
 impl Default for Admission {
     fn default() -> Self {
         Self {
-            admitted: Rate::default(),
+            offered: Rate::default(),
+            admitted: HashMap::new(),
             usable_share: USABLE_SHARE,
             owed_until_ms: 0,
         }
@@ -77,8 +102,37 @@
 
 impl Admission {
     /// A job was let in that takes so much work.
-    pub(super) fn admit(&mut self, now_ms: u64, work: u64) {
-        self.admitted.add(now_ms, work);
+    fn admit(&mut self, now_ms: u64, job: &Job, work: u64) {
+        let class = &job.spec.class;
+        if let Some(known) = self.admitted.get_mut(class) {
+            known.priority = job.spec.priority;
+            return known.work.add(now_ms, work);
+        }
+        if self.admitted.len() < CLASSES_MAX {
+            let priority = job.spec.priority;
+            let mut rate = Rate::default();
+            rate.add(now_ms, work);
+            let admitted = Admitted {
+                priority,
+                work: rate,
+            };
+            self.admitted.insert(class.clone(), admitted);
+        }
+    }
+
+    /// Room that a job can count on, beside the classes whose jobs go before
+    /// it, thousandths of a core.
+    fn own_millicores(&self, now_ms: u64, room: RoomInUse, job: &Job, shares: &Shares) -> f64 {
+        let place = |class: &str, priority: u32| (shares.is_over(class), priority);
+        let own = place(&job.spec.class, job.spec.priority);
+        let ahead = self.admitted.iter().filter(|(class, admitted)| {
+            **class != job.spec.class && place(class, admitted.priority) < own
+        });
+        let ahead: f64 = ahead
+            .map(|(_, admitted)| admitted.work.millicores(now_ms))
+            .sum();
+        let usable = self.usable_millicores(room);
+        f64::max(usable - ahead, usable * OWN_SHARE_MIN)
     }
 
     /// Takes in how much room is in use while jobs wait for room.
@@ -95,7 +149,7 @@
     /// When a job can begin that comes after `backlog` (thousandths of a core
     /// times milliseconds) and gives way to all that is admitted in time.
     fn late_begin_ms(&self, now_ms: u64, room: RoomInUse, backlog: u64) -> Option<u64> {
-        let spare = self.usable_millicores(room) - self.admitted.millicores(now_ms);
+        let spare = self.usable_millicores(room) - self.offered.millicores(now_ms);
         (spare > 0.0).then(|| now_ms + (backlog as f64 / spare) as u64)
     }
 
@@ -118,13 +172,13 @@
         work: u64,
         out: &mut Vec<Command>,
     ) {
+        self.admission.offered.add(now_ms, work);
         let waits = |job: &Job| !job.stopping && job.waiting_millicores() > 0;
         if self.jobs.get(key).is_some_and(waits) {
-            self.judge(now_ms, out);
+            self.judge(now_ms, Some(key), out);
         }
-        let in_time = |job: &Job| lateness(job, now_ms) == Lateness::InTime;
-        if self.jobs.get(key).is_some_and(in_time) {
-            self.admission.admit(now_ms, work);
+        if let Some(job) = self.jobs.get(key) {
+            self.admission.admit(now_ms, job, work);
         }
     }
 
@@ -134,19 +188,20 @@
         if waiting.map(Job::waiting_millicores).any(|waits| waits > 0) {
             let room = self.room_in_use(now_ms);
             self.admission.saturated(room);
-            self.judge(now_ms, out);
+            self.judge(now_ms, None, out);
         }
     }
 
     /// Judges the waiting jobs of which nothing has begun, in their order, and
     /// refuses those without prospects.
-    fn judge(&mut self, now_ms: u64, out: &mut Vec<Command>) {
+    fn judge(&mut self, now_ms: u64, new: Option<JobKey>, out: &mut Vec<Command>) {
         if self.settings.admits_all || self.queue.is_empty() || self.workers.is_empty() {
             return;
         }
         let room = self.room_in_use(now_ms);
         let mut forecast = self.forecast(now_ms);
         let mut backlog = self.running_work(now_ms);
+        let shares = self.shares();
         let keys: Vec<JobKey> = self.queue.jobs().collect();
         for key in keys {
             let Some(job) = self.jobs.get(key) else {
@@ -158,6 +213,19 @@
             }
             let begin_ms = forecast.begin_ms(millicores);
             let late_ms = self.admission.late_begin_ms(now_ms, room, backlog);
+            let begin_ms = match new == Some(key) {
+                true => {
+                    let own = self.admission.own_millicores(now_ms, room, job, &shares);
+                    let wait_ms = (begin_ms - now_ms) as f64;
+                    let longer = self.admission.usable_millicores(room) / own;
+                    let slack_share = match shares.is_over(&job.spec.class) {
+                        true => SLACK_SHARE,
+                        false => 1.0,
+                    };
+                    now_ms + (wait_ms * longer / slack_share) as u64
+                }
+                false => begin_ms,
+            };
             match prospect(job, begin_ms, late_ms) {
                 Prospect::Waits => {
                     backlog += job.waiting_work();
--- a/crates/core/src/dispatch/owner/figures.rs
+++ b/crates/core/src/dispatch/owner/figures.rs
@@ -3,7 +3,6 @@
 use trefoil_schema::dispatch::Load;
 
 use super::*;
-use crate::dispatch::job::Task;
 
 /// Sizes of an owner's tables.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/core/src/dispatch/owner/place.rs
+++ b/crates/core/src/dispatch/owner/place.rs
@@ -50,9 +50,9 @@
 }
 
 /// A worker that takes tasks, and the room left there.
-struct Open {
-    key: WorkerKey,
-    free: Room,
+pub(super) struct Open {
+    pub(super) key: WorkerKey,
+    pub(super) free: Room,
     runs: usize,
 }
 
@@ -69,13 +69,9 @@
             return;
         }
         let queue = std::mem::take(&mut self.queue);
-        let mut first_waits = false;
         for key in queue.jobs() {
-            let may_begin = !first_waits || self.jobs.get(key).is_some_and(|job| job.started);
-            if may_begin || self.fits_whole(now_ms, key, &open) {
-                self.place_job(now_ms, key, &mut open, out);
-                first_waits |= self.jobs.get(key).is_some_and(|job| !job.started);
-            }
+            self.place_job(now_ms, key, &mut open, out);
+            self.reserve(now_ms, key, &mut open);
             if queue.none_fits(widest(&open)) {
                 break;
             }
@@ -83,26 +79,8 @@
         self.queue = queue;
     }
 
-    /// Whether there is room for all waiting tasks of a job at once. A job that
-    /// is not first may begin only then: begun in part, its rest would go before
-    /// the jobs that it has overtaken.
-    fn fits_whole(&self, now_ms: u64, key: JobKey, open: &[Open]) -> bool {
-        let Some(job) = self.jobs.get(key) else {
-            return false;
-        };
-        let waiting = (0..job.tasks.len()).filter(|&index| self.task_waits(key, index, now_ms));
-        let rooms: Vec<Room> = waiting
-            .map(|index| room_of(job.phase(&job.tasks[index])))
-            .collect();
-        let Some(&room) = rooms.first() else {
-            return false;
-        };
-        let fit = open.iter().map(|open| open.free.count_of(&room));
-        fit.sum::<u64>() >= rooms.len() as u64
-    }
-
     /// Room in use by the classes that have jobs.
-    fn shares(&self) -> Shares {
+    pub(super) fn shares(&self) -> Shares {
         let mut shares = Shares::default();
         for job in self.jobs.values().filter(|job| !job.stopping) {
             shares.uses(&job.spec.class, 0);
--- /dev/null
+++ b/crates/core/src/dispatch/owner/reserve.rs
@@ -0,0 +1,65 @@
+//! Room kept for begun jobs that are late.
+//!
+//! Load pattern: all room is in use, and some tasks take more of a worker than
+//! most. Whenever one run ends, the room that it gives back is too small for
+//! them, and smaller tasks take it. A job of which some tasks have run then
+//! waits for the last of them until its caller leaves, and all its work was for
+//! nothing. So once it is late, the worker that will soonest have room for the
+//! task takes nothing else. Only late jobs are worth that: kept room is idle.
+
+use super::super::worker::Room;
+use super::place::{Open, room_of};
+use super::queue::{Lateness, lateness};
+use super::*;
+
+impl Owner {
+    /// Keeps one worker for the next task of a begun job that is late.
+    pub(super) fn reserve(&self, now_ms: u64, key: JobKey, open: &mut [Open]) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        if !job.started || lateness(job, now_ms) == Lateness::InTime {
+            return;
+        }
+        let waiting = |task: &&Task| matches!(task.state, TaskState::Waiting { .. });
+        let Some(task) = job.tasks.iter().find(waiting) else {
+            return;
+        };
+        let room = room_of(job.phase(task));
+        let workers = self.workers.iter();
+        let workers = workers.filter(|(_, worker)| worker.is_open(now_ms));
+        let soonest = workers
+            .filter_map(|(key, worker)| Some((free_at_ms(worker, &room)?, key)))
+            .min();
+        let kept = soonest.and_then(|(_, key)| open.iter_mut().find(|open| open.key == key));
+        if let Some(kept) = kept {
+            kept.free = Room::default();
+        }
+    }
+}
+
+/// When a worker has so much room, by the expected ends of its runs; none if it
+/// never has.
+fn free_at_ms(worker: &Worker, room: &Room) -> Option<u64> {
+    let mut runs: Vec<(u64, Room)> = worker
+        .runs
+        .iter()
+        .map(|run| {
+            (
+                run.ordered_ms + run.expected_ms,
+                run.room.unwrap_or_default(),
+            )
+        })
+        .collect();
+    runs.sort_by_key(|&(end_ms, _)| end_ms);
+    let mut free = worker.free();
+    let mut at_ms = 0;
+    for (end_ms, freed) in runs {
+        if free.fits(room) {
+            return Some(at_ms);
+        }
+        free = free.plus(&freed);
+        at_ms = end_ms;
+    }
+    free.fits(room).then_some(at_ms)
+}
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -51,12 +51,14 @@
             && self.gpus >= other.gpus
     }
 
-    /// How many times `other` fits into this.
-    pub fn count_of(&self, other: &Self) -> u64 {
-        let times = |have: u64, need: u64| have.checked_div(need).unwrap_or(u64::MAX);
-        let cpu = times(self.cpu_millicores, other.cpu_millicores);
-        let memory = times(self.memory_mb, other.memory_mb);
-        cpu.min(memory).min(times(self.gpus, other.gpus))
+    /// Both together.
+    #[must_use]
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            cpu_millicores: self.cpu_millicores + other.cpu_millicores,
+            memory_mb: self.memory_mb + other.memory_mb,
+            gpus: self.gpus + other.gpus,
+        }
     }
 
     /// What is left without `other`.
--- a/crates/core/tests/dispatch_admission.rs
+++ b/crates/core/tests/dispatch_admission.rs
@@ -90,7 +90,7 @@
     let mut owner = fenced_owner(1, &["w1"]);
     delegate(&mut owner, 10, job("long", 2, 3000));
     let patient = Job {
-        stretch: 50.0,
+        stretch: 200.0,
         ..job("a", 3, 100)
     };
     assert!(ended(&delegate(&mut owner, 11, patient)).is_empty());
--- a/crates/replay/src/pattern.rs
+++ b/crates/replay/src/pattern.rs
@@ -126,20 +126,20 @@
         Self {
             name: "calm",
             fleet: Fleet::default(),
-            classes: classes(),
+            classes: classes(1.0),
             changes: Vec::new(),
             length_ms: 10_000,
         }
     }
 }
 
-/// A wide and short class, a long one, and a small one; each takes a good
-/// part of the room, and the small one half of it.
-fn classes() -> Vec<Class> {
+/// A wide and short class, a long one, and a small one, which takes as much as
+/// both of them; `share` is that of their traffic in a fleet of 240 workers.
+fn classes(share: f64) -> Vec<Class> {
     let class = |name, priority, usual_per_s, tasks_mean, run_mean_ms| Class {
         name,
         priority,
-        usual_per_s,
+        usual_per_s: usual_per_s * share,
         tasks_mean,
         run_mean_ms,
     };
@@ -221,6 +221,15 @@
                 },
             ],
         ),
+        Pattern {
+            fleet: Fleet {
+                pools_per_domain: 1,
+                workers_per_pool: 16,
+                ..Fleet::default()
+            },
+            classes: classes(0.2),
+            ..pattern("small-burst", vec![burst(None, 2.5, 2000, 7000)])
+        },
         pattern(
             "recovery",
             vec![Change::Outage {
