--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -4,6 +4,7 @@
 //! orders, and pushes [`Command`]s. The steps are in the modules below:
 //!
 //! * [`admission`]: which jobs may wait, and what refused callers are told.
+//! * [`judge`]: what that is decided by, and what follows.
 //! * [`forecast`]: when waiting jobs can begin.
 //! * [`shares`]: each class's share of the room.
 //! * [`queue`]: the order in which waiting jobs are tried.
@@ -24,6 +25,7 @@
 mod figures;
 mod forecast;
 mod holds;
+mod judge;
 mod note;
 mod overdue;
 mod place;
--- a/crates/core/src/dispatch/owner/figures.rs
+++ b/crates/core/src/dispatch/owner/figures.rs
@@ -9,6 +9,8 @@
 pub struct Sizes {
     /// Jobs that have not ended.
     pub jobs: usize,
+    /// Jobs that wait for room.
+    pub waiting: usize,
     /// Workers known.
     pub workers: usize,
     /// Workers that can be ordered.
@@ -23,6 +25,7 @@
     fn sum<I: Iterator<Item = Self>>(sizes: I) -> Self {
         sizes.fold(Self::default(), |sum, sizes| Self {
             jobs: sum.jobs + sizes.jobs,
+            waiting: sum.waiting + sizes.waiting,
             workers: sum.workers + sizes.workers,
             workers_fenced: sum.workers_fenced + sizes.workers_fenced,
             runs: sum.runs + sizes.runs,
@@ -82,6 +85,7 @@
         let fenced = |worker: &&Worker| worker.standing == Standing::Fenced;
         Sizes {
             jobs: self.jobs.len(),
+            waiting: self.waiting_jobs(),
             workers: self.workers.len(),
             workers_fenced: self.workers.values().filter(fenced).count(),
             runs: self.workers.values().map(|worker| worker.runs.len()).sum(),
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -31,6 +31,7 @@
     pub bad_requests: IntCounter,
     jobs_awaited: IntGauge,
     jobs_owned: IntGauge,
+    jobs_waiting: IntGauge,
     workers: IntGauge,
     workers_fenced: IntGauge,
     runs: IntGauge,
@@ -61,6 +62,11 @@
             )?,
             jobs_awaited: gauge(&registry, "trefoil_jobs_awaited", "Callers' jobs here.")?,
             jobs_owned: gauge(&registry, "trefoil_jobs_owned", "Jobs at this owner.")?,
+            jobs_waiting: gauge(
+                &registry,
+                "trefoil_jobs_waiting",
+                "Jobs at this owner that wait for room.",
+            )?,
             workers: gauge(&registry, "trefoil_workers", "Workers of this owner.")?,
             workers_fenced: gauge(&registry, "trefoil_workers_fenced", "Workers that obey.")?,
             runs: gauge(&registry, "trefoil_runs", "Runs that may be on workers.")?,
@@ -72,6 +78,7 @@
     pub fn sizes(&self, jobs_awaited: usize, owned: Sizes) {
         self.jobs_awaited.set(jobs_awaited as i64);
         self.jobs_owned.set(owned.jobs as i64);
+        self.jobs_waiting.set(owned.waiting as i64);
         self.workers.set(owned.workers as i64);
         self.workers_fenced.set(owned.workers_fenced as i64);
         self.runs.set(owned.runs as i64);
