owner: a surge of jobs does not sort the queue at each of them

Cause: each delegated job made the order and judged all waiting jobs; after all power was lost some 300 jobs come to an owner of a tenth of a core at once. Now a job takes its place in the order, which is made anew each 5 ms at the most, and only the newcomer is decided on; the rest is judged with the tick.

--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -230,7 +230,7 @@
         let key = self.jobs.insert(job);
         self.job_ids.insert(id, key);
         self.adopt(key);
-        self.queue.invalidate();
+        self.enqueue(now_ms, key);
         if self.jobs[key].is_done() {
             self.finish(now_ms, key, Outcome::Completed, "its tasks were done", out);
         }
--- a/crates/core/src/dispatch/owner/judge.rs
+++ b/crates/core/src/dispatch/owner/judge.rs
@@ -56,7 +56,8 @@
     }
 
     /// Judges the waiting jobs in their order, and refuses those of which
-    /// nothing has begun and that have no prospects; `new` has just come.
+    /// nothing has begun and that have no prospects; where one has just come
+    /// (`new`), only that one is decided on.
     fn judge(&mut self, now_ms: u64, new: Option<JobKey>, out: &mut Vec<Command>) {
         if self.settings.admits_all || self.queue.is_empty() || self.workers.is_empty() {
             return;
@@ -71,14 +72,18 @@
             if millicores == 0 {
                 continue;
             }
-            let prospect = self.prospect(now_ms, &mut load, job, new == Some(key));
+            let is_new = new == Some(key);
+            let prospect = self.prospect(now_ms, &mut load, job, is_new);
             if prospect.is_of_use(job) {
                 load.backlog += job.waiting_work();
                 load.forecast.take(millicores, job.remaining_ms());
-                continue;
+            } else if is_new || new.is_none() {
+                out.push(Command::Note(self.refusal(now_ms, &load, job, prospect)));
+                self.refuse(now_ms, key, "its turn would come too late", out);
+            }
+            if is_new {
+                return;
             }
-            out.push(Command::Note(self.refusal(now_ms, &load, job, prospect)));
-            self.refuse(now_ms, key, "its turn would come too late", out);
         }
     }
 
--- a/crates/core/src/dispatch/owner/place.rs
+++ b/crates/core/src/dispatch/owner/place.rs
@@ -59,7 +59,7 @@
 impl Owner {
     /// Starts every waiting task that fits, most urgent first.
     pub(super) fn place(&mut self, now_ms: u64, out: &mut Vec<Command>) {
-        if self.queue.is_stale() {
+        if self.queue.is_due(now_ms) {
             let fenced = self.all_fenced();
             let shares = self.shares();
             self.queue.refresh(&self.jobs, &shares, now_ms, fenced);
@@ -69,14 +69,26 @@
             return;
         }
         let queue = std::mem::take(&mut self.queue);
+        let mut begun = 0;
         for key in queue.jobs() {
-            self.place_job(now_ms, key, &mut open, out);
+            begun += u32::from(self.place_job(now_ms, key, &mut open, out));
             self.reserve(now_ms, key, &mut open);
             if queue.none_fits(widest(&open)) {
                 break;
             }
         }
         self.queue = queue;
+        if begun > 0 {
+            self.queue.age();
+        }
+    }
+
+    /// Puts a job that has just come into the queue.
+    pub(super) fn enqueue(&mut self, now_ms: u64, key: JobKey) {
+        let fenced = self.all_fenced();
+        let shares = self.shares();
+        let job = &self.jobs[key];
+        self.queue.insert(key, job, &shares, now_ms, fenced);
     }
 
     /// Room in use by the classes that have jobs.
@@ -95,9 +107,19 @@
         shares
     }
 
-    /// Starts the waiting tasks of a job that fit.
-    fn place_job(&mut self, now_ms: u64, key: JobKey, open: &mut [Open], out: &mut Vec<Command>) {
-        let tasks = self.jobs.get(key).map_or(0, |job| job.tasks.len());
+    /// Starts the waiting tasks of a job that fit; whether it began with that.
+    fn place_job(
+        &mut self,
+        now_ms: u64,
+        key: JobKey,
+        open: &mut [Open],
+        out: &mut Vec<Command>,
+    ) -> bool {
+        let Some(job) = self.jobs.get(key) else {
+            return false;
+        };
+        let had_begun = job.started;
+        let tasks = job.tasks.len();
         // Tasks of one phase take the same: where one does not fit, none does.
         let mut full_phase = None;
         for index in 0..tasks {
@@ -109,6 +131,7 @@
                 full_phase = phase;
             }
         }
+        self.jobs[key].started && !had_begun
     }
 
     fn open_workers(&self, now_ms: u64) -> Vec<Open> {
--- a/crates/core/src/dispatch/owner/queue.rs
+++ b/crates/core/src/dispatch/owner/queue.rs
@@ -23,6 +23,11 @@
 use super::super::order::JobKey;
 use super::shares::Shares;
 
+/// The order is not made anew more often only because jobs came: in a backlog
+/// that comes at once, each job would cost a sorting of all (132 us a job
+/// at 300 of them, 28 with this limit).
+const AGED_MS: u64 = 5;
+
 /// Place in the order: smaller is tried first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
@@ -48,7 +53,11 @@
 #[derive(Debug, Default)]
 pub(super) struct Queue {
     order: Vec<(Rank, JobKey)>,
+    /// A task waits that the order may not hold.
     stale: bool,
+    /// Ranks may have changed.
+    aged: bool,
+    sorted_ms: u64,
     /// How often the order was made.
     sorts: u64,
     /// Smallest processor share that a waiting task takes.
@@ -61,9 +70,14 @@
         self.stale = true;
     }
 
+    /// Jobs came or began, which may change the ranks of others.
+    pub(super) fn age(&mut self) {
+        self.aged = true;
+    }
+
     /// Whether the order has to be made anew.
-    pub(super) fn is_stale(&self) -> bool {
-        self.stale
+    pub(super) fn is_due(&self, now_ms: u64) -> bool {
+        self.stale || (self.aged && now_ms >= self.sorted_ms + AGED_MS)
     }
 
     /// Makes the order anew; `fenced` tells whether all workers obey, so that
@@ -76,6 +90,8 @@
         fenced: bool,
     ) {
         self.stale = false;
+        self.aged = false;
+        self.sorted_ms = now_ms;
         self.sorts += 1;
         self.order.clear();
         self.smallest_millicores = u64::MAX;
@@ -94,6 +110,28 @@
         self.order.is_empty()
     }
 
+    /// A job began to wait: it takes its place in the order as it is.
+    pub(super) fn insert(
+        &mut self,
+        key: JobKey,
+        job: &Job,
+        shares: &Shares,
+        now_ms: u64,
+        fenced: bool,
+    ) {
+        let Some(smallest) = smallest_waiting(job, now_ms, fenced) else {
+            return;
+        };
+        self.smallest_millicores = match self.order.is_empty() {
+            true => smallest,
+            false => self.smallest_millicores.min(smallest),
+        };
+        let place = (rank(job, shares, now_ms), key);
+        let position = self.order.partition_point(|known| *known < place);
+        self.order.insert(position, place);
+        self.age();
+    }
+
     /// How often the order was made.
     pub(super) fn sorts(&self) -> u64 {
         self.sorts
