--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -11,13 +11,18 @@
 
 use trefoil_schema::dispatch::{Job as JobSpec, Load, Outcome};
 
-use super::limits::{DELEGATED_GAP_MS, POOLS_TRIED_MAX, RETRY_AFTER_MS, UNPLACED_MAX_MS};
+use super::limits::{
+    DELEGATED_GAP_MS, OWNER_FOLLOWS_MS, POOLS_TRIED_MAX, RETRY_AFTER_MS, UNPLACED_MAX_MS,
+};
 use super::owner::Ending;
 
 use choice::{choose, width_of, work_of};
 
 pub use choice::PoolView;
 
+/// Why a job is refused that an owner has no room for.
+const NO_ROOM: &str = "no worker comes free in time";
+
 /// One caller's request.
 pub type Ticket = u64;
 
@@ -106,6 +111,15 @@
     may_have_run: bool,
     /// Pools whose owners have refused it.
     refused_by: Vec<String>,
+    /// The last refusal, while it waits for another pool.
+    refusal: Option<Refusal>,
+}
+
+/// What the caller is told unless a pool without an owner gets one in time.
+#[derive(Clone, Copy, Debug)]
+struct Refusal {
+    until_ms: u64,
+    retry_after_ms: u64,
 }
 
 /// The jobs that callers of this instance await.
@@ -115,6 +129,9 @@
     jobs: HashMap<String, EntryJob>,
     tickets: HashMap<Ticket, String>,
     pools: BTreeMap<String, PoolView>,
+    /// Pools of the own failure domain that this entry uses once they have
+    /// owners.
+    home_pools: Vec<String>,
 }
 
 impl Entry {
@@ -126,6 +143,17 @@
         }
     }
 
+    /// Takes in which pools of the own failure domain this entry uses.
+    pub fn set_home_pools(&mut self, names: Vec<String>) {
+        self.home_pools = names;
+    }
+
+    /// Whether a pool that this entry uses has no owner that it knows.
+    fn awaits_owner(&self) -> bool {
+        let serves = |pool: &String| self.pools.get(pool).is_some_and(|view| view.load.serving);
+        !self.home_pools.iter().all(serves)
+    }
+
     /// Takes in a caller's job.
     pub fn submit(
         &mut self,
@@ -156,6 +184,7 @@
             unsafe_pool: String::new(),
             may_have_run: false,
             refused_by: Vec::new(),
+            refusal: None,
         };
         self.tickets.insert(ticket, id.clone());
         self.jobs.insert(id.clone(), job);
@@ -215,33 +244,31 @@
     /// An owner has no room for a job in time: another may.
     ///
     /// Load pattern: pools fill unevenly, and what is known of them is up to a
-    /// heartbeat old, so that some refuse while others have room.
+    /// heartbeat old, so that some refuse while others have room. After a loss
+    /// of all instances, the first pool that has an owner gets the jobs of all;
+    /// the others follow within half a second.
     fn refused(&mut self, now_ms: u64, from: &Owned, ending: &Ending, out: &mut Vec<Command>) {
         let id = ending.job_id.as_str();
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
         job.refused_by.push(from.pool.clone());
-        if job.refused_by.len() < POOLS_TRIED_MAX && !job.may_have_run {
-            self.take_back(now_ms, id, false);
+        let retry_after_ms = ending.retry_after_ms.max(RETRY_AFTER_MS);
+        let until_ms = job.arrived_ms + OWNER_FOLLOWS_MS;
+        job.refusal = Some(Refusal {
+            until_ms,
+            retry_after_ms,
+        });
+        let may_try = job.refused_by.len() < POOLS_TRIED_MAX && !job.may_have_run;
+        self.take_back(now_ms, id, false);
+        if may_try {
             self.place(now_ms, id, out);
         }
-        let Some(job) = self.jobs.get(id) else {
-            return;
-        };
-        let elsewhere = job.place != Place::Delegated(from.clone()) && job.place != Place::Waiting;
-        if elsewhere {
-            return;
+        let is_placed = self.jobs[id].place != Place::Waiting;
+        let waits = may_try && now_ms < until_ms && self.awaits_owner();
+        if !is_placed && !waits {
+            self.give_up(id, NO_ROOM, out);
         }
-        let reason = "no worker comes free in time";
-        let answer = match job.may_have_run {
-            true => Answer::MayHaveRun { reason },
-            false => Answer::NotRun {
-                retry_after_ms: ending.retry_after_ms.max(RETRY_AFTER_MS),
-                reason,
-            },
-        };
-        self.answer(id, answer, out);
     }
 
     fn take_back(&mut self, now_ms: u64, id: &str, may_run: bool) {
@@ -327,9 +354,12 @@
     pub fn tick(&mut self, now_ms: u64, out: &mut Vec<Command>) {
         self.place_waiting(now_ms, out);
         let expired = |job: &EntryJob| {
-            let unplaced = job.place == Place::Waiting
-                && now_ms >= job.waiting_since_ms + UNPLACED_MAX_MS
-                && now_ms >= job.unsafe_until_ms;
+            let until_ms = match job.refusal {
+                Some(refusal) => refusal.until_ms,
+                None => job.waiting_since_ms + UNPLACED_MAX_MS,
+            };
+            let unplaced =
+                job.place == Place::Waiting && now_ms >= until_ms && now_ms >= job.unsafe_until_ms;
             now_ms >= job.deadline_ms || unplaced
         };
         let ids: Vec<String> = self
@@ -348,9 +378,15 @@
     fn give_up(&mut self, id: &str, reason: &'static str, out: &mut Vec<Command>) {
         let job = &self.jobs[id];
         let answer = match &job.place {
-            Place::Waiting if !job.may_have_run => Answer::NotRun {
-                retry_after_ms: RETRY_AFTER_MS,
-                reason: "no owner of workers can be reached",
+            Place::Waiting if !job.may_have_run => match job.refusal {
+                Some(refusal) => Answer::NotRun {
+                    retry_after_ms: refusal.retry_after_ms,
+                    reason: NO_ROOM,
+                },
+                None => Answer::NotRun {
+                    retry_after_ms: RETRY_AFTER_MS,
+                    reason: "no owner of workers can be reached",
+                },
             },
             Place::Waiting => Answer::MayHaveRun {
                 reason: "the owner of its workers was lost",
@@ -417,6 +453,7 @@
             owner: view.owner.clone(),
         };
         job.place = Place::Delegated(to.clone());
+        job.refusal = None;
         let mut spec = job.spec.clone();
         spec.age_ms = now_ms.saturating_sub(job.arrived_ms);
         out.push(Command::Delegate {
--- a/crates/core/src/dispatch/limits.rs
+++ b/crates/core/src/dispatch/limits.rs
@@ -82,3 +82,6 @@
 /// Owners that are asked for one job before its caller is refused. Each costs
 /// two crossings of a link, and a job that waits has only a little time.
 pub const POOLS_TRIED_MAX: usize = 3;
+/// A job that is refused waits so long, from its request on, for a pool that has
+/// no owner: after a loss owners follow within 150 to 500.
+pub const OWNER_FOLLOWS_MS: u64 = 400;
--- a/crates/core/src/dispatch/ownership/neighbours.rs
+++ b/crates/core/src/dispatch/ownership/neighbours.rs
@@ -81,6 +81,15 @@
         home.chain(remote)
     }
 
+    /// The pools of the failure domain that this instance uses.
+    pub fn home_pools(&self) -> Vec<String> {
+        if self.is_mesh() {
+            return self.pools.keys().cloned().collect();
+        }
+        let home = nearest(&self.me.name, self.pools.keys(), HOME_POOLS);
+        home.into_iter().map(str::to_owned).collect()
+    }
+
     /// Whether this instance sees to it that a pool has an owner: it watches
     /// the pool, or the store lists its owner no more.
     pub(super) fn is_responsible_for(&self, name: &str) -> bool {
--- a/crates/core/tests/dispatch_entry.rs
+++ b/crates/core/tests/dispatch_entry.rs
@@ -4,7 +4,7 @@
 
 use dispatch_support::job;
 use trefoil_core::dispatch::entry::{Answer, Command, Entry, Owned};
-use trefoil_core::dispatch::limits::{DELEGATED_GAP_MS, UNPLACED_MAX_MS};
+use trefoil_core::dispatch::limits::{DELEGATED_GAP_MS, OWNER_FOLLOWS_MS, UNPLACED_MAX_MS};
 use trefoil_core::dispatch::owner::Ending;
 use trefoil_schema::dispatch::{Load, Outcome};
 
@@ -169,3 +169,51 @@
     entry.ended(3, &owner, &ending("x", Outcome::Completed), &mut out);
     assert_eq!(answers(&out), [(1, Answer::Completed)]);
 }
+
+fn refused(entry: &mut Entry, now_ms: u64, pool: &str, owner: &str, id: &str) -> Vec<Command> {
+    let mut out = Vec::new();
+    let ending = Ending {
+        retry_after_ms: 2500,
+        ..ending(id, Outcome::NotRun)
+    };
+    entry.ended(now_ms, &owned(pool, owner), &ending, &mut out);
+    out
+}
+
+#[test]
+fn a_refused_job_is_offered_to_other_owners() {
+    let mut entry = Entry::new("forde");
+    seen(&mut entry, 0, "forde/0", "a", 0);
+    submit(&mut entry, 1, 1, "x");
+    seen(&mut entry, 2, "forde/1", "b", 9);
+    let out = refused(&mut entry, 3, "forde/0", "a", "x");
+    assert_eq!(delegated(&out)[0].0, owned("forde/1", "b"));
+    let out = refused(&mut entry, 4, "forde/1", "b", "x");
+    let not_run = Answer::NotRun {
+        retry_after_ms: 2500,
+        reason: "no worker comes free in time",
+    };
+    assert_eq!(answers(&out), [(1, not_run)]);
+}
+
+#[test]
+fn a_refused_job_waits_a_little_for_a_pool_that_has_no_owner() {
+    let mut entry = Entry::new("forde");
+    entry.set_home_pools(vec!["forde/0".to_owned(), "forde/1".to_owned()]);
+    seen(&mut entry, 0, "forde/0", "a", 0);
+    for id in ["x", "y"] {
+        submit(&mut entry, 1, u64::from(id == "y"), id);
+    }
+    let out = refused(&mut entry, 3, "forde/0", "a", "x");
+    assert!(out.is_empty(), "the other pool is about to have an owner");
+    let out = seen(&mut entry, 100, "forde/1", "b", 0);
+    assert_eq!(delegated(&out)[0].0, owned("forde/1", "b"));
+    entry.pool_lost(101, &owned("forde/1", "b"), &mut Vec::new());
+    assert!(refused(&mut entry, 102, "forde/0", "a", "y").is_empty());
+    let mut out = Vec::new();
+    entry.tick(1 + OWNER_FOLLOWS_MS - 1, &mut out);
+    assert!(answers(&out).is_empty());
+    entry.tick(1 + OWNER_FOLLOWS_MS, &mut out);
+    let (ticket, answer) = answers(&out)[0];
+    assert!(matches!((ticket, answer), (1, Answer::NotRun { .. })));
+}
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -287,6 +287,7 @@
                 state.ownership.set_pool_count(count);
             }
             state.ownership.set_members(now_ms, deployment.nodes);
+            state.entry.set_home_pools(state.ownership.home_pools());
             for (claim, revision) in deployment.claims {
                 let out = &mut effects.ownership;
                 state.ownership.stored_claim(now_ms, claim, revision, out);
