--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -6,23 +6,20 @@
 //! owner only after nothing of it can run any more.
 
 mod choice;
+mod refusal;
 
 use std::collections::{BTreeMap, HashMap};
 
 use trefoil_schema::dispatch::{Job as JobSpec, Load, Outcome};
 
-use super::limits::{
-    DELEGATED_GAP_MS, OWNER_FOLLOWS_MS, POOLS_TRIED_MAX, RETRY_AFTER_MS, UNPLACED_MAX_MS,
-};
+use super::limits::{DELEGATED_GAP_MS, UNPLACED_MAX_MS};
 use super::owner::Ending;
 
 use choice::{choose, width_of, work_of};
+use refusal::Refusal;
 
 pub use choice::PoolView;
 
-/// Why a job is refused that an owner has no room for.
-const NO_ROOM: &str = "no worker comes free in time";
-
 /// One caller's request.
 pub type Ticket = u64;
 
@@ -115,13 +112,6 @@
     refusal: Option<Refusal>,
 }
 
-/// What the caller is told unless a pool without an owner gets one in time.
-#[derive(Clone, Copy, Debug)]
-struct Refusal {
-    until_ms: u64,
-    retry_after_ms: u64,
-}
-
 /// The jobs that callers of this instance await.
 #[derive(Debug, Default)]
 pub struct Entry {
@@ -143,17 +133,6 @@
         }
     }
 
-    /// Takes in which pools of the own failure domain this entry uses.
-    pub fn set_home_pools(&mut self, names: Vec<String>) {
-        self.home_pools = names;
-    }
-
-    /// Whether a pool that this entry uses has no owner that it knows.
-    fn awaits_owner(&self) -> bool {
-        let serves = |pool: &String| self.pools.get(pool).is_some_and(|view| view.load.serving);
-        !self.home_pools.iter().all(serves)
-    }
-
     /// Takes in a caller's job.
     pub fn submit(
         &mut self,
@@ -241,36 +220,6 @@
         }
     }
 
-    /// An owner has no room for a job in time: another may.
-    ///
-    /// Load pattern: pools fill unevenly, and what is known of them is up to a
-    /// heartbeat old, so that some refuse while others have room. After a loss
-    /// of all instances, the first pool that has an owner gets the jobs of all;
-    /// the others follow within half a second.
-    fn refused(&mut self, now_ms: u64, from: &Owned, ending: &Ending, out: &mut Vec<Command>) {
-        let id = ending.job_id.as_str();
-        let Some(job) = self.jobs.get_mut(id) else {
-            return;
-        };
-        job.refused_by.push(from.pool.clone());
-        let retry_after_ms = ending.retry_after_ms.max(RETRY_AFTER_MS);
-        let until_ms = job.arrived_ms + OWNER_FOLLOWS_MS;
-        job.refusal = Some(Refusal {
-            until_ms,
-            retry_after_ms,
-        });
-        let may_try = job.refused_by.len() < POOLS_TRIED_MAX && !job.may_have_run;
-        self.take_back(now_ms, id, false);
-        if may_try {
-            self.place(now_ms, id, out);
-        }
-        let is_placed = self.jobs[id].place != Place::Waiting;
-        let waits = may_try && now_ms < until_ms && self.awaits_owner();
-        if !is_placed && !waits {
-            self.give_up(id, NO_ROOM, out);
-        }
-    }
-
     fn take_back(&mut self, now_ms: u64, id: &str, may_run: bool) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
@@ -373,33 +322,6 @@
         }
     }
 
-    /// Answers a job that does not end in time; `reason` is why, where an owner
-    /// has it.
-    fn give_up(&mut self, id: &str, reason: &'static str, out: &mut Vec<Command>) {
-        let job = &self.jobs[id];
-        let answer = match &job.place {
-            Place::Waiting if !job.may_have_run => match job.refusal {
-                Some(refusal) => Answer::NotRun {
-                    retry_after_ms: refusal.retry_after_ms,
-                    reason: NO_ROOM,
-                },
-                None => Answer::NotRun {
-                    retry_after_ms: RETRY_AFTER_MS,
-                    reason: "no owner of workers can be reached",
-                },
-            },
-            Place::Waiting => Answer::MayHaveRun {
-                reason: "the owner of its workers was lost",
-            },
-            Place::Delegated(_) => Answer::MayHaveRun { reason },
-        };
-        if let Place::Delegated(to) = job.place.clone() {
-            let job_id = id.to_owned();
-            out.push(Command::Cancel { to, job_id });
-        }
-        self.answer(id, answer, out);
-    }
-
     /// Gives up everything at the end of a planned stop.
     pub fn close(&mut self, out: &mut Vec<Command>) {
         let ids: Vec<String> = self.jobs.keys().cloned().collect();
--- a/crates/core/src/dispatch/job.rs
+++ b/crates/core/src/dispatch/job.rs
@@ -53,6 +53,13 @@
     pub run_id: u64,
 }
 
+impl Task {
+    /// Whether it is to be started.
+    pub fn waits(&self) -> bool {
+        matches!(self.state, TaskState::Waiting { .. })
+    }
+}
+
 /// One job at its owner.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -115,6 +122,13 @@
         }
     }
 
+    /// A task of it failed on a worker.
+    pub fn failed(&mut self, on: WorkerKey) {
+        if !self.failed_on.contains(&on) {
+            self.failed_on.push(on);
+        }
+    }
+
     /// Whether its failures are likely its own fault: tasks have failed on
     /// several workers, and none was ever done.
     pub fn is_suspect(&self) -> bool {
@@ -185,8 +199,7 @@
     /// Processor that its waiting tasks take together, thousandths of a core:
     /// those of phases that may begin.
     pub fn waiting_millicores(&self) -> u64 {
-        let waiting = |task: &&Task| matches!(task.state, TaskState::Waiting { .. });
-        let tasks = self.tasks.iter().filter(waiting);
+        let tasks = self.tasks.iter().filter(|task| task.waits());
         let ready = tasks.filter(|task| self.phase_ready(usize::from(task.phase)));
         ready.map(|task| self.phase(task).cpu_millicores).sum()
     }
@@ -194,12 +207,10 @@
     /// Work that is not begun, by its estimates: thousandths of a core times
     /// milliseconds.
     pub fn waiting_work(&self) -> u64 {
-        let waiting = |task: &&Task| matches!(task.state, TaskState::Waiting { .. });
-        let phases = self.tasks.iter().filter(waiting);
-        let phases = phases.map(|task| self.phase(task));
-        phases
-            .map(|phase| phase.cpu_millicores * phase.estimate_ms)
-            .sum()
+        let tasks = self.tasks.iter().filter(|task| task.waits());
+        let phases = tasks.map(|task| self.phase(task));
+        let work = phases.map(|phase| phase.cpu_millicores * phase.estimate_ms);
+        work.sum()
     }
 
     /// When the caller's objective passes, by the estimates.
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -15,18 +15,22 @@
 //! * [`holds`]: leases, ends, and the fate of orders without an answer.
 //! * [`overdue`]: runs that take longer than they should.
 //! * [`adopt`]: what an earlier owner left behind.
-//! * [`ends`]: what an end means for its task and job.
+//! * [`origins`]: those who delegated jobs, and their links.
+//! * [`ends`]: what a run's end means for its task and job.
+//! * [`endings`]: how jobs end.
 
 mod admission;
 mod adopt;
 mod answers;
 mod command;
+mod endings;
 mod ends;
 mod figures;
 mod forecast;
 mod holds;
 mod judge;
 mod note;
+mod origins;
 mod overdue;
 mod place;
 mod queue;
@@ -43,7 +47,7 @@
 use trefoil_schema::dispatch::{Job as JobSpec, Outcome};
 
 use super::fence::Fence;
-use super::job::{Job, Origin, Task, TaskState};
+use super::job::{Job, Origin, TaskState};
 use super::limits::{ADOPT_MS, LINK_SILENT_MS, REMEMBER_MS, RESUME_MS, RETRY_MS};
 use super::order::{
     EndKind, HoldOrder, JobKey, OrderOutcome, Rejection, StartOrder, StopOrder, Target, WorkerKey,
@@ -124,34 +128,6 @@
         &self.pool
     }
 
-    /// An origin had its link at `alive_ms`, by its own word.
-    pub fn origin_alive(&mut self, origin: Origin, alive_ms: u64) {
-        self.alive_ms.insert(origin, alive_ms);
-    }
-
-    /// How much longer than it may an origin has gone unheard. Leases are cut
-    /// short by that much, however late this instance learns of the loss.
-    fn overdue_ms(&self, now_ms: u64, origin: Option<Origin>) -> u64 {
-        match origin {
-            Some(origin @ Origin::Link(_)) => {
-                let alive_ms = self.alive_ms.get(&origin).copied().unwrap_or(now_ms);
-                now_ms.saturating_sub(alive_ms + LINK_SILENT_MS)
-            }
-            Some(Origin::Local) | None => 0,
-        }
-    }
-
-    /// The most overdue origin of a worker's runs.
-    fn overdue_on(&self, now_ms: u64, key: WorkerKey) -> u64 {
-        let runs = self.workers[key].runs.iter();
-        let overdue = runs.filter_map(|run| match run.owner {
-            RunOwner::Task(job, _) => self.jobs.get(job),
-            RunOwner::Nobody { .. } => None,
-        });
-        let overdue = overdue.map(|job| self.overdue_ms(now_ms, job.origin));
-        overdue.max().unwrap_or(0)
-    }
-
     /// Takes in the registry's workers of the pool.
     pub fn set_workers(&mut self, now_ms: u64, records: Vec<WorkerRecord>, out: &mut Vec<Command>) {
         let listed: HashSet<Arc<str>> = records.iter().map(|record| record.id.clone()).collect();
@@ -256,178 +232,6 @@
         self.settle(now_ms, out);
     }
 
-    /// The link of an origin broke. Nothing new starts for its jobs, and they
-    /// end unless the origin comes back soon with another link.
-    pub fn origin_lost(&mut self, now_ms: u64, origin: Origin, out: &mut Vec<Command>) {
-        if !self.alive_ms.contains_key(&origin) {
-            // Nothing tells how long its leases may go on.
-            return self.origin_gone(now_ms, origin, out);
-        }
-        self.lost_origins.push_back((now_ms, origin));
-        for (_, job) in &mut self.jobs {
-            job.paused |= job.origin == Some(origin);
-        }
-        self.queue.invalidate();
-    }
-
-    /// Ends the jobs of origins that have not come back in time.
-    fn expire_origins(&mut self, now_ms: u64, out: &mut Vec<Command>) {
-        while let Some(&(lost_ms, origin)) = self.lost_origins.front()
-            && now_ms >= lost_ms + RESUME_MS
-        {
-            self.lost_origins.pop_front();
-            self.origin_gone(now_ms, origin, out);
-        }
-    }
-
-    /// Ends all jobs of an origin that went away.
-    fn origin_gone(&mut self, now_ms: u64, origin: Origin, out: &mut Vec<Command>) {
-        let lost = |(key, job): (JobKey, &Job)| (job.origin == Some(origin)).then_some(key);
-        let keys: Vec<JobKey> = self.jobs.iter().filter_map(lost).collect();
-        for key in keys {
-            let id = self.jobs[key].spec.id.clone();
-            out.push(Command::Note(Note::job("origin lost", &id)));
-            self.abandon(now_ms, key, out);
-        }
-        self.alive_ms.remove(&origin);
-        self.settle(now_ms, out);
-    }
-
-    /// Stops a job's runs; it goes when they have ended.
-    fn abandon(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Command>) {
-        let job = &mut self.jobs[key];
-        job.origin = None;
-        job.stopping = true;
-        self.stop_runs(now_ms, key, out);
-        self.drop_if_ended(key);
-    }
-
-    fn stop_runs(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Command>) {
-        for (worker_key, worker) in &mut self.workers {
-            let target = target_of(worker_key, worker);
-            for run in &mut worker.runs {
-                let own = matches!(run.owner, RunOwner::Task(job, _) if job == key);
-                let stopped = matches!(run.state, RunState::Stopping { .. });
-                if own && !stopped {
-                    stop_run(now_ms, run, target.clone(), out);
-                }
-            }
-        }
-    }
-
-    fn drop_if_ended(&mut self, key: JobKey) {
-        let job = &self.jobs[key];
-        if job.origin.is_none() && !job.on_workers() {
-            let id = job.spec.id.clone();
-            self.jobs.remove(key);
-            if self.job_ids.get(&id) == Some(&key) {
-                self.job_ids.remove(&id);
-            }
-        }
-    }
-
-    /// Lets a job that is being stopped go; what remains of its runs is
-    /// nobody's until it ends.
-    fn detach(&mut self, key: JobKey, now_ms: u64) {
-        for (_, worker) in &mut self.workers {
-            for run in &mut worker.runs {
-                if matches!(run.owner, RunOwner::Task(job, _) if job == key) {
-                    run.owner = RunOwner::Nobody { stop_at_ms: now_ms };
-                }
-            }
-        }
-        if let Some(job) = self.jobs.remove(key) {
-            self.job_ids.remove(&job.spec.id);
-        }
-    }
-
-    /// Gives up all ownership: nothing is ordered any more. Jobs of which
-    /// nothing runs go back; of the others it is said that they may run.
-    pub fn release(&mut self, now_ms: u64, out: &mut Vec<Command>) {
-        if self.released {
-            return;
-        }
-        self.released = true;
-        let keys: Vec<JobKey> = self.jobs.keys().collect();
-        for key in keys {
-            let job = &self.jobs[key];
-            let outcome = match (job.on_workers(), job.started) {
-                (true, _) => Outcome::Lost,
-                (false, true) => Outcome::Stopped,
-                (false, false) => Outcome::Returned,
-            };
-            self.finish(now_ms, key, outcome, "ownership has ended", out);
-        }
-        self.jobs.clear();
-        self.job_ids.clear();
-    }
-
-    /// Whether it has given up ownership.
-    pub fn is_released(&self) -> bool {
-        self.released
-    }
-
-    /// Tells the origin and forgets the job, whose runs are stopped.
-    fn finish(
-        &mut self,
-        now_ms: u64,
-        key: JobKey,
-        outcome: Outcome,
-        reason: &'static str,
-        out: &mut Vec<Command>,
-    ) {
-        let job = &mut self.jobs[key];
-        let id = job.spec.id.clone();
-        if let Some(origin) = job.origin {
-            self.tell(origin, id.clone(), outcome, reason, out);
-        }
-        if matches!(outcome, Outcome::Completed | Outcome::Failed) {
-            self.ended.push_back((now_ms, id, outcome));
-        }
-        if !self.released {
-            self.abandon(now_ms, key, out);
-        }
-    }
-
-    /// Tells the origin that nothing of the job has run or will, and forgets it.
-    fn refuse(&mut self, now_ms: u64, key: JobKey, reason: &'static str, out: &mut Vec<Command>) {
-        let retry_after_ms = self.retry_after_ms(now_ms, key);
-        let job = &self.jobs[key];
-        if let Some(origin) = job.origin {
-            let ending = Ending {
-                job_id: job.spec.id.clone(),
-                outcome: Outcome::NotRun,
-                retry_after_ms,
-            };
-            out.push(Command::Ended {
-                origin,
-                ending,
-                reason,
-            });
-        }
-        self.abandon(now_ms, key, out);
-    }
-
-    fn tell(
-        &self,
-        origin: Origin,
-        job_id: String,
-        outcome: Outcome,
-        reason: &'static str,
-        out: &mut Vec<Command>,
-    ) {
-        let ending = Ending {
-            job_id,
-            outcome,
-            retry_after_ms: 0,
-        };
-        out.push(Command::Ended {
-            origin,
-            ending,
-            reason,
-        });
-    }
-
     /// Passes time: retries, lapsed leases, stalled runs.
     pub fn tick(&mut self, now_ms: u64, out: &mut Vec<Command>) {
         if self.released {
--- a/crates/core/src/dispatch/owner/ends.rs
+++ b/crates/core/src/dispatch/owner/ends.rs
@@ -62,18 +62,17 @@
     /// for the first: once tasks of one job have failed on several workers and
     /// none was done, the job is blamed, and the workers are taken back.
     fn blame(&mut self, now_ms: u64, key: WorkerKey, owner: RunOwner) {
-        let RunOwner::Task(job, _) = owner else {
-            return self.workers[key].trust.failed(now_ms);
+        let job = match owner {
+            RunOwner::Task(job, _) => self.jobs.get_mut(job),
+            RunOwner::Nobody { .. } => None,
         };
-        let Some(job) = self.jobs.get_mut(job) else {
+        let suspect = job.and_then(|job| {
+            job.failed(key);
+            job.is_suspect().then_some(job)
+        });
+        let Some(job) = suspect else {
             return self.workers[key].trust.failed(now_ms);
         };
-        if !job.failed_on.contains(&key) {
-            job.failed_on.push(key);
-        }
-        if !job.is_suspect() {
-            return self.workers[key].trust.failed(now_ms);
-        }
         for &blamed in &job.failed_on {
             if let Some(worker) = self.workers.get_mut(blamed) {
                 worker.trust.forgive();
@@ -85,8 +84,7 @@
     fn take_orphan_end(&mut self, now_ms: u64, end: &ListedEnd, out: &mut Vec<Command>) {
         match self.find_task(&end.task) {
             Some((job, index)) => {
-                let state = self.jobs[job].tasks[index].state;
-                let waits = matches!(state, TaskState::Waiting { .. });
+                let waits = self.jobs[job].tasks[index].waits();
                 if end.how == EndKind::Done && waits {
                     self.task_done(now_ms, job, index, out);
                 }
--- a/crates/core/src/dispatch/owner/figures.rs
+++ b/crates/core/src/dispatch/owner/figures.rs
@@ -70,12 +70,8 @@
                 load.backlog_millicore_ms += cpu * end_ms.saturating_sub(now_ms);
             }
         }
-        for job in self.jobs.values().filter(|job| !job.stopping) {
-            let waiting = |task: &&Task| matches!(task.state, TaskState::Waiting { .. });
-            let work = job.tasks.iter().filter(waiting).map(|task| job.phase(task));
-            let work = work.map(|phase| phase.cpu_millicores * phase.estimate_ms);
-            load.backlog_millicore_ms += work.sum::<u64>();
-        }
+        let jobs = self.jobs.values().filter(|job| !job.stopping);
+        load.backlog_millicore_ms += jobs.map(Job::waiting_work).sum::<u64>();
         load.serving &= !self.released;
         load
     }
--- a/crates/core/src/dispatch/owner/holds.rs
+++ b/crates/core/src/dispatch/owner/holds.rs
@@ -183,8 +183,7 @@
     ) {
         let task = self.find_task(&listed.task);
         let waiting = |&(job, index): &(JobKey, usize)| {
-            let state = self.jobs[job].tasks[index].state;
-            !self.jobs[job].stopping && matches!(state, TaskState::Waiting { .. })
+            !self.jobs[job].stopping && self.jobs[job].tasks[index].waits()
         };
         let adopted = task.filter(waiting);
         let (owner, room, expected_ms) = match adopted {
--- a/crates/core/src/dispatch/owner/queue.rs
+++ b/crates/core/src/dispatch/owner/queue.rs
@@ -19,7 +19,7 @@
 
 use slotmap::SlotMap;
 
-use super::super::job::{Job, Task, TaskState};
+use super::super::job::Job;
 use super::super::order::JobKey;
 use super::shares::Shares;
 
@@ -182,7 +182,6 @@
     if !safe || job.stopping || job.paused {
         return None;
     }
-    let waiting = |task: &&Task| matches!(task.state, TaskState::Waiting { .. });
-    let tasks = job.tasks.iter().filter(waiting);
+    let tasks = job.tasks.iter().filter(|task| task.waits());
     tasks.map(|task| job.phase(task).cpu_millicores).min()
 }
--- a/crates/core/src/dispatch/owner/reserve.rs
+++ b/crates/core/src/dispatch/owner/reserve.rs
@@ -25,8 +25,8 @@
         if !job.started || lateness(job, now_ms) == Lateness::InTime {
             return;
         }
-        let waiting = |task: &&Task| matches!(task.state, TaskState::Waiting { .. });
-        let tasks = job.tasks.iter().filter(waiting).take(KEPT_MAX);
+        let tasks = job.tasks.iter().filter(|task| task.waits());
+        let tasks = tasks.take(KEPT_MAX);
         let rooms: Vec<Room> = tasks.map(|task| room_of(job.phase(task))).collect();
         let Some(room) = rooms.first() else {
             return;
