--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`worker`]: a simulated worker.
 //! * [`figures`]: what callers saw, by class.
 //! * [`bound`]: what no scheduler can exceed.
+//! * [`plot`]: two policies beside the bound.
 //!
 //! It has no network, no losses and no clocks that differ: those are what the
 //! histories of `trefoil-core` and the soak are for.
@@ -19,5 +20,6 @@
 pub mod bound;
 pub mod figures;
 pub mod pattern;
+pub mod plot;
 pub mod worker;
 pub mod world;
