--- a/crates/replay/src/pattern.rs
+++ b/crates/replay/src/pattern.rs
@@ -221,24 +221,8 @@
                 },
             ],
         ),
-        Pattern {
-            fleet: Fleet {
-                pools_per_domain: 1,
-                workers_per_pool: 16,
-                ..Fleet::default()
-            },
-            classes: classes(0.2),
-            ..pattern("small-burst", vec![burst(None, 2.5, 2000, 7000)])
-        },
-        Pattern {
-            fleet: Fleet {
-                pools_per_domain: 1,
-                workers_per_pool: 16,
-                ..Fleet::default()
-            },
-            classes: classes(0.2),
-            ..pattern("small-edge", vec![burst(None, 1.3, 1000, 9000)])
-        },
+        small(pattern("small-burst", vec![burst(None, 2.5, 2000, 7000)])),
+        small(pattern("small-edge", vec![burst(None, 1.3, 1000, 9000)])),
         pattern(
             "recovery",
             vec![Change::Outage {
@@ -249,6 +233,20 @@
     ]
 }
 
+/// The same in a fifth of the workers, one pool to a failure domain.
+fn small(pattern: Pattern) -> Pattern {
+    let fleet = Fleet {
+        pools_per_domain: 1,
+        workers_per_pool: 16,
+        ..Fleet::default()
+    };
+    Pattern {
+        fleet,
+        classes: classes(0.2),
+        ..pattern
+    }
+}
+
 /// A pattern by its name.
 pub fn named(name: &str) -> Option<Pattern> {
     all().into_iter().find(|pattern| pattern.name == name)
