--- a/crates/core/tests/dispatch_origin.rs
+++ b/crates/core/tests/dispatch_origin.rs
@@ -5,10 +5,10 @@
 use dispatch_support::orders::{
     LINK, answer_hold, answer_start, delegate, done, ended, fenced_owner, held,
 };
-use dispatch_support::{holds, job, starts, stops};
+use dispatch_support::{SimWorker, holds, job, starts, stops};
 use trefoil_core::dispatch::job::Origin;
 use trefoil_core::dispatch::limits::{LEASE_MS, LINK_SILENT_MS, RESUME_MS};
-use trefoil_core::dispatch::order::{EndKind, ListedRun, OrderOutcome};
+use trefoil_core::dispatch::order::{EndKind, ListedRun, OrderOutcome, Rejection};
 use trefoil_schema::dispatch::Outcome;
 
 /// Another link of the same instance.
@@ -107,3 +107,34 @@
     assert_eq!(stops(&out).len(), 1);
     assert!(starts(&out).is_empty());
 }
+
+#[test]
+fn a_start_that_is_carried_out_after_its_jobs_end_does_nothing() {
+    let mut owner = fenced_owner(1, &["w1"]);
+    let mut worker = SimWorker::new("w1", 50_000, 5000);
+    let started = starts(&delegate(&mut owner, 10, "a", 1));
+    let out = answer_start(&mut owner, 110, &started[0], OrderOutcome::NoAnswer);
+    owner.cancel(111, LINK, "a", &mut Vec::new());
+    let raised = holds(&out);
+    assert_eq!(raised.len(), 1, "asked at once, under a raised fence");
+    worker.hold(112, &raised[0]);
+    assert_eq!(worker.start(113, &started[0]), OrderOutcome::Fenced);
+    assert!(worker.runs.is_empty());
+}
+
+#[test]
+fn a_run_whose_starter_is_gone_ends_with_its_lease() {
+    let mut owner = fenced_owner(1, &["w1"]);
+    let mut worker = SimWorker::new("w1", 50_000, 5000);
+    let started = starts(&delegate(&mut owner, 10, "a", 1));
+    drop(owner);
+    // The order arrives late, as its lease allows ...
+    let outcome = worker.start(700, &started[0]);
+    assert!(matches!(outcome, OrderOutcome::Done { .. }));
+    worker.pass(10 + LEASE_MS * 102 / 100 + 20);
+    assert!(worker.runs.is_empty());
+    // ... or later than that.
+    let mut worker = SimWorker::new("w1", 50_000, 5000);
+    let outcome = worker.start(2010, &started[0]);
+    assert_eq!(outcome, OrderOutcome::Rejected(Rejection::Late));
+}
