--- a/crates/core/src/dispatch/owner/admission.rs
+++ b/crates/core/src/dispatch/owner/admission.rs
@@ -7,10 +7,10 @@
 //! can begin ([`forecast`]):
 //!
 //! * in time: it waits;
-//! * late: it waits only if room is left beside the work that is admitted in
-//!   time, since such work goes first. After a burst there is, and late answers
-//!   are better than none; within one there is not, and its caller would only
-//!   wait for the refusal;
+//! * late: it waits only if room is left beside all the work that comes, since
+//!   what is in time goes first. After a burst there is, and late answers are
+//!   better than none; within one there is not, and its caller would only wait
+//!   for the refusal;
 //! * never: it is refused at once.
 //!
 //! A new job is judged more strictly than one that waits already, so that few
--- a/crates/core/src/dispatch/owner/reserve.rs
+++ b/crates/core/src/dispatch/owner/reserve.rs
@@ -4,8 +4,8 @@
 //! most. Whenever one run ends, the room that it gives back is too small for
 //! them, and smaller tasks take it. A job of which some tasks have run then
 //! waits for the last of them until its caller leaves, and all its work was for
-//! nothing. So once it is late, the worker that will soonest have room for the
-//! task takes nothing else. Only late jobs are worth that: kept room is idle.
+//! nothing. So once it is late, the workers that will soonest have room for its
+//! tasks take nothing else. Only late jobs are worth that: kept room is idle.
 
 use super::super::worker::Room;
 use super::place::{Open, room_of};
