Failure domains can be closed to new tasks; entries of another writer name no worker

Peers tell each other by that revision. An owner in a closed failure domain gives unbegun jobs back to their entries at once, lets begun ones start tasks for a moment (1.5 s, and at most half of what the operator grants since the declarations were last known to say otherwise), and then gives them back too. A new owner, or one that knows no declarations, starts nothing. With all failure domains closed callers are refused at once. Readings of registry, claims and declarations no longer end each other.

Entries that another writer has made: a state or service that is not declared, an address that is none, a capacity without its parts name no worker; told once, counted in trefoil_store_entries_unreadable. A claim's record that cannot be read is replaced by the next claim.

Ruled out: a version of its own for closures (the store's revision orders both); stopping begun jobs at once (their work would run again elsewhere).

--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -17,7 +17,7 @@
 use super::ownership::holder_of;
 
 use choice::{choose, width_of, work_of};
-use refusal::Refusal;
+use refusal::{CLOSED, Refusal};
 
 pub use choice::PoolView;
 
@@ -409,6 +409,9 @@
             (is_safe || **pool == job.unsafe_pool) && !job.refused_by.contains(pool)
         });
         let Some(pool) = choose(allowed, &self.home, &job.spec) else {
+            if is_safe && self.is_closed() {
+                self.give_up(id, CLOSED, out);
+            }
             return;
         };
         let Some(view) = self.pools.get_mut(&pool) else {
@@ -443,9 +446,15 @@
         self.jobs.is_empty()
     }
 
-    /// Whether any owner takes jobs.
+    /// Whether callers get an answer at once: an owner takes jobs, or all say
+    /// that none may be run.
     pub fn is_served(&self) -> bool {
-        self.pools.values().any(|view| view.load.serving)
+        self.is_closed() || self.pools.values().any(|view| view.load.serving)
+    }
+
+    /// Whether every failure domain that is known is closed.
+    fn is_closed(&self) -> bool {
+        !self.pools.is_empty() && self.pools.values().all(|view| view.load.closed)
     }
 }
 
--- a/crates/core/src/dispatch/entry/refusal.rs
+++ b/crates/core/src/dispatch/entry/refusal.rs
@@ -7,6 +7,9 @@
 /// Why a job is refused that an owner has no room for.
 const NO_ROOM: &str = "no worker comes free in time";
 
+/// Why a job is refused that no failure domain may run.
+pub(super) const CLOSED: &str = "all failure domains are closed";
+
 /// What the caller is told unless a pool without an owner gets one in time.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Refusal {
@@ -74,7 +77,10 @@
                 },
                 None => Answer::NotRun {
                     retry_after_ms: RETRY_AFTER_MS,
-                    reason: "no owner of workers can be reached",
+                    reason: match reason {
+                        CLOSED => CLOSED,
+                        _ => "no owner of workers can be reached",
+                    },
                 },
             },
             Place::Waiting => Answer::MayHaveRun {
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -15,6 +15,7 @@
 //! * [`holds`]: leases, ends, and the fate of orders without an answer.
 //! * [`overdue`]: runs that take longer than they should.
 //! * [`adopt`]: what an earlier owner left behind.
+//! * [`closure`]: a failure domain that takes no new tasks.
 //! * [`clearance`]: when a job is safe that an earlier owner had.
 //! * [`origins`]: those who delegated jobs, and their links.
 //! * [`ends`]: what a run's end means for its task and job.
@@ -24,6 +25,7 @@
 mod adopt;
 mod answers;
 mod clearance;
+mod closure;
 mod command;
 mod endings;
 mod ends;
@@ -49,7 +51,7 @@
 use trefoil_schema::dispatch::{Holder, Job as JobSpec, Outcome};
 
 use super::fence::Fence;
-use super::job::{Job, Origin, TaskState};
+use super::job::{Job, Origin, Task, TaskState};
 use super::limits::{ADOPT_MS, LINK_SILENT_MS, REMEMBER_MS, RESUME_MS, RETRY_MS};
 use super::order::{
     EndKind, HoldOrder, JobKey, OrderOutcome, Rejection, StartOrder, StopOrder, Target, WorkerKey,
@@ -88,6 +90,7 @@
     lost_origins: VecDeque<(u64, Origin)>,
     run_seed: u64,
     clearance: clearance::Clearance,
+    closure: closure::Closure,
     /// Workers that may be used; none where every one may be.
     announced: Option<Roster>,
     released: bool,
@@ -114,6 +117,7 @@
             lost_origins: VecDeque::new(),
             run_seed,
             clearance: clearance::Clearance::default(),
+            closure: closure::Closure::default(),
             announced: None,
             released: false,
             admission: admission::Admission::default(),
@@ -225,6 +229,7 @@
             self.finish(now_ms, key, Outcome::Completed, "its tasks were done", out);
         }
         let work = self.jobs.get(key).map_or(0, Job::waiting_work);
+        self.send_away(now_ms, out);
         self.settle(now_ms, out);
         self.judge_new(now_ms, key, work, out);
     }
@@ -255,6 +260,7 @@
         self.queue.invalidate();
         self.expire_origins(now_ms, out);
         self.expire(now_ms, out);
+        self.send_away(now_ms, out);
         self.refuse_hopeless(now_ms, out);
         self.settle(now_ms, out);
         self.judge_all(now_ms, out);
--- a/crates/core/src/dispatch/owner/figures.rs
+++ b/crates/core/src/dispatch/owner/figures.rs
@@ -56,7 +56,8 @@
         }
         let jobs = self.jobs.values().filter(|job| !job.stopping);
         load.backlog_millicore_ms += jobs.map(Job::waiting_work).sum::<u64>();
-        load.serving &= !self.released;
+        load.closed = self.is_closed();
+        load.serving &= !self.released && !load.closed;
         load
     }
 
--- a/crates/core/src/dispatch/owner/place.rs
+++ b/crates/core/src/dispatch/owner/place.rs
@@ -119,6 +119,9 @@
             return false;
         };
         let had_begun = job.started;
+        if !self.may_start(now_ms, had_begun) {
+            return false;
+        }
         let tasks = job.tasks.len();
         // Tasks of one phase take the same: where one does not fit, none does.
         let mut full_phase = None;
--- a/crates/core/src/dispatch/ownership.rs
+++ b/crates/core/src/dispatch/ownership.rs
@@ -282,6 +282,18 @@
         self.take_up(now_ms, claim, out);
     }
 
+    /// The store holds something at a pool's record that names no claim: the next
+    /// claim replaces it.
+    pub fn unreadable_claim(&mut self, name: &str, revision: u64) {
+        let pool = self.pools.get_mut(name);
+        if let Some(pool) = pool.filter(|pool| pool.stored.revision < revision) {
+            pool.stored = Stored {
+                revision,
+                ..Stored::default()
+            };
+        }
+    }
+
     /// The store holds this record of a pool.
     fn stored(&mut self, record: &ClaimRecord, revision: u64, out: &mut Vec<Command>) {
         let claim = &record.claim;
--- /dev/null
+++ b/crates/core/tests/dispatch_closure.rs
@@ -0,0 +1,115 @@
+//! Failure domains that are closed to new tasks, and opened again.
+
+mod dispatch_support;
+
+use dispatch_support::orders::{
+    answer_hold, answer_start, delegate, done, ended, fenced_owner, held,
+};
+use dispatch_support::{holds, job, starts, stops};
+use trefoil_core::dispatch::entry::{Answer, Command as EntryCommand, Entry};
+use trefoil_core::dispatch::order::OrderOutcome;
+use trefoil_schema::dispatch::{Claim, Load, Node, Outcome};
+
+#[test]
+fn a_job_of_which_nothing_runs_goes_back_at_once() {
+    // Load pattern: jobs come and wait while their failure domain is closed.
+    let mut owner = fenced_owner(1, &["w1"]);
+    delegate(&mut owner, 10, "begun", 2);
+    delegate(&mut owner, 11, "waits", 1);
+    let mut out = Vec::new();
+    owner.close(20, 1500, &mut out);
+    assert_eq!(ended(&out), [("waits".to_owned(), Outcome::Returned)]);
+    assert!(stops(&out).is_empty(), "what runs ends by itself");
+    let out = delegate(&mut owner, 30, "late", 1);
+    assert_eq!(ended(&out), [("late".to_owned(), Outcome::Returned)]);
+    let load = owner.load(31);
+    assert!(load.closed && !load.serving);
+}
+
+#[test]
+fn a_begun_job_starts_its_tasks_for_a_moment_and_then_goes_back() {
+    for at_ms in [100, 2000] {
+        let mut owner = fenced_owner(1, &["w1"]);
+        let out = delegate(&mut owner, 10, "a", 3);
+        let started = starts(&out);
+        assert_eq!(started.len(), 2, "the worker has room for two");
+        let mut now_held = Vec::new();
+        for start in &started {
+            let clock_ms = 50_011;
+            let out = answer_start(&mut owner, 11, start, OrderOutcome::Done { clock_ms });
+            now_held.extend(holds(&out));
+        }
+        owner.close(20, 1500, &mut Vec::new());
+        let ends = vec![done(1, &started[0])];
+        let out = answer_hold(&mut owner, at_ms, &now_held[0], held(vec![], ends));
+        let mut later = Vec::new();
+        owner.tick(at_ms + 1, &mut later);
+        match at_ms < 1500 {
+            true => assert_eq!(starts(&out).len(), 1),
+            false => {
+                assert!(starts(&out).is_empty() && starts(&later).is_empty());
+                assert_eq!(ended(&later), [("a".to_owned(), Outcome::Lost)]);
+            }
+        }
+    }
+}
+
+#[test]
+fn an_owner_that_is_opened_again_starts_tasks() {
+    let mut owner = fenced_owner(1, &["w1"]);
+    owner.close(5, 5, &mut Vec::new());
+    assert!(starts(&delegate(&mut owner, 10, "a", 1)).is_empty());
+    owner.reopen(20, &mut Vec::new());
+    assert!(owner.load(21).serving);
+    assert_eq!(starts(&delegate(&mut owner, 30, "a", 1)).len(), 1);
+}
+
+fn seen(entry: &mut Entry, pool: &str, closed: bool, out: &mut Vec<EntryCommand>) {
+    let (domain, _) = pool.split_once('/').unwrap();
+    let claim = Claim {
+        pool: pool.to_owned(),
+        failure_domain: domain.to_owned(),
+        term: 1,
+        owner: Some(Node {
+            name: format!("owner of {pool}"),
+            ..Node::default()
+        }),
+    };
+    let load = Load {
+        serving: !closed,
+        closed,
+        capacity_millicores: 10_000,
+        free_millicores: 10_000,
+        backlog_millicore_ms: 0,
+    };
+    entry.pool_seen(0, &claim, load, out);
+}
+
+#[test]
+fn callers_of_a_closed_failure_domain_are_served_by_another() {
+    let mut entry = Entry::new("forde");
+    let mut out = Vec::new();
+    seen(&mut entry, "forde/0", true, &mut out);
+    seen(&mut entry, "bergen/0", false, &mut out);
+    entry.submit(1, 1, job("a", 1, 100), 1000, &mut out);
+    assert!(matches!(&out[0], EntryCommand::Delegate { to, .. } if to.pool == "bergen/0"));
+}
+
+#[test]
+fn callers_are_refused_at_once_while_all_failure_domains_are_closed() {
+    let mut entry = Entry::new("forde");
+    let mut out = Vec::new();
+    seen(&mut entry, "forde/0", true, &mut out);
+    seen(&mut entry, "bergen/0", true, &mut out);
+    entry.submit(1, 1, job("a", 1, 100), 1000, &mut out);
+    let answer = |command: &EntryCommand| match command {
+        EntryCommand::Answer { answer, .. } => Some(*answer),
+        _ => None,
+    };
+    let answers: Vec<Answer> = out.iter().filter_map(answer).collect();
+    assert!(
+        matches!(answers[..], [Answer::NotRun { .. }]),
+        "{answers:?}"
+    );
+    assert!(entry.is_served(), "it answers, so that callers may come");
+}
--- a/crates/core/tests/dispatch_entry.rs
+++ b/crates/core/tests/dispatch_entry.rs
@@ -43,6 +43,7 @@
     let idle = backlog_millicore_ms == 0;
     Load {
         serving: true,
+        closed: false,
         capacity_millicores: 10_000,
         backlog_millicore_ms,
         free_millicores: if idle { 10_000 } else { 0 },
--- a/crates/core/tests/dispatch_history.rs
+++ b/crates/core/tests/dispatch_history.rs
@@ -28,6 +28,10 @@
 const TICK_MS: u64 = 25;
 /// Random choices of one history, bytes.
 const CHOICE_BYTES: usize = 100_000;
+/// An operator's closing is in force after this time.
+const CLOSE_WITHIN_MS: u64 = 5000;
+/// How long begun jobs go on in a failure domain that was closed.
+const BEGUN_MS: u64 = 1500;
 /// Period at which owners read the registry.
 const REGISTRY_MS: u64 = 700;
 const ENTRY: Origin = Origin::Link(1);
@@ -89,6 +93,15 @@
         roster: Roster,
         answered: bool,
     },
+    /// The operator closes the failure domain, or opens it again.
+    Close,
+    Reopen,
+    /// The entry sends again what was given back.
+    Resend,
+    /// An owner learns of that.
+    Learn {
+        owner: usize,
+    },
     /// An owner learns that the store holds its roster.
     RosterStored {
         owner: usize,
@@ -123,6 +136,10 @@
     /// When each is added.
     added_ms: Vec<u64>,
     record: Record,
+    /// Since when the failure domain is closed.
+    closed_ms: Option<u64>,
+    /// Jobs that an owner gave back for it.
+    sent_away: Vec<String>,
     owners: Vec<Owner>,
     /// Whether each owner still acts.
     acts: Vec<bool>,
@@ -144,6 +161,15 @@
     }
 
     fn send(&mut self, owner: usize, order: Order) -> arbitrary::Result<()> {
+        if let (Order::Start(start), Some(closed_ms)) = (&order, self.closed_ms) {
+            let late = self.now_ms > closed_ms + CLOSE_WITHIN_MS;
+            assert!(
+                !late,
+                "{} starts {} ms after",
+                start.task,
+                self.now_ms - closed_ms
+            );
+        }
         let path_ms = self.choices.int_in_range(1..=3)?;
         let cut_until_ms = self.cuts.get(&(owner, worker_of(&order)));
         let is_cut = cut_until_ms.is_some_and(|&until_ms| self.now_ms < until_ms);
@@ -197,6 +223,10 @@
                 self.open_jobs.remove(job_id);
             }
             Outcome::Completed => {}
+            Outcome::Returned | Outcome::Lost if present => {
+                self.take_back(job_id, owner, outcome == Outcome::Lost);
+                self.sent_away.push(job_id.to_owned());
+            }
             // Only an owner that was replaced is outranked.
             other => assert!(!present, "{job_id} {other:?}"),
         }
@@ -267,7 +297,11 @@
             | Event::Notice { owner }
             | Event::SendRoster { owner }
             | Event::RosterStored { owner, .. }
+            | Event::Learn { owner }
             | Event::Registry { owner } => owner,
+            Event::Close => return self.close(true),
+            Event::Reopen => return self.close(false),
+            Event::Resend => return self.resend(),
             Event::Roster {
                 owner,
                 roster,
@@ -308,14 +342,26 @@
                 self.at(now_ms + REGISTRY_MS, Event::Registry { owner });
                 self.at(now_ms, Event::SendRoster { owner });
             }
+            Event::Learn { .. } if self.closed_ms.is_some() => {
+                actor.close(now_ms, now_ms + BEGUN_MS, &mut out);
+            }
+            Event::Learn { .. } => {
+                actor.reopen(now_ms, &mut out);
+                self.at(now_ms, Event::Resend);
+            }
             Event::SendRoster { .. } => {
                 let roster = actor.roster();
                 actor.roster_sent(roster.clone());
                 self.send_roster(owner, roster)?;
             }
             Event::RosterStored { roster, .. } => actor.roster_stored(now_ms, roster, &mut out),
-            Event::Arrive { .. } | Event::Submit { .. } | Event::Replace | Event::Roster { .. } => {
-            }
+            Event::Arrive { .. }
+            | Event::Submit { .. }
+            | Event::Replace
+            | Event::Close
+            | Event::Reopen
+            | Event::Resend
+            | Event::Roster { .. } => {}
         }
         self.carry_out(owner, out)
     }
@@ -350,14 +396,39 @@
         self.carry_out(known.owner, out)
     }
 
-    /// The entry takes all jobs back from the lost owner, for the next one.
-    fn take_back(&mut self, next: usize) {
-        for job in self.open_jobs.values_mut() {
+    /// The entry takes a job back, for the next owner.
+    fn take_back(&mut self, id: &str, next: usize, may_run: bool) {
+        let Some(job) = self.open_jobs.get_mut(id) else {
+            return;
+        };
+        if may_run {
             let is_only = self.now_ms >= job.unsafe_until_ms || job.unsafe_owner == Some(job.owner);
             job.unsafe_owner = Some(job.owner).filter(|_| is_only);
             job.unsafe_until_ms = self.now_ms + DELEGATED_GAP_MS;
-            job.owner = next;
         }
+        job.owner = next;
+    }
+
+    /// The operator closes the failure domain or opens it again; owners learn of
+    /// it later, and the entry then sends again what they gave back.
+    fn close(&mut self, closed: bool) -> arbitrary::Result<()> {
+        self.closed_ms = closed.then_some(self.now_ms);
+        self.at(self.now_ms, Event::Resend);
+        for owner in 0..self.owners.len() {
+            let learns_ms = self.now_ms + self.choices.int_in_range(0..=1500_u64)?;
+            self.at(learns_ms, Event::Learn { owner });
+        }
+        Ok(())
+    }
+
+    /// The entry sends again what was given back.
+    fn resend(&mut self) -> arbitrary::Result<()> {
+        for id in std::mem::take(&mut self.sent_away) {
+            if let Some(job) = self.open_jobs.get(&id).cloned() {
+                self.delegate(&id, &job)?;
+            }
+        }
+        Ok(())
     }
 
     /// A roster is on its way to the store; an owner whose claim the store does
@@ -413,7 +484,10 @@
         self.take_over(known)?;
         let whole_ms: u64 = self.choices.int_in_range(0..=2000)?;
         self.at(self.now_ms + whole_ms, Event::Registry { owner: next });
-        self.take_back(next);
+        for id in self.open_jobs.keys().cloned().collect::<Vec<_>>() {
+            self.take_back(&id, next, true);
+        }
+        self.sent_away.clear();
         for (id, job) in self.open_jobs.clone() {
             self.delegate(&id, &job)?;
         }
@@ -442,6 +516,9 @@
         let records = records.map(|worker| worker.record.clone());
         let mut out = Vec::new();
         next.set_workers(self.now_ms, records.collect(), &mut out);
+        if self.closed_ms.is_some() {
+            next.close(self.now_ms, self.now_ms, &mut out);
+        }
         self.owners.push(next);
         self.acts.push(true);
         let number = self.owners.len() - 1;
@@ -563,6 +640,8 @@
         workers,
         added_ms,
         record: Record::default(),
+        closed_ms: None,
+        sent_away: Vec::new(),
         owners: Vec::new(),
         acts: Vec::new(),
         cuts: HashMap::new(),
@@ -579,6 +658,12 @@
         let at_ms = history.choices.int_in_range(100..=3000)?;
         history.at(at_ms, Event::Replace);
     }
+    if history.choices.ratio(1, 2)? {
+        let closes_ms = history.choices.int_in_range(100..=3000)?;
+        let opens_ms = closes_ms + history.choices.int_in_range(500..=8000)?;
+        history.at(closes_ms, Event::Close);
+        history.at(opens_ms, Event::Reopen);
+    }
     history.run()
 }
 
--- a/crates/instance/src/declarations.rs
+++ b/crates/instance/src/declarations.rs
@@ -1,23 +1,39 @@
 //! Routes and services in force.
 //!
-//! They come from the platform's store, or from another instance that read a
-//! newer version; a version is never replaced by an older one.
+//! They come from the platform's store, or from another instance that read them
+//! there later; declarations are never replaced by earlier ones.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use serde::{Deserialize, Serialize};
 
 /// The operator's declarations in one version.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Declarations {
-    /// Rises with each change.
+    /// Rises with each change of routes.
     pub version: u64,
+    /// Revision of the store at which all this was so; rises with each change.
+    pub revision: u64,
+    /// Services that workers may belong to.
+    pub services: BTreeSet<String>,
+    /// Failure domains whose workers are to be given no new tasks.
+    pub closed_domains: BTreeSet<String>,
     /// Queues that callers submit to.
     pub routes: Vec<Route>,
     /// Largest body of a request.
     pub body_bytes_max: u64,
 }
 
+/// What one reading of the store says of the declarations.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct DeclarationsRead {
+    /// Revision of the store that the reading is no older than.
+    pub confirmed_at: u64,
+    /// The declarations, unless they were told before; none either while the
+    /// operator has written none.
+    pub changed: Option<Declarations>,
+}
+
 /// A queue: where its requests come in, and how its jobs are run.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Route {
@@ -70,9 +86,19 @@
         &self.declarations
     }
 
-    /// Their version.
-    pub fn version(&self) -> u64 {
-        self.declarations.version
+    /// Revision of the store at which they were in force.
+    pub fn revision(&self) -> u64 {
+        self.declarations.revision
+    }
+
+    /// Whether a service is declared; workers of others are not used.
+    pub fn has_service(&self, service: &str) -> bool {
+        self.declarations.services.contains(service)
+    }
+
+    /// Whether workers of a failure domain are to be given no new tasks.
+    pub fn is_closed(&self, failure_domain: &str) -> bool {
+        self.declarations.closed_domains.contains(failure_domain)
     }
 
     /// The route with the longest prefix that a request matches.
--- a/crates/instance/src/edge.rs
+++ b/crates/instance/src/edge.rs
@@ -10,7 +10,7 @@
 use trefoil_core::dispatch::worker::WorkerRecord;
 use trefoil_schema::dispatch::Node;
 
-use crate::declarations::Declarations;
+use crate::declarations::DeclarationsRead;
 
 /// Why the store could not be used.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
@@ -44,6 +44,8 @@
     pub nodes: Vec<Node>,
     /// Claims with the revisions of their records.
     pub claims: Vec<(ClaimRecord, u64)>,
+    /// Pools whose records cannot be read, with their revisions.
+    pub unreadable_claims: Vec<(String, u64)>,
     /// Numbers of pools by failure domain.
     pub pool_counts: HashMap<String, u32>,
 }
@@ -51,13 +53,14 @@
 /// The platform's store.
 #[allow(async_fn_in_trait)]
 pub trait Store {
-    /// The newest declarations; none while the operator has written none, or
-    /// where they have not changed since the last call.
-    async fn declarations(&self) -> Result<Option<Declarations>, StoreError>;
+    /// The newest declarations.
+    async fn declarations(&self) -> Result<DeclarationsRead, StoreError>;
     /// All instances and claims.
     async fn deployment(&self) -> Result<Deployment, StoreError>;
     /// Registered workers of a failure domain.
     async fn workers(&self, failure_domain: &str) -> Result<Vec<WorkerRecord>, StoreError>;
+    /// Entries of the last readings that cannot be read, and are passed over.
+    fn unreadable_entries(&self) -> usize;
     /// Registers an instance, or renews its registration.
     async fn register(&self, node: &Node) -> Result<(), StoreError>;
     /// Ends the registration.
--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -106,13 +106,13 @@
         Ok(())
     };
     let declarations = async {
-        if let Some(declarations) = instance.edge.declarations().await? {
-            instance.set_declarations(declarations);
-        }
+        let began_ms = instance.now_ms();
+        instance.declarations_read(instance.edge.declarations().await?, began_ms);
         Ok(())
     };
-    tokio::try_join!(workers, deployment, declarations)?;
-    Ok(())
+    // One that fails does not end the others: declarations have a time limit.
+    let (workers, deployment, declarations) = tokio::join!(workers, deployment, declarations);
+    workers.and(deployment).and(declarations)
 }
 
 /// How many workers were registered, and since when hardly more came.
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -8,6 +8,7 @@
 //!
 //! * [`effects`]: what the decisions' commands do.
 //! * [`calls`]: orders to workers and claims to the store, and their answers.
+//! * [`declared`]: declarations in force, and what they say of pools here.
 //! * [`peers`]: links to other instances.
 //! * [`frames`]: what goes over them.
 //! * [`beats`]: heartbeats to all of them.
@@ -16,6 +17,7 @@
 
 mod beats;
 mod calls;
+mod declared;
 mod effects;
 mod frames;
 mod peers;
@@ -39,7 +41,6 @@
 use trefoil_core::dispatch::worker::WorkerRecord;
 use trefoil_schema::dispatch::{Claim, Delegate, Job as JobSpec, Node, Outcome};
 
-use crate::declarations::{Declarations, RouteTable};
 use crate::edge::{Deployment, Store, Workers};
 use crate::log::unix_ms;
 use crate::metrics::Metrics;
@@ -86,7 +87,7 @@
     owners: BTreeMap<String, Owner>,
     entry: Entry,
     peers: Peers,
-    declarations: Option<Rc<RouteTable>>,
+    declared: declared::Declared,
     worker_records: Vec<WorkerRecord>,
     /// Workers of the failure domain's pools, as their owners last told.
     pool_workers: HashMap<String, Vec<WorkerRecord>>,
@@ -100,8 +101,6 @@
     store_read_ms: Option<u64>,
     /// Since when a wanted owner has not been linked.
     unsettled_since_ms: Option<u64>,
-    /// Since when others have had newer declarations.
-    behind_since_ms: Option<u64>,
     leaving: bool,
     /// Failure domain of this instance.
     home: String,
@@ -122,7 +121,7 @@
             owners: BTreeMap::new(),
             entry: Entry::new(&settings.failure_domain),
             peers: Peers::default(),
-            declarations: None,
+            declared: declared::Declared::default(),
             worker_records: Vec::new(),
             pool_workers: HashMap::new(),
             pool_count: 0,
@@ -133,7 +132,6 @@
             active_ms: 0,
             store_read_ms: None,
             unsettled_since_ms: None,
-            behind_since_ms: None,
             leaving: false,
             home: settings.failure_domain.clone(),
         };
@@ -231,31 +229,10 @@
         answer
     }
 
-    /// Declarations in force; none before the first.
-    pub fn declarations(&self) -> Option<Rc<RouteTable>> {
-        self.state.borrow().declarations.clone()
-    }
-
-    /// Puts declarations in force unless newer ones are.
-    pub fn set_declarations(&self, declarations: Declarations) {
-        let mut state = self.state.borrow_mut();
-        let known = state
-            .declarations
-            .as_ref()
-            .map_or(0, |known| known.version());
-        if state.declarations.is_some() && declarations.version <= known {
-            return;
-        }
-        info!(self.log, "declarations in force"; "version" => declarations.version,
-            "before" => known, "routes" => declarations.routes.len());
-        state.declarations = Some(Rc::new(RouteTable::new(declarations)));
-        state.behind_since_ms = None;
-    }
-
     /// Whether callers' requests can be served here.
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
-        !state.leaving && state.declarations.is_some() && state.entry.is_served()
+        !state.leaving && state.declared.table().is_some() && state.entry.is_served()
     }
 
     /// Whether a planned stop is under way.
@@ -288,6 +265,9 @@
             }
             state.ownership.set_members(now_ms, deployment.nodes);
             state.entry.set_home_pools(state.ownership.home_pools());
+            for (pool, revision) in deployment.unreadable_claims {
+                state.ownership.unreadable_claim(&pool, revision);
+            }
             for (record, revision) in deployment.claims {
                 let out = &mut effects.ownership;
                 state.ownership.stored_claim(now_ms, record, revision, out);
@@ -327,17 +307,12 @@
         let state = self.state.borrow();
         let sizes = state.owners.values().map(Owner::sizes);
         self.metrics.sizes(state.entry.len(), sizes.sum());
+        self.metrics.closed(state.is_closed());
+        self.metrics.unreadable(self.edge.unreadable_entries());
     }
 }
 
 impl State {
-    /// Version of the declarations in force; 0 before the first.
-    fn declarations_version(&self) -> u64 {
-        self.declarations
-            .as_ref()
-            .map_or(0, |known| known.version())
-    }
-
     /// Lets the owner of a pool decide, if this instance has it.
     fn with_owner<T>(
         &mut self,
--- a/crates/instance/src/instance/beats.rs
+++ b/crates/instance/src/instance/beats.rs
@@ -32,7 +32,7 @@
         let fresh = read_ms.is_some_and(|read_ms| read_ms + STORE_FRESH_MS > now_ms);
         Beat {
             owned: owned.collect(),
-            config_version: state.declarations_version(),
+            declarations_revision: state.declared.revision(),
             leaving: state.leaving,
             store_fresh: !state.owners.is_empty() && fresh,
             sent_ms: now_ms,
--- a/crates/instance/src/instance/effects.rs
+++ b/crates/instance/src/instance/effects.rs
@@ -180,6 +180,8 @@
         let mut state = self.state.borrow_mut();
         state.owners.insert(claim.pool.clone(), owner);
         let now_ms = self.now_ms();
+        // It may have been closed long ago.
+        state.apply_closure(&claim.pool, now_ms, now_ms, effects);
         match state.worker_records.is_empty() {
             true => state.give_told_workers(&claim.pool, now_ms, effects),
             false => state.deal_workers(now_ms, effects),
--- a/crates/instance/src/instance/frames.rs
+++ b/crates/instance/src/instance/frames.rs
@@ -52,7 +52,7 @@
                     state.entry.ended(now_ms, &from, &ending, out);
                 }
                 Body::ConfigRequest(request) => {
-                    self.send_declarations(state, id, request.version);
+                    self.send_declarations(state, id, request.revision);
                 }
                 Body::PoolWorkers(told) => state.take_workers(told),
                 Body::Config(_) | Body::Hello(_) => {}
@@ -126,7 +126,7 @@
                 .entry
                 .pool_lost(now_ms, &lost, Cause::OwnerChanged, out);
         }
-        if beat.config_version > state.declarations_version() {
+        if state.declared.is_behind(beat.declarations_revision) {
             self.catch_up(state, id, now_ms);
         }
     }
@@ -152,11 +152,11 @@
     /// bring them, the peer is asked. A large configuration is thus not sent by
     /// every peer that has it.
     fn catch_up(&self, state: &mut State, id: u64, now_ms: u64) {
-        let since_ms = *state.behind_since_ms.get_or_insert(now_ms);
+        let since_ms = *state.declared.behind_since_ms.get_or_insert(now_ms);
         if since_ms == now_ms {
             self.store_poke.notify_waiters();
         }
-        let version = state.declarations_version();
+        let revision = state.declared.revision();
         let Some(link) = state.peers.links.get_mut(&id) else {
             return;
         };
@@ -166,29 +166,29 @@
         if now_ms >= since_ms + ASK_AFTER_MS && !asked {
             link.asked_ms = Some(now_ms);
             link.sender
-                .send(encode(Body::ConfigRequest(ConfigRequest { version })));
+                .send(encode(Body::ConfigRequest(ConfigRequest { revision })));
         }
     }
 
-    fn take_declarations(&self, push: &ConfigPush) {
+    fn take_declarations(self: &Rc<Self>, push: &ConfigPush) {
         match serde_json::from_slice(&push.body) {
-            Ok(declarations) => self.set_declarations(declarations),
+            Ok(declarations) => self.declarations_told(declarations),
             Err(error) => warn!(self.log, "a peer's declarations are unreadable";
-                "version" => push.version, "error" => %error),
+                "revision" => push.revision, "error" => %error),
         }
     }
 
     /// Answers a peer that asked for newer declarations.
-    fn send_declarations(&self, state: &State, id: u64, version: u64) {
-        let newer = state.declarations.as_ref();
-        let newer = newer.filter(|known| known.version() > version);
+    fn send_declarations(&self, state: &State, id: u64, revision: u64) {
+        let newer = state.declared.table();
+        let newer = newer.filter(|known| known.revision() > revision);
         let (Some(table), Some(link)) = (newer, state.peers.links.get(&id)) else {
             return;
         };
         match serde_json::to_vec(table.declarations()) {
             Ok(body) => {
                 link.sender.send(encode(Body::Config(ConfigPush {
-                    version: table.version(),
+                    revision: table.revision(),
                     body: body.into(),
                 })));
             }
--- a/crates/instance/src/instance/workers.rs
+++ b/crates/instance/src/instance/workers.rs
@@ -15,11 +15,16 @@
 use super::*;
 
 impl State {
-    /// Gives each owner here the workers of its pool.
+    /// Gives each owner here the workers of its pool. A worker of a service that
+    /// is not declared is nobody's: its entry may be another writer's.
     pub(super) fn deal_workers(&mut self, now_ms: u64, effects: &mut Effects) {
         let count = self.pool_count;
         let mut dealt: HashMap<u32, Vec<WorkerRecord>> = HashMap::new();
-        for record in &self.worker_records {
+        let declared = self.declared.table();
+        let is_known = |record: &&WorkerRecord| {
+            declared.is_none_or(|table| table.has_service(&record.service))
+        };
+        for record in self.worker_records.iter().filter(is_known) {
             let index = pool::index_of(&record.id, count);
             dealt.entry(index).or_default().push(record.clone());
         }
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -35,6 +35,8 @@
     workers: IntGauge,
     workers_fenced: IntGauge,
     runs: IntGauge,
+    closed: IntGauge,
+    unreadable: IntGauge,
 }
 
 impl Metrics {
@@ -70,10 +72,30 @@
             workers: gauge(&registry, "trefoil_workers", "Workers of this owner.")?,
             workers_fenced: gauge(&registry, "trefoil_workers_fenced", "Workers that obey.")?,
             runs: gauge(&registry, "trefoil_runs", "Runs that may be on workers.")?,
+            closed: gauge(
+                &registry,
+                "trefoil_failure_domain_closed",
+                "Whether this failure domain takes no new tasks.",
+            )?,
+            unreadable: gauge(
+                &registry,
+                "trefoil_store_entries_unreadable",
+                "Entries of the store that were passed over.",
+            )?,
             registry,
         })
     }
 
+    /// Notes whether the failure domain is closed to new tasks.
+    pub fn closed(&self, is_closed: bool) {
+        self.closed.set(i64::from(is_closed));
+    }
+
+    /// Notes how many entries of the store cannot be read.
+    pub fn unreadable(&self, entries: usize) {
+        self.unreadable.set(entries as i64);
+    }
+
     /// Notes the sizes of the tables.
     pub fn sizes(&self, jobs_awaited: usize, owned: Sizes) {
         self.jobs_awaited.set(jobs_awaited as i64);
--- a/crates/instance/src/settings.rs
+++ b/crates/instance/src/settings.rs
@@ -37,6 +37,10 @@
     /// How many times as fast its processor is.
     #[serde(default = "default_cores")]
     pub cores: f64,
+    /// Time from the operator's closing of a failure domain until no task may
+    /// start there.
+    #[serde(default = "default_close_within_ms")]
+    pub close_within_ms: u64,
     /// Time from the request to stop until the process is killed.
     #[serde(default = "default_stop_budget_ms")]
     pub stop_budget_ms: u64,
@@ -58,6 +62,11 @@
     1.0
 }
 
+/// Five seconds, which the platform grants where it grants any.
+fn default_close_within_ms() -> u64 {
+    5000
+}
+
 /// Six seconds, which the platform grants everywhere so far.
 fn default_stop_budget_ms() -> u64 {
     6000
@@ -129,6 +138,9 @@
     if settings.weight_millicores() == 0 {
         return Err(value("cpu_share", "at least a thousandth"));
     }
+    if settings.close_within_ms == 0 {
+        return Err(value("close_within_ms", "more than 0"));
+    }
     if settings.stop_budget_ms == 0 {
         return Err(value("stop_budget_ms", "more than 0"));
     }
