owner: the wait for an answer is learned; ends are asked for sooner while many orders get none

Cause: an order without an answer was given up after 100 ms, 40 times the usual 2 to 3; the hold that settles it was tried again each 100 ms; the end of a run whose hold was lost was asked for at 1.6 times its expected time and only once; and asking raised the fence, which killed the starts on their way, each of which then waited 100 ms.

--- a/crates/core/src/dispatch/limits.rs
+++ b/crates/core/src/dispatch/limits.rs
@@ -15,12 +15,14 @@
 /// How long a worker may keep a hold open until something ends. Two renewals
 /// fit into a lease.
 pub const HOLD_WAIT_MS: u64 = 400;
-/// Longest wait for a worker's answer, beyond the wait asked for. Sound
-/// workers answer in a few milliseconds; a late answer costs one more call. It
-/// outlasts the pause of an instance that has used up its share of a tenth of
-/// a second.
-pub const ANSWER_MS: u64 = 100;
-/// Pause before a worker that did not answer is called again.
+/// Longest wait for a worker's answer, beyond the wait asked for; the owner
+/// learns a shorter one. It outlasts the pause of an instance that has used up
+/// its share of a tenth of a second.
+pub const ANSWER_MAX_MS: u64 = 100;
+/// Pause before a worker that has not answered once is called again; doubles with
+/// each further call without an answer, up to [`RETRY_MS`].
+pub const RETRY_MIN_MS: u64 = 10;
+/// Longest pause before a worker that did not answer is called again.
 pub const RETRY_MS: u64 = 100;
 /// The same, for a worker on which nothing can run any more.
 pub const PROBE_MS: u64 = 500;
--- a/crates/core/src/dispatch/order.rs
+++ b/crates/core/src/dispatch/order.rs
@@ -39,6 +39,8 @@
     pub spec: Arc<str>,
     /// End of the lease of all that runs there, by the worker's clock.
     pub deadline_ms: u64,
+    /// After this time its answer is given up on.
+    pub answer_ms: u64,
 }
 
 /// Stops one run.
@@ -50,6 +52,8 @@
     pub task: Arc<str>,
     /// Number of the run.
     pub run_id: u64,
+    /// After this time its answer is given up on.
+    pub answer_ms: u64,
 }
 
 /// Renews the lease, acknowledges ends, asks what runs and what has ended.
@@ -57,12 +61,16 @@
 pub struct HoldOrder {
     /// Where it goes.
     pub target: Target,
+    /// Tells the holds of one worker apart.
+    pub number: u64,
     /// End of the lease by the worker's clock; none renews nothing.
     pub deadline_ms: Option<u64>,
     /// Number of the last end that was taken in.
     pub ends_upto: u64,
     /// How long the answer may wait for something to end.
     pub wait_ms: u64,
+    /// After this time more its answer is given up on.
+    pub answer_ms: u64,
 }
 
 /// How a worker took a start or a stop.
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -11,6 +11,7 @@
 //! * [`run_times`]: how long tasks take.
 //! * [`place`]: which task starts where.
 //! * [`reserve`]: room kept for begun jobs that are late.
+//! * [`answer_times`]: how long to wait for answers.
 //! * [`answers`]: what became of starts and stops.
 //! * [`holds`]: leases, ends, and the fate of orders without an answer.
 //! * [`overdue`]: runs that take longer than they should.
@@ -23,6 +24,7 @@
 
 mod admission;
 mod adopt;
+mod answer_times;
 mod answers;
 mod clearance;
 mod closure;
@@ -79,6 +81,7 @@
     job_ids: HashMap<String, JobKey>,
     queue: queue::Queue,
     run_times: run_times::RunTimes,
+    answer_times: answer_times::AnswerTimes,
     /// Ends of tasks that no job here has claimed, with their instants.
     orphan_ends: HashMap<Arc<str>, (EndKind, u64)>,
     /// Jobs that ended lately.
@@ -110,6 +113,7 @@
             job_ids: HashMap::new(),
             queue: queue::Queue::default(),
             run_times: run_times::RunTimes::default(),
+            answer_times: answer_times::AnswerTimes::default(),
             orphan_ends: HashMap::new(),
             ended: VecDeque::new(),
             dirty: BTreeSet::new(),
@@ -313,11 +317,18 @@
     }
 }
 
-fn stop_run(now_ms: u64, run: &mut super::worker::Run, target: Target, out: &mut Vec<Command>) {
+fn stop_run(
+    now_ms: u64,
+    run: &mut super::worker::Run,
+    target: Target,
+    answer_ms: u64,
+    out: &mut Vec<Command>,
+) {
     run.state = RunState::Stopping { ordered_ms: now_ms };
     out.push(Command::Stop(StopOrder {
         target,
         task: run.task.clone(),
         run_id: run.run_id,
+        answer_ms,
     }));
 }
--- a/crates/core/src/dispatch/owner/answers.rs
+++ b/crates/core/src/dispatch/owner/answers.rs
@@ -21,6 +21,8 @@
             OrderOutcome::Done { clock_ms } => {
                 worker.read_clock(now_ms, clock_ms);
                 if let Some(position) = position {
+                    let ordered_ms = worker.runs[position].ordered_ms;
+                    self.answer_times.answered(now_ms - ordered_ms);
                     let run = &mut worker.runs[position];
                     if matches!(run.state, RunState::Starting(_)) {
                         run.state = RunState::Running;
@@ -29,10 +31,11 @@
                 }
             }
             OrderOutcome::NoAnswer if newest => {
+                self.answer_times.unanswered();
                 worker.raise();
                 out.push(Command::Note(Note::run("start unanswered", worker, answer)));
             }
-            OrderOutcome::NoAnswer => {}
+            OrderOutcome::NoAnswer => self.answer_times.unanswered(),
             OrderOutcome::Fenced if newest => self.outranked(now_ms, answer.worker, out),
             OrderOutcome::OtherLife => self.life_over(now_ms, answer.worker, out),
             OrderOutcome::Fenced | OrderOutcome::Rejected(_) => {
@@ -46,7 +49,13 @@
                 }
                 if let Some(position) = position {
                     let run = worker.runs.swap_remove(position);
-                    self.requeue(now_ms, &run.owner, RETRY_MS);
+                    // An order that a later one of this owner outranked says
+                    // nothing against the worker.
+                    let delay_ms = match answer.outcome {
+                        OrderOutcome::Fenced => 0,
+                        _ => RETRY_MS,
+                    };
+                    self.requeue(now_ms, &run.owner, delay_ms);
                 }
             }
         }
--- a/crates/core/src/dispatch/owner/endings.rs
+++ b/crates/core/src/dispatch/owner/endings.rs
@@ -14,13 +14,14 @@
     }
 
     pub(super) fn stop_runs(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Command>) {
+        let answer_ms = self.answer_times.limit_ms();
         for (worker_key, worker) in &mut self.workers {
             let target = target_of(worker_key, worker);
             for run in &mut worker.runs {
                 let own = matches!(run.owner, RunOwner::Task(job, _) if job == key);
                 let stopped = matches!(run.state, RunState::Stopping { .. });
                 if own && !stopped {
-                    stop_run(now_ms, run, target.clone(), out);
+                    stop_run(now_ms, run, target.clone(), answer_ms, out);
                 }
             }
         }
--- a/crates/core/src/dispatch/owner/holds.rs
+++ b/crates/core/src/dispatch/owner/holds.rs
@@ -6,7 +6,7 @@
 //! order and tells whether it was carried out before. While the worker does
 //! not answer, its runs are counted as running until their leases lapse.
 
-use super::super::limits::{ACK_IDLE_MS, ADOPT_MS, HOLD_WAIT_MS, LEASE_MAX_MS, PROBE_MS, RETRY_MS};
+use super::super::limits::{ACK_IDLE_MS, ADOPT_MS, HOLD_WAIT_MS, LEASE_MAX_MS, PROBE_MS};
 use super::super::order::{HoldOutcome, ListedRun};
 use super::super::worker::{OpenHold, Run};
 use super::*;
@@ -27,13 +27,14 @@
             return;
         }
         let open = worker.hold.is_some_and(|hold| hold.fence == worker.fence);
-        if open || now_ms < worker.quiet_until_ms {
+        if (open && !worker.look_due) || now_ms < worker.quiet_until_ms {
             return;
         }
         let started = |run: &Run| !matches!(run.state, RunState::Starting(_));
         let wait_ms = match worker.standing {
             Standing::Outranked => return,
             Standing::Unfenced => 0,
+            Standing::Fenced if worker.look_due => 0,
             Standing::Fenced if worker.runs.iter().any(started) => HOLD_WAIT_MS,
             Standing::Fenced if !worker.runs.is_empty() || !unacked => return,
             Standing::Fenced if now_ms < worker.ended_ms + ACK_IDLE_MS => return,
@@ -45,25 +46,32 @@
             true => None,
             false => worker.lease(now_ms, overdue_ms),
         };
+        worker.look_due = false;
+        worker.holds_sent += 1;
         worker.hold = Some(OpenHold {
+            number: worker.holds_sent,
             fence: worker.fence,
             ends_upto: worker.ends_upto,
             sent_ms: now_ms,
+            wait_ms,
         });
         out.push(Command::Hold(HoldOrder {
             target: target_of(key, worker),
+            number: worker.holds_sent,
             deadline_ms,
             ends_upto: worker.ends_upto,
             wait_ms,
+            answer_ms: self.answer_times.limit_ms(),
         }));
     }
 
-    /// Takes in what became of a hold that was sent under `fence`.
+    /// Takes in what became of the hold of this number, sent under `fence`.
     pub fn hold_answered(
         &mut self,
         now_ms: u64,
         key: WorkerKey,
         fence: Fence,
+        number: u64,
         outcome: HoldOutcome,
         out: &mut Vec<Command>,
     ) {
@@ -77,8 +85,8 @@
             self.life_over(now_ms, key, out);
             return self.settle(now_ms, out);
         }
-        let Some(hold) = worker.hold.filter(|hold| hold.fence == fence) else {
-            return;
+        let Some(hold) = worker.hold.filter(|hold| hold.number == number) else {
+            return self.take_late_ends(now_ms, key, outcome, out);
         };
         worker.hold = None;
         self.dirty.insert(key);
@@ -100,7 +108,11 @@
                     self.queue.invalidate();
                 }
                 worker.silent = false;
+                worker.misses = 0;
                 worker.heard_ms = now_ms;
+                if hold.wait_ms == 0 {
+                    self.answer_times.answered(now_ms - hold.sent_ms);
+                }
                 worker.acked_upto = worker.acked_upto.max(hold.ends_upto);
                 for end in ended {
                     self.take_end(now_ms, key, &end, out);
@@ -115,14 +127,30 @@
                 }
                 worker.standing = Standing::Unfenced;
                 worker.silent = true;
-                let idle = worker.runs.is_empty();
-                let pause_ms = if idle { PROBE_MS } else { RETRY_MS };
-                worker.quiet_until_ms = now_ms + pause_ms;
+                worker.missed(now_ms);
+                self.answer_times.unanswered();
             }
         }
         self.settle(now_ms, out);
     }
 
+    /// Takes in the ends that an earlier hold tells, after a later one was sent.
+    fn take_late_ends(
+        &mut self,
+        now_ms: u64,
+        key: WorkerKey,
+        outcome: HoldOutcome,
+        out: &mut Vec<Command>,
+    ) {
+        if let HoldOutcome::Held { ended, .. } = outcome {
+            for end in ended {
+                self.take_end(now_ms, key, &end, out);
+            }
+            self.dirty.insert(key);
+            self.settle(now_ms, out);
+        }
+    }
+
     /// Compares what a worker lists as running with what was ordered.
     fn reconcile(
         &mut self,
--- a/crates/core/src/dispatch/owner/overdue.rs
+++ b/crates/core/src/dispatch/owner/overdue.rs
@@ -15,6 +15,17 @@
 /// taken for stalled; it is asked again otherwise.
 const HEARD_FRESH_MS: u64 = 60;
 
+/// While many orders get no answer, a run's end is asked for once it has taken
+/// this many times what is expected ...
+const EARLY_FACTOR: f64 = 1.15;
+/// ... and this much longer ...
+const EARLY_SLACK_MS: u64 = 15;
+/// ... and again after this share of what is expected, since the hold that would
+/// tell it may be lost too ...
+const AGAIN_SHARE: f64 = 0.25;
+/// ... or this time, if that is longer: two calls fit into it.
+const AGAIN_MIN_MS: u64 = 40;
+
 /// What is to be done about a run.
 enum Due {
     Nothing,
@@ -27,14 +38,19 @@
 }
 
 /// What the passing of time asks for; the worker last spoke at `heard_ms`.
-fn due(run: &Run, now_ms: u64, heard_ms: u64) -> Due {
+/// `is_lossy` tells whether many orders get no answer.
+fn due(run: &Run, now_ms: u64, heard_ms: u64, is_lossy: bool) -> Due {
     let passed = |from_ms: u64, time_ms: u64| now_ms >= from_ms + time_ms;
     match (run.state, run.owner) {
         (RunState::Stopping { ordered_ms }, _) if passed(ordered_ms, STOP_AGAIN_MS) => Due::Stop,
         (RunState::Running, RunOwner::Nobody { stop_at_ms }) if now_ms >= stop_at_ms => Due::Stop,
         (RunState::Running, RunOwner::Task(job, index)) => {
             let Patience { check_ms, stall_ms } = run.patience;
-            let checked = heard_ms >= run.ordered_ms + check_ms;
+            let (check_ms, again) = match is_lossy {
+                true => (check_ms.min(early_ms(run)), passed(heard_ms, again_ms(run))),
+                false => (check_ms, false),
+            };
+            let checked = heard_ms >= run.ordered_ms + check_ms && !again;
             match (passed(run.ordered_ms, stall_ms), checked) {
                 (true, _) if !passed(heard_ms, HEARD_FRESH_MS) => Due::Stalled(job, index),
                 (true, _) => Due::Ask,
@@ -46,9 +62,19 @@
     }
 }
 
+fn early_ms(run: &Run) -> u64 {
+    (run.expected_ms as f64 * EARLY_FACTOR) as u64 + EARLY_SLACK_MS
+}
+
+fn again_ms(run: &Run) -> u64 {
+    ((run.expected_ms as f64 * AGAIN_SHARE) as u64).max(AGAIN_MIN_MS)
+}
+
 impl Owner {
     /// Stops a worker's runs that have taken too long, and asks for their ends.
     pub(super) fn stop_overdue(&mut self, now_ms: u64, key: WorkerKey, out: &mut Vec<Command>) {
+        let answer_ms = self.answer_times.limit_ms();
+        let is_lossy = self.answer_times.is_lossy();
         let worker = &mut self.workers[key];
         if worker.standing != Standing::Fenced {
             return;
@@ -57,7 +83,7 @@
         let mut stalled = Vec::new();
         let mut asked_for = None;
         for run in &mut worker.runs {
-            match due(run, now_ms, worker.heard_ms) {
+            match due(run, now_ms, worker.heard_ms, is_lossy) {
                 Due::Nothing => continue,
                 Due::Ask => {
                     asked_for.get_or_insert_with(|| run.task.clone());
@@ -70,7 +96,7 @@
             note.detail = format!("{:?} expected_ms {}", run.state, run.expected_ms);
             note.worker = worker.record.id.to_string();
             out.push(Command::Note(note));
-            stop_run(now_ms, run, target.clone(), out);
+            stop_run(now_ms, run, target.clone(), answer_ms, out);
         }
         if !stalled.is_empty() {
             worker.trust.failed(now_ms);
@@ -80,8 +106,7 @@
             note.worker = worker.record.id.to_string();
             note.detail = format!("heard {} ms ago", now_ms - worker.heard_ms);
             out.push(Command::Note(note));
-            // The next hold is answered at once, and takes the open one's place.
-            worker.raise();
+            worker.look();
         }
         for (job, index) in stalled {
             if let Some(job) = self.jobs.get_mut(job) {
--- a/crates/core/src/dispatch/owner/place.rs
+++ b/crates/core/src/dispatch/owner/place.rs
@@ -270,6 +270,7 @@
             run_id: task.run_id,
             spec: job.task_spec.clone(),
             deadline_ms,
+            answer_ms: self.answer_times.limit_ms(),
         }));
     }
 }
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 
 use super::fence::Fence;
-use super::limits::{CLOCK_SLOW, LEASE_MS, REGISTRY_GAP_MS};
+use super::limits::{CLOCK_SLOW, LEASE_MS, PROBE_MS, REGISTRY_GAP_MS, RETRY_MIN_MS, RETRY_MS};
 use super::order::JobKey;
 
 /// What the platform's registry says of a worker.
@@ -146,12 +146,16 @@
 /// The hold that is on its way or open at the worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OpenHold {
+    /// Tells it apart from earlier ones.
+    pub number: u64,
     /// Fence that it went out with.
     pub fence: Fence,
     /// Last end that it acknowledges.
     pub ends_upto: u64,
     /// When it was sent.
     pub sent_ms: u64,
+    /// How long its answer may wait for something to end.
+    pub wait_ms: u64,
 }
 
 /// One worker of an owner.
@@ -171,6 +175,12 @@
     pub runs: Vec<Run>,
     /// The hold that is open, if any.
     pub hold: Option<OpenHold>,
+    /// Holds sent so far.
+    pub holds_sent: u64,
+    /// Whether it is to be asked at once what runs there, beside the open hold.
+    pub look_due: bool,
+    /// Holds without an answer since the last one that had one.
+    pub misses: u32,
     /// When a hold was last answered.
     pub heard_ms: u64,
     /// Whether the last hold had no answer: leases are not renewed blindly,
@@ -203,6 +213,9 @@
             announced: true,
             runs: Vec::new(),
             hold: None,
+            holds_sent: 0,
+            look_due: false,
+            misses: 0,
             heard_ms: 0,
             silent: false,
             quiet_until_ms: 0,
@@ -252,6 +265,17 @@
             && !self.trust.is_doubted()
     }
 
+    /// A hold had no answer: when the next one may go out.
+    pub fn missed(&mut self, now_ms: u64) {
+        let pause_ms = RETRY_MIN_MS << self.misses.min(8);
+        self.misses += 1;
+        let longest_ms = match self.runs.is_empty() {
+            true => PROBE_MS,
+            false => RETRY_MS,
+        };
+        self.quiet_until_ms = now_ms + pause_ms.min(longest_ms);
+    }
+
     /// Position of a run.
     pub fn position(&self, task: &str, run_id: u64) -> Option<usize> {
         let same = |run: &Run| run.run_id == run_id && &*run.task == task;
@@ -283,6 +307,11 @@
         Some(deadline_ms)
     }
 
+    /// Asks it at once what runs there, unless that is being asked.
+    pub fn look(&mut self) {
+        self.look_due = self.hold.is_none_or(|hold| hold.wait_ms > 0);
+    }
+
     /// Raises the fence: earlier orders of unknown fate die with the next hold.
     pub fn raise(&mut self) {
         self.fence = self.fence.raised();
--- a/crates/instance/src/instance/calls.rs
+++ b/crates/instance/src/instance/calls.rs
@@ -45,8 +45,9 @@
         tokio::task::spawn_local(async move {
             let outcome = instance.edge.hold(&order).await;
             let (worker, fence) = (order.target.worker, order.target.fence);
+            let number = order.number;
             instance.with_owner(&pool, |owner, now_ms, out| {
-                owner.hold_answered(now_ms, worker, fence, outcome, out);
+                owner.hold_answered(now_ms, worker, fence, number, outcome, out);
             });
         });
     }
--- a/crates/replay/examples/owner_rate.rs
+++ b/crates/replay/examples/owner_rate.rs
@@ -93,7 +93,8 @@
                 ended: Vec::new(),
             };
             let (worker, fence) = (order.target.worker, order.target.fence);
-            owner.hold_answered(1, worker, fence, held, &mut Vec::new());
+            let number = order.number;
+            owner.hold_answered(1, worker, fence, number, held, &mut Vec::new());
         }
     }
     owner
--- a/crates/replay/src/pattern.rs
+++ b/crates/replay/src/pattern.rs
@@ -97,6 +97,15 @@
         /// When they register.
         at_ms: u64,
     },
+    /// Orders to workers get no answer, and are not carried out in time.
+    Unanswered {
+        /// Share of orders.
+        share: f64,
+        /// Begin.
+        from_ms: u64,
+        /// End.
+        to_ms: u64,
+    },
     /// No entry can be reached: what would have come comes at the end, together.
     Outage {
         /// Begin.
@@ -158,6 +167,11 @@
         from_ms,
         to_ms,
     };
+    let unanswered = |share| Change::Unanswered {
+        share,
+        from_ms: 1000,
+        to_ms: 9000,
+    };
     let pattern = |name, changes| Pattern {
         name,
         changes,
@@ -223,6 +237,8 @@
         ),
         small(pattern("small-burst", vec![burst(None, 2.5, 2000, 7000)])),
         small(pattern("small-edge", vec![burst(None, 1.3, 1000, 9000)])),
+        pattern("unanswered", vec![unanswered(0.2)]),
+        pattern("unanswered-half", vec![unanswered(0.5)]),
         pattern(
             "recovery",
             vec![Change::Outage {
--- a/crates/replay/src/world.rs
+++ b/crates/replay/src/world.rs
@@ -20,6 +20,7 @@
 use trefoil_core::dispatch::owner::{self, Answered, Owner};
 use trefoil_core::dispatch::worker::WorkerRecord;
 use trefoil_schema::dispatch::{Claim, Job, Node};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::arrivals::Arrival;
 use crate::figures::Seen;
@@ -84,6 +85,7 @@
         pool: usize,
         worker: WorkerKey,
         fence: Fence,
+        number: u64,
         outcome: HoldOutcome,
     },
     RunEnds {
@@ -121,6 +123,8 @@
     events: HashMap<usize, Event>,
     next_event: usize,
     next_hold: u64,
+    /// Orders that have reached workers or were lost.
+    orders: u64,
     entries: Vec<Entry>,
     owners: Vec<Owner>,
     pools: Vec<String>,
@@ -150,6 +154,7 @@
             events: HashMap::new(),
             next_event: 0,
             next_hold: 0,
+            orders: 0,
             entries: Vec::new(),
             owners: Vec::new(),
             pools: Vec::new(),
@@ -191,6 +196,25 @@
         }
     }
 
+    /// Whether an order is left unanswered; `draw` tells orders apart.
+    fn is_unanswered(&self, draw: u64) -> bool {
+        let now_ms = self.now_ms.saturating_sub(START_MS);
+        let shares = self
+            .pattern
+            .changes
+            .iter()
+            .filter_map(|change| match *change {
+                Change::Unanswered {
+                    share,
+                    from_ms,
+                    to_ms,
+                } if (from_ms..to_ms).contains(&now_ms) => Some(share),
+                _ => None,
+            });
+        let unit = (xxh3_64(&draw.to_le_bytes()) >> 11) as f64 / (1_u64 << 53) as f64;
+        unit < shares.sum()
+    }
+
     fn at(&mut self, at_ms: u64, event: Event) {
         self.events.insert(self.next_event, event);
         self.queue.push(Reverse((at_ms, self.next_event)));
@@ -259,9 +283,10 @@
                 pool,
                 worker,
                 fence,
+                number,
                 outcome,
             } => self.with_owner(pool, |owner, now_ms, out| {
-                owner.hold_answered(now_ms, worker, fence, outcome, out);
+                owner.hold_answered(now_ms, worker, fence, number, outcome, out);
             }),
             Event::RunEnds {
                 worker,
