owner: a worker that comes back to the registry is held under its last fence

Cause: a worker that the registry had lost for 2.7 s left the owner's table; when it was listed again, it was held under the owner's first fence. It had seen a raised one, said so, and the owner took that for another owner's claim: it gave up the whole pool and claimed it again 1.5 s later.

Ruled out: lost links (they come back within 85 ms), a hold refused for another reason than its fence (all say 'fence').

Test: fails on the code before.

--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -74,6 +74,8 @@
 #[derive(Debug)]
 pub struct Owner {
     pool: Arc<str>,
+    /// Fence for workers that are new to the table: as high as that of any that
+    /// has left it.
     fence: Fence,
     workers: SlotMap<WorkerKey, Worker>,
     worker_ids: HashMap<Arc<str>, WorkerKey>,
--- a/crates/core/src/dispatch/owner/holds.rs
+++ b/crates/core/src/dispatch/owner/holds.rs
@@ -21,6 +21,8 @@
         let worker = &mut self.workers[key];
         let unacked = worker.acked_upto < worker.ends_upto;
         if worker.has_left(now_ms) && worker.runs.is_empty() && !unacked {
+            // It may come back, and has seen this fence.
+            self.fence = self.fence.max(worker.fence);
             let id = worker.record.id.clone();
             self.workers.remove(key);
             self.worker_ids.remove(&id);
--- a/crates/core/tests/dispatch_registry.rs
+++ b/crates/core/tests/dispatch_registry.rs
@@ -2,9 +2,12 @@
 
 mod dispatch_support;
 
-use dispatch_support::orders::{LINK, answer_hold, delegate, fenced_owner, held};
+use dispatch_support::orders::{
+    LINK, answer_hold, answer_start, delegate, done, ended, fenced_owner, held,
+};
 use dispatch_support::{holder, holds, job, owner_after, record, starts};
 use trefoil_core::dispatch::limits::{DELEGATED_GAP_MS, REGISTRY_GAP_MS};
+use trefoil_core::dispatch::order::OrderOutcome;
 
 #[test]
 fn a_new_owner_with_a_part_of_the_registry_waits_for_the_gap() {
@@ -81,3 +84,35 @@
     owner.roster_stored(30, roster, &mut out);
     assert_eq!(starts(&out).len(), 2);
 }
+
+#[test]
+fn a_worker_that_comes_back_to_the_registry_is_held_under_its_last_fence() {
+    // Workers that are cut from the registry for four seconds leave the table and
+    // come back: under a fence that it has seen outranked, the worker says so, and
+    // that was taken for another owner's claim on the whole pool.
+    let mut owner = fenced_owner(1, &["w1"]);
+    let started = starts(&delegate(&mut owner, 10, "a", 1));
+    let out = answer_start(&mut owner, 35, &started[0], OrderOutcome::NoAnswer);
+    let raised = holds(&out)[0].clone();
+    assert!(raised.target.fence > started[0].target.fence);
+    let out = answer_hold(&mut owner, 37, &raised, held(vec![], vec![]));
+    let again = starts(&out)[0].clone();
+    let out = answer_start(
+        &mut owner,
+        40,
+        &again,
+        OrderOutcome::Done { clock_ms: 50_040 },
+    );
+    let ends = vec![done(1, &again)];
+    let out = answer_hold(&mut owner, 150, &holds(&out)[0], held(vec![], ends));
+    assert!(!ended(&out).is_empty());
+    owner.set_workers(200, vec![], &mut Vec::new());
+    let mut out = Vec::new();
+    owner.tick(300, &mut out);
+    answer_hold(&mut owner, 302, &holds(&out)[0], held(vec![], vec![]));
+    owner.tick(201 + REGISTRY_GAP_MS, &mut Vec::new());
+    assert_eq!(owner.sizes().workers, 0, "it has left the table");
+    let mut out = Vec::new();
+    owner.set_workers(5000, vec![record("w1")], &mut out);
+    assert!(holds(&out)[0].target.fence >= raised.target.fence);
+}
