--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -6,6 +6,7 @@
 //! owner only after nothing of it can run any more.
 
 mod choice;
+mod losses;
 mod refusal;
 
 use std::collections::{BTreeMap, HashMap};
@@ -249,37 +250,6 @@
         }
     }
 
-    fn take_back(
-        &mut self,
-        now_ms: u64,
-        id: &str,
-        may_run: bool,
-        cause: Cause,
-        out: &mut Vec<Command>,
-    ) {
-        let Some(job) = self.jobs.get_mut(id) else {
-            return;
-        };
-        let Place::Delegated(from) = std::mem::replace(&mut job.place, Place::Waiting) else {
-            return;
-        };
-        job.waiting_since_ms = now_ms;
-        out.push(Command::TakenBack {
-            job_id: id.to_owned(),
-            from: from.clone(),
-            cause,
-        });
-        if !may_run {
-            return;
-        }
-        job.may_have_run = true;
-        // Runs of two ownerships end only with time.
-        let is_only = now_ms >= job.unsafe_until_ms || job.unsafe_holder == job.holder;
-        job.unsafe_holder = job.holder.clone().filter(|_| is_only);
-        job.unsafe_until_ms = now_ms + DELEGATED_GAP_MS;
-        job.unsafe_pool = from.pool;
-    }
-
     /// Takes in what an owner tells of its claim and the pool's load.
     pub fn pool_seen(&mut self, now_ms: u64, claim: &Claim, load: Load, out: &mut Vec<Command>) {
         let Some(holder) = holder_of(claim) else {
@@ -308,43 +278,6 @@
         }
     }
 
-    /// The pools of an owner, as this entry knows them.
-    pub fn pools_of(&self, owner: &str) -> Vec<Owned> {
-        let pools = self
-            .pools
-            .iter()
-            .filter(|(_, view)| view.holder.owner == owner);
-        let owned = |(pool, view): (&String, &PoolView)| Owned {
-            pool: pool.clone(),
-            owner: view.holder.owner.clone(),
-        };
-        pools.map(owned).collect()
-    }
-
-    /// The link to an owner is gone.
-    pub fn owner_lost(&mut self, now_ms: u64, owner: &str, out: &mut Vec<Command>) {
-        for owned in self.pools_of(owner) {
-            self.pool_lost(now_ms, &owned, Cause::LinkLost, out);
-        }
-    }
-
-    /// An owner does not own a pool any more.
-    pub fn pool_lost(&mut self, now_ms: u64, owned: &Owned, cause: Cause, out: &mut Vec<Command>) {
-        let place = Place::Delegated(owned.clone());
-        let delegated = self.jobs.iter().filter(|(_, job)| job.place == place);
-        let ids: Vec<String> = delegated.map(|(id, _)| id.clone()).collect();
-        for id in &ids {
-            self.take_back(now_ms, id, true, cause, out);
-        }
-        let known = self.pools.get(&owned.pool);
-        if known.is_some_and(|view| view.holder.owner == owned.owner) {
-            self.pools.remove(&owned.pool);
-        }
-        for id in &ids {
-            self.place(now_ms, id, out);
-        }
-    }
-
     /// Passes time: jobs that became safe, jobs whose time is over.
     pub fn tick(&mut self, now_ms: u64, out: &mut Vec<Command>) {
         self.place_waiting(now_ms, out);
