--- a/crates/core/tests/dispatch_history.rs
+++ b/crates/core/tests/dispatch_history/world.rs
@@ -1,156 +1,56 @@
-//! Histories of a pool under changing owners, with orders that are lost,
-//! carried out late, or answered to nobody: no worker is ever over its
-//! capacity, no task ever runs twice at the same time, and every job ends.
-
-mod dispatch_support;
+//! A pool, its owners and its workers in virtual time.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 
 use arbtest::arbitrary::{self, Unstructured};
-use dispatch_support::{SimWorker, holder, job, owner, owner_after};
-use rand::{RngCore, SeedableRng};
-use rand_chacha::ChaCha8Rng;
 use trefoil_core::dispatch::job::Origin;
 use trefoil_core::dispatch::limits::{DELEGATED_GAP_MS, LINK_SILENT_MS};
-use trefoil_core::dispatch::order::{HoldOrder, HoldOutcome, OrderOutcome, StartOrder, StopOrder};
-use trefoil_core::dispatch::owner::{Answered, Command, Owner};
+use trefoil_core::dispatch::owner::{Command, Owner};
 use trefoil_core::dispatch::ownership::Roster;
-use trefoil_schema::dispatch::{Holder, Outcome};
+use trefoil_schema::dispatch::Outcome;
+
+use crate::WORKERS;
+use crate::dispatch_support::{SimWorker, job, owner, owner_after};
+use crate::events::{EntryJob, Event, Order, Record, answered, holder_of, unanswered, worker_of};
 
-/// Workers from the start on, and those that are added later.
-const WORKERS: usize = 4;
-const ADDED: usize = 2;
-const JOBS: usize = 12;
 /// A history is given up as stuck after this time.
 const END_MS: u64 = 60_000;
 /// Period of the owners' ticks.
 const TICK_MS: u64 = 25;
-/// Random choices of one history, bytes.
-const CHOICE_BYTES: usize = 100_000;
 /// An operator's closing is in force after this time.
 const CLOSE_WITHIN_MS: u64 = 5000;
 /// How long begun jobs go on in a failure domain that was closed.
 const BEGUN_MS: u64 = 1500;
 /// Period at which owners read the registry.
-const REGISTRY_MS: u64 = 700;
+pub const REGISTRY_MS: u64 = 700;
 const ENTRY: Origin = Origin::Link(1);
 
-#[derive(Clone, Debug)]
-enum Order {
-    Start(StartOrder),
-    Stop(StopOrder),
-    Hold(HoldOrder),
-}
-
-#[derive(Clone, Debug)]
-enum Event {
-    /// An order reaches a worker; its answer may not come back.
-    Arrive {
-        owner: usize,
-        order: Order,
-        answered: bool,
-    },
-    /// What an owner learns of an order.
-    Start {
-        owner: usize,
-        order: StartOrder,
-        outcome: OrderOutcome,
-    },
-    Stop {
-        owner: usize,
-        order: StopOrder,
-        outcome: OrderOutcome,
-    },
-    Hold {
-        owner: usize,
-        order: HoldOrder,
-        outcome: HoldOutcome,
-    },
-    Tick {
-        owner: usize,
-    },
-    Submit {
-        job: usize,
-    },
-    /// The present owner is lost to the entry; it may live on for a while.
-    Replace,
-    /// The lost owner notices that its link is down.
-    Notice {
-        owner: usize,
-    },
-    /// An owner reads the registry, which lists all workers.
-    Registry {
-        owner: usize,
-    },
-    /// An owner sends its roster to the store.
-    SendRoster {
-        owner: usize,
-    },
-    /// A roster reaches the store.
-    Roster {
-        owner: usize,
-        roster: Roster,
-        answered: bool,
-    },
-    /// The operator closes the failure domain, or opens it again.
-    Close,
-    Reopen,
-    /// The entry sends again what was given back.
-    Resend,
-    /// An owner learns of that.
-    Learn {
-        owner: usize,
-    },
-    /// An owner learns that the store holds its roster.
-    RosterStored {
-        owner: usize,
-        roster: Roster,
-    },
-}
-
-/// The store's record of the pool's claim.
-#[derive(Clone, Debug, Default)]
-struct Record {
-    owner: usize,
-    roster: Option<Roster>,
-}
-
-/// What the entry knows of a job.
-#[derive(Clone, Debug)]
-struct EntryJob {
-    tasks: u32,
-    /// The owner that has it.
-    owner: usize,
-    unsafe_until_ms: u64,
-    unsafe_owner: Option<usize>,
-}
-
-struct History<'a, 'b> {
-    choices: &'a mut Unstructured<'b>,
-    now_ms: u64,
-    events: BinaryHeap<Reverse<(u64, usize)>>,
-    stored: HashMap<usize, Event>,
-    next_event: usize,
-    workers: Vec<SimWorker>,
+pub struct History<'a, 'b> {
+    pub choices: &'a mut Unstructured<'b>,
+    pub now_ms: u64,
+    pub events: BinaryHeap<Reverse<(u64, usize)>>,
+    pub stored: HashMap<usize, Event>,
+    pub next_event: usize,
+    pub workers: Vec<SimWorker>,
     /// When each is added.
-    added_ms: Vec<u64>,
-    record: Record,
+    pub added_ms: Vec<u64>,
+    pub record: Record,
     /// Since when the failure domain is closed.
-    closed_ms: Option<u64>,
+    pub closed_ms: Option<u64>,
     /// Jobs that an owner gave back for it.
-    sent_away: Vec<String>,
-    owners: Vec<Owner>,
+    pub sent_away: Vec<String>,
+    pub owners: Vec<Owner>,
     /// Whether each owner still acts.
-    acts: Vec<bool>,
+    pub acts: Vec<bool>,
     /// Until when an owner cannot reach a worker.
-    cuts: HashMap<(usize, String), u64>,
-    open_jobs: BTreeMap<String, EntryJob>,
-    trouble: bool,
+    pub cuts: HashMap<(usize, String), u64>,
+    pub open_jobs: BTreeMap<String, EntryJob>,
+    pub trouble: bool,
 }
 
 impl History<'_, '_> {
-    fn at(&mut self, at_ms: u64, event: Event) {
+    pub fn at(&mut self, at_ms: u64, event: Event) {
         self.stored.insert(self.next_event, event);
         self.events.push(Reverse((at_ms, self.next_event)));
         self.next_event += 1;
@@ -495,7 +395,7 @@
         Ok(())
     }
 
-    fn take_over(&mut self, known: usize) -> arbitrary::Result<()> {
+    pub fn take_over(&mut self, known: usize) -> arbitrary::Result<()> {
         let term = self.owners.len() as u64 + 1;
         let by_store = self.choices.ratio(2, 3)?;
         let follows = self.record.owner + 1 == self.owners.len();
@@ -548,7 +448,7 @@
         );
     }
 
-    fn run(&mut self) -> arbitrary::Result<()> {
+    pub fn run(&mut self) -> arbitrary::Result<()> {
         while let Some(Reverse((at_ms, number))) = self.events.pop() {
             self.now_ms = at_ms;
             let event = self
@@ -567,119 +467,3 @@
         Ok(())
     }
 }
-
-fn holder_of(owner: usize) -> Holder {
-    holder(owner as u64 + 1)
-}
-
-fn worker_of(order: &Order) -> String {
-    let target = match order {
-        Order::Start(order) => &order.target,
-        Order::Stop(order) => &order.target,
-        Order::Hold(order) => &order.target,
-    };
-    target.worker_id.to_string()
-}
-
-fn answered(
-    target: trefoil_core::dispatch::order::Target,
-    task: std::sync::Arc<str>,
-    run_id: u64,
-    outcome: OrderOutcome,
-) -> Answered {
-    Answered {
-        worker: target.worker,
-        fence: target.fence,
-        task,
-        run_id,
-        outcome,
-    }
-}
-
-fn unanswered(owner: usize, order: Order) -> Event {
-    let outcome = OrderOutcome::NoAnswer;
-    match order {
-        Order::Start(order) => Event::Start {
-            owner,
-            order,
-            outcome,
-        },
-        Order::Stop(order) => Event::Stop {
-            owner,
-            order,
-            outcome,
-        },
-        Order::Hold(order) => Event::Hold {
-            owner,
-            order,
-            outcome: HoldOutcome::NoAnswer,
-        },
-    }
-}
-
-fn history(choices: &mut Unstructured<'_>) -> arbitrary::Result<()> {
-    let mut workers = Vec::new();
-    let mut added_ms = vec![0; WORKERS];
-    for _ in 0..ADDED {
-        added_ms.push(choices.int_in_range(0..=3500)?);
-    }
-    for number in 0..WORKERS + ADDED {
-        let clock_from_ms = choices.int_in_range(0..=100_000)?;
-        let takes_ms = choices.int_in_range(30..=900)?;
-        workers.push(SimWorker::new(
-            &format!("w{number}"),
-            clock_from_ms,
-            takes_ms,
-        ));
-    }
-    let mut history = History {
-        choices,
-        now_ms: 0,
-        events: BinaryHeap::new(),
-        stored: HashMap::new(),
-        next_event: 0,
-        workers,
-        added_ms,
-        record: Record::default(),
-        closed_ms: None,
-        sent_away: Vec::new(),
-        owners: Vec::new(),
-        acts: Vec::new(),
-        cuts: HashMap::new(),
-        open_jobs: BTreeMap::new(),
-        trouble: true,
-    };
-    history.take_over(WORKERS)?;
-    history.at(REGISTRY_MS, Event::Registry { owner: 0 });
-    for job in 0..JOBS {
-        let at_ms = history.choices.int_in_range(1..=2500)?;
-        history.at(at_ms, Event::Submit { job });
-    }
-    for _ in 0..history.choices.int_in_range(0..=3)? {
-        let at_ms = history.choices.int_in_range(100..=3000)?;
-        history.at(at_ms, Event::Replace);
-    }
-    if history.choices.ratio(1, 2)? {
-        let closes_ms = history.choices.int_in_range(100..=3000)?;
-        let opens_ms = closes_ms + history.choices.int_in_range(500..=8000)?;
-        history.at(closes_ms, Event::Close);
-        history.at(opens_ms, Event::Reopen);
-    }
-    history.run()
-}
-
-/// Runs the histories of some seeds; a failure names its seed.
-fn histories(seeds: std::ops::Range<u64>) {
-    for seed in seeds {
-        let mut bytes = vec![0; CHOICE_BYTES];
-        ChaCha8Rng::seed_from_u64(seed).fill_bytes(&mut bytes);
-        println!("seed {seed}");
-        let ended = history(&mut Unstructured::new(&bytes));
-        assert!(ended.is_ok(), "the choices are used up: raise CHOICE_BYTES");
-    }
-}
-
-#[test]
-fn no_worker_is_over_its_capacity_and_no_task_runs_twice_at_once() {
-    histories(0..400);
-}
