--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -78,7 +78,7 @@
     /// Wakes the feeds that read the store.
     pub store_poke: Notify,
     /// Tells that declarations came in force.
-    declared: Notify,
+    declarations_changed: Notify,
     started: Instant,
     state: RefCell<State>,
 }
@@ -144,7 +144,7 @@
             edge,
             me,
             store_poke: Notify::new(),
-            declared: Notify::new(),
+            declarations_changed: Notify::new(),
             started: Instant::now(),
             state: RefCell::new(state),
         })
--- a/crates/instance/src/instance/declared.rs
+++ b/crates/instance/src/instance/declared.rs
@@ -76,13 +76,13 @@
     /// instance has read the store, which takes 20 to 100 ms. Refused at once, 234
     /// callers of one loss of all power did not come back.
     pub async fn declarations_soon(&self) -> Option<Rc<RouteTable>> {
-        let declared = self.declared.notified();
+        let changed = self.declarations_changed.notified();
         if let Some(table) = self.declarations() {
             return Some(table);
         }
         let wait = Duration::from_millis(FIRST_WAIT_MS);
         // What is in force then counts, however the wait ended.
-        let _ = tokio::time::timeout(wait, declared).await;
+        let _ = tokio::time::timeout(wait, changed).await;
         self.declarations()
     }
 
@@ -129,7 +129,7 @@
             "confirmed_ms_ago" => confirmed_ms.map(|at_ms| now_ms - at_ms));
         declared.table = Some(Rc::new(RouteTable::new(declarations)));
         declared.behind_since_ms = None;
-        self.declared.notify_waiters();
+        self.declarations_changed.notify_waiters();
         state.deal_workers(now_ms, effects);
         let begun_until_ms = confirmed_ms.map_or(now_ms, |confirmed_ms| {
             let granted_ms = self.settings.close_within_ms as f64 * BEGUN_SHARE;
