--- a/crates/instance/src/instance/declared.rs
+++ b/crates/instance/src/instance/declared.rs
@@ -9,8 +9,8 @@
 use super::*;
 
 /// How long jobs that have begun may start tasks in a failure domain that was
-/// closed: callers wait 1500, and nine in ten jobs have started all tasks within
-/// a third of that.
+/// closed: callers wait 1500 for an answer of use, so that a job which still waits
+/// for a task by then has lost its caller.
 const BEGUN_MAX_MS: u64 = 1500;
 
 /// Share of the time that the operator grants in which begun jobs may start
