--- a/crates/replay/tests/overload.rs
+++ b/crates/replay/tests/overload.rs
@@ -144,3 +144,10 @@
         Replay::of("recovery", 3).figures
     );
 }
+
+/// With a fixed wait of 100 ms for each answer: 0.51 and 0.22 of what is owed.
+#[test]
+fn orders_without_an_answer_cost_their_callers_little() {
+    assert!(Replay::of("unanswered", 1).of_bound() > 0.95);
+    assert!(Replay::of("unanswered-half", 1).of_bound() > 0.60);
+}
