log: lines on work never take the room of lines on beliefs

Cause: one limit of 128 KiB for all lines; an owner that is lost brings several lines a job before the line that says so, which was then dropped (worker-links at 9 s), and 'lines dropped' did not say what was. Lines on jobs, runs and workers now carry a tag and end at 96 KiB; drops are counted by kind. Ruled out: a larger buffer (memory is dear, and the lines of one loss have no limit); two buffers (lines out of order). The note of a closed pool names the pool in its own field, no more as a task.

--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -63,7 +63,7 @@
 pub use clearance::ClearedBy;
 pub use command::{Answered, Command, Ending};
 pub use figures::Sizes;
-pub use note::Note;
+pub use note::{About, Note};
 pub use settings::Settings;
 
 /// Added to run numbers when a worker knows a later run: an earlier owner's
--- a/crates/core/src/dispatch/owner/closure.rs
+++ b/crates/core/src/dispatch/owner/closure.rs
@@ -101,11 +101,10 @@
     }
 
     fn note_closure(&self, event: &'static str, begun_for_ms: u64, out: &mut Vec<Command>) {
-        let mut note = Note::job(event, &self.pool);
-        note.detail = format!(
+        let detail = format!(
             "begun jobs may start tasks for {begun_for_ms} ms, jobs {}",
             self.jobs.len()
         );
-        out.push(Command::Note(note));
+        out.push(Command::Note(Note::pool(event, detail)));
     }
 }
--- a/crates/core/src/dispatch/owner/note.rs
+++ b/crates/core/src/dispatch/owner/note.rs
@@ -3,9 +3,21 @@
 use super::Answered;
 use crate::dispatch::worker::Worker;
 
+/// What a note is about.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum About {
+    /// Jobs, their runs, workers: many.
+    #[default]
+    Work,
+    /// The pool as a whole.
+    Pool,
+}
+
 /// One decision or change of belief.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Note {
+    /// What it is about.
+    pub about: About,
     /// What happened.
     pub event: &'static str,
     /// The job, or the task that names it; empty where none is concerned.
@@ -27,6 +39,16 @@
         }
     }
 
+    /// A change of belief about the whole pool.
+    pub fn pool(event: &'static str, detail: String) -> Self {
+        Self {
+            about: About::Pool,
+            event,
+            detail,
+            ..Self::default()
+        }
+    }
+
     /// A decision on a job.
     pub fn job(event: &'static str, job_id: &str) -> Self {
         Self {
@@ -43,6 +65,7 @@
             subject: answer.task.to_string(),
             worker: worker.record.id.to_string(),
             detail: format!("{:?} fence {}", answer.outcome, answer.fence.token()),
+            ..Self::default()
         }
     }
 }
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -42,7 +42,7 @@
 use trefoil_schema::dispatch::{Claim, Delegate, Job as JobSpec, Node, Outcome};
 
 use crate::edge::{Deployment, Store, Workers};
-use crate::log::unix_ms;
+use crate::log::{ON_WORK, unix_ms};
 use crate::metrics::Metrics;
 use crate::settings::InstanceSettings;
 use effects::Effects;
--- a/crates/instance/src/instance/calls.rs
+++ b/crates/instance/src/instance/calls.rs
@@ -10,7 +10,7 @@
 
 impl<E: Store + Workers + 'static> Instance<E> {
     pub(super) fn send_start(self: &Rc<Self>, pool: String, order: StartOrder) {
-        info!(self.log, "start"; "task" => &*order.task, "run" => order.run_id,
+        info!(self.log, #ON_WORK, "start"; "task" => &*order.task, "run" => order.run_id,
             "worker" => &*order.target.worker_id, "fence" => order.target.fence.token());
         self.metrics.starts.inc();
         let instance = Rc::clone(self);
@@ -26,7 +26,7 @@
     }
 
     pub(super) fn send_stop(self: &Rc<Self>, pool: String, order: StopOrder) {
-        info!(self.log, "stop"; "task" => &*order.task, "run" => order.run_id,
+        info!(self.log, #ON_WORK, "stop"; "task" => &*order.task, "run" => order.run_id,
             "worker" => &*order.target.worker_id, "fence" => order.target.fence.token());
         self.metrics.stops.inc();
         let instance = Rc::clone(self);
--- a/crates/instance/src/instance/effects.rs
+++ b/crates/instance/src/instance/effects.rs
@@ -6,6 +6,7 @@
 use std::collections::VecDeque;
 
 use trefoil_core::dispatch::entry::Cause;
+use trefoil_core::dispatch::owner::{About, Note};
 use trefoil_core::dispatch::ownership::{Predecessor, Roster, holder_of};
 
 use super::*;
@@ -56,7 +57,7 @@
                 unsafe_for_ms,
                 unsafe_holder,
             } => {
-                info!(self.log, "delegated"; "job" => &spec.id, "pool" => &to.pool,
+                info!(self.log, #ON_WORK, "delegated"; "job" => &spec.id, "pool" => &to.pool,
                     "owner" => &to.owner, "age_ms" => spec.age_ms,
                     "unsafe_for_ms" => unsafe_for_ms);
                 let delegate = Delegate {
@@ -79,7 +80,7 @@
                 job_id,
                 from,
                 cause,
-            } => info!(self.log, "taken back"; "job" => job_id, "pool" => from.pool,
+            } => info!(self.log, #ON_WORK, "taken back"; "job" => job_id, "pool" => from.pool,
                 "owner" => from.owner, "cause" => ?cause),
             entry::Command::Cancel { to, job_id } => {
                 if to.owner != self.me.name {
@@ -106,7 +107,7 @@
                 ending,
                 reason,
             } => {
-                info!(self.log, "job ended"; "job" => &ending.job_id, "pool" => &pool,
+                info!(self.log, #ON_WORK, "job ended"; "job" => &ending.job_id, "pool" => &pool,
                     "outcome" => ?ending.outcome, "reason" => reason,
                     "retry_after_ms" => ending.retry_after_ms);
                 match origin {
@@ -126,12 +127,20 @@
                 state.ownership.outranked(self.now_ms(), &pool, out);
                 self.store_poke.notify_waiters();
             }
-            owner::Command::Note(note) => info!(self.log, "{}", note.event;
-                "task" => note.subject, "worker" => note.worker, "detail" => note.detail),
+            owner::Command::Note(note) => self.write_note(&pool, note),
         }
         effects
     }
 
+    fn write_note(&self, pool: &str, note: Note) {
+        match note.about {
+            About::Work => info!(self.log, #ON_WORK, "{}", note.event;
+                "task" => note.subject, "worker" => note.worker, "detail" => note.detail),
+            About::Pool => info!(self.log, "{}", note.event;
+                "pool" => pool, "detail" => note.detail),
+        }
+    }
+
     fn carry_out_ownership(self: &Rc<Self>, command: ownership::Command) -> Effects {
         let mut effects = Effects::default();
         match command {
--- a/crates/instance/src/log.rs
+++ b/crates/instance/src/log.rs
@@ -3,17 +3,31 @@
 //! Lines gather in a buffer that a thread of its own writes out; while it
 //! cannot keep up, further lines are dropped and counted, and the count is in
 //! the next line that passes.
+//!
+//! Lines on jobs, runs and workers come by the thousand a second, those on the
+//! instance's own beliefs (who owns what, what is declared, who is linked) by the
+//! dozen, and mostly when jobs fare worst. So the former never take all of the
+//! buffer, and the latter still find room: a change of owner is in the log however
+//! many jobs it touches.
 
 use std::io::{self, Write};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use slog::{Drain, Logger, o};
+use slog::{Drain, IgnoreResult, Logger, Never, OwnedKVList, Record, o};
+use slog_json::Json;
+
+/// Tag of lines on jobs, their runs and the workers that run them. They are many,
+/// and dropped first.
+pub const ON_WORK: &str = "work";
 
 /// Bytes that wait to be written; beyond them lines are dropped. A second of
 /// a busy instance's lines.
 const BUFFER_BYTES_MAX: usize = 128 * 1024;
+/// Bytes beyond which lines on work are dropped. What is left holds some 150
+/// others; of 44 instances that start at once each has links with 43.
+const ON_WORK_BYTES_MAX: usize = 96 * 1024;
 /// Lines wait so long for others, to share a write.
 const GATHER: Duration = Duration::from_millis(200);
 /// Stack of the writing thread.
@@ -22,10 +36,17 @@
 #[derive(Debug, Default)]
 struct Waiting {
     bytes: Vec<u8>,
-    dropped: u64,
+    dropped: Dropped,
     closed: bool,
 }
 
+/// Lines dropped since the last that passed.
+#[derive(Debug, Default)]
+struct Dropped {
+    on_work: u64,
+    others: u64,
+}
+
 #[derive(Debug, Default)]
 struct Buffer {
     waiting: Mutex<Waiting>,
@@ -43,6 +64,24 @@
 struct Appender {
     buffer: Arc<Buffer>,
     line: Vec<u8>,
+    kind: Kind,
+}
+
+/// What a line is on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    OnWork,
+    Other,
+}
+
+impl Kind {
+    /// Bytes that may wait together with a further line of this kind.
+    fn bytes_max(self) -> usize {
+        match self {
+            Self::OnWork => ON_WORK_BYTES_MAX,
+            Self::Other => BUFFER_BYTES_MAX,
+        }
+    }
 }
 
 impl Write for Appender {
@@ -54,8 +93,8 @@
     /// Comes at the end of each line.
     fn flush(&mut self) -> io::Result<()> {
         let mut waiting = self.buffer.lock();
-        if waiting.bytes.len() + self.line.len() > BUFFER_BYTES_MAX {
-            waiting.dropped += 1;
+        if waiting.bytes.len() + self.line.len() > self.kind.bytes_max() {
+            waiting.dropped.count(self.kind);
         } else {
             if waiting.bytes.is_empty() {
                 self.buffer.changed.notify_one();
@@ -68,16 +107,79 @@
     }
 }
 
+impl Dropped {
+    fn count(&mut self, kind: Kind) {
+        match kind {
+            Kind::OnWork => self.on_work += 1,
+            Kind::Other => self.others += 1,
+        }
+    }
+
+    fn any(&self) -> bool {
+        self.on_work + self.others > 0
+    }
+}
+
 impl Waiting {
     fn tell_dropped(&mut self) {
-        if self.dropped > 0 {
-            let line = format!("{{\"msg\":\"lines dropped\",\"count\":{}}}\n", self.dropped);
-            self.bytes.extend_from_slice(line.as_bytes());
-            self.dropped = 0;
+        if !self.dropped.any() {
+            return;
+        }
+        let Dropped { on_work, others } = std::mem::take(&mut self.dropped);
+        let line =
+            format!("{{\"msg\":\"lines dropped\",\"on_work\":{on_work},\"others\":{others}}}\n");
+        self.bytes.extend_from_slice(line.as_bytes());
+    }
+}
+
+/// Formats lines by their kind, each with a buffer for its own pieces.
+struct ByKind {
+    on_work: Formatter,
+    others: Formatter,
+}
+
+/// Writing to a buffer in memory does not fail.
+type Formatter = IgnoreResult<Mutex<Json<Appender>>>;
+
+impl ByKind {
+    fn new(buffer: &Arc<Buffer>) -> Self {
+        Self {
+            on_work: formatter(buffer, Kind::OnWork),
+            others: formatter(buffer, Kind::Other),
+        }
+    }
+}
+
+impl Drain for ByKind {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
+        match record.tag() {
+            ON_WORK => self.on_work.log(record, values),
+            _ => self.others.log(record, values),
         }
     }
 }
 
+fn formatter(buffer: &Arc<Buffer>, kind: Kind) -> Formatter {
+    let appender = Appender {
+        buffer: Arc::clone(buffer),
+        line: Vec::new(),
+        kind,
+    };
+    let json = Json::new(appender)
+        .set_newlines(true)
+        .set_flush(true)
+        .add_key_value(o!(
+            "ts_ms" => slog::FnValue(|_| unix_ms()),
+            "level" => slog::FnValue(|record| record.level().as_short_str()),
+            "msg" => slog::PushFnValue(|record, serializer| serializer.emit(record.msg())),
+        ))
+        .build();
+    Mutex::new(json).ignore_res()
+}
+
 /// Writes what waits when dropped, and ends the writing thread.
 #[derive(Debug)]
 pub struct LogGuard {
@@ -95,40 +197,42 @@
     }
 }
 
-/// The root logger; each line carries the instance and its failure domain.
+/// The root logger, to standard output; each line carries the instance and its
+/// failure domain.
 ///
 /// # Errors
 ///
 /// When the writing thread cannot be started.
 pub fn root(instance: &str, failure_domain: &str) -> io::Result<(Logger, LogGuard)> {
+    root_to(io::stdout(), instance, failure_domain)
+}
+
+/// The same, to `out`.
+///
+/// # Errors
+///
+/// When the writing thread cannot be started.
+pub fn root_to(
+    out: impl Write + Send + 'static,
+    instance: &str,
+    failure_domain: &str,
+) -> io::Result<(Logger, LogGuard)> {
     let buffer = Arc::new(Buffer::default());
-    let shared = buffer.clone();
+    let shared = Arc::clone(&buffer);
     let writer = thread::Builder::new()
         .name("log".to_owned())
         .stack_size(STACK_BYTES)
-        .spawn(move || write_out(&shared))?;
-    let appender = Appender {
-        buffer: buffer.clone(),
-        line: Vec::new(),
-    };
-    let json = slog_json::Json::new(appender)
-        .set_newlines(true)
-        .set_flush(true)
-        .add_key_value(o!(
-            "ts_ms" => slog::FnValue(|_| unix_ms()),
-            "level" => slog::FnValue(|record| record.level().as_short_str()),
-            "msg" => slog::PushFnValue(|record, serializer| serializer.emit(record.msg())),
-        ))
-        .build();
+        .spawn(move || write_out(&shared, out))?;
     let fields = o!(
         "instance" => instance.to_owned(),
         "failure_domain" => failure_domain.to_owned(),
     );
+    let logger = Logger::root(ByKind::new(&buffer), fields);
     let guard = LogGuard {
         buffer,
         writer: Some(writer),
     };
-    Ok((Logger::root(Mutex::new(json).ignore_res(), fields), guard))
+    Ok((logger, guard))
 }
 
 /// Milliseconds since 1970, by the machine's time of day.
@@ -137,8 +241,7 @@
     since.map_or(0, |since| since.as_millis() as u64)
 }
 
-fn write_out(buffer: &Buffer) {
-    let mut out = io::stdout();
+fn write_out(buffer: &Buffer, mut out: impl Write) {
     loop {
         let mut waiting = buffer.lock();
         while waiting.bytes.is_empty() && !waiting.closed {
