--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -4,8 +4,14 @@
 //! time, and delegates it anew when that owner is lost: at once to the next
 //! owner of the same workers, which sees what runs there, and to any other
 //! owner only after nothing of it can run any more.
+//!
+//! * [`command`]: what is decided.
+//! * [`choice`]: the pool for a job.
+//! * [`losses`]: jobs that are taken back.
+//! * [`refusal`]: jobs that are refused, or given up.
 
 mod choice;
+mod command;
 mod losses;
 mod refusal;
 
@@ -21,91 +27,7 @@
 use refusal::{CLOSED, Refusal};
 
 pub use choice::PoolView;
-
-/// One caller's request.
-pub type Ticket = u64;
-
-/// What an entry's shell must do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Command {
-    /// Hand a job to an owner.
-    Delegate {
-        /// The pool, and its owner.
-        to: Owned,
-        /// The job; its age counts from the caller's request.
-        spec: JobSpec,
-        /// Until then runs of an earlier owner may go on.
-        unsafe_for_ms: u64,
-        /// The only ownership whose runs these can be, where there is one.
-        unsafe_holder: Option<Holder>,
-    },
-    /// Note that a job is here again.
-    TakenBack {
-        /// The job.
-        job_id: String,
-        /// The pool, and its owner.
-        from: Owned,
-        /// Why.
-        cause: Cause,
-    },
-    /// Tell an owner that nobody awaits a job any more.
-    Cancel {
-        /// The pool, and its owner.
-        to: Owned,
-        /// The job.
-        job_id: String,
-    },
-    /// Answer a caller.
-    Answer {
-        /// The request.
-        ticket: Ticket,
-        /// The answer.
-        answer: Answer,
-    },
-}
-
-/// Why a job is taken back from an owner.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Cause {
-    /// The link to the owner is gone.
-    LinkLost,
-    /// The pool has another owner, or none.
-    OwnerChanged,
-    /// The owner said so.
-    Told(Outcome),
-}
-
-/// A pool and the name of its owner.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Owned {
-    /// The pool.
-    pub pool: String,
-    /// Name of the instance that owns it.
-    pub owner: String,
-}
-
-/// What a caller is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// All tasks are done.
-    Completed,
-    /// A task failed as often as it may.
-    Failed,
-    /// Nothing ran, and nothing will.
-    NotRun {
-        /// When to come back.
-        retry_after_ms: u64,
-        /// Why, for people.
-        reason: &'static str,
-    },
-    /// Something may have run; all that did is stopped.
-    MayHaveRun {
-        /// Why, for people.
-        reason: &'static str,
-    },
-    /// The id belongs to a different job that is being run.
-    OtherJob,
-}
+pub use command::{Answer, Cause, Command, Owned, Ticket};
 
 /// Where a job is.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/core/src/dispatch/ownership.rs
+++ b/crates/core/src/dispatch/ownership.rs
@@ -12,10 +12,12 @@
 //!
 //! * [`peers`]: the other instances.
 //! * [`candidates`]: which pools are vacant, and who claims them in which order.
+//! * [`claiming`]: a claim on its way, and what became of it.
 //! * [`neighbours`]: which instances link with which.
 //! * [`roster`]: the workers that an owner uses.
 
 mod candidates;
+mod claiming;
 mod neighbours;
 mod peers;
 mod roster;
@@ -26,11 +28,14 @@
 
 use super::limits::{CLAIM_STAGGER_MS, CLAIM_STORE_MS};
 use super::pool;
+pub use claiming::ClaimWrite;
+use claiming::Writing;
 use peers::Peer;
 pub use roster::{ClaimRecord, Predecessor, Roster, holder_of};
 
 /// How long an owner that was outranked by an unknown claim leaves it alone.
 const OUTRANKED_PAUSE_MS: u64 = 1500;
+
 /// What the shell must do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
@@ -68,20 +73,6 @@
     Learned(Claim),
 }
 
-/// What became of writing a claim.
-#[derive(Clone, Debug, PartialEq)]
-pub enum ClaimWrite {
-    /// The store holds it.
-    Written {
-        /// Its revision.
-        revision: u64,
-    },
-    /// The store holds another one; it is read anew.
-    Conflict,
-    /// Unknown, or the store did nothing.
-    NoAnswer,
-}
-
 /// What the store's record of a claim holds.
 #[derive(Clone, Debug, Default, PartialEq)]
 struct Stored {
@@ -91,15 +82,6 @@
     roster: Option<Roster>,
 }
 
-/// A claim whose answer from the store is awaited.
-#[derive(Debug)]
-struct Writing {
-    claim: Claim,
-    sent_ms: u64,
-    /// The ownership that its record replaces.
-    predecessor: Option<Predecessor>,
-}
-
 /// A pool of the own failure domain.
 #[derive(Clone, Debug, Default)]
 struct Pool {
@@ -230,23 +212,6 @@
         }
     }
 
-    /// A claim of this instance whose answer was lost stands in the store.
-    fn take_up(&mut self, now_ms: u64, claim: Claim, out: &mut Vec<Command>) {
-        let Some(pool) = self.pools.get(&claim.pool) else {
-            return;
-        };
-        let newest = pool.claim.as_ref().map(rank) == Some(rank(&claim));
-        let mine = claim.owner.as_ref() == Some(&self.me);
-        if mine && newest && !pool.owns && claim.term > pool.owned_term {
-            self.writing = Some(Writing {
-                claim,
-                sent_ms: now_ms,
-                predecessor: None,
-            });
-            self.acquire(out);
-        }
-    }
-
     /// Takes in a claim from any source; the higher one counts.
     pub fn learn(&mut self, now_ms: u64, claim: Claim, yielded: bool, out: &mut Vec<Command>) {
         if claim.failure_domain != self.me.failure_domain {
@@ -308,69 +273,6 @@
         self.writing = None;
     }
 
-    /// Takes in what became of writing a claim.
-    pub fn claim_written(
-        &mut self,
-        now_ms: u64,
-        record: &ClaimRecord,
-        write: &ClaimWrite,
-        out: &mut Vec<Command>,
-    ) {
-        let claim = &record.claim;
-        let writing = self.writing.as_ref();
-        let pending = writing.is_some_and(|writing| writing.claim == *claim);
-        if let Some(pool) = self.pools.get_mut(&claim.pool) {
-            pool.used.is_on_its_way = false;
-        }
-        match write {
-            ClaimWrite::Written { revision } => {
-                self.stored(record, *revision, out);
-                if pending {
-                    self.acquire(out);
-                }
-            }
-            ClaimWrite::Conflict if pending => {
-                self.writing = None;
-                if let Some(pool) = self.pools.get_mut(&claim.pool) {
-                    // The store is read meanwhile; other pools have their turn.
-                    pool.quiet_until_ms = now_ms + CLAIM_STAGGER_MS;
-                }
-            }
-            ClaimWrite::NoAnswer if pending => {
-                // Its fate is unknown; the next tick decides without the store.
-                if let Some(writing) = &mut self.writing {
-                    let waited_ms = now_ms.saturating_sub(CLAIM_STORE_MS);
-                    writing.sent_ms = writing.sent_ms.min(waited_ms);
-                }
-            }
-            ClaimWrite::Conflict | ClaimWrite::NoAnswer => {}
-        }
-    }
-
-    fn acquire(&mut self, out: &mut Vec<Command>) {
-        let Some(writing) = self.writing.take() else {
-            return;
-        };
-        let claim = writing.claim;
-        let Some(pool) = self.pools.get_mut(&claim.pool) else {
-            return;
-        };
-        let known = pool.claim.as_ref().map(rank);
-        if self.leaving || known > Some(rank(&claim)) {
-            return;
-        }
-        pool.vacant_since_ms = None;
-        pool.owns = true;
-        pool.owned_term = claim.term;
-        pool.yielded = false;
-        pool.used = roster::Used::default();
-        pool.claim = Some(claim.clone());
-        out.push(Command::Acquired {
-            claim,
-            predecessor: writing.predecessor,
-        });
-    }
-
     /// Passes time: finds vacancies and claims one of them in turn.
     pub fn tick(&mut self, now_ms: u64, out: &mut Vec<Command>) {
         if self.leaving {
@@ -401,30 +303,6 @@
             }
         }
     }
-
-    fn claim(&mut self, now_ms: u64, name: &str, out: &mut Vec<Command>) {
-        let pool = &self.pools[name];
-        let term = pool.claim.as_ref().map_or(0, |claim| claim.term);
-        let claim = Claim {
-            pool: name.to_owned(),
-            failure_domain: self.me.failure_domain.clone(),
-            term: term + 1,
-            owner: Some(self.me.clone()),
-        };
-        let stored = &pool.stored;
-        let revision = stored.revision;
-        let predecessor = stored.holder.clone().zip(stored.roster.clone());
-        self.writing = Some(Writing {
-            claim: claim.clone(),
-            sent_ms: now_ms,
-            predecessor: predecessor.map(|(holder, roster)| Predecessor { holder, roster }),
-        });
-        let record = ClaimRecord {
-            claim,
-            roster: None,
-        };
-        out.push(Command::WriteClaim { record, revision });
-    }
 }
 
 fn rank(claim: &Claim) -> (u64, &str) {
