entry: a delegated line tells the age of what is known of the owner; placing in three steps

The choice between owners rests on when they were last heard of; the line on it now says so (heard_ms_ago). The end of a job that a former owner tells is no word of the pool's present owner. place() is split into the choice, the placing and the delegation; no other change.

--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -160,7 +160,8 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        if let Some(view) = self.pools.get_mut(&from.pool) {
+        let known = self.pools.get_mut(&from.pool);
+        if let Some(view) = known.filter(|view| view.holder.owner == from.owner) {
             view.heard_ms = view.heard_ms.max(now_ms);
         }
         if job.place != Place::Delegated(from.clone()) {
@@ -268,14 +269,9 @@
         }
     }
 
-    /// Delegates a waiting job if an owner may have it now.
-    fn place(&mut self, now_ms: u64, id: &str, out: &mut Vec<Command>) {
-        let Some(job) = self.jobs.get_mut(id) else {
-            return;
-        };
-        if job.place != Place::Waiting {
-            return;
-        }
+    /// The pool for a waiting job, if an owner may have it now: one that was heard
+    /// of lately, or else any.
+    fn pool_for(&self, now_ms: u64, job: &EntryJob) -> Option<String> {
         let is_safe = now_ms >= job.unsafe_until_ms;
         let serving = self.pools.iter().filter(|(_, view)| view.load.serving);
         let allowed = serving.filter(|(pool, _)| {
@@ -283,15 +279,29 @@
         });
         let allowed: Vec<(&String, &PoolView)> = allowed.collect();
         let heard = allowed.iter().filter(|(_, view)| !view.is_quiet(now_ms));
-        let chosen = choose(heard.copied(), &self.home, &job.spec)
-            .or_else(|| choose(allowed.iter().copied(), &self.home, &job.spec));
-        let Some(pool) = chosen else {
-            if is_safe && self.is_closed() {
+        choose(heard.copied(), &self.home, &job.spec)
+            .or_else(|| choose(allowed.iter().copied(), &self.home, &job.spec))
+    }
+
+    /// Delegates a waiting job if an owner may have it now.
+    fn place(&mut self, now_ms: u64, id: &str, out: &mut Vec<Command>) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        if job.place != Place::Waiting {
+            return;
+        }
+        let Some(pool) = self.pool_for(now_ms, job) else {
+            if now_ms >= job.unsafe_until_ms && self.is_closed() {
                 self.give_up(id, CLOSED, out);
             }
             return;
         };
-        let Some(view) = self.pools.get_mut(&pool) else {
+        self.delegate(now_ms, id, pool, out);
+    }
+
+    fn delegate(&mut self, now_ms: u64, id: &str, pool: String, out: &mut Vec<Command>) {
+        let (Some(job), Some(view)) = (self.jobs.get_mut(id), self.pools.get_mut(&pool)) else {
             return;
         };
         view.since_millicore_ms += work_of(&job.spec);
@@ -308,6 +318,7 @@
         out.push(Command::Delegate {
             to,
             spec,
+            heard_ms_ago: now_ms.saturating_sub(view.heard_ms),
             unsafe_for_ms: job.unsafe_until_ms.saturating_sub(now_ms),
             unsafe_holder: job.unsafe_holder.clone(),
         });
--- a/crates/core/src/dispatch/entry/command.rs
+++ b/crates/core/src/dispatch/entry/command.rs
@@ -14,6 +14,8 @@
         to: Owned,
         /// The job; its age counts from the caller's request.
         spec: JobSpec,
+        /// Age of what is known of the owner.
+        heard_ms_ago: u64,
         /// Until then runs of an earlier owner may go on.
         unsafe_for_ms: u64,
         /// The only ownership whose runs these can be, where there is one.
--- a/crates/instance/src/instance/effects.rs
+++ b/crates/instance/src/instance/effects.rs
@@ -54,12 +54,13 @@
             entry::Command::Delegate {
                 to,
                 spec,
+                heard_ms_ago,
                 unsafe_for_ms,
                 unsafe_holder,
             } => {
                 info!(self.log, #ON_WORK, "delegated"; "job" => &spec.id, "pool" => &to.pool,
                     "owner" => &to.owner, "age_ms" => spec.age_ms,
-                    "unsafe_for_ms" => unsafe_for_ms);
+                    "heard_ms_ago" => heard_ms_ago, "unsafe_for_ms" => unsafe_for_ms);
                 let delegate = Delegate {
                     job: Some(spec),
                     unsafe_for_ms,
