--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -278,7 +278,7 @@
             (is_safe || **pool == job.unsafe_pool) && !job.refused_by.contains(pool)
         });
         let allowed: Vec<(&String, &PoolView)> = allowed.collect();
-        let heard = allowed.iter().filter(|(_, view)| !view.is_quiet(now_ms));
+        let heard = allowed.iter().filter(|(_, view)| !view.is_silent(now_ms));
         choose(heard.copied(), &self.home, &job.spec)
             .or_else(|| choose(allowed.iter().copied(), &self.home, &job.spec))
     }
--- a/crates/core/src/dispatch/entry/choice.rs
+++ b/crates/core/src/dispatch/entry/choice.rs
@@ -23,7 +23,7 @@
 ///
 /// [`LINK_SILENT_MS`]: crate::dispatch::limits::LINK_SILENT_MS
 /// [`DELEGATED_GAP_MS`]: crate::dispatch::limits::DELEGATED_GAP_MS
-const QUIET_MS: u64 = 150;
+const SILENT_MS: u64 = 150;
 
 /// A pool, as this entry sees it.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -45,8 +45,8 @@
 
 impl PoolView {
     /// Whether its owner may be gone, without a word.
-    pub(super) fn is_quiet(&self, now_ms: u64) -> bool {
-        now_ms > self.heard_ms + QUIET_MS
+    pub(super) fn is_silent(&self, now_ms: u64) -> bool {
+        now_ms > self.heard_ms + SILENT_MS
     }
 
     fn free_millicores(&self) -> u64 {
