links: closed by agreement only, and a large deployment's start dials little

An owner that had been listed for long was vacant at once when its claim was learned. Instances that read the growing list early took it for a small deployment and dialed all of it, or the first 48 by name.

Now a link is drained and offered (Retire), and closed when neither side has a use or a job for it; such an end is no loss. Time for an owner without a link runs from its claim; a newer start of it vacates its pools at once; pools whose watchers live are left to them. Without a known owner an instance links with three peers of its own, once the list has settled; owners in other failure domains follow from the numbers of pools, not from the claims known so far. Lines 'link down' tell the cause.

Ruled out: silence (peers had been heard 18 ms before), heartbeats, processor.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -8,6 +8,7 @@
 //!
 //! * [`fence`]: fencing tokens, ordered by term of ownership, then by a counter.
 //! * [`ownership`]: claims on pools, when to make one, and whom to link with.
+//! * [`retirement`]: closing a link that neither side needs.
 //! * [`entry`]: callers' jobs, delegated and delegated anew.
 //! * [`owner`]: jobs, tasks and workers of one owner.
 //! * [`worker`]: what an owner knows of one worker.
@@ -25,4 +26,5 @@
 pub mod owner;
 pub mod ownership;
 pub mod pool;
+pub mod retirement;
 pub mod worker;
--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -212,10 +212,10 @@
         }
     }
 
-    /// Counts no silence of owners for a time in which this process did not run.
-    pub fn excuse(&mut self, late_ms: u64) {
+    /// Moves all silence limits by a time in which this process did not run.
+    pub fn extend_silence_limits(&mut self, stall_ms: u64) {
         for view in self.pools.values_mut() {
-            view.heard_ms += late_ms;
+            view.heard_ms += stall_ms;
         }
     }
 
--- a/crates/core/src/dispatch/entry/losses.rs
+++ b/crates/core/src/dispatch/entry/losses.rs
@@ -21,6 +21,17 @@
         pools.map(owned).collect()
     }
 
+    /// Whether an owner has jobs of this entry.
+    pub fn has_jobs_at(&self, owner: &str) -> bool {
+        let mut jobs = self.jobs.values();
+        jobs.any(|job| matches!(&job.place, Place::Delegated(to) if to.owner == owner))
+    }
+
+    /// Delegates no further jobs to an owner; those that it has stay there.
+    pub fn stop_using(&mut self, owner: &str) {
+        self.pools.retain(|_, view| view.holder.owner != owner);
+    }
+
     /// The link to an owner is gone.
     pub fn owner_lost(&mut self, now_ms: u64, owner: &str, out: &mut Vec<Command>) {
         for owned in self.pools_of(owner) {
--- a/crates/core/src/dispatch/ownership.rs
+++ b/crates/core/src/dispatch/ownership.rs
@@ -86,6 +86,8 @@
 #[derive(Clone, Debug, Default)]
 struct Pool {
     claim: Option<Claim>,
+    /// When `claim` was learned.
+    learned_ms: u64,
     /// What the store's record holds.
     stored: Stored,
     /// Workers that the owner here has, and what became of telling it.
@@ -112,9 +114,12 @@
     started_ms: u64,
     peers: BTreeMap<String, Peer>,
     pools: BTreeMap<String, Pool>,
-    /// Highest claims on other failure domains' pools.
-    remote: BTreeMap<String, Claim>,
+    /// Other failure domains' pools, with the highest claims that are known.
+    remote: BTreeMap<String, Option<Claim>>,
     store_read: bool,
+    /// Whether the last listing of the store had instances that the one before
+    /// had not.
+    listing_grows: bool,
     writing: Option<Writing>,
     leaving: bool,
 }
@@ -129,6 +134,7 @@
             pools: BTreeMap::new(),
             remote: BTreeMap::new(),
             store_read: false,
+            listing_grows: false,
             writing: None,
             leaving: false,
         }
@@ -145,11 +151,14 @@
         self.pools.values().any(|pool| pool.owns)
     }
 
-    /// Takes in the number of the failure domain's pools.
-    pub fn set_pool_count(&mut self, count: u32) {
+    /// Takes in the number of a failure domain's pools.
+    pub fn set_pool_count(&mut self, failure_domain: &str, count: u32) {
         for index in 0..count {
-            let name = pool::name(&self.me.failure_domain, index);
-            self.pools.entry(name).or_default();
+            let name = pool::name(failure_domain, index);
+            match failure_domain == self.me.failure_domain {
+                true => drop(self.pools.entry(name).or_default()),
+                false => drop(self.remote.entry(name).or_default()),
+            }
         }
     }
 
@@ -243,14 +252,18 @@
             out.push(Command::Released(claim.pool.clone()));
         }
         pool.claim = Some(claim.clone());
+        pool.learned_ms = now_ms;
         out.push(Command::Learned(claim));
     }
 
     /// Takes in a claim on another failure domain's pool.
     fn learn_remote(&mut self, claim: Claim) {
-        let known = self.remote.get(&claim.pool);
-        if known.is_none_or(|known| rank(known) < rank(&claim)) {
-            self.remote.insert(claim.pool.clone(), claim);
+        let known = self.remote.entry(claim.pool.clone()).or_default();
+        if known
+            .as_ref()
+            .is_none_or(|known| rank(known) < rank(&claim))
+        {
+            *known = Some(claim);
         }
     }
 
--- a/crates/core/src/dispatch/ownership/candidates.rs
+++ b/crates/core/src/dispatch/ownership/candidates.rs
@@ -4,10 +4,11 @@
 
 use trefoil_schema::dispatch::Node;
 
+use super::peers::LinkState;
 use super::{Ownership, Peer, Pool};
 use crate::dispatch::limits::{CLAIM_STAGGER_MS, OWNER_LOST_MS, YIELD_AFTER_MS, YIELD_FACTOR};
 
-/// An owner that was never linked is given so long to answer a dial.
+/// Time for an owner without a link to answer a dial, from when its claim is known.
 const NEVER_LINKED_MS: u64 = 700;
 /// For so long an instance that the store lists and that is not linked may
 /// still come: dials take less.
@@ -46,16 +47,22 @@
         let Some(peer) = self.peers.get(&owner.name) else {
             return true;
         };
-        if peer.linked {
-            let same_life = peer.node.incarnation == owner.incarnation;
-            let yielded = pool.yielded && self.is_stronger_than(owner);
-            return peer.leaving || !same_life || yielded;
+        if peer.node.incarnation > owner.incarnation {
+            return true;
+        }
+        match peer.link {
+            LinkState::Up => {
+                let same_life = peer.node.incarnation == owner.incarnation;
+                peer.leaving || !same_life || pool.yielded && self.is_stronger_than(owner)
+            }
+            LinkState::Broken if peer.changed_ms >= pool.learned_ms => {
+                now_ms >= peer.changed_ms + OWNER_LOST_MS
+            }
+            LinkState::Broken | LinkState::Absent => {
+                let since_ms = peer.changed_ms.max(pool.learned_ms).max(self.started_ms);
+                now_ms >= since_ms + NEVER_LINKED_MS
+            }
         }
-        let patience_ms = match peer.was_linked {
-            true => OWNER_LOST_MS,
-            false => NEVER_LINKED_MS,
-        };
-        now_ms >= peer.changed_ms.max(self.started_ms) + patience_ms
     }
 
     /// How many candidates for a pool come before this instance.
@@ -76,7 +83,7 @@
     fn may_be_up(&self, now_ms: u64, peer: &Peer) -> bool {
         // Where not all are linked, the store's list has to do.
         let lost_ms = peer.changed_ms.max(self.started_ms) + LISTED_ONLY_MS;
-        peer.linked || (peer.listed && (!self.is_mesh() || now_ms < lost_ms))
+        peer.is_linked() || (peer.listed && (!self.is_mesh() || now_ms < lost_ms))
     }
 
     /// Place in the order of candidates; smaller ones come first.
@@ -99,7 +106,7 @@
         let stronger = |peer: &Peer| {
             let strain = strain(self.owned_by(&peer.node.name) + 1, &peer.node);
             peer.is_candidate(&self.me)
-                && peer.linked
+                && peer.is_linked()
                 && now_ms >= peer.changed_ms + YIELD_AFTER_MS
                 && own >= strain * YIELD_FACTOR
         };
@@ -116,13 +123,13 @@
 
     /// Whether most of the instances known, or of the failure domain's, are linked.
     pub(super) fn reaches_most(&self) -> bool {
-        let wanted = self.wanted_peers();
+        let peers = self.judging_peers();
         let most = |own: bool| {
             let domain = &self.me.failure_domain;
-            let peers = wanted.iter();
+            let peers = peers.iter();
             let peers = peers.filter(|peer| !own || peer.node.failure_domain == *domain);
             let (all, linked) = peers.fold((1, 1), |(all, linked), peer| {
-                (all + 1, linked + usize::from(peer.linked))
+                (all + 1, linked + usize::from(peer.is_linked()))
             });
             linked * 2 > all && all > 1
         };
@@ -131,7 +138,7 @@
 }
 
 impl Peer {
-    fn is_candidate(&self, me: &Node) -> bool {
+    pub(super) fn is_candidate(&self, me: &Node) -> bool {
         self.node.failure_domain == me.failure_domain && !self.leaving
     }
 }
--- a/crates/core/src/dispatch/ownership/neighbours.rs
+++ b/crates/core/src/dispatch/ownership/neighbours.rs
@@ -24,6 +24,9 @@
 const HOME_POOLS: usize = 4;
 /// Pools of other failure domains that an instance uses.
 const REMOTE_POOLS: usize = 2;
+/// Peers that an instance links with while it knows of no owner: any of them can
+/// introduce one if the store cannot.
+const INTRODUCERS: usize = 3;
 
 impl Ownership {
     /// Whether all instances link with all.
@@ -32,29 +35,42 @@
     }
 
     /// The instances to link with.
-    pub fn wanted(&self) -> Vec<&Node> {
+    ///
+    /// While a deployment starts, instances register over a second or more. Who
+    /// reads the store early must not take the part that it sees for a small
+    /// deployment and dial all of it.
+    pub fn desired_peers(&self) -> Vec<&Node> {
         let all = self.peers.values().map(|peer| &peer.node);
-        if self.is_mesh() {
+        let knows_owner = self.used_owners().flatten().next().is_some();
+        let is_small = self.is_mesh() && (knows_owner || !self.listing_grows);
+        if is_small {
             return all.collect();
         }
-        let mut wanted: Vec<&Node> = self.used_owners().flatten().collect();
-        wanted.retain(|node| node.name != self.me.name);
-        wanted.sort_by(|left, right| left.name.cmp(&right.name));
-        wanted.dedup_by(|left, right| left.name == right.name);
-        match wanted.is_empty() {
-            // Nobody is known to own anything: whoever is asked may know.
-            true => all.take(MESH_MAX).collect(),
-            false => wanted,
+        if !knows_owner && self.listing_grows {
+            return Vec::new();
+        }
+        if !knows_owner {
+            let names = self.peers.keys();
+            let introducers = nearest(&self.me.name, names, INTRODUCERS);
+            return introducers
+                .into_iter()
+                .map(|name| &self.peers[name].node)
+                .collect();
         }
+        let mut desired: Vec<&Node> = self.used_owners().flatten().collect();
+        desired.retain(|node| node.name != self.me.name);
+        desired.sort_by(|left, right| left.name.cmp(&right.name));
+        desired.dedup_by(|left, right| left.name == right.name);
+        desired
     }
 
     /// What a link's other side is told of: all instances, or all owners.
-    pub fn introduced(&self) -> Vec<Node> {
+    pub fn introductions(&self) -> Vec<Node> {
         if self.is_mesh() {
             return self.peers.values().map(|peer| peer.node.clone()).collect();
         }
         let claims = self.pools.values().filter_map(|pool| pool.claim.as_ref());
-        let claims = claims.chain(self.remote.values());
+        let claims = claims.chain(self.remote.values().flatten());
         claims.filter_map(|claim| claim.owner.clone()).collect()
     }
 
@@ -65,7 +81,7 @@
             || self.used_owners().all(|owner| {
                 owner.is_some_and(|owner| {
                     let peer = self.peers.get(&owner.name);
-                    owner.name == self.me.name || peer.is_some_and(|peer| peer.linked)
+                    owner.name == self.me.name || peer.is_some_and(Peer::is_linked)
                 })
             })
     }
@@ -75,10 +91,8 @@
         let home = nearest(&self.me.name, self.pools.keys(), HOME_POOLS);
         let home = home.into_iter().map(|name| self.pools[name].owner());
         let remote = nearest(&self.me.name, self.remote.keys(), REMOTE_POOLS);
-        let remote = remote
-            .into_iter()
-            .map(|name| self.remote[name].owner.as_ref());
-        home.chain(remote)
+        let remote = remote.into_iter();
+        home.chain(remote.map(|name| self.remote[name].as_ref()?.owner.as_ref()))
     }
 
     /// The pools of the failure domain that this instance uses.
@@ -90,15 +104,21 @@
         home.into_iter().map(str::to_owned).collect()
     }
 
-    /// Whether this instance sees to it that a pool has an owner: it watches
-    /// the pool, or the store lists its owner no more.
+    /// Whether this instance claims a pool that is vacant: it watches the pool,
+    /// or neither its owner nor an instance that watches it is left.
     pub(super) fn is_responsible_for(&self, name: &str) -> bool {
         if self.is_mesh() || self.watches(&self.me, name) {
             return true;
         }
         let owner = self.pools[name].owner();
-        let peer = owner.and_then(|owner| self.peers.get(&owner.name));
-        !peer.is_some_and(|peer| peer.listed || peer.linked)
+        let owner = owner.and_then(|owner| self.peers.get(&owner.name));
+        if owner.is_some_and(Peer::is_present) {
+            return false;
+        }
+        let mut peers = self.peers.values();
+        !peers.any(|peer| {
+            peer.is_present() && peer.is_candidate(&self.me) && self.watches(&peer.node, name)
+        })
     }
 
     /// Whether an instance of this failure domain watches a pool of it.
@@ -108,9 +128,12 @@
     }
 
     /// Peers by which this instance judges whether it is cut off.
-    pub(super) fn wanted_peers(&self) -> Vec<&Peer> {
-        let wanted = self.wanted();
-        let peers = wanted.iter().filter_map(|node| self.peers.get(&node.name));
+    pub(super) fn judging_peers(&self) -> Vec<&Peer> {
+        if self.is_mesh() {
+            return self.peers.values().collect();
+        }
+        let desired = self.desired_peers();
+        let peers = desired.iter().filter_map(|node| self.peers.get(&node.name));
         peers.collect()
     }
 }
--- a/crates/core/src/dispatch/ownership/peers.rs
+++ b/crates/core/src/dispatch/ownership/peers.rs
@@ -5,19 +5,39 @@
 
 use super::{Ownership, Pool};
 
+/// State of the link to another instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum LinkState {
+    /// Never opened, or closed because neither side needed it.
+    #[default]
+    Absent,
+    /// Up.
+    Up,
+    /// Lost without notice.
+    Broken,
+}
+
 /// What is known of another instance.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct Peer {
     pub(super) node: Node,
     /// Whether the store lists it.
     pub(super) listed: bool,
-    /// Whether the link to it is up.
-    pub(super) linked: bool,
-    /// Since when it has been as `linked` says.
+    pub(super) link: LinkState,
+    /// Since when `link` has had its value.
     pub(super) changed_ms: u64,
     pub(super) leaving: bool,
-    /// Whether there ever was a link to this start of it.
-    pub(super) was_linked: bool,
+}
+
+impl Peer {
+    pub(super) fn is_linked(&self) -> bool {
+        self.link == LinkState::Up
+    }
+
+    /// Whether it is registered or linked.
+    pub(super) fn is_present(&self) -> bool {
+        self.listed || self.is_linked()
+    }
 }
 
 impl Ownership {
@@ -41,6 +61,11 @@
     /// Takes in the store's list of instances.
     pub fn set_members(&mut self, now_ms: u64, nodes: Vec<Node>) {
         self.store_read = true;
+        let is_new = |node: &Node| {
+            let peer = self.peers.get(&node.name);
+            node.name != self.me.name && !peer.is_some_and(|peer| peer.listed)
+        };
+        self.listing_grows = nodes.iter().any(is_new);
         for peer in self.peers.values_mut() {
             peer.listed = false;
         }
@@ -55,7 +80,7 @@
             owners.any(|owner| owner.name == name)
         };
         self.peers
-            .retain(|name, peer| peer.listed || peer.linked || owns(name));
+            .retain(|name, peer| peer.listed || peer.is_linked() || owns(name));
     }
 
     /// The entry of an instance; a new start of it is another instance.
@@ -66,14 +91,16 @@
         });
         if peer.node.incarnation < node.incarnation {
             peer.node = node.clone();
-            peer.was_linked = false;
             peer.leaving = false;
+            if peer.link == LinkState::Broken {
+                peer.link = LinkState::Absent;
+            }
         }
         peer
     }
 
-    /// Another instance tells of this one: it is worth a dial.
-    pub fn know(&mut self, now_ms: u64, node: &Node) {
+    /// Takes in an instance that another one introduces.
+    pub fn observe_peer(&mut self, now_ms: u64, node: &Node) {
         self.peer(now_ms, node);
     }
 
@@ -81,16 +108,25 @@
     pub fn linked(&mut self, now_ms: u64, node: &Node) {
         let peer = self.peer(now_ms, node);
         peer.node = node.clone();
-        peer.linked = true;
-        peer.was_linked = true;
+        peer.link = LinkState::Up;
         peer.leaving = false;
         peer.changed_ms = now_ms;
     }
 
-    /// The link to an instance is down.
+    /// The link to an instance broke, which may mean that the instance is gone.
     pub fn unlinked(&mut self, now_ms: u64, name: &str) {
+        self.set_link(now_ms, name, LinkState::Broken);
+    }
+
+    /// The link to an instance was closed by agreement, which says nothing about
+    /// the instance.
+    pub fn link_retired(&mut self, now_ms: u64, name: &str) {
+        self.set_link(now_ms, name, LinkState::Absent);
+    }
+
+    fn set_link(&mut self, now_ms: u64, name: &str, link: LinkState) {
         if let Some(peer) = self.peers.get_mut(name) {
-            peer.linked = false;
+            peer.link = link;
             peer.changed_ms = now_ms;
         }
     }
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -10,6 +10,7 @@
 //! * [`calls`]: orders to workers and claims to the store, and their answers.
 //! * [`declared`]: declarations in force, and what they say of pools here.
 //! * [`peers`]: links to other instances.
+//! * [`retire`]: closing links that neither side needs.
 //! * [`frames`]: what goes over them.
 //! * [`beats`]: heartbeats to all of them.
 //! * [`workers`]: the workers of pools, from the registry and from their owners.
@@ -21,6 +22,7 @@
 mod effects;
 mod frames;
 mod peers;
+mod retire;
 mod stop;
 mod workers;
 
@@ -173,8 +175,8 @@
             state.ticks += 1;
             // A busy process reads its peers' heartbeats late.
             let late_ms = now_ms.saturating_sub(state.ticked_ms + TICK_MS);
-            state.peers.excuse(late_ms);
-            state.entry.excuse(late_ms);
+            state.peers.extend_silence_limits(late_ms);
+            state.entry.extend_silence_limits(late_ms);
             state.ticked_ms = now_ms;
         });
         if self.state.borrow().ticks.is_multiple_of(BEAT_MS / TICK_MS) {
@@ -262,11 +264,11 @@
     pub fn deployment_read(self: &Rc<Self>, deployment: Deployment) {
         self.change(|state, now_ms, effects| {
             state.store_read_ms = Some(now_ms);
-            let count = deployment.pool_counts.get(&self.me.failure_domain);
-            if let Some(&count) = count {
-                state.pool_count = count;
-                state.ownership.set_pool_count(count);
+            for (failure_domain, &count) in &deployment.pool_counts {
+                state.ownership.set_pool_count(failure_domain, count);
             }
+            let count = deployment.pool_counts.get(&self.me.failure_domain);
+            state.pool_count = count.copied().unwrap_or(state.pool_count);
             state.ownership.set_members(now_ms, deployment.nodes);
             state.entry.set_home_pools(state.ownership.home_pools());
             let failure_domains = deployment.pool_counts.into_keys();
--- a/crates/instance/src/instance/beats.rs
+++ b/crates/instance/src/instance/beats.rs
@@ -4,7 +4,7 @@
 use trefoil_schema::dispatch::frame::Body;
 use trefoil_schema::dispatch::{Beat, OwnedPool};
 
-use super::peers::{Link, STORE_FRESH_MS, encode};
+use super::peers::{Link, LinkEnd, STORE_FRESH_MS, encode};
 use super::*;
 
 impl Link {
@@ -44,7 +44,7 @@
     pub(super) fn beat(self: &Rc<Self>) {
         self.change(|state, now_ms, effects| {
             self.close_silent(state, now_ms, effects);
-            self.close_unwanted(state, now_ms, effects);
+            self.retire_links(state, now_ms, effects);
             let idle_round = !state.ticks.is_multiple_of(BEAT_IDLE_MS / TICK_MS);
             let own = !state.owners.is_empty();
             let beat = self.beat_now(state, now_ms);
@@ -56,7 +56,7 @@
                 }
             }
             for id in stuck {
-                self.link_down(state, id, now_ms, effects);
+                self.link_down(state, id, LinkEnd::Congested, now_ms, effects);
             }
             for owned in beat.owned {
                 self.take_owned(state, owned, now_ms, effects);
@@ -78,7 +78,7 @@
         let silent = links.filter(|(_, link)| silent(link));
         let ids: Vec<u64> = silent.map(|(&id, _)| id).collect();
         for id in ids {
-            self.link_down(state, id, now_ms, effects);
+            self.link_down(state, id, LinkEnd::Silent, now_ms, effects);
         }
     }
 }
--- a/crates/instance/src/instance/frames.rs
+++ b/crates/instance/src/instance/frames.rs
@@ -55,6 +55,7 @@
                     self.send_declarations(state, id, request.revision);
                 }
                 Body::PoolWorkers(told) => state.take_workers(told),
+                Body::Retire(_) => link.retirement.released_by_peer(),
                 Body::Config(_) | Body::Hello(_) => {}
             }
         });
@@ -142,8 +143,12 @@
             return;
         };
         let load = owned.load.unwrap_or_default();
-        let out = &mut effects.entry;
-        state.entry.pool_seen(now_ms, &claim, load, out);
+        let owner = claim.owner.as_ref().map_or("", |node| node.name.as_str());
+        // Jobs go only to owners with a link that is not being drained.
+        if owner == self.me.name || state.peers.link_to(owner).is_some() {
+            let out = &mut effects.entry;
+            state.entry.pool_seen(now_ms, &claim, load, out);
+        }
         let out = &mut effects.ownership;
         state.ownership.learn(now_ms, claim, owned.yielded, out);
     }
@@ -211,11 +216,12 @@
 
     pub(super) fn send_cancel(&self, to: &Owned, job_id: String) {
         let state = self.state.borrow();
-        if let Some(link) = state.peers.link_to(&to.owner) {
-            let pool = to.pool.clone();
-            // A link that is down cancels everything anyway.
-            link.sender
-                .send(encode(Body::Cancel(Cancel { job_id, pool })));
+        let pool = to.pool.clone();
+        let cancel = encode(Body::Cancel(Cancel { job_id, pool }));
+        // The owner heeds the one that comes over the job's own link. A link that is
+        // down cancels everything anyway.
+        for link in state.peers.links_to(&to.owner) {
+            link.sender.send(cancel.clone());
         }
     }
 
--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -3,7 +3,8 @@
 //! In a small deployment every two instances have a link. The one that starts
 //! dials all others; of two that know of each other, the one with the smaller
 //! name dials again, and the other one more rarely. In a larger one each dials
-//! those that it wants a link with, and closes links that it no longer wants.
+//! its desired peers, and [`retire`](super::retire) closes links that are no
+//! longer needed.
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -11,6 +12,7 @@
 use bytes::Bytes;
 use tokio::net::{TcpListener, TcpStream};
 use trefoil_core::dispatch::limits::LINK_SILENT_MS;
+use trefoil_core::dispatch::retirement::{Retirement, Side};
 use trefoil_schema::dispatch::frame::Body;
 use trefoil_schema::dispatch::{Frame, Hello};
 
@@ -24,24 +26,28 @@
 const REDIAL_OTHER_MS: u64 = 1000;
 /// So long after its start an instance dials all others that it learns of.
 const DIAL_ALL_MS: u64 = 2000;
+/// The seeds are dialed if the store has not been read for so long after the start.
+const SEEDS_AFTER_MS: u64 = 300;
 
-/// A link that this instance dialed is closed when it has not been wanted for
-/// so long: pools change their owners for a moment and change back.
-const UNWANTED_MS: u64 = 5000;
-
-/// Which side opened a link.
+/// Why a link ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Side {
-    Dialed,
-    Accepted,
+pub(super) enum LinkEnd {
+    /// The connection broke, or the peer closed it.
+    Broken,
+    /// Nothing was heard for too long.
+    Silent,
+    /// The peer does not read what is sent.
+    Congested,
+    /// This process did not run for a while.
+    Stalled,
+    /// Neither side needed it.
+    Retired,
 }
 
 /// One open link.
 pub(crate) struct Link {
     pub(super) peer: Node,
-    side: Side,
-    /// When this instance last wanted it.
-    wanted_ms: u64,
+    pub(super) retirement: Retirement,
     pub(super) sender: LinkSender,
     pub(super) heard_ms: u64,
     /// When the peer was last asked for its declarations.
@@ -64,18 +70,27 @@
     next_link: u64,
     dialing: HashSet<String>,
     dialed_ms: HashMap<String, u64>,
-    seeds_dialed_ms: u64,
+    /// When the seeds were last dialed; none before the first time.
+    seeds_dialed_ms: Option<u64>,
 }
 
 impl Peers {
+    /// All links to a peer: both sides may have dialed at once.
+    pub(super) fn links_to(&self, name: &str) -> impl Iterator<Item = &Link> {
+        let links = self.links.values();
+        links.filter(move |link| link.peer.name == name)
+    }
+
+    /// A link to a peer over which jobs may be delegated.
     pub(super) fn link_to(&self, name: &str) -> Option<&Link> {
-        self.links.values().find(|link| link.peer.name == name)
+        self.links_to(name)
+            .find(|link| !link.retirement.is_draining())
     }
 
-    /// Counts no silence for a time in which this process did not run.
-    pub(super) fn excuse(&mut self, late_ms: u64) {
+    /// Moves all silence limits by a time in which this process did not run.
+    pub(super) fn extend_silence_limits(&mut self, stall_ms: u64) {
         for link in self.links.values_mut() {
-            link.heard_ms += late_ms;
+            link.heard_ms += stall_ms;
         }
     }
 
@@ -103,8 +118,8 @@
     }
 
     /// Dials the seeds; what they tell leads to all others.
-    pub fn dial_seeds(self: &Rc<Self>) {
-        self.state.borrow_mut().peers.seeds_dialed_ms = self.now_ms();
+    fn dial_seeds(self: &Rc<Self>) {
+        self.state.borrow_mut().peers.seeds_dialed_ms = Some(self.now_ms());
         for &seed in &self.settings.seeds {
             if seed != self.settings.links_advertised_address() {
                 let instance = Rc::clone(self);
@@ -125,7 +140,7 @@
         };
         let hello = Body::Hello(Hello {
             node: Some(self.me.clone()),
-            known: self.state.borrow().ownership.introduced(),
+            known: self.state.borrow().ownership.introductions(),
         });
         opened.sender.send(encode(hello));
         let mut reader = opened.reader;
@@ -151,7 +166,7 @@
         let reading = tokio::task::spawn_local(Rc::clone(&self).read_link(id, reader));
         self.change(|state, now_ms, _| {
             for node in known.iter().filter(|node| node.name != self.me.name) {
-                state.ownership.know(now_ms, node);
+                state.ownership.observe_peer(now_ms, node);
             }
         });
         let tasks = LinkGuard::new(vec![reading, opened.writer]);
@@ -166,13 +181,13 @@
         sender: LinkSender,
         guard: LinkGuard,
     ) {
-        info!(self.log, "link up"; "peer" => &node.name, "incarnation" => node.incarnation);
+        info!(self.log, "link up"; "peer" => &node.name, "incarnation" => node.incarnation,
+            "side" => ?side);
         self.change(|state, now_ms, _| {
             state.ownership.linked(now_ms, &node);
             let link = Link {
                 peer: node,
-                side,
-                wanted_ms: now_ms,
+                retirement: Retirement::new(now_ms, side),
                 sender,
                 heard_ms: now_ms,
                 asked_ms: None,
@@ -201,21 +216,42 @@
                 }
             }
         }
-        self.change(|state, now_ms, effects| self.link_down(state, id, now_ms, effects));
+        self.change(|state, now_ms, effects| {
+            self.link_down(state, id, LinkEnd::Broken, now_ms, effects);
+        });
     }
 
-    /// A link is over: the peer's jobs stop, and own jobs are taken back.
-    pub(super) fn link_down(&self, state: &mut State, id: u64, now_ms: u64, effects: &mut Effects) {
+    /// Removes a link that has ended: the peer's jobs stop, and own jobs are taken
+    /// back.
+    pub(super) fn link_down(
+        &self,
+        state: &mut State,
+        id: u64,
+        end: LinkEnd,
+        now_ms: u64,
+        effects: &mut Effects,
+    ) {
         let Some(link) = state.peers.links.remove(&id) else {
             return;
         };
+        let end = match (end, link.retirement.is_offered()) {
+            (LinkEnd::Broken, true) => LinkEnd::Retired,
+            _ => end,
+        };
         let name = link.peer.name.clone();
-        info!(self.log, "link down"; "peer" => &name,
-            "silent_ms" => now_ms.saturating_sub(link.heard_ms));
+        info!(self.log, "link down"; "peer" => &name, "cause" => ?end, "side" => ?link.retirement.side(),
+            "last_heard_ms" => now_ms.saturating_sub(link.heard_ms));
         state.each_owner(effects, |owner, out| {
             owner.origin_lost(now_ms, Origin::Link(id), out);
         });
-        if state.peers.link_to(&name).is_none() {
+        let is_last = state.peers.links_to(&name).next().is_none();
+        if end == LinkEnd::Retired {
+            if is_last {
+                state.ownership.link_retired(now_ms, &name);
+            }
+            return;
+        }
+        if is_last {
             state.ownership.unlinked(now_ms, &name);
             if *name < *self.me.name {
                 // It dials first.
@@ -226,48 +262,27 @@
         state.entry.owner_lost(now_ms, &name, out);
     }
 
-    /// Ends all links, as after a standstill.
+    /// Ends all links after a time in which this process did not run.
     pub(super) fn drop_links(&self, state: &mut State, now_ms: u64, effects: &mut Effects) {
         let ids: Vec<u64> = state.peers.links.keys().copied().collect();
         for id in ids {
-            self.link_down(state, id, now_ms, effects);
-        }
-    }
-
-    /// Closes links that this instance dialed and has not wanted for a while.
-    pub(super) fn close_unwanted(&self, state: &mut State, now_ms: u64, effects: &mut Effects) {
-        let State {
-            ownership, peers, ..
-        } = state;
-        if !ownership.is_mesh() {
-            let wanted: HashSet<&str> = ownership
-                .wanted()
-                .into_iter()
-                .map(|node| node.name.as_str())
-                .collect();
-            for link in peers.links.values_mut() {
-                if wanted.contains(link.peer.name.as_str()) {
-                    link.wanted_ms = now_ms;
-                }
-            }
-            let unwanted =
-                |link: &Link| link.side == Side::Dialed && now_ms >= link.wanted_ms + UNWANTED_MS;
-            let links = peers.links.iter();
-            let unwanted = links.filter(|(_, link)| unwanted(link));
-            let ids: Vec<u64> = unwanted.map(|(&id, _)| id).collect();
-            for id in ids {
-                self.link_down(state, id, now_ms, effects);
-            }
+            self.link_down(state, id, LinkEnd::Stalled, now_ms, effects);
         }
     }
 
     pub(super) fn dial_missing(self: &Rc<Self>) {
         let now_ms = self.now_ms();
-        let alone = {
-            let peers = &self.state.borrow().peers;
-            peers.links.is_empty() && now_ms >= peers.seeds_dialed_ms + REDIAL_OTHER_MS
+        let needs_seeds = {
+            let state = self.state.borrow();
+            let peers = &state.peers;
+            let due_ms = match peers.seeds_dialed_ms {
+                Some(dialed_ms) => dialed_ms + REDIAL_OTHER_MS,
+                None => SEEDS_AFTER_MS,
+            };
+            let introduced = state.store_read_ms.is_some() && peers.seeds_dialed_ms.is_none();
+            peers.links.is_empty() && !introduced && now_ms >= due_ms
         };
-        if alone {
+        if needs_seeds {
             self.dial_seeds();
         }
         let mut state = self.state.borrow_mut();
@@ -275,7 +290,7 @@
             ownership, peers, ..
         } = &mut *state;
         let is_mesh = ownership.is_mesh();
-        for node in ownership.wanted() {
+        for node in ownership.desired_peers() {
             let name = node.name.as_str();
             let dialed_ms = peers.dialed_ms.get(name);
             let due = dialed_ms.is_none_or(|at_ms| at_ms + REDIAL_MS <= now_ms);
