instance: ages are judged by a clock that counts suspensions

An instance on a suspended machine read the steady clock, which stands still meanwhile: on waking, echoes, leases, silences and readings of the store looked seconds younger than they were, and the first tick could start what another owner already ran. All ages now come from CLOCK_BOOTTIME (Clock), one reading an event; timers stay on the runtime's clock and fire late, and the first event after a gap is treated as after a freeze, as before. A reading of the store counts from when it began, and a stall discards it.

Weighed: the time of day (steps), a comparison of both clocks at each tick (two readings, and a window between the waking and the tick). Cost: clock_gettime through the vDSO in place of Instant, the same call.

--- a/crates/instance/src/feeds.rs
+++ b/crates/instance/src/feeds.rs
@@ -99,7 +99,8 @@
         Ok(())
     };
     let deployment = async {
-        instance.deployment_read(instance.edge.deployment().await?);
+        let began_ms = instance.now_ms();
+        instance.deployment_read(instance.edge.deployment().await?, began_ms);
         if instance.may_lay_out() {
             lay_out(instance, registered).await?;
         }
@@ -147,7 +148,8 @@
     let pools = pool::count_for(workers);
     info!(instance.log, "laying out pools"; "workers" => workers, "pools" => pools);
     instance.edge.lay_out(domain, pools).await?;
-    instance.deployment_read(instance.edge.deployment().await?);
+    let began_ms = instance.now_ms();
+    instance.deployment_read(instance.edge.deployment().await?, began_ms);
     Ok(())
 }
 
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -29,7 +29,7 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, oneshot};
@@ -43,6 +43,7 @@
 use trefoil_core::dispatch::worker::WorkerRecord;
 use trefoil_schema::dispatch::{Claim, Delegate, Job as JobSpec, Node, Outcome};
 
+use crate::clock::Clock;
 use crate::edge::{Deployment, Store, Workers};
 use crate::log::{ON_WORK, unix_ms};
 use crate::metrics::Metrics;
@@ -81,7 +82,7 @@
     pub store_poke: Notify,
     /// Tells that declarations came in force.
     declarations_changed: Notify,
-    started: Instant,
+    clock: Clock,
     state: RefCell<State>,
 }
 
@@ -113,6 +114,17 @@
 impl<E: Store + Workers + 'static> Instance<E> {
     /// An instance that knows nothing yet.
     pub fn new(settings: InstanceSettings, log: Logger, metrics: Metrics, edge: E) -> Rc<Self> {
+        Self::with_clock(settings, log, metrics, edge, Clock::start())
+    }
+
+    /// The same with a clock of the caller's.
+    pub fn with_clock(
+        settings: InstanceSettings,
+        log: Logger,
+        metrics: Metrics,
+        edge: E,
+        clock: Clock,
+    ) -> Rc<Self> {
         let me = Node {
             name: settings.instance.clone(),
             incarnation: unix_ms(),
@@ -147,14 +159,14 @@
             me,
             store_poke: Notify::new(),
             declarations_changed: Notify::new(),
-            started: Instant::now(),
+            clock,
             state: RefCell::new(state),
         })
     }
 
-    /// Milliseconds since the start, by the steady clock.
+    /// Milliseconds since the start, suspensions included.
     pub fn now_ms(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
+        self.clock.now_ms()
     }
 
     /// Passes time until the process ends.
@@ -185,7 +197,8 @@
         }
     }
 
-    /// Gives up everything that rests on time if the process stood still.
+    /// Gives up everything that rests on time if the process did not run for a
+    /// while, frozen or suspended.
     fn thaw(self: &Rc<Self>, state: &mut State, now_ms: u64, effects: &mut Effects) {
         let late_ms = now_ms.saturating_sub(state.active_ms + TICK_MS);
         state.active_ms = now_ms;
@@ -195,6 +208,9 @@
         warn!(self.log, "process stood still"; "late_ms" => late_ms);
         state.ownership.stood_still(now_ms, &mut effects.ownership);
         self.drop_links(state, now_ms, effects);
+        // What was read of the store is as old.
+        state.store_read_ms = None;
+        self.store_poke.notify_waiters();
     }
 
     /// Lets one event change the state, then carries out what was decided.
@@ -261,9 +277,11 @@
     }
 
     /// Takes in the store's instances and claims.
-    pub fn deployment_read(self: &Rc<Self>, deployment: Deployment) {
+    ///
+    /// The reading began at `began_ms`.
+    pub fn deployment_read(self: &Rc<Self>, deployment: Deployment, began_ms: u64) {
         self.change(|state, now_ms, effects| {
-            state.store_read_ms = Some(now_ms);
+            state.store_read_ms = Some(began_ms);
             for (failure_domain, &count) in &deployment.pool_counts {
                 state.ownership.set_pool_count(failure_domain, count);
             }
--- a/crates/instance/src/instance/calls.rs
+++ b/crates/instance/src/instance/calls.rs
@@ -1,6 +1,7 @@
 //! Orders to workers and claims to the store, and their answers.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use trefoil_core::dispatch::order::{HoldOrder, OrderOutcome, StartOrder, StopOrder, Target};
 use trefoil_core::dispatch::owner::Answered;
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -4,6 +4,7 @@
 //! clocks, timers and links between instances. What differs between platforms
 //! comes in by the traits of [`edge`].
 //!
+//! * [`clock`]: the clock by which the age of what is known is judged.
 //! * [`edge`]: the platform's store and its workers, as the product sees them.
 //! * [`declarations`]: routes and services in force.
 //! * [`settings`]: the checked settings of an instance.
@@ -13,6 +14,7 @@
 //! * [`log`]: lines on standard output, bounded.
 //! * [`metrics`]: counters and latency histograms.
 
+pub mod clock;
 pub mod declarations;
 pub mod edge;
 pub mod feeds;
--- /dev/null
+++ b/crates/instance/tests/suspension.rs
@@ -0,0 +1,162 @@
+//! An instance on a machine that is suspended: the runtime's timers do not see
+//! the time that passed, the instance's clock does.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::task::{LocalSet, spawn_local};
+use trefoil_core::dispatch::order::{HoldOrder, HoldOutcome, OrderOutcome, StartOrder, StopOrder};
+use trefoil_core::dispatch::ownership::{ClaimRecord, ClaimWrite};
+use trefoil_core::dispatch::worker::WorkerRecord;
+use trefoil_instance::clock::Clock;
+use trefoil_instance::declarations::{Declarations, DeclarationsRead};
+use trefoil_instance::edge::{Deployment, Store, StoreError, Workers};
+use trefoil_instance::feeds;
+use trefoil_instance::instance::Instance;
+use trefoil_instance::metrics::Metrics;
+use trefoil_instance::settings::InstanceSettings;
+use trefoil_schema::dispatch::Node;
+
+const DOMAIN: &str = "forde";
+/// Others have given up its links and may own its pool by then.
+const SUSPENDED_MS: u64 = 3000;
+const SOON: Duration = Duration::from_secs(20);
+
+/// A store with one vacant pool that grants each claim, and no worker.
+#[derive(Default)]
+struct Edge {
+    claims: Rc<Cell<u64>>,
+}
+
+impl Store for Edge {
+    async fn declarations(&self) -> Result<DeclarationsRead, StoreError> {
+        Ok(DeclarationsRead {
+            confirmed_at: 1,
+            changed: Some(Declarations::default()),
+        })
+    }
+
+    async fn deployment(&self) -> Result<Deployment, StoreError> {
+        Ok(Deployment {
+            pool_counts: HashMap::from([(DOMAIN.to_owned(), 1)]),
+            ..Deployment::default()
+        })
+    }
+
+    async fn workers(&self, _failure_domain: &str) -> Result<Vec<WorkerRecord>, StoreError> {
+        Ok(Vec::new())
+    }
+
+    fn unreadable_entries(&self) -> usize {
+        0
+    }
+
+    async fn register(&self, _node: &Node) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn deregister(&self) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn lay_out(&self, _failure_domain: &str, _pools: u32) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn write_claim(&self, _record: &ClaimRecord, _revision: u64) -> ClaimWrite {
+        self.claims.set(self.claims.get() + 1);
+        ClaimWrite::Written {
+            revision: self.claims.get(),
+        }
+    }
+}
+
+impl Workers for Edge {
+    async fn start(&self, _order: &StartOrder) -> OrderOutcome {
+        OrderOutcome::NoAnswer
+    }
+
+    async fn stop(&self, _order: &StopOrder) -> OrderOutcome {
+        OrderOutcome::NoAnswer
+    }
+
+    async fn hold(&self, _order: &HoldOrder) -> HoldOutcome {
+        HoldOutcome::NoAnswer
+    }
+}
+
+fn settings() -> InstanceSettings {
+    let anywhere = "127.0.0.1:0".parse().unwrap();
+    InstanceSettings {
+        instance: "a".to_owned(),
+        failure_domain: DOMAIN.to_owned(),
+        callers_address: anywhere,
+        ready_address: anywhere,
+        links_address: anywhere,
+        links_advertised_address: None,
+        metrics_address: None,
+        store_address: anywhere,
+        seeds: Vec::new(),
+        cpu_share: 1.0,
+        cores: 1.0,
+        close_within_ms: 5000,
+        stop_budget_ms: 6000,
+    }
+}
+
+async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let began = std::time::Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < SOON, "never {what}");
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Moves the clock as time passes, so that only a jump is a suspension.
+async fn run_clock(now_ms: Rc<Cell<u64>>) {
+    let mut before = std::time::Instant::now();
+    loop {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        let passed = before.elapsed().as_millis() as u64;
+        before += Duration::from_millis(passed);
+        now_ms.set(now_ms.get() + passed.min(20));
+    }
+}
+
+#[test]
+fn an_owner_that_was_suspended_has_lost_its_pool_and_claims_it_anew() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let now_ms = Rc::new(Cell::new(0));
+        spawn_local(run_clock(Rc::clone(&now_ms)));
+        let edge = Edge::default();
+        let claims = Rc::clone(&edge.claims);
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let clock = Clock::Manual(Rc::clone(&now_ms));
+        let metrics = Metrics::new().unwrap();
+        let instance = Instance::with_clock(settings(), log, metrics, edge, clock);
+        spawn_local(Rc::clone(&instance).tick_forever());
+        feeds::start(&instance);
+        until("an owner", || instance.owns()).await;
+        let before = claims.get();
+        now_ms.set(now_ms.get() + SUSPENDED_MS);
+        until("released", || !instance.owns()).await;
+        until("an owner again", || instance.owns()).await;
+        assert!(claims.get() > before, "under a claim of its own");
+    });
+}
+
+#[test]
+fn the_clock_counts_from_its_start_and_never_goes_back() {
+    let clock = Clock::start();
+    assert!(matches!(clock, Clock::Boot { .. }), "{clock:?}");
+    let first_ms = clock.now_ms();
+    assert!(first_ms < 1000);
+    std::thread::sleep(Duration::from_millis(20));
+    assert!(clock.now_ms() >= first_ms + 20);
+}
