owner: leases of 500 ms, 300 for a start whose answer is awaited

Each waited for a lease of 820 ms, or longer, since a probe of an unanswered start renewed it, and ended after 0.92 to 1.4 s, where callers have a use for it until 0.47 s (60 ms tasks) or 1.14 s (200 ms).

A start asks for 300 ms, which the hold that follows its answer renews; a probe of starts of unknown fate renews nothing; a hold asks for 500 ms and waits 200 at the worker, so that one renewal may be lost. The time after which another pool may have a lost owner's jobs shrinks with it, from 1350 to 1030 ms.

Ruled out: longer leases, which the fleet's platform would grant (15 s): they only lengthen the wait of the callers of a lost worker or owner.

Test: a task sent to a dead worker is done elsewhere within its late objective (935 ms against 468 on the code before, with its constants). Two tests of instants follow the constants.

--- a/crates/core/src/dispatch/limits.rs
+++ b/crates/core/src/dispatch/limits.rs
@@ -8,13 +8,15 @@
 pub const LEASE_MAX_MS: u64 = 1000;
 /// Largest share by which a worker's clock is slow, by the platform's contract.
 pub const CLOCK_SLOW: f64 = 0.02;
-/// Lease asked for with each order. Counted from [`LINK_SILENT_MS`] after the
-/// origin was last surely there, it ends before callers send their jobs again
-/// (1300 after a loss).
-pub const LEASE_MS: u64 = 820;
+/// Lease that a hold asks for. A lost worker's tasks start elsewhere only once it has
+/// lapsed, so it is as short as two renewals, one of them lost, allow.
+pub const LEASE_MS: u64 = 500;
+/// Lease that a start asks for: the hold that follows its answer renews it. It
+/// outlasts [`ANSWER_MAX_MS`] and a pause of the instance.
+pub const START_LEASE_MS: u64 = 300;
 /// How long a worker may keep a hold open until something ends. Two renewals
 /// fit into a lease.
-pub const HOLD_WAIT_MS: u64 = 400;
+pub const HOLD_WAIT_MS: u64 = 200;
 /// Longest wait for a worker's answer, beyond the wait asked for; the owner
 /// learns a shorter one. It outlasts the pause of an instance that has used up
 /// its share of a tenth of a second.
--- a/crates/core/src/dispatch/owner/holds.rs
+++ b/crates/core/src/dispatch/owner/holds.rs
@@ -6,7 +6,7 @@
 //! order and tells whether it was carried out before. While the worker does
 //! not answer, its runs are counted as running until their leases lapse.
 
-use super::super::limits::{ACK_IDLE_MS, ADOPT_MS, HOLD_WAIT_MS, LEASE_MAX_MS, PROBE_MS};
+use super::super::limits::{ACK_IDLE_MS, ADOPT_MS, HOLD_WAIT_MS, LEASE_MAX_MS, LEASE_MS, PROBE_MS};
 use super::super::order::{HoldOutcome, ListedRun};
 use super::super::worker::{OpenHold, Run};
 use super::*;
@@ -42,11 +42,12 @@
             Standing::Fenced if now_ms < worker.ended_ms + ACK_IDLE_MS => return,
             Standing::Fenced => 0,
         };
-        // Runs that are being stopped alone get no more time.
-        let stopping = |run: &Run| matches!(run.state, RunState::Stopping { .. });
-        let deadline_ms = match worker.silent || worker.runs.iter().all(stopping) {
-            true => None,
-            false => worker.lease(now_ms, overdue_ms),
+        // Neither runs that are being stopped nor starts of unknown fate get more time.
+        let running = |run: &Run| matches!(run.state, RunState::Running);
+        let renews = !worker.silent && worker.runs.iter().any(running);
+        let deadline_ms = match renews {
+            true => worker.lease(now_ms, LEASE_MS, overdue_ms),
+            false => None,
         };
         worker.look_due = false;
         worker.holds_sent += 1;
--- a/crates/core/src/dispatch/owner/place.rs
+++ b/crates/core/src/dispatch/owner/place.rs
@@ -5,6 +5,7 @@
 
 use trefoil_schema::dispatch::Phase;
 
+use super::super::limits::START_LEASE_MS;
 use super::super::worker::{Patience, Room, Run};
 use super::shares::Shares;
 use super::*;
@@ -236,7 +237,7 @@
         let overdue_ms = self.overdue_ms(now_ms, self.jobs[key].origin);
         let overdue_ms = overdue_ms.max(self.overdue_on(now_ms, worker_key));
         let worker = &mut self.workers[worker_key];
-        let Some(deadline_ms) = worker.lease(now_ms, overdue_ms) else {
+        let Some(deadline_ms) = worker.lease(now_ms, START_LEASE_MS, overdue_ms) else {
             return;
         };
         self.run_seed += 1;
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 
 use super::fence::Fence;
-use super::limits::{CLOCK_SLOW, LEASE_MS, PROBE_MS, REGISTRY_GAP_MS, RETRY_MIN_MS, RETRY_MS};
+use super::limits::{CLOCK_SLOW, PROBE_MS, REGISTRY_GAP_MS, RETRY_MIN_MS, RETRY_MS};
 use super::order::JobKey;
 
 /// What the platform's registry says of a worker.
@@ -297,10 +297,10 @@
         Some(clock_ms + (since_ms * (1.0 - CLOCK_SLOW)) as u64)
     }
 
-    /// A deadline for an order that goes out now, and notes the lease, which
-    /// is `cut_ms` shorter than usual; none where nothing is left of it.
-    pub fn lease(&mut self, now_ms: u64, cut_ms: u64) -> Option<u64> {
-        let lease_ms = LEASE_MS.checked_sub(cut_ms)?;
+    /// A deadline for an order that goes out now, and notes the lease of
+    /// `lease_ms`, cut by `cut_ms`; none where nothing is left of it.
+    pub fn lease(&mut self, now_ms: u64, lease_ms: u64, cut_ms: u64) -> Option<u64> {
+        let lease_ms = lease_ms.checked_sub(cut_ms)?;
         let deadline_ms = self.clock_ms(now_ms)? + lease_ms;
         let longest_ms = (lease_ms as f64 / (1.0 - CLOCK_SLOW)) as u64 + 1;
         self.lapsed_at_ms = self.lapsed_at_ms.max(now_ms + longest_ms);
--- a/crates/core/tests/dispatch_origin.rs
+++ b/crates/core/tests/dispatch_origin.rs
@@ -7,7 +7,7 @@
 };
 use dispatch_support::{SimWorker, holds, job, starts, stops};
 use trefoil_core::dispatch::job::Origin;
-use trefoil_core::dispatch::limits::{LEASE_MS, LINK_SILENT_MS, RESUME_MS};
+use trefoil_core::dispatch::limits::{LEASE_MS, LINK_SILENT_MS, RESUME_MS, START_LEASE_MS};
 use trefoil_core::dispatch::order::{EndKind, ListedRun, OrderOutcome, Rejection};
 use trefoil_schema::dispatch::Outcome;
 
@@ -26,11 +26,12 @@
         task: started[0].task.clone(),
         run_id: started[0].run_id,
     };
-    // This instance lagged: a second has passed since the origin's echo.
-    let now_ms = LINK_SILENT_MS + 550;
+    // This instance lagged: most of a lease is spent since the origin was overdue.
+    let lag_ms = LEASE_MS * 2 / 3;
+    let now_ms = LINK_SILENT_MS + lag_ms;
     let out = answer_hold(&mut owner, now_ms, hold, held(vec![there], vec![]));
     let deadline_ms = holds(&out)[0].deadline_ms.expect("something is left");
-    assert!(deadline_ms <= 50_000 + now_ms + LEASE_MS - 550);
+    assert!(deadline_ms <= 50_000 + now_ms + LEASE_MS - lag_ms);
 }
 
 #[test]
@@ -129,9 +130,9 @@
     let started = starts(&delegate(&mut owner, 10, "a", 1));
     drop(owner);
     // The order arrives late, as its lease allows ...
-    let outcome = worker.start(700, &started[0]);
+    let outcome = worker.start(START_LEASE_MS - 50, &started[0]);
     assert!(matches!(outcome, OrderOutcome::Done { .. }));
-    worker.pass(10 + LEASE_MS * 102 / 100 + 20);
+    worker.pass(10 + START_LEASE_MS * 102 / 100 + 20);
     assert!(worker.runs.is_empty());
     // ... or later than that.
     let mut worker = SimWorker::new("w1", 50_000, 5000);
--- a/crates/core/tests/dispatch_owner.rs
+++ b/crates/core/tests/dispatch_owner.rs
@@ -7,8 +7,10 @@
 };
 use dispatch_support::{SimWorker, holder, holds, job, owner_after, record, starts, stops};
 use trefoil_core::dispatch::job::Origin;
-use trefoil_core::dispatch::limits::{ADOPT_MS, DELEGATED_GAP_MS, LEASE_MS};
-use trefoil_core::dispatch::order::{EndKind, HoldOutcome, ListedRun, OrderOutcome, Rejection};
+use trefoil_core::dispatch::limits::{ADOPT_MS, DELEGATED_GAP_MS, START_LEASE_MS};
+use trefoil_core::dispatch::order::{
+    EndKind, HoldOrder, HoldOutcome, ListedRun, OrderOutcome, Rejection,
+};
 use trefoil_core::dispatch::owner::{Command, Owner};
 use trefoil_schema::dispatch::Outcome;
 
@@ -52,11 +54,11 @@
     let started = starts(&delegate(&mut owner, 10, "a", 1));
     let out = answer_start(&mut owner, 210, &started[0], OrderOutcome::NoAnswer);
     let hold = &holds(&out)[0];
-    answer_hold(&mut owner, 410, hold, HoldOutcome::NoAnswer);
-    // The hold may have been carried out and renewed the lease; later ones
-    // renew nothing.
-    let lapse_ms = 210 + LEASE_MS * 100 / 98;
-    owner.tick(600, &mut Vec::new());
+    answer_hold(&mut owner, 212, hold, HoldOutcome::NoAnswer);
+    // The start may have been carried out; holds renew nothing before that is known.
+    assert_eq!(hold.deadline_ms, None);
+    let lapse_ms = 10 + START_LEASE_MS * 100 / 98;
+    owner.tick(lapse_ms - 100, &mut Vec::new());
     let mut early = Vec::new();
     owner.tick(lapse_ms - 1, &mut early);
     assert!(starts(&early).is_empty());
@@ -67,6 +69,72 @@
     assert_ne!(again[0].target.worker, started[0].target.worker);
 }
 
+/// The late objective of a task of 60 ms: three times 1.6 of it and 60 more.
+const LATE_OBJECTIVE_MS: u64 = 3 * (60 * 16 / 10 + 60);
+
+#[test]
+fn a_task_that_was_sent_to_a_dead_worker_is_done_elsewhere_within_its_late_objective() {
+    // Load pattern: a twentieth of the workers go dark at once.
+    let mut owner = fenced_owner(1, &["w1", "w2"]);
+    learn_fast_answers(&mut owner);
+    let sent_ms = 1000;
+    let started = starts(&delegate(&mut owner, sent_ms, "a", 1));
+    let dead = started[0].target.worker;
+    let mut unanswered = vec![(sent_ms + started[0].answer_ms, started[0].clone())];
+    let mut restarted_ms = None;
+    let mut holds_open: Vec<(u64, HoldOrder)> = Vec::new();
+    for now_ms in sent_ms..sent_ms + 2000 {
+        let mut out = Vec::new();
+        for (_, start) in unanswered.extract_if(.., |(at_ms, _)| *at_ms <= now_ms) {
+            out.extend(answer_start(
+                &mut owner,
+                now_ms,
+                &start,
+                OrderOutcome::NoAnswer,
+            ));
+        }
+        for (_, hold) in holds_open.extract_if(.., |(at_ms, _)| *at_ms <= now_ms) {
+            out.extend(answer_hold(
+                &mut owner,
+                now_ms,
+                &hold,
+                HoldOutcome::NoAnswer,
+            ));
+        }
+        if now_ms % 25 == 0 {
+            owner.tick(now_ms, &mut out);
+        }
+        let holds = holds(&out).into_iter();
+        let holds = holds.filter(|hold| hold.target.worker == dead);
+        holds_open.extend(holds.map(|hold| (now_ms + hold.wait_ms + hold.answer_ms, hold)));
+        if let Some(again) = starts(&out).first() {
+            assert_ne!(again.target.worker, dead);
+            restarted_ms = Some(now_ms);
+            break;
+        }
+    }
+    let took_ms = restarted_ms.expect("it starts elsewhere") - sent_ms + 60;
+    assert!(took_ms < LATE_OBJECTIVE_MS, "{took_ms} ms");
+}
+
+/// Lets an owner learn how soon its workers answer.
+fn learn_fast_answers(owner: &mut Owner) {
+    for number in 0..100 {
+        let now_ms = 2 + number * 5;
+        let started = starts(&delegate(owner, now_ms, &format!("early{number}"), 1));
+        let outcome = OrderOutcome::Done {
+            clock_ms: 50_000 + now_ms,
+        };
+        let mut out = answer_start(owner, now_ms + 1, &started[0], outcome);
+        let end = done(number + 1, &started[0]);
+        let hold = holds(&out).pop();
+        if let Some(hold) = hold {
+            out = answer_hold(owner, now_ms + 2, &hold, held(vec![], vec![end]));
+        }
+        assert!(!ended(&out).is_empty());
+    }
+}
+
 #[test]
 fn answers_to_an_earlier_ownership_change_nothing() {
     let mut earlier = fenced_owner(1, &["w1"]);
