links: a new owner dials the instances that use its pool

Load pattern: an owner is lost in a large deployment. Those who used its pool learned of the successor from the store, up to 4 s later where they leave reading to owners, and waited out the gap of a lease with the jobs that it had. Who uses a pool follows from names alone, so the successor dials them when it acquires the pool.

Ways: they learn from the store (standing), or are dialed.

Test: an_owner_knows_which_instances_use_its_pool.

--- a/crates/core/src/dispatch/ownership/neighbours.rs
+++ b/crates/core/src/dispatch/ownership/neighbours.rs
@@ -14,7 +14,7 @@
 use trefoil_schema::dispatch::Node;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::{Ownership, Peer};
+use super::{Ownership, Peer, pool};
 
 /// Up to so many others, all instances link with all: at 35 an owner spends
 /// 350 heartbeats a second on them, a hundredth of a core.
@@ -127,6 +127,25 @@
         watched.contains(&name)
     }
 
+    /// Instances that use a pool, and want a link with its owner.
+    pub fn users_of(&self, name: &str) -> Vec<&Node> {
+        if self.is_mesh() {
+            return Vec::new();
+        }
+        let peers = self.peers.values().filter(|peer| peer.is_present());
+        let peers = peers.map(|peer| &peer.node);
+        peers.filter(|node| self.uses(node, name)).collect()
+    }
+
+    fn uses(&self, node: &Node, name: &str) -> bool {
+        let domain = node.failure_domain.as_str();
+        let is_home = pool::domain_of(name) == domain;
+        let count = if is_home { HOME_POOLS } else { REMOTE_POOLS };
+        let pools = self.pools.keys().chain(self.remote.keys());
+        let pools = pools.filter(|pool| (pool::domain_of(pool) == domain) == is_home);
+        nearest(&node.name, pools, count).contains(&name)
+    }
+
     /// Peers by which this instance judges whether it is cut off.
     pub(super) fn judging_peers(&self) -> Vec<&Peer> {
         if self.is_mesh() {
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -12,6 +12,11 @@
     format!("{failure_domain}/{index}")
 }
 
+/// The failure domain of a pool, by its name.
+pub fn domain_of(name: &str) -> &str {
+    name.rsplit_once('/').map_or(name, |(domain, _)| domain)
+}
+
 /// How many pools `workers` are laid out in.
 pub fn count_for(workers: usize) -> u32 {
     workers.div_ceil(POOL_WORKERS_MAX).max(1) as u32
--- a/crates/core/tests/dispatch_neighbours.rs
+++ b/crates/core/tests/dispatch_neighbours.rs
@@ -200,6 +200,23 @@
     }
 }
 
+#[test]
+fn an_owner_knows_which_instances_use_its_pool() {
+    let claims = claims();
+    let owner = instance(0, 300, &claims);
+    for claim in claims.iter().filter(|claim| claim.term == 1).step_by(7) {
+        let known = names(&owner.users_of(&claim.pool));
+        for me in (1..300).step_by(5) {
+            let user = instance(me, 300, &claims);
+            let pool_owner = claim.owner.as_ref().unwrap();
+            let uses = names(&user.desired_peers()).contains(&pool_owner.name);
+            let name = node(me).name;
+            assert!(!uses || known.contains(&name), "{name} {}", claim.pool);
+        }
+        assert!(known.len() <= 60, "{} users of {}", known.len(), claim.pool);
+    }
+}
+
 #[test]
 fn who_starts_in_a_small_deployment_that_runs_links_with_all_at_once() {
     let mut claims = claims();
--- a/crates/instance/src/instance/effects.rs
+++ b/crates/instance/src/instance/effects.rs
@@ -200,6 +200,7 @@
         drop(state);
         self.store_poke.notify_waiters();
         self.beat();
+        self.dial_users(&claim.pool);
     }
 
     fn released(self: &Rc<Self>, pool: String, effects: &mut Effects) {
--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -298,18 +298,38 @@
                 || now_ms < DIAL_ALL_MS
                 || *self.me.name < *name
                 || dialed_ms.is_none_or(|at_ms| at_ms + REDIAL_OTHER_MS <= now_ms);
-            let missing = peers.link_to(name).is_none() && !peers.dialing.contains(name);
-            let Ok(address) = node.address.parse::<SocketAddr>() else {
-                continue;
-            };
-            if due && mine && missing {
-                peers.dialing.insert(name.to_owned());
-                peers.dialed_ms.insert(name.to_owned(), now_ms);
-                tokio::task::spawn_local(Rc::clone(self).dial_peer(name.to_owned(), address));
+            if due && mine {
+                self.dial_if_missing(peers, node, now_ms);
             }
         }
     }
 
+    /// Dials the instances that use a pool that this one has just acquired.
+    ///
+    /// Load pattern: an owner is lost. Its successor reaches those who used the pool
+    /// sooner than they learn of it from the store, which they read rarely.
+    pub(super) fn dial_users(self: &Rc<Self>, pool: &str) {
+        let now_ms = self.now_ms();
+        let mut state = self.state.borrow_mut();
+        let State {
+            ownership, peers, ..
+        } = &mut *state;
+        for node in ownership.users_of(pool) {
+            self.dial_if_missing(peers, node, now_ms);
+        }
+    }
+
+    fn dial_if_missing(self: &Rc<Self>, peers: &mut Peers, node: &Node, now_ms: u64) {
+        let name = node.name.as_str();
+        let missing = peers.link_to(name).is_none() && !peers.dialing.contains(name);
+        let Some(address) = node.address.parse().ok().filter(|_| missing) else {
+            return;
+        };
+        peers.dialing.insert(name.to_owned());
+        peers.dialed_ms.insert(name.to_owned(), now_ms);
+        tokio::task::spawn_local(Rc::clone(self).dial_peer(name.to_owned(), address));
+    }
+
     async fn dial_peer(self: Rc<Self>, name: String, address: SocketAddr) {
         if let Ok(stream) = links::dial(address).await {
             Rc::clone(&self).serve_link(stream, Side::Dialed).await;
