owner: a task that crashes its workers is given up after the second

A lost worker's tasks were started anew for as long as their caller waited, one worker each time, with whatever ran beside. Now a task under which a worker was lost is suspect: it starts on a worker of its own where there is one, never beside another suspect, and the second worker lost under it fails its job. Three workers lost within a second are no task's fault: a rack, a failure domain or the own links are gone. A changed capacity is told in the log.

Not carried from owner to owner: a job that is delegated anew begins at none, so a poison task may take two workers from each owner that it comes to before its caller leaves.

Tests: dispatch_crashes, which fail with the giving up, the exception for losses together, the isolation or its cost switched off, one each (seen). The test of a shrunk and grown capacity passed as it was and fails if the new capacity is ignored.

--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -14,6 +14,7 @@
 //! * [`answer_times`]: how long to wait for answers.
 //! * [`answers`]: what became of starts and stops.
 //! * [`holds`]: leases, ends, and the fate of orders without an answer.
+//! * [`crashes`]: tasks that crash the workers that start them.
 //! * [`overdue`]: runs that take longer than they should.
 //! * [`adopt`]: what an earlier owner left behind.
 //! * [`closure`]: a failure domain that takes no new tasks.
@@ -29,6 +30,7 @@
 mod clearance;
 mod closure;
 mod command;
+mod crashes;
 mod endings;
 mod ends;
 mod figures;
@@ -86,6 +88,7 @@
     answer_times: answer_times::AnswerTimes,
     /// Ends of tasks that no job here has claimed, with their instants.
     orphan_ends: HashMap<Arc<str>, (EndKind, u64)>,
+    losses: crashes::Losses,
     /// Jobs that ended lately.
     ended: VecDeque<(u64, String, Outcome)>,
     dirty: BTreeSet<WorkerKey>,
@@ -117,6 +120,7 @@
             run_times: run_times::RunTimes::default(),
             answer_times: answer_times::AnswerTimes::default(),
             orphan_ends: HashMap::new(),
+            losses: crashes::Losses::default(),
             ended: VecDeque::new(),
             dirty: BTreeSet::new(),
             alive_ms: HashMap::new(),
@@ -173,6 +177,11 @@
             if worker.record.draining != record.draining {
                 out.push(Command::Note(Note::worker("draining", worker)));
             }
+            if worker.record.capacity != record.capacity {
+                let mut note = Note::worker("capacity changed", worker);
+                note.detail = format!("{:?} to {:?}", worker.record.capacity, record.capacity);
+                out.push(Command::Note(note));
+            }
             worker.unlisted_ms = None;
             worker.record = record;
             return;
--- a/crates/core/src/dispatch/owner/answers.rs
+++ b/crates/core/src/dispatch/owner/answers.rs
@@ -103,8 +103,6 @@
         }
         self.dirty.remove(&key);
         out.push(Command::Note(Note::worker("life over", &worker)));
-        for run in worker.runs {
-            self.requeue(now_ms, &run.owner, 0);
-        }
+        self.workers_lost(now_ms, vec![worker.runs], out);
     }
 }
--- a/crates/core/src/dispatch/owner/crashes.rs
+++ b/crates/core/src/dispatch/owner/crashes.rs
@@ -30,7 +30,11 @@
 impl Losses {
     fn lost(&mut self, now_ms: u64, workers: usize) {
         self.0.extend(std::iter::repeat_n(now_ms, workers));
-        while self.0.front().is_some_and(|at_ms| at_ms + TOGETHER_MS < now_ms) {
+        while self
+            .0
+            .front()
+            .is_some_and(|at_ms| at_ms + TOGETHER_MS < now_ms)
+        {
             self.0.pop_front();
         }
     }
--- a/crates/core/src/dispatch/owner/holds.rs
+++ b/crates/core/src/dispatch/owner/holds.rs
@@ -271,27 +271,29 @@
 
     /// What the passing of time decides on the workers' runs.
     pub(super) fn expire(&mut self, now_ms: u64, out: &mut Vec<Command>) {
+        self.expire_leases(now_ms, out);
         let keys: Vec<WorkerKey> = self.workers.keys().collect();
         for key in keys {
-            self.expire_leases(now_ms, key, out);
             self.stop_overdue(now_ms, key, out);
         }
     }
 
     /// Nothing runs on a worker that has not answered for a whole lease.
-    fn expire_leases(&mut self, now_ms: u64, key: WorkerKey, out: &mut Vec<Command>) {
-        let worker = &mut self.workers[key];
-        let answers = worker.standing == Standing::Fenced;
-        if answers || worker.runs.is_empty() || now_ms < worker.lapsed_at_ms {
-            return;
+    fn expire_leases(&mut self, now_ms: u64, out: &mut Vec<Command>) {
+        let mut lost = Vec::new();
+        for worker in self.workers.values_mut() {
+            let answers = worker.standing == Standing::Fenced;
+            if answers || worker.runs.is_empty() || now_ms < worker.lapsed_at_ms {
+                continue;
+            }
+            out.push(Command::Note(Note::worker("leases lapsed", worker)));
+            worker.trust.failed(now_ms);
+            // What was ordered under the present fence must not start any more.
+            worker.raise();
+            lost.push(std::mem::take(&mut worker.runs));
         }
-        out.push(Command::Note(Note::worker("leases lapsed", worker)));
-        worker.trust.failed(now_ms);
-        // What was ordered under the present fence must not start any more.
-        worker.raise();
-        let runs = std::mem::take(&mut worker.runs);
-        for run in runs {
-            self.requeue(now_ms, &run.owner, 0);
+        if !lost.is_empty() {
+            self.workers_lost(now_ms, lost, out);
         }
     }
 }
--- a/crates/core/src/dispatch/owner/place.rs
+++ b/crates/core/src/dispatch/owner/place.rs
@@ -14,6 +14,8 @@
 const STRANDED_WEIGHT: f64 = 0.3;
 /// Cost of a worker on which a task of the job failed before.
 const AVOID_COST: f64 = 100.0;
+/// Cost of starting a suspect task beside others, or another task beside it.
+const SUSPECT_COST: f64 = 10.0;
 /// Factor on run time away from the task's data; the platform's contract says
 /// 1.5 to 3.
 const REMOTE_FACTOR: f64 = 1.5;
@@ -55,6 +57,8 @@
     pub(super) key: WorkerKey,
     pub(super) free: Room,
     runs: usize,
+    /// Whether a suspect task is among them.
+    has_suspect: bool,
 }
 
 impl Owner {
@@ -145,6 +149,7 @@
             key,
             free: worker.free(),
             runs: worker.runs.len(),
+            has_suspect: self.has_suspect(worker),
         });
         let some_fits = |open: &Open| !self.queue.none_fits(open.free.cpu_millicores);
         open.filter(some_fits).collect()
@@ -173,6 +178,7 @@
         let task = &job.tasks[index];
         let phase = job.phase(task);
         let room = room_of(phase);
+        let is_suspect = task.is_suspect();
         let costs = open.iter().enumerate().filter_map(|(position, open)| {
             let cost = self.cost(open, job, index, phase, &room, now_ms)?;
             Some((cost, position))
@@ -182,6 +188,7 @@
         };
         open[position].free = open[position].free.minus(&room);
         open[position].runs += 1;
+        open[position].has_suspect |= is_suspect;
         self.start(now_ms, key, index, open[position].key, out);
         true
     }
@@ -198,7 +205,9 @@
     ) -> Option<f64> {
         let worker = &self.workers[open.key];
         let label = phase.required_label.as_str();
+        let is_suspect = job.tasks[index].is_suspect();
         let allowed = open.free.fits(room)
+            && !(is_suspect && open.has_suspect)
             && *worker.record.service == *job.spec.service
             && worker.trust.admits(now_ms, open.runs)
             && (label.is_empty() || worker.record.labels.contains(label))
@@ -214,7 +223,9 @@
         let stranded = left / worker.record.capacity.cpu_millicores.max(1) as f64;
         let avoided = job.failed_on.contains(&open.key);
         let avoid = if avoided { AVOID_COST } else { 0.0 };
-        Some(worker.trust.slowness * distance + STRANDED_WEIGHT * stranded + avoid)
+        let shares = open.has_suspect || (is_suspect && open.runs > 0);
+        let risk = if shares { SUSPECT_COST } else { 0.0 };
+        Some(worker.trust.slowness * distance + STRANDED_WEIGHT * stranded + avoid + risk)
     }
 
     /// Tasks of the same phase that may run on a worker.
