--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -318,7 +318,7 @@
         out.push(Command::Delegate {
             to,
             spec,
-            heard_ms_ago: now_ms.saturating_sub(view.heard_ms),
+            last_heard_ms: now_ms.saturating_sub(view.heard_ms),
             unsafe_for_ms: job.unsafe_until_ms.saturating_sub(now_ms),
             unsafe_holder: job.unsafe_holder.clone(),
         });
--- a/crates/core/src/dispatch/entry/choice.rs
+++ b/crates/core/src/dispatch/entry/choice.rs
@@ -15,11 +15,9 @@
 /// instance that has used up its share of a tenth of a second.
 ///
 /// Load pattern: a failure domain is cut off, or an instance loses power, without
-/// a word. Its link is given up after [`LINK_SILENT_MS`]; jobs that were sent
-/// meanwhile can run elsewhere only [`DELEGATED_GAP_MS`] after that, when most
-/// are of no use any more. In one cut 42 callers learned that their jobs were lost
-/// with no such limit, 27 with one of 250 and 19 with 150. An owner that is only
-/// slow loses little: others are as near.
+/// notice. Its link is closed after [`LINK_SILENT_MS`]; jobs that were sent meanwhile
+/// can run elsewhere only [`DELEGATED_GAP_MS`] after that, when most are of no use
+/// any more. An owner that is only slow loses little: others are as near.
 ///
 /// [`LINK_SILENT_MS`]: crate::dispatch::limits::LINK_SILENT_MS
 /// [`DELEGATED_GAP_MS`]: crate::dispatch::limits::DELEGATED_GAP_MS
--- a/crates/core/src/dispatch/entry/command.rs
+++ b/crates/core/src/dispatch/entry/command.rs
@@ -15,14 +15,14 @@
         /// The job; its age counts from the caller's request.
         spec: JobSpec,
         /// Age of what is known of the owner.
-        heard_ms_ago: u64,
+        last_heard_ms: u64,
         /// Until then runs of an earlier owner may go on.
         unsafe_for_ms: u64,
         /// The only ownership whose runs these can be, where there is one.
         unsafe_holder: Option<Holder>,
     },
     /// Note that a job is here again.
-    TakenBack {
+    Revoked {
         /// The job.
         job_id: String,
         /// The pool, and its owner.
--- a/crates/core/src/dispatch/entry/losses.rs
+++ b/crates/core/src/dispatch/entry/losses.rs
@@ -71,7 +71,7 @@
             return;
         };
         job.waiting_since_ms = now_ms;
-        out.push(Command::TakenBack {
+        out.push(Command::Revoked {
             job_id: id.to_owned(),
             from: from.clone(),
             cause,
--- a/crates/core/src/dispatch/limits.rs
+++ b/crates/core/src/dispatch/limits.rs
@@ -51,10 +51,8 @@
 /// other side's [`LINK_SILENT_MS`], then a lease that it renewed just before,
 /// on a clock that is 2 % slow, and the crossing.
 pub const DELEGATED_GAP_MS: u64 = LINK_SILENT_MS + LEASE_MS + 80;
-/// Workers in one pool at the most when a failure domain's pools are laid out.
-/// With 4 pools of 29 workers a tenth more answers were late than with 2 of 58
-/// (mahoe-pay-grown trouble-2); one of 117 was more than a small instance can
-/// carry.
+/// Most workers of one pool when a failure domain's pools are laid out: larger pools
+/// pack tasks better, smaller ones fit a small instance.
 pub const POOL_WORKERS_MAX: usize = 60;
 /// An instance lays out a failure domain's pools only when it has been up for
 /// so long: until then workers may still be registering.
--- a/crates/core/src/dispatch/owner/answers.rs
+++ b/crates/core/src/dispatch/owner/answers.rs
@@ -102,7 +102,10 @@
             self.queue.invalidate();
         }
         self.dirty.remove(&key);
-        out.push(Command::Note(Note::worker("life over", &worker)));
+        out.push(Command::Note(Note::worker(
+            "worker incarnation ended",
+            &worker,
+        )));
         self.workers_lost(now_ms, vec![worker.runs], out);
     }
 }
--- a/crates/core/src/dispatch/owner/closure.rs
+++ b/crates/core/src/dispatch/owner/closure.rs
@@ -56,7 +56,7 @@
         match std::mem::replace(&mut self.closure, Closure::Open) {
             Closure::Open => return,
             Closure::Unknown => {}
-            Closure::Closed { .. } => self.note_closure("open again", 0, out),
+            Closure::Closed { .. } => self.note_closure("reopened", 0, out),
         }
         self.queue.invalidate();
         self.settle(now_ms, out);
--- a/crates/core/src/dispatch/owner/holds.rs
+++ b/crates/core/src/dispatch/owner/holds.rs
@@ -1,4 +1,4 @@
-//! Leases, ends, and the fate of orders without an answer.
+//! Lease renewal and recovery of unacknowledged starts.
 //!
 //! A worker with runs has one hold open, which renews the lease and comes back
 //! as soon as something ends. An order without an answer may be carried out
@@ -12,7 +12,7 @@
 use super::*;
 
 impl Owner {
-    /// Sends a hold where one is due, and lets go of workers that have left.
+    /// Renews leases that are due and evicts workers that left the registry.
     pub(super) fn hold_if_due(&mut self, now_ms: u64, key: WorkerKey, out: &mut Vec<Command>) {
         if !self.workers.contains_key(key) {
             return;
@@ -126,7 +126,10 @@
             HoldOutcome::OtherLife => {}
             HoldOutcome::Unhealthy | HoldOutcome::NoAnswer => {
                 if worker.standing == Standing::Fenced {
-                    out.push(Command::Note(Note::worker("hold unanswered", worker)));
+                    out.push(Command::Note(Note::worker(
+                        "lease renewal unanswered",
+                        worker,
+                    )));
                 }
                 worker.standing = Standing::Unfenced;
                 worker.silent = true;
@@ -194,7 +197,7 @@
             .filter(|listed| worker.position(&listed.task, listed.run_id).is_none())
             .collect();
         for run in gone {
-            let mut note = Note::job("run is not there", &run.task);
+            let mut note = Note::job("run not found", &run.task);
             note.worker = self.workers[key].record.id.to_string();
             out.push(Command::Note(note));
             self.requeue(now_ms, &run.owner, 0);
@@ -238,7 +241,7 @@
                 (RunOwner::Nobody { stop_at_ms }, None, 0)
             }
         };
-        let mut note = Note::job("found run of an earlier owner", &listed.task);
+        let mut note = Note::job("run of previous owner found", &listed.task);
         note.detail = format!("adopted {}", adopted.is_some());
         let worker = &mut self.workers[key];
         note.worker = worker.record.id.to_string();
@@ -269,7 +272,7 @@
         Some((key, index))
     }
 
-    /// What the passing of time decides on the workers' runs.
+    /// Expires leases and stops runs that have taken too long.
     pub(super) fn expire(&mut self, now_ms: u64, out: &mut Vec<Command>) {
         self.expire_leases(now_ms, out);
         let keys: Vec<WorkerKey> = self.workers.keys().collect();
@@ -278,7 +281,7 @@
         }
     }
 
-    /// Nothing runs on a worker that has not answered for a whole lease.
+    /// Expires the leases of workers that have not answered for a whole lease.
     fn expire_leases(&mut self, now_ms: u64, out: &mut Vec<Command>) {
         let mut lost = Vec::new();
         for worker in self.workers.values_mut() {
@@ -286,7 +289,7 @@
             if answers || worker.runs.is_empty() || now_ms < worker.lapsed_at_ms {
                 continue;
             }
-            out.push(Command::Note(Note::worker("leases lapsed", worker)));
+            out.push(Command::Note(Note::worker("leases expired", worker)));
             worker.trust.failed(now_ms);
             // What was ordered under the present fence must not start any more.
             worker.raise();
--- a/crates/core/src/dispatch/owner/note.rs
+++ b/crates/core/src/dispatch/owner/note.rs
@@ -24,6 +24,8 @@
     pub subject: String,
     /// Id of the worker; empty where none is concerned.
     pub worker: String,
+    /// Age of the worker's last answer, milliseconds, where that decided.
+    pub last_heard_ms: Option<u64>,
     /// What decided it, for people.
     pub detail: String,
 }
--- a/crates/core/src/dispatch/owner/overdue.rs
+++ b/crates/core/src/dispatch/owner/overdue.rs
@@ -88,7 +88,7 @@
                 Due::Stop => {}
                 Due::Stalled(job, index) => stalled.push((job, index)),
             }
-            let mut note = Note::job("run is overdue", &run.task);
+            let mut note = Note::job("run overdue", &run.task);
             note.detail = format!("{:?} expected_ms {}", run.state, run.expected_ms);
             note.worker = worker.record.id.to_string();
             out.push(Command::Note(note));
@@ -98,9 +98,9 @@
             worker.trust.failed(now_ms);
         }
         if let Some(task) = asked_for {
-            let mut note = Note::job("asked for an end", &task);
+            let mut note = Note::job("polling for completion", &task);
             note.worker = worker.record.id.to_string();
-            note.detail = format!("heard {} ms ago", now_ms - worker.heard_ms);
+            note.last_heard_ms = Some(now_ms - worker.heard_ms);
             out.push(Command::Note(note));
             worker.look();
         }
--- a/crates/core/src/dispatch/ownership.rs
+++ b/crates/core/src/dispatch/ownership.rs
@@ -277,8 +277,8 @@
         }
     }
 
-    /// The process stood still: others may own its pools by now.
-    pub fn stood_still(&mut self, now_ms: u64, out: &mut Vec<Command>) {
+    /// Gives up all ownership after a stall: others may own the pools by now.
+    pub fn stalled(&mut self, now_ms: u64, out: &mut Vec<Command>) {
         let names: Vec<String> = self.pools.keys().cloned().collect();
         for name in names {
             self.outranked(now_ms, &name, out);
--- a/crates/core/src/dispatch/ownership/peers.rs
+++ b/crates/core/src/dispatch/ownership/peers.rs
@@ -1,5 +1,5 @@
-//! What is known of the other instances: by the store's list, by links, by what
-//! they say of each other.
+//! Membership: other instances as the store lists them, as links show them, and as
+//! peers introduce them.
 
 use trefoil_schema::dispatch::Node;
 
--- a/crates/core/tests/dispatch_entry.rs
+++ b/crates/core/tests/dispatch_entry.rs
@@ -238,7 +238,7 @@
         submit(&mut entry, 1, u64::from(id == "y"), id);
     }
     let out = refused(&mut entry, 3, "forde/0", "a", "x");
-    let silent = |command: &Command| matches!(command, Command::TakenBack { .. });
+    let silent = |command: &Command| matches!(command, Command::Revoked { .. });
     assert!(
         out.iter().all(silent),
         "the other pool is about to have an owner"
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -54,13 +54,13 @@
 
 /// Period of the instance's ticks: retries and lapses are decided this often.
 const TICK_MS: u64 = 25;
-/// A tick that comes this much late means that the process stood still: others
-/// have given up its links, and its leases may have lapsed. Others run its jobs
-/// anew only after [`LINK_SILENT_MS`] and [`DELEGATED_GAP_MS`] together.
+/// A tick this much late is a stall of the process: peers have closed its links and
+/// its leases may have expired. Peers run its jobs anew only after
+/// [`LINK_SILENT_MS`] and [`DELEGATED_GAP_MS`] together.
 ///
 /// [`LINK_SILENT_MS`]: trefoil_core::dispatch::limits::LINK_SILENT_MS
 /// [`DELEGATED_GAP_MS`]: trefoil_core::dispatch::limits::DELEGATED_GAP_MS
-const FROZEN_MS: u64 = 900;
+const STALL_MS: u64 = 900;
 
 /// The store is read often for so long for the successor of an owner that was
 /// lost: a claim takes two seconds at the most.
@@ -185,7 +185,7 @@
             state.ownership.tick(now_ms, &mut effects.ownership);
             state.each_owner(effects, |owner, out| owner.tick(now_ms, out));
             state.ticks += 1;
-            // A busy process reads its peers' heartbeats late.
+            // A busy process reads heartbeats late.
             let late_ms = now_ms.saturating_sub(state.ticked_ms + TICK_MS);
             state.peers.extend_silence_limits(late_ms);
             state.entry.extend_silence_limits(late_ms);
@@ -197,16 +197,16 @@
         }
     }
 
-    /// Gives up everything that rests on time if the process did not run for a
-    /// while, frozen or suspended.
-    fn thaw(self: &Rc<Self>, state: &mut State, now_ms: u64, effects: &mut Effects) {
+    /// Discards all beliefs that rest on time if the process stalled: it was frozen,
+    /// or the machine suspended.
+    fn detect_stall(self: &Rc<Self>, state: &mut State, now_ms: u64, effects: &mut Effects) {
         let late_ms = now_ms.saturating_sub(state.active_ms + TICK_MS);
         state.active_ms = now_ms;
-        if late_ms < FROZEN_MS {
+        if late_ms < STALL_MS {
             return;
         }
-        warn!(self.log, "process stood still"; "late_ms" => late_ms);
-        state.ownership.stood_still(now_ms, &mut effects.ownership);
+        warn!(self.log, "process stalled"; "late_ms" => late_ms);
+        state.ownership.stalled(now_ms, &mut effects.ownership);
         self.drop_links(state, now_ms, effects);
         // What was read of the store is as old.
         state.store_read_ms = None;
@@ -219,7 +219,7 @@
         let mut effects = Effects::default();
         let result = {
             let mut state = self.state.borrow_mut();
-            self.thaw(&mut state, now_ms, &mut effects);
+            self.detect_stall(&mut state, now_ms, &mut effects);
             event(&mut state, now_ms, &mut effects)
         };
         self.carry_out(effects);
--- a/crates/instance/src/instance/effects.rs
+++ b/crates/instance/src/instance/effects.rs
@@ -54,13 +54,13 @@
             entry::Command::Delegate {
                 to,
                 spec,
-                heard_ms_ago,
+                last_heard_ms,
                 unsafe_for_ms,
                 unsafe_holder,
             } => {
                 info!(self.log, #ON_WORK, "delegated"; "job" => &spec.id, "pool" => &to.pool,
                     "owner" => &to.owner, "age_ms" => spec.age_ms,
-                    "heard_ms_ago" => heard_ms_ago, "unsafe_for_ms" => unsafe_for_ms);
+                    "last_heard_ms" => last_heard_ms, "unsafe_for_ms" => unsafe_for_ms);
                 let delegate = Delegate {
                     job: Some(spec),
                     unsafe_for_ms,
@@ -77,12 +77,14 @@
                     state.entry.pool_lost(now_ms, &to, Cause::OwnerChanged, out);
                 }
             }
-            entry::Command::TakenBack {
+            entry::Command::Revoked {
                 job_id,
                 from,
                 cause,
-            } => info!(self.log, #ON_WORK, "taken back"; "job" => job_id, "pool" => from.pool,
-                "owner" => from.owner, "cause" => ?cause),
+            } => {
+                info!(self.log, #ON_WORK, "delegation revoked"; "job" => job_id, "pool" => from.pool,
+                "owner" => from.owner, "cause" => ?cause)
+            }
             entry::Command::Cancel { to, job_id } => {
                 if to.owner != self.me.name {
                     self.send_cancel(&to, job_id);
@@ -136,7 +138,8 @@
     fn write_note(&self, pool: &str, note: Note) {
         match note.about {
             About::Work => info!(self.log, #ON_WORK, "{}", note.event;
-                "task" => note.subject, "worker" => note.worker, "detail" => note.detail),
+                "task" => note.subject, "worker" => note.worker,
+                "last_heard_ms" => note.last_heard_ms, "detail" => note.detail),
             About::Pool => info!(self.log, "{}", note.event;
                 "pool" => pool, "detail" => note.detail),
         }
@@ -168,7 +171,7 @@
             ownership::Command::Released(pool) => self.released(pool, &mut effects),
             ownership::Command::Learned(claim) => {
                 let owner = claim.owner.as_ref().map_or("", |node| node.name.as_str());
-                info!(self.log, "owner learned"; "pool" => &claim.pool,
+                info!(self.log, "owner changed"; "pool" => &claim.pool,
                     "term" => claim.term, "owner" => owner);
             }
         }
--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -201,7 +201,7 @@
         let state = self.state.borrow();
         if let Some(link) = state.peers.links.get(&id) {
             link.beat(&self.beat_now(&state, self.now_ms()));
-            state.tell_all_workers(link);
+            state.send_pool_workers(link);
         }
     }
 
@@ -211,7 +211,7 @@
                 Ok(Some(frame)) => self.take_frame(id, frame),
                 Ok(None) => break,
                 Err(error) => {
-                    warn!(self.log, "link broke"; "error" => %error);
+                    warn!(self.log, "link error"; "error" => %error);
                     break;
                 }
             }
--- a/crates/instance/src/instance/workers.rs
+++ b/crates/instance/src/instance/workers.rs
@@ -57,7 +57,7 @@
             self.pool_workers.insert(pool.to_owned(), records.clone());
             let links = self.peers.links.values();
             for link in links.filter(|link| link.peer.failure_domain == self.home) {
-                self.tell_workers(link, pool);
+                self.send_workers_of(link, pool);
             }
         }
         let roster = self.with_owner(pool, effects, |owner, out| {
@@ -70,15 +70,15 @@
     }
 
     /// Tells a new peer of the failure domain the workers of all pools here.
-    pub(super) fn tell_all_workers(&self, link: &Link) {
+    pub(super) fn send_pool_workers(&self, link: &Link) {
         if link.peer.failure_domain == self.home {
             for pool in self.owners.keys() {
-                self.tell_workers(link, pool);
+                self.send_workers_of(link, pool);
             }
         }
     }
 
-    fn tell_workers(&self, link: &Link, pool: &str) {
+    fn send_workers_of(&self, link: &Link, pool: &str) {
         let records = self.pool_workers.get(pool).into_iter().flatten();
         // A peer that does not keep up is cut off by its heartbeats.
         link.sender.send(encode(Body::PoolWorkers(PoolWorkers {
--- a/crates/instance/src/log.rs
+++ b/crates/instance/src/log.rs
@@ -1,14 +1,13 @@
-//! Lines on standard output, as JSON, bounded and never blocking.
+//! Structured JSON logging to standard output.
 //!
-//! Lines gather in a buffer that a thread of its own writes out; while it
-//! cannot keep up, further lines are dropped and counted, and the count is in
-//! the next line that passes.
+//! Records are queued in a bounded buffer that a writer thread drains; logging never
+//! blocks. When the buffer is full, records are dropped and counted, and the next
+//! record that passes is preceded by the count.
 //!
-//! Lines on jobs, runs and workers come by the thousand a second, those on the
-//! instance's own beliefs (who owns what, what is declared, who is linked) by the
-//! dozen, and mostly when jobs fare worst. So the former never take all of the
-//! buffer, and the latter still find room: a change of owner is in the log however
-//! many jobs it touches.
+//! Records on jobs, runs and workers come by the thousand a second, those on the
+//! instance's own state (ownership, declarations, links) by the dozen. The former
+//! never fill the buffer, so that a change of owner is logged however many jobs it
+//! affects.
 
 use std::io::{self, Write};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
@@ -18,18 +17,15 @@
 use slog::{Drain, IgnoreResult, Logger, Never, OwnedKVList, Record, o};
 use slog_json::Json;
 
-/// Tag of lines on jobs, their runs and the workers that run them. They are many,
-/// and dropped first.
+/// Tag of records on jobs, runs and workers, which are dropped first.
 pub const ON_WORK: &str = "work";
 
-/// Bytes that wait to be written; beyond them lines are dropped. A second of
-/// a busy instance's lines.
+/// Capacity of the buffer: a second of a busy instance's records.
 const BUFFER_BYTES_MAX: usize = 128 * 1024;
-/// Bytes beyond which lines on work are dropped. What is left holds some 150
-/// others; of 44 instances that start at once each has links with 43.
+/// Buffer level above which records on work are dropped.
 const ON_WORK_BYTES_MAX: usize = 96 * 1024;
-/// Lines wait so long for others, to share a write.
-const GATHER: Duration = Duration::from_millis(200);
+/// Batching delay before a flush.
+const FLUSH_DELAY: Duration = Duration::from_millis(200);
 /// Stack of the writing thread.
 const STACK_BYTES: usize = 64 * 1024;
 
@@ -253,7 +249,7 @@
         let closed = waiting.closed;
         drop(waiting);
         if !closed {
-            thread::sleep(GATHER);
+            thread::sleep(FLUSH_DELAY);
         }
         let bytes = std::mem::take(&mut buffer.lock().bytes);
         // With nobody reading there is nowhere to report the failure to.
--- a/crates/instance/tests/log.rs
+++ b/crates/instance/tests/log.rs
@@ -55,7 +55,7 @@
     let output = Output::default();
     let (log, guard) = root_to(output.clone(), "forde-1", "forde").unwrap();
     for job in 0..LINES {
-        info!(log, #ON_WORK, "taken back"; "job" => job);
+        info!(log, #ON_WORK, "delegation revoked"; "job" => job);
     }
     info!(log, "ownership released"; "pool" => "forde/0");
     output.open();
@@ -66,7 +66,7 @@
     let dropped = lines.iter().find(|line| line["msg"] == "lines dropped");
     let dropped = dropped.expect("the lines that did not fit are counted");
     assert_eq!(dropped["others"], 0);
-    let kept = of("taken back") as u64;
+    let kept = of("delegation revoked") as u64;
     assert_eq!(kept + dropped["on_work"].as_u64().unwrap(), LINES as u64);
     assert!(kept > 0);
 }
--- a/crates/replay/src/world.rs
+++ b/crates/replay/src/world.rs
@@ -399,7 +399,7 @@
                     },
                 );
             }
-            entry::Command::TakenBack { .. } => {}
+            entry::Command::Revoked { .. } => {}
             entry::Command::Answer { ticket, answer } => {
                 let at_ms = self.now_ms - START_MS;
                 let seen = match answer {
