owner: a worker that answers again was silent, and no task crashed it

Read in the diff: an expired lease was counted as a crash, so that two losses of answers in a row would have told a caller 'failed' of a job that could be done. A worker that answers in the same incarnation is taken off the tasks that were on it.

Test: workers that fall silent one after the other; fails without it (seen).

--- a/crates/core/src/dispatch/job.rs
+++ b/crates/core/src/dispatch/job.rs
@@ -50,8 +50,8 @@
     pub failures: u32,
     /// Runs that were stopped because they took far too long.
     pub stalls: u32,
-    /// Workers that were lost while a run of it was there.
-    pub crashes: u32,
+    /// Workers that were lost while a run of it was there, and not heard since.
+    pub lost_on: Vec<WorkerKey>,
     /// Number of its last run; 0 before the first.
     pub run_id: u64,
 }
@@ -64,7 +64,7 @@
 
     /// Whether a worker was lost under it, so that it may crash the next one.
     pub fn is_suspect(&self) -> bool {
-        self.crashes > 0
+        !self.lost_on.is_empty()
     }
 }
 
@@ -265,7 +265,7 @@
         state: TaskState::Waiting { not_before_ms: 0 },
         failures: 0,
         stalls: 0,
-        crashes: 0,
+        lost_on: Vec::new(),
         run_id: 0,
     };
     indexed.map(task).collect()
--- a/crates/core/src/dispatch/owner/answers.rs
+++ b/crates/core/src/dispatch/owner/answers.rs
@@ -106,6 +106,6 @@
             "worker incarnation ended",
             &worker,
         )));
-        self.workers_lost(now_ms, vec![worker.runs], out);
+        self.workers_lost(now_ms, vec![(key, worker.runs)], out);
     }
 }
--- a/crates/core/src/dispatch/owner/crashes.rs
+++ b/crates/core/src/dispatch/owner/crashes.rs
@@ -7,8 +7,9 @@
 //! own where there is one, and never beside another suspect task, which would be blamed
 //! with it. The second worker lost under it ends its job.
 //!
-//! Losses that come together are not blamed on tasks: a rack, a failure domain, or
-//! this instance's own links are gone.
+//! A worker that answers again in the same incarnation was only silent and counts no
+//! more. Losses that come together are not blamed on tasks: a rack, a failure domain,
+//! or this instance's own links are gone.
 
 use std::collections::VecDeque;
 
@@ -16,7 +17,7 @@
 use super::*;
 
 /// Workers lost under one task after which its job is given up.
-const CRASHES_MAX: u32 = 2;
+const CRASHES_MAX: usize = 2;
 /// Losses within [`TOGETHER_MS`] that have a cause in common.
 const TOGETHER: usize = 3;
 /// Span in which losses count as coming together: leases that were granted at the
@@ -49,20 +50,28 @@
     pub(super) fn workers_lost(
         &mut self,
         now_ms: u64,
-        lost: Vec<Vec<Run>>,
+        lost: Vec<(WorkerKey, Vec<Run>)>,
         out: &mut Vec<Command>,
     ) {
         self.losses.lost(now_ms, lost.len());
         let blames_tasks = !self.losses.come_together();
-        for run in lost.into_iter().flatten() {
-            self.requeue(now_ms, &run.owner, 0);
-            if blames_tasks {
-                self.blame_task(now_ms, run.owner, out);
+        for (worker, runs) in lost {
+            for run in runs {
+                self.requeue(now_ms, &run.owner, 0);
+                if blames_tasks {
+                    self.blame_task(now_ms, worker, run.owner, out);
+                }
             }
         }
     }
 
-    fn blame_task(&mut self, now_ms: u64, owner: RunOwner, out: &mut Vec<Command>) {
+    fn blame_task(
+        &mut self,
+        now_ms: u64,
+        worker: WorkerKey,
+        owner: RunOwner,
+        out: &mut Vec<Command>,
+    ) {
         let RunOwner::Task(key, index) = owner else {
             return;
         };
@@ -70,10 +79,10 @@
             return;
         };
         let task = &mut job.tasks[index];
-        task.crashes += 1;
+        task.lost_on.push(worker);
         let mut note = Note::job("worker lost under task", &task.name);
-        note.detail = format!("crashes {}", task.crashes);
-        let is_poison = task.crashes >= CRASHES_MAX && !job.stopping;
+        note.detail = format!("lost {}", task.lost_on.len());
+        let is_poison = task.lost_on.len() >= CRASHES_MAX && !job.stopping;
         out.push(Command::Note(note));
         if is_poison {
             let reason = "a task crashes the workers that start it";
@@ -81,6 +90,14 @@
         }
     }
 
+    /// A worker answers again that may have been taken for lost.
+    pub(super) fn acquit_tasks(&mut self, worker: WorkerKey) {
+        let tasks = self.jobs.values_mut().flat_map(|job| &mut job.tasks);
+        for task in tasks {
+            task.lost_on.retain(|&lost| lost != worker);
+        }
+    }
+
     /// Whether a run on a worker is one of a suspect task.
     pub(super) fn has_suspect(&self, worker: &Worker) -> bool {
         worker.runs.iter().any(|run| match run.owner {
--- a/crates/core/src/dispatch/owner/holds.rs
+++ b/crates/core/src/dispatch/owner/holds.rs
@@ -103,7 +103,8 @@
                 ended,
             } => {
                 worker.read_clock(now_ms, clock_ms);
-                if worker.standing == Standing::Unfenced {
+                let is_back = worker.standing == Standing::Unfenced;
+                if is_back {
                     worker.standing = Standing::Fenced;
                     out.push(Command::Note(Note::worker("fenced", worker)));
                 }
@@ -121,6 +122,9 @@
                     self.take_end(now_ms, key, &end, out);
                 }
                 self.reconcile(now_ms, key, hold, &running, out);
+                if is_back {
+                    self.acquit_tasks(key);
+                }
             }
             HoldOutcome::Fenced => self.outranked(now_ms, key, out),
             HoldOutcome::OtherLife => {}
@@ -284,7 +288,7 @@
     /// Expires the leases of workers that have not answered for a whole lease.
     fn expire_leases(&mut self, now_ms: u64, out: &mut Vec<Command>) {
         let mut lost = Vec::new();
-        for worker in self.workers.values_mut() {
+        for (key, worker) in &mut self.workers {
             let answers = worker.standing == Standing::Fenced;
             if answers || worker.runs.is_empty() || now_ms < worker.lapsed_at_ms {
                 continue;
@@ -293,7 +297,7 @@
             worker.trust.failed(now_ms);
             // What was ordered under the present fence must not start any more.
             worker.raise();
-            lost.push(std::mem::take(&mut worker.runs));
+            lost.push((key, std::mem::take(&mut worker.runs)));
         }
         if !lost.is_empty() {
             self.workers_lost(now_ms, lost, out);
--- a/crates/core/tests/dispatch_crashes.rs
+++ b/crates/core/tests/dispatch_crashes.rs
@@ -281,6 +281,28 @@
     assert_eq!(pool.ended, [("many".to_owned(), Outcome::Completed)]);
 }
 
+#[test]
+fn workers_that_were_only_silent_are_no_tasks_fault() {
+    // Load pattern: orders and their answers are lost for a while, on one worker
+    // after the other.
+    let mut pool = Pool::new(&["w1", "w2", "w3", "w4"]);
+    pool.delegate("a", 1);
+    for start in 1..4 {
+        while pool.started.len() < start && pool.now_ms < 4000 {
+            pool.run_until(pool.now_ms + 1);
+        }
+        let worker = pool.workers_of("a")[start - 1].clone();
+        pool.dead.insert(worker.clone());
+        while pool.started.len() <= start && pool.now_ms < 4000 {
+            pool.run_until(pool.now_ms + 1);
+        }
+        pool.dead.remove(&worker);
+    }
+    pool.run_until(6000);
+    assert!(pool.workers_of("a").len() > 3);
+    assert_eq!(pool.ended, [("a".to_owned(), Outcome::Completed)]);
+}
+
 #[test]
 fn a_worker_whose_capacity_shrank_starts_nothing_until_it_fits() {
     let mut pool = Pool::new(&["w1"]);
