--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -26,8 +26,11 @@
 const REDIAL_OTHER_MS: u64 = 1000;
 /// So long after its start an instance dials all others that it learns of.
 const DIAL_ALL_MS: u64 = 2000;
-/// The seeds are dialed if the store has not been read for so long after the start.
+/// Time after the start in which the store may tell of peers before seeds are dialed.
 const SEEDS_AFTER_MS: u64 = 300;
+/// Age of the last reading of the store up to which seeds are not needed: instances
+/// that leave reading to owners read each 4000.
+const STORE_INTRODUCES_MS: u64 = 5000;
 
 /// Why a link ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -272,16 +275,7 @@
 
     pub(super) fn dial_missing(self: &Rc<Self>) {
         let now_ms = self.now_ms();
-        let needs_seeds = {
-            let state = self.state.borrow();
-            let peers = &state.peers;
-            let due_ms = match peers.seeds_dialed_ms {
-                Some(dialed_ms) => dialed_ms + REDIAL_OTHER_MS,
-                None => SEEDS_AFTER_MS,
-            };
-            let introduced = state.store_read_ms.is_some() && peers.seeds_dialed_ms.is_none();
-            peers.links.is_empty() && !introduced && now_ms >= due_ms
-        };
+        let needs_seeds = self.state.borrow().needs_seeds(now_ms);
         if needs_seeds {
             self.dial_seeds();
         }
@@ -338,6 +332,19 @@
     }
 }
 
+impl State {
+    /// Whether only the seeds can tell of peers: no link is up, and the store has
+    /// not been read for a while.
+    fn needs_seeds(&self, now_ms: u64) -> bool {
+        let due_ms = match self.peers.seeds_dialed_ms {
+            Some(dialed_ms) => dialed_ms + REDIAL_OTHER_MS,
+            None => SEEDS_AFTER_MS,
+        };
+        let is_read = |read_ms: u64| now_ms < read_ms + STORE_INTRODUCES_MS;
+        self.peers.links.is_empty() && now_ms >= due_ms && !self.store_read_ms.is_some_and(is_read)
+    }
+}
+
 /// The bytes of a frame.
 pub(super) fn encode(body: Body) -> Bytes {
     links::encode(&Frame { body: Some(body) })
