ownership: two of the strongest instances watch each pool

Ways: names only (standing), or names and two of the strongest. In a deployment of up to 48 instances all watch all, as before.

--- a/crates/core/src/dispatch/ownership/neighbours.rs
+++ b/crates/core/src/dispatch/ownership/neighbours.rs
@@ -24,6 +24,9 @@
 const HOME_POOLS: usize = 4;
 /// Pools of other failure domains that an instance uses.
 const REMOTE_POOLS: usize = 2;
+/// The strongest instances of a failure domain, of which so many watch each pool
+/// besides: a pool that only weak ones happen to watch would have a weak owner.
+const STRONG_WATCHERS: usize = 2;
 /// Peers that an instance links with while it knows of no owner: any of them can
 /// introduce one if the store cannot.
 const INTRODUCERS: usize = 3;
@@ -88,8 +91,9 @@
 
     /// Owners of the pools that this instance uses; none where one has none.
     fn used_owners(&self) -> impl Iterator<Item = Option<&Node>> {
-        let home = nearest(&self.me.name, self.pools.keys(), HOME_POOLS);
-        let home = home.into_iter().map(|name| self.pools[name].owner());
+        let home = self.pools.iter();
+        let home = home.filter(|(name, _)| self.watches(&self.me, name));
+        let home = home.map(|(_, pool)| pool.owner());
         let remote = nearest(&self.me.name, self.remote.keys(), REMOTE_POOLS);
         let remote = remote.into_iter();
         home.chain(remote.map(|name| self.remote[name].as_ref()?.owner.as_ref()))
@@ -97,11 +101,9 @@
 
     /// The pools of the failure domain that this instance uses.
     pub fn home_pools(&self) -> Vec<String> {
-        if self.is_mesh() {
-            return self.pools.keys().cloned().collect();
-        }
-        let home = nearest(&self.me.name, self.pools.keys(), HOME_POOLS);
-        home.into_iter().map(str::to_owned).collect()
+        let pools = self.pools.keys();
+        let watched = pools.filter(|name| self.is_mesh() || self.watches(&self.me, name));
+        watched.cloned().collect()
     }
 
     /// Whether this instance claims a pool that is vacant: it watches the pool,
@@ -123,8 +125,24 @@
 
     /// Whether an instance of this failure domain watches a pool of it.
     pub(super) fn watches(&self, node: &Node, name: &str) -> bool {
-        let watched = nearest(&node.name, self.pools.keys(), HOME_POOLS);
-        watched.contains(&name)
+        let nearest = nearest(&node.name, self.pools.keys(), HOME_POOLS);
+        nearest.contains(&name) || self.is_strong_watcher(node, name)
+    }
+
+    /// Whether an instance is one of the strongest few of this failure domain that
+    /// watch a pool; among equals a hash decides.
+    fn is_strong_watcher(&self, node: &Node, name: &str) -> bool {
+        let seed = xxh3_64(name.as_bytes());
+        let rank = |node: &Node| {
+            let draw = xxh3_64_with_seed(node.name.as_bytes(), seed);
+            (node.weight_millicores, draw)
+        };
+        let own = rank(node);
+        let peers = self.peers.values();
+        let peers = peers.filter(|peer| peer.is_present() && peer.is_candidate(&self.me));
+        let candidates = peers.map(|peer| &peer.node).chain([&self.me]);
+        let stronger = candidates.filter(|other| rank(other) > own);
+        stronger.take(STRONG_WATCHERS).count() < STRONG_WATCHERS
     }
 
     /// Instances that use a pool, and want a link with its owner.
@@ -140,6 +158,9 @@
     fn uses(&self, node: &Node, name: &str) -> bool {
         let domain = node.failure_domain.as_str();
         let is_home = pool::domain_of(name) == domain;
+        if is_home && domain == self.me.failure_domain {
+            return self.watches(node, name);
+        }
         let count = if is_home { HOME_POOLS } else { REMOTE_POOLS };
         let pools = self.pools.keys().chain(self.remote.keys());
         let pools = pools.filter(|pool| (pool::domain_of(pool) == domain) == is_home);
