--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -345,8 +345,7 @@
     ///
     /// Load pattern: all instances start at once, and the first owners that are
     /// heard of are in a closed failure domain. Taken for all that there is, they
-    /// had callers refused whom others could serve: 17 of the 75 whom the instances
-    /// of one failure domain refused after a loss of all power, and none since.
+    /// would have callers refused whom others can serve.
     fn is_closed(&self) -> bool {
         let views = self.pools.values();
         let known: BTreeSet<&String> = views.map(|view| &view.failure_domain).collect();
--- a/crates/core/src/dispatch/owner/admission.rs
+++ b/crates/core/src/dispatch/owner/admission.rs
@@ -36,17 +36,13 @@
 /// Weight of the newest reading of that share; it is read with each tick.
 const USABLE_WEIGHT: f64 = 0.05;
 /// Share of the time that it has to spare in which a new job of a class over
-/// its share must be forecast to begin: the others' jobs go before it. Of jobs
-/// let in up to the last millisecond half begin too late, and their callers
-/// learn it then: with 1.0 half of the refusals in a burst of all classes came
-/// later than 69 ms, with 0.5 later than 34 ms, and no less is served.
+/// its share must be forecast to begin: the others' jobs go before it.
 const SLACK_SHARE: f64 = 0.5;
 /// Memory of the work that each class was let in with: a newcomer's turn comes
 /// within half a second or not in time.
 const ADMITTED_MEMORY_MS: f64 = 500.0;
-/// Memory of the work that comes, by which late jobs are let in. With 500 and
-/// 2000 ms, 3.5 and 1.3 % are refused at 1.3 times the load (and 5.8 and 10.2 %
-/// late), with 1000, 2.2 % (and 8.0 %).
+/// Memory of the work that comes, by which late jobs are let in: a longer one refuses
+/// fewer and makes more of them late.
 const OFFERED_MEMORY_MS: f64 = 1000.0;
 /// Share of the room that a job can count on in any case.
 const OWN_SHARE_MIN: f64 = 0.25;
--- a/crates/core/src/dispatch/owner/overdue.rs
+++ b/crates/core/src/dispatch/owner/overdue.rs
@@ -15,10 +15,8 @@
 /// taken for stalled; it is asked again otherwise.
 const HEARD_FRESH_MS: u64 = 60;
 
-/// While many orders get no answer, a run's end is asked for once it has taken
-/// what is expected: asked for 0.15 of that and 15 ms later, callers get 0.05 less
-/// of the credit that is owed where a fifth of all orders gets no answer. It is
-/// asked for again after this share of what is expected ...
+/// While many orders stay unanswered, a worker is polled once a run has taken its
+/// expected time, and again after this share of it ...
 const AGAIN_SHARE: f64 = 0.15;
 /// ... or this time, if that is longer: two calls fit into it.
 const AGAIN_MIN_MS: u64 = 20;
--- a/crates/core/src/dispatch/owner/queue.rs
+++ b/crates/core/src/dispatch/owner/queue.rs
@@ -23,9 +23,8 @@
 use super::super::order::JobKey;
 use super::shares::Shares;
 
-/// The order is not made anew more often only because jobs came: in a backlog
-/// that comes at once, each job would cost a sorting of all (132 us a job
-/// at 300 of them, 28 with this limit).
+/// Shortest time between sorts that only new jobs cause: a backlog that arrives at
+/// once would otherwise cost a sort of all for each job.
 const AGED_MS: u64 = 5;
 
 /// Place in the order: smaller is tried first.
--- a/crates/core/src/dispatch/ownership/roster.rs
+++ b/crates/core/src/dispatch/ownership/roster.rs
@@ -4,8 +4,6 @@
 //! that this one may have ordered obeys the new fence. The registry does not
 //! tell which these are: it forgets workers while the store is away, and a
 //! candidate that reads it early does not list a worker that was added since.
-//! Seen with a worker that was added while the candidate was cut from the store:
-//! three tasks ran twice at once.
 //!
 //! So an owner writes its roster into its claim's record, and starts nothing on
 //! a worker that no acknowledged roster names. The record changes by
--- a/crates/instance/src/instance/declared.rs
+++ b/crates/instance/src/instance/declared.rs
@@ -73,8 +73,7 @@
     /// within a moment.
     ///
     /// Load pattern: all instances start at once, and callers come before an
-    /// instance has read the store, which takes 20 to 100 ms. Refused at once, 234
-    /// callers of one loss of all power did not come back.
+    /// instance has read the store, which takes 20 to 100 ms.
     pub async fn declarations_soon(&self) -> Option<Rc<RouteTable>> {
         let changed = self.declarations_changed.notified();
         if let Some(table) = self.declarations() {
