--- a/crates/core/tests/dispatch_history/events.rs
+++ b/crates/core/tests/dispatch_history/events.rs
@@ -48,6 +48,11 @@
     Submit {
         job: usize,
     },
+    /// A worker's capacity shrinks, or grows back.
+    Resize {
+        worker: usize,
+        cpu_millicores: u64,
+    },
     /// The present owner is lost to the entry; it may live on for a while.
     Replace,
     /// The lost owner notices that its link is down.
--- a/crates/core/tests/dispatch_history/world.rs
+++ b/crates/core/tests/dispatch_history/world.rs
@@ -22,6 +22,9 @@
 const CLOSE_WITHIN_MS: u64 = 5000;
 /// How long begun jobs go on in a failure domain that was closed.
 const BEGUN_MS: u64 = 1500;
+/// A capacity that has shrunk counts this much later: the platform's time for contact
+/// and one of its workers' heartbeats.
+const SHRUNK_COUNTS_MS: u64 = 3000 + 1500;
 /// Period at which owners read the registry.
 pub const REGISTRY_MS: u64 = 700;
 const ENTRY: Origin = Origin::Link(1);
@@ -35,6 +38,8 @@
     pub workers: Vec<SimWorker>,
     /// When each is added.
     pub added_ms: Vec<u64>,
+    /// When the capacity of each last changed.
+    pub resized_ms: Vec<u64>,
     pub record: Record,
     /// Since when the failure domain is closed.
     pub closed_ms: Option<u64>,
@@ -139,12 +144,22 @@
         let id = worker_of(&order);
         let found = self
             .workers
-            .iter_mut()
-            .find(|worker| *worker.record.id == *id);
-        let worker = found.expect("orders go to known workers");
+            .iter()
+            .position(|worker| *worker.record.id == *id);
+        let position = found.expect("orders go to known workers");
+        let counts = now_ms > self.resized_ms[position] + SHRUNK_COUNTS_MS;
+        let worker = &mut self.workers[position];
         let event = match order {
             Order::Start(order) => {
+                let before = worker.runs.len();
                 let outcome = worker.start(now_ms, &order);
+                let used = worker.runs.len() as u64 * 1000;
+                let is_over = used > worker.record.capacity.cpu_millicores;
+                assert!(
+                    !(counts && is_over && worker.runs.len() > before),
+                    "{} starts over the capacity at {now_ms} ms",
+                    order.task
+                );
                 Event::Start {
                     owner,
                     order,
@@ -190,6 +205,14 @@
                 answered,
             } => return self.arrive(owner, order, answered),
             Event::Submit { job } => return self.submit(job),
+            Event::Resize {
+                worker,
+                cpu_millicores,
+            } => {
+                self.workers[worker].record.capacity.cpu_millicores = cpu_millicores;
+                self.resized_ms[worker] = now_ms;
+                return Ok(());
+            }
             Event::Replace => return self.replace(),
             Event::Start { owner, .. }
             | Event::Stop { owner, .. }
@@ -258,6 +281,7 @@
             Event::RosterStored { roster, .. } => actor.roster_stored(now_ms, roster, &mut out),
             Event::Arrive { .. }
             | Event::Submit { .. }
+            | Event::Resize { .. }
             | Event::Replace
             | Event::Close
             | Event::Reopen
