--- a/crates/core/tests/dispatch_neighbours.rs
+++ b/crates/core/tests/dispatch_neighbours.rs
@@ -223,7 +223,7 @@
 #[test]
 fn every_pool_is_watched_by_instances_of_the_strongest_kind() {
     // A tenth of the instances has eight times the processor of the others.
-    let strong = |number: usize| number % 10 == 0;
+    let strong = |number: usize| number.is_multiple_of(10);
     let weighted = |number: usize| Node {
         weight_millicores: if strong(number) { 1000 } else { 120 },
         ..node(number)
--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -3,7 +3,7 @@
 //! In a small deployment every two instances have a link. The one that starts
 //! dials all others; of two that know of each other, the one with the smaller
 //! name dials again, and the other one more rarely. In a larger one each dials
-//! its desired peers, and [`retire`](super::retire) closes links that are no
+//! its desired peers, and [`retire`] closes links that are no
 //! longer needed.
 
 use std::collections::HashSet;
