peers: an answer is taken only by the request it belongs to

Callers of an instance that had just restarted could get the complete results of another caller's job.

Cause: an instance numbers its requests to owners from 1 in each process. The owner addressed its answers by name, the link kept them until the instance was back, and the new process compared nothing but the number.

Fix: messages name the incarnation of their receiver, and another one drops them; an answer also has to match the key and the sender of its request. Loans of slots are recorded with the incarnation of the other side. Both mismatches are counted and logged. Only heartbeats are for any incarnation, as instances learn of new incarnations from them.

Links::send takes an InstanceRef; tests that send by name call send_to_any.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -37,7 +37,7 @@
 pub use command::{Command, JobAnswer, JobState, Refusal, RefusalReason};
 pub use event::{Submission, Task, TaskId, TaskOutcome, WaiterId, WorkerId};
 pub use failure::FailureReason;
-pub use lending::{SlotMessage, SlotMessageBody, WorkerSlots};
+pub use lending::{Recipient, SlotMessage, SlotMessageBody, WorkerSlots};
 pub use remembered::{RememberedJob, RememberedJobs};
 pub use settings::{EngineSettings, QueueOrder};
 pub use stats::EngineStats;
--- a/crates/core/src/engine/lending.rs
+++ b/crates/core/src/engine/lending.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 
 use super::event::WorkerId;
+use crate::view::Member;
 
 /// Maximum number of slots per request.
 const REQUEST_SLOTS_MAX: u64 = 64;
@@ -36,12 +37,31 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[expect(missing_docs, reason = "fields explain themselves")]
 pub struct SlotMessage {
-    /// Name of the receiving instance.
-    pub to: Arc<str>,
+    /// The receiving instance.
+    pub to: Recipient,
     pub service: Arc<str>,
     pub body: SlotMessageBody,
 }
 
+/// Receiver of a [`SlotMessage`].
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Recipient {
+    /// The current incarnation of the instance with this name.
+    Current(Arc<str>),
+    /// Only this incarnation: another one does not know the loan.
+    Incarnation(Member),
+}
+
+impl Recipient {
+    /// Name of the receiving instance.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Current(name) => name,
+            Self::Incarnation(member) => &member.name,
+        }
+    }
+}
+
 /// Body of a [`SlotMessage`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SlotMessageBody {
@@ -54,7 +74,7 @@
 /// A loan of slots of one worker, lent or borrowed.
 #[derive(Clone, Debug)]
 pub(crate) struct Loan {
-    pub peer: Arc<str>,
+    pub peer: Member,
     pub worker: WorkerId,
     pub slots: u32,
     pub until_ms: u64,
@@ -132,9 +152,9 @@
     }
 
     /// Records a slot lent for `loan_ms`.
-    pub fn lend(&mut self, now_ms: u64, borrower: &str, worker: WorkerId, loan_ms: u64) {
+    pub fn lend(&mut self, now_ms: u64, borrower: &Member, worker: WorkerId, loan_ms: u64) {
         self.lent.push(Loan {
-            peer: borrower.into(),
+            peer: borrower.clone(),
             worker,
             slots: 1,
             until_ms: now_ms + RECLAIM_FACTOR * loan_ms,
@@ -144,10 +164,10 @@
 
     /// Ends loans of up to `slots` slots of a worker to a borrower; returns the
     /// number of slots.
-    pub fn reclaim(&mut self, borrower: &str, worker: WorkerId, slots: u32) -> u32 {
+    pub fn reclaim(&mut self, borrower: &Member, worker: WorkerId, slots: u32) -> u32 {
         let mut left = slots;
         for loan in &mut self.lent {
-            if *loan.peer == *borrower && loan.worker == worker {
+            if loan.peer == *borrower && loan.worker == worker {
                 let taken = loan.slots.min(left);
                 loan.slots -= taken;
                 left -= taken;
--- a/crates/core/src/engine/loans.rs
+++ b/crates/core/src/engine/loans.rs
@@ -6,6 +6,7 @@
 use super::command::Command;
 use super::lending::{SlotMessage, WorkerSlots};
 use crate::time::Now;
+use crate::view::Member;
 
 impl Engine {
     /// Returns idle borrowed slots and requests loans for queued tasks.
@@ -30,7 +31,7 @@
     pub fn lend_slots(
         &self,
         now: Now,
-        borrower: &str,
+        borrower: &Member,
         service: &str,
         slots: u32,
     ) -> Vec<WorkerSlots> {
@@ -45,7 +46,7 @@
     pub fn borrow_slots(
         &self,
         now: Now,
-        lender: &str,
+        lender: &Member,
         service: &str,
         lent: &[WorkerSlots],
         loan_ms: u64,
@@ -67,7 +68,7 @@
     pub fn reclaim_slots(
         &self,
         now: Now,
-        borrower: &str,
+        borrower: &Member,
         service: &str,
         returned: &[WorkerSlots],
         out: &mut Vec<Command>,
--- a/crates/core/src/engine/pool/lend.rs
+++ b/crates/core/src/engine/pool/lend.rs
@@ -8,11 +8,12 @@
 use super::PoolState;
 use crate::engine::command::Command;
 use crate::engine::event::{Worker, WorkerId};
-use crate::engine::lending::{Loan, SlotMessageBody, WorkerSlots};
+use crate::engine::lending::{Loan, Recipient, SlotMessageBody, WorkerSlots};
 use crate::time::Now;
+use crate::view::Member;
 
-/// A peer's name and the message to it.
-pub(crate) type PeerMessage = (Arc<str>, SlotMessageBody);
+/// A message and its receiver.
+pub(crate) type PeerMessage = (Recipient, SlotMessageBody);
 
 impl PoolState {
     pub fn set_members(&mut self, me: &str, members: &[String]) {
@@ -38,7 +39,11 @@
             let request = self
                 .lending
                 .next_request(now.mono_ms, self.stats.tasks_queued);
-            messages.extend(request.map(|(peer, slots)| (peer, SlotMessageBody::Request(slots))));
+            messages.extend(
+                request.map(|(peer, slots)| {
+                    (Recipient::Current(peer), SlotMessageBody::Request(slots))
+                }),
+            );
         }
         messages
     }
@@ -47,7 +52,7 @@
     fn return_idle_slots(&mut self, now: Now) -> Vec<PeerMessage> {
         let run_log2 = self.run_times.mean_log2();
         let has_queued = self.queue.first().is_some();
-        let mut returned: BTreeMap<Arc<str>, Vec<WorkerSlots>> = BTreeMap::new();
+        let mut returned: BTreeMap<Member, Vec<WorkerSlots>> = BTreeMap::new();
         for loan in &mut self.lending.borrowed {
             if !loan.expired && loan.until_ms <= now.mono_ms {
                 loan.expired = true;
@@ -68,7 +73,7 @@
                     idle,
                     loan.expired,
                 );
-                let peer = Arc::clone(&loan.peer);
+                let peer = loan.peer.clone();
                 returned.entry(peer).or_default().push(WorkerSlots {
                     worker,
                     slots: idle,
@@ -78,14 +83,15 @@
         self.lending.borrowed.retain(|loan| loan.slots > 0);
         let returned = returned.into_iter();
         returned
-            .map(|(peer, slots)| (peer, SlotMessageBody::Return(slots)))
+            .map(|(peer, slots)| (Recipient::Incarnation(peer), SlotMessageBody::Return(slots)))
             .collect()
     }
 
     /// Lends up to `slots` slots, but at most half of the free ones; none while
     /// tasks are queued.
-    pub fn lend(&mut self, now: Now, borrower: &str, slots: u32) -> Vec<WorkerSlots> {
-        self.lending.record_request_from(now.mono_ms, borrower);
+    pub fn lend(&mut self, now: Now, borrower: &Member, slots: u32) -> Vec<WorkerSlots> {
+        self.lending
+            .record_request_from(now.mono_ms, &borrower.name);
         if !self.is_lending_enabled() || self.queue.first().is_some() {
             return Vec::new();
         }
@@ -111,21 +117,21 @@
     pub fn borrow(
         &mut self,
         now: Now,
-        lender: &str,
+        lender: &Member,
         lent: Vec<(WorkerId, Worker, u32)>,
         loan_ms: u64,
         out: &mut Vec<Command>,
     ) {
         self.stats.slots_refused += u64::from(lent.is_empty());
         self.lending
-            .record_answer(now.mono_ms, lender, !lent.is_empty());
+            .record_answer(now.mono_ms, &lender.name, !lent.is_empty());
         let run_log2 = self.run_times.mean_log2();
         for (worker, declared, slots) in lent {
             self.workers
                 .borrow(now.mono_ms, run_log2, worker, declared, slots);
             self.stats.slots_borrowed += u64::from(slots);
             self.lending.borrowed.push(Loan {
-                peer: lender.into(),
+                peer: lender.clone(),
                 worker,
                 slots,
                 until_ms: now.mono_ms + loan_ms,
@@ -139,7 +145,7 @@
     pub fn reclaim(
         &mut self,
         now: Now,
-        borrower: &str,
+        borrower: &Member,
         returned: &[(WorkerId, u32)],
         out: &mut Vec<Command>,
     ) {
--- a/crates/core/tests/engine_support/virtual_load.rs
+++ b/crates/core/tests/engine_support/virtual_load.rs
@@ -13,6 +13,7 @@
 use trefoil_core::engine::*;
 use trefoil_core::key::JobKey;
 use trefoil_core::time::Now;
+use trefoil_core::view::Member;
 
 use super::{START_WALL_MS, config, declared};
 use trefoil_schema::resources::TeamSpec;
@@ -330,10 +331,11 @@
         self.call(now_ms, instance, |engine, now, out| {
             messages = engine.balance_slots(now, out);
         });
-        let me = format!("i{instance}");
+        let me = Member::new(&format!("i{instance}"), 1);
         for SlotMessage { to, service, body } in messages {
             self.outcome.slot_messages += 1;
-            let peer: usize = to[1..].parse().expect("is a number");
+            let lender = Member::new(to.name(), 1);
+            let peer: usize = to.name()[1..].parse().expect("is a number");
             match body {
                 SlotMessageBody::Request(slots) => {
                     self.outcome.slot_messages += 1;
@@ -341,7 +343,7 @@
                     self.outcome.slot_refusals += u64::from(lent.is_empty());
                     let loan_ms = self.load.engine.placement.loan_ms;
                     self.call(now_ms, instance, |engine, now, out| {
-                        engine.borrow_slots(now, &to, &service, &lent, loan_ms, out);
+                        engine.borrow_slots(now, &lender, &service, &lent, loan_ms, out);
                     });
                 }
                 SlotMessageBody::Return(returned) => {
--- a/crates/core/tests/lending.rs
+++ b/crates/core/tests/lending.rs
@@ -5,6 +5,7 @@
 use engine_support::{START_WALL_MS, config, key, submission};
 use trefoil_core::engine::*;
 use trefoil_core::time::Now;
+use trefoil_core::view::Member;
 
 const LOAN_MS: u64 = 1_000;
 /// Longer than the delay after which a joining instance uses its share.
@@ -89,13 +90,13 @@
         else {
             panic!("no request: {messages:?}");
         };
-        assert_eq!(&**to, "b");
+        assert_eq!(*to, Recipient::Current("b".into()));
         let slots = *slots;
         let lent = self.call(1, |engine, now, _| {
-            engine.lend_slots(now, "a", "payroll", slots)
+            engine.lend_slots(now, &Member::new("a", 1), "payroll", slots)
         });
         self.call(0, |engine, now, out| {
-            engine.borrow_slots(now, "b", "payroll", &lent, LOAN_MS, out);
+            engine.borrow_slots(now, &Member::new("b", 1), "payroll", &lent, LOAN_MS, out);
         });
         lent.iter().map(|lent| lent.slots).sum()
     }
@@ -108,7 +109,7 @@
             };
             returned += slots.iter().map(|slots| slots.slots).sum::<u32>();
             self.call(1, |engine, now, out| {
-                engine.reclaim_slots(now, "a", "payroll", &slots, out);
+                engine.reclaim_slots(now, &Member::new("a", 1), "payroll", &slots, out);
             });
         }
         returned
--- a/crates/core/tests/membership_figures.rs
+++ b/crates/core/tests/membership_figures.rs
@@ -94,7 +94,13 @@
     };
     membership.handle(Now::default(), tick, &mut commands);
     let sent = commands.into_iter().filter_map(|command| match command {
-        Command::Send { body, .. } => Some(peer::Message { body: Some(body) }.encoded_len()),
+        Command::Send { body, .. } => Some(
+            peer::Message {
+                body: Some(body),
+                ..peer::Message::default()
+            }
+            .encoded_len(),
+        ),
         _ => None,
     });
     let sizes: Vec<usize> = sent.collect();
--- a/examples/link_churn/main.rs
+++ b/examples/link_churn/main.rs
@@ -40,7 +40,7 @@
         let deadline = Instant::now() + Duration::from_millis(5 + restarts % 40);
         while Instant::now() < deadline {
             for index in 0..SENDERS {
-                let _ = links.send(&name(index), message());
+                let _ = links.send_to_any(&name(index), message());
             }
             let _ = tokio::time::timeout(Duration::from_millis(1), incoming.recv()).await;
         }
@@ -64,7 +64,7 @@
 
 fn send_until(links: &Links, stop: &AtomicBool) {
     while !stop.load(Ordering::Relaxed) {
-        let _ = links.send("target", message());
+        let _ = links.send_to_any("target", message());
         std::thread::sleep(Duration::from_micros(200));
     }
 }
--- a/examples/link_rate/links.rs
+++ b/examples/link_rate/links.rs
@@ -93,7 +93,7 @@
     b.set_peer("a", a_address);
     let server = tokio::spawn(async move {
         while let Some(incoming) = at_b.recv().await {
-            b.send("a", answer(incoming.message)).unwrap();
+            b.send_to_any("a", answer(incoming.message)).unwrap();
         }
     });
     exchange(&a, at_a, load, depth, count)
@@ -110,7 +110,7 @@
     count: usize,
 ) -> Run {
     // Not measured, because the first message establishes the connection.
-    a.send("b", request(load, 0)).unwrap();
+    a.send_to_any("b", request(load, 0)).unwrap();
     arrivals.recv().await.unwrap();
     let mut sent_at = Vec::with_capacity(count);
     let mut latencies = Vec::with_capacity(count);
@@ -119,7 +119,7 @@
         while sent_at.len() < count && sent_at.len() - latencies.len() < depth {
             let body = request(load, sent_at.len() as u64);
             sent_at.push(Instant::now());
-            a.send("b", body).unwrap();
+            a.send_to_any("b", body).unwrap();
         }
         let incoming = arrivals.recv().await.unwrap();
         latencies.push(sent_at[request_id(&incoming.message)].elapsed());
@@ -138,7 +138,7 @@
         let mut sent = 0;
         let mut retry_interval = tokio::time::interval(Duration::from_millis(1));
         while sent < FLOOD_MESSAGES {
-            match sender.send("b", request("small", sent)) {
+            match sender.send_to_any("b", request("small", sent)) {
                 Ok(()) => sent += 1,
                 Err(_) => drop(retry_interval.tick().await),
             }
@@ -172,7 +172,7 @@
     for peer in 0..FOOTPRINT_PEERS {
         let name = format!("peer-{peer}");
         a.set_peer(&name, address);
-        a.send(&name, request("small", peer)).unwrap();
+        a.send_to_any(&name, request("small", peer)).unwrap();
         // All peers share one receiver and send sequence number 1, so only one message is
         // delivered.
     }
@@ -216,6 +216,7 @@
             sequence: 1 << 20,
             messages: vec![Message {
                 body: Some(Body::Heartbeat(heartbeat)),
+                ..Message::default()
             }],
         };
         println!(
--- a/src/links.rs
+++ b/src/links.rs
@@ -5,6 +5,10 @@
 //! Messages queued while a frame is being sent are batched into the next frame, so
 //! batching adds no delay. Messages are never retransmitted: callers match answers
 //! to requests and apply their own timeouts.
+//!
+//! A message names the incarnation that it is meant for. Queued messages outlive the
+//! connection, and the connection is opened to an address, so that a restarted peer
+//! would otherwise read messages meant for its previous incarnation.
 
 mod error;
 mod filter;
@@ -21,7 +25,7 @@
 
 use tokio::sync::mpsc;
 use tokio_util::codec::LengthDelimitedCodec;
-use trefoil_schema::peer::{InstanceRef, message::Body};
+use trefoil_schema::peer::{InstanceRef, Message, message::Body};
 
 pub use error::{LinkError, LinkErrorKind};
 pub use probe::{ProbeResult, probe};
@@ -31,6 +35,9 @@
 use inbound::Inbound;
 use outbound::{Context, Peer};
 
+/// Value of `to_incarnation` of a message that any incarnation may read.
+pub(crate) const ANY_INCARNATION: u64 = 0;
+
 /// A message received from a peer; delivered at most once.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Incoming {
@@ -139,16 +146,33 @@
         self.shared.peers.remove(name);
     }
 
-    /// Queues a message for the peer's next frame; never blocks.
+    /// Queues a message for the peer's next frame; never blocks. A later incarnation
+    /// of the peer drops the message.
     ///
     /// # Errors
     ///
     /// Fails if the peer is unknown, its queue is full, or the message is too
     /// large. The verdict is always "not run", as nothing was sent.
-    pub fn send(&self, to: &str, message: Body) -> Result<(), LinkError> {
+    pub fn send(&self, to: &InstanceRef, message: Body) -> Result<(), LinkError> {
+        self.send_message(&to.name, to.incarnation, message)
+    }
+
+    /// Like [`Self::send`], for a message that any incarnation of the peer may read.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`Self::send`].
+    pub fn send_to_any(&self, to: &str, message: Body) -> Result<(), LinkError> {
+        self.send_message(to, ANY_INCARNATION, message)
+    }
+
+    fn send_message(&self, to: &str, incarnation: u64, body: Body) -> Result<(), LinkError> {
         let peer = self.shared.peers.get(to);
         let peer = peer.ok_or_else(|| LinkError::unknown_peer(to))?;
-        peer.send(message)
+        peer.send(Message {
+            body: Some(body),
+            to_incarnation: incarnation,
+        })
     }
 
     /// Counters since the start, summed over all peers.
--- a/src/links/inbound.rs
+++ b/src/links/inbound.rs
@@ -12,12 +12,12 @@
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio_util::codec::FramedRead;
-use trefoil_schema::peer::Frame;
+use trefoil_schema::peer::{Frame, InstanceRef, Message, message::Body};
 
 use super::error::LinkError;
 use super::filter::{FrameCheck, FrameFilter};
 use super::outbound::Context;
-use super::{GREETING, Incoming, codec, lock};
+use super::{ANY_INCARNATION, GREETING, Incoming, codec, lock};
 
 /// Accepts connections and receives frames until it is closed.
 pub(crate) struct Inbound {
@@ -115,10 +115,28 @@
         }
     }
 
+    fn is_meant_for_this_incarnation(&self, message: &Message) -> bool {
+        let local = self.context.settings.local_instance.incarnation;
+        [ANY_INCARNATION, local].contains(&message.to_incarnation)
+    }
+
+    fn log_other_incarnation(&self, from: &InstanceRef, message: &Message) {
+        slog::info!(self.context.log, "message for another incarnation dropped";
+            "from" => &from.name, "from_incarnation" => from.incarnation,
+            "to_incarnation" => message.to_incarnation,
+            "incarnation" => self.context.settings.local_instance.incarnation,
+            "request_id" => request_id(message), "key" => key(message));
+    }
+
     fn deliver(&self, frame: Frame) {
         let counters = &self.context.counters;
         let from = frame.from.unwrap_or_default();
         for message in frame.messages {
+            if !self.is_meant_for_this_incarnation(&message) {
+                counters.other_incarnation.add(1);
+                self.log_other_incarnation(&from, &message);
+                continue;
+            }
             let Some(message) = message.body else {
                 counters.unknown.add(1);
                 continue;
@@ -134,3 +152,25 @@
         }
     }
 }
+
+/// The request ID of a message about a job; 0 for other messages.
+fn request_id(message: &Message) -> u64 {
+    match &message.body {
+        Some(Body::ForwardJob(job)) => job.request_id,
+        Some(Body::FetchJob(request)) => request.request_id,
+        Some(Body::CancelJob(request)) => request.request_id,
+        Some(Body::JobAnswer(answer)) => answer.request_id,
+        _ => 0,
+    }
+}
+
+/// The key of a message about a job; empty for other messages.
+fn key(message: &Message) -> &str {
+    match &message.body {
+        Some(Body::ForwardJob(job)) => &job.key,
+        Some(Body::FetchJob(request)) => &request.key,
+        Some(Body::CancelJob(request)) => &request.key,
+        Some(Body::JobAnswer(answer)) => &answer.key,
+        _ => "",
+    }
+}
--- a/src/links/outbound.rs
+++ b/src/links/outbound.rs
@@ -20,7 +20,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 use tokio_util::codec::{FramedWrite, LengthDelimitedCodec};
-use trefoil_schema::peer::{Frame, Message, message::Body};
+use trefoil_schema::peer::{Frame, Message};
 
 use super::error::{LinkError, LinkErrorKind};
 use super::queue::Queue;
@@ -37,7 +37,7 @@
     pub(crate) counters: Counters,
     /// Runtime of the link tasks.
     pub(crate) handle: Handle,
-    log: slog::Logger,
+    pub(crate) log: slog::Logger,
 }
 
 impl Context {
@@ -136,8 +136,7 @@
     }
 
     /// Queues a message for the next frame.
-    pub(crate) fn send(self: &Arc<Self>, body: Body) -> Result<(), LinkError> {
-        let message = Message { body: Some(body) };
+    pub(crate) fn send(self: &Arc<Self>, message: Message) -> Result<(), LinkError> {
         self.check_size(&message)?;
         let mut state = lock(&self.state);
         if state.removed {
--- a/src/links/stats.rs
+++ b/src/links/stats.rs
@@ -47,6 +47,8 @@
     pub doubled: u64,
     /// Frames from an older incarnation of the sender than a received one.
     pub stale: u64,
+    /// Messages meant for another incarnation of this instance.
+    pub other_incarnation: u64,
     /// Frames from senders beyond `senders_max`.
     pub senders: u64,
     /// Received messages whose body this version does not know.
@@ -78,7 +80,8 @@
 counters!(
     frames_out, bytes_out, messages_out, frames_in, bytes_in, messages_in, gaps, connects,
     disconnects, redials;
-    late, queue_full, removed, lost, rubbish, doubled, stale, senders, unknown, inbox_full
+    late, queue_full, removed, lost, rubbish, doubled, stale, other_incarnation,
+    senders, unknown, inbox_full
 );
 
 #[derive(Default)]
--- a/src/peers/counters.rs
+++ b/src/peers/counters.rs
@@ -8,6 +8,7 @@
     misrouted: AtomicU64,
     reasked: AtomicU64,
     stale_answers: AtomicU64,
+    mismatched_answers: AtomicU64,
 }
 
 impl PeerCounters {
@@ -26,6 +27,11 @@
         self.stale_answers.load(Ordering::Relaxed)
     }
 
+    /// Answers whose key or sender is not that of the open request with their ID.
+    pub(crate) fn mismatched_answers(&self) -> u64 {
+        self.mismatched_answers.load(Ordering::Relaxed)
+    }
+
     pub(super) fn count_misrouted(&self) {
         self.misrouted.fetch_add(1, Ordering::Relaxed);
     }
@@ -34,6 +40,10 @@
         self.reasked.fetch_add(1, Ordering::Relaxed);
     }
 
+    pub(super) fn count_mismatched_answer(&self) {
+        self.mismatched_answers.fetch_add(1, Ordering::Relaxed);
+    }
+
     pub(super) fn count_stale_answer(&self) {
         self.stale_answers.fetch_add(1, Ordering::Relaxed);
     }
--- a/src/peers/driver.rs
+++ b/src/peers/driver.rs
@@ -159,7 +159,11 @@
             self.links.set_peer(&to.name, address);
         }
         // A lost message causes a delay of one heartbeat period; the links count it.
-        let _ = self.links.send(&to.name, body);
+        let _ = match body {
+            // Instances learn each other's new incarnations from heartbeats.
+            Body::Heartbeat(_) => self.links.send_to_any(&to.name, body),
+            _ => self.links.send(&to.into(), body),
+        };
     }
 
     /// Divides the workers' slots among the members of the failure domain.
--- a/src/peers/forward.rs
+++ b/src/peers/forward.rs
@@ -134,7 +134,7 @@
     ) -> JobAnswer {
         let started = Instant::now();
         let limit = Duration::from_millis(limit_ms);
-        let mut pending = self.pending.open();
+        let mut pending = self.pending.open(key, owner);
         if self
             .send_request(owner, request.body(pending.id(), key, started))
             .is_err()
@@ -181,7 +181,7 @@
         if let Some(address) = self.dial_address(owner, &address) {
             self.links.set_peer(&owner.name, address);
         }
-        self.links.send(&owner.name, body)
+        self.links.send(&owner.into(), body)
     }
 }
 
--- a/src/peers/handover.rs
+++ b/src/peers/handover.rs
@@ -290,7 +290,7 @@
             part: part.part,
             accepted,
         };
-        let _ = self.links.send(&from.name, Body::KeyHandoverAck(ack));
+        let _ = self.links.send(from, Body::KeyHandoverAck(ack));
     }
 }
 
--- a/src/peers/lending.rs
+++ b/src/peers/lending.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use tokio::time::MissedTickBehavior;
-use trefoil_core::engine::{SlotMessage, SlotMessageBody, WorkerSlots};
+use trefoil_core::engine::{Recipient, SlotMessage, SlotMessageBody, WorkerSlots};
+use trefoil_core::view::Member;
 use trefoil_schema::peer::message::Body;
 use trefoil_schema::peer::{InstanceRef, LentSlots, SlotGrant, SlotRequest};
 
@@ -40,31 +41,48 @@
                 lease_ms: RETURNED,
             }),
         };
-        let _ = self.links.send(&message.to, body);
+        let to = match message.to {
+            Recipient::Incarnation(member) => Some(member),
+            Recipient::Current(name) => self.domain_member(&name),
+        };
+        if let Some(to) = to {
+            let _ = self.links.send(&InstanceRef::from(&to), body);
+        }
+    }
+
+    /// The member of the newest view of this failure domain with this name.
+    fn domain_member(&self, name: &str) -> Option<Member> {
+        let membership = self.membership();
+        let newest = membership.view_log(&self.domain)?.log.newest()?;
+        let mut members = newest.members.iter();
+        members.find(|member| member.name == name).cloned()
     }
 
     /// Answers a peer's request for slots, also if none can be lent.
     pub(super) fn serve_slot_request(&self, from: &InstanceRef, request: SlotRequest) {
         let runtime = &self.context.runtime;
-        let lent =
-            runtime
-                .engine()
-                .lend_slots(runtime.now(), &from.name, &request.service, request.slots);
+        let lent = runtime.engine().lend_slots(
+            runtime.now(),
+            &from.into(),
+            &request.service,
+            request.slots,
+        );
         let grant = SlotGrant {
             service: request.service,
             slots: encode(lent),
             lease_ms: self.context.settings.placement.loan_ms.max(1),
         };
-        let _ = self.links.send(&from.name, Body::SlotGrant(grant));
+        let _ = self.links.send(from, Body::SlotGrant(grant));
     }
 
     /// Accepts slots that a peer lends or returns.
     pub(super) fn accept_slot_grant(&self, from: &InstanceRef, grant: SlotGrant) {
         let runtime = &self.context.runtime;
+        let peer = Member::from(from);
         let slots: Vec<_> = grant.slots.into_iter().map(decode).collect();
         match grant.lease_ms {
-            RETURNED => runtime.reclaim_slots(&from.name, &grant.service, &slots),
-            loan_ms => runtime.borrow_slots(&from.name, &grant.service, &slots, loan_ms),
+            RETURNED => runtime.reclaim_slots(&peer, &grant.service, &slots),
+            loan_ms => runtime.borrow_slots(&peer, &grant.service, &slots, loan_ms),
         }
     }
 }
--- a/src/peers/pending.rs
+++ b/src/peers/pending.rs
@@ -5,6 +5,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use tokio::sync::mpsc;
+use trefoil_core::key::JobKey;
+use trefoil_core::view::Member;
 use trefoil_schema::peer::JobAnswer;
 
 /// Number of shards of the table, each with its own lock.
@@ -12,7 +14,29 @@
 /// Number of answers buffered for a request.
 const ANSWERS_MAX: usize = 4;
 
-type Shard = HashMap<u64, mpsc::Sender<JobAnswer>>;
+type Shard = HashMap<u64, OpenRequest>;
+
+/// What an answer must match, and where it goes.
+#[derive(Debug)]
+struct OpenRequest {
+    key: JobKey,
+    asked: Member,
+    answers: mpsc::Sender<JobAnswer>,
+}
+
+/// What became of an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum AnswerResult {
+    Passed,
+    /// No request with this ID is open, or its buffer is full: the answer is late or a
+    /// duplicate.
+    Unexpected,
+    /// The open request with this ID is for another key or was sent to another instance.
+    Mismatch {
+        key: JobKey,
+        asked: Member,
+    },
+}
 
 /// Open requests by ID.
 #[derive(Debug, Default)]
@@ -30,11 +54,16 @@
 }
 
 impl PendingTable {
-    /// Opens a request with a unique ID.
-    pub(super) fn open(&self) -> PendingRequest<'_> {
+    /// Opens a request to `asked` about `key`, with an ID that is unique in this process.
+    pub(super) fn open(&self, key: &JobKey, asked: &Member) -> PendingRequest<'_> {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed) + 1;
         let (sender, answers) = mpsc::channel(ANSWERS_MAX);
-        self.shard(id).insert(id, sender);
+        let request = OpenRequest {
+            key: key.clone(),
+            asked: asked.clone(),
+            answers: sender,
+        };
+        self.shard(id).insert(id, request);
         PendingRequest {
             table: self,
             id,
@@ -42,14 +71,23 @@
         }
     }
 
-    /// Passes an answer to its request; returns `false` if the request is not open or
-    /// its buffer is full.
-    pub(super) fn answer(&self, answer: JobAnswer) -> bool {
+    /// Passes an answer of `from` to the request with its ID, if that request is about
+    /// the same key and was sent to `from`.
+    pub(super) fn answer(&self, from: &Member, answer: JobAnswer) -> AnswerResult {
         let shard = self.shard(answer.request_id);
-        let Some(sender) = shard.get(&answer.request_id) else {
-            return false;
+        let Some(request) = shard.get(&answer.request_id) else {
+            return AnswerResult::Unexpected;
         };
-        sender.try_send(answer).is_ok()
+        if request.key.as_str() != answer.key || request.asked != *from {
+            return AnswerResult::Mismatch {
+                key: request.key.clone(),
+                asked: request.asked.clone(),
+            };
+        }
+        match request.answers.try_send(answer) {
+            Ok(()) => AnswerResult::Passed,
+            Err(_) => AnswerResult::Unexpected,
+        }
     }
 
     fn shard(&self, id: u64) -> MutexGuard<'_, Shard> {
--- a/src/peers/recall.rs
+++ b/src/peers/recall.rs
@@ -45,7 +45,7 @@
         request: &OwnerRequest<'_>,
     ) -> JobAnswer {
         let started = Instant::now();
-        let mut pending = self.pending.open();
+        let mut pending = self.pending.open(key, successor);
         while started.elapsed() < SUCCESSOR_TIMEOUT {
             let body = request.body(pending.id(), key, started);
             if self.send_request(successor, body).is_err() {
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -3,14 +3,16 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use slog::warn;
 use tokio::sync::mpsc;
 use trefoil_core::engine::JobAnswer;
 use trefoil_core::key::JobKey;
 use trefoil_core::membership::{Event, Route};
 use trefoil_core::view::Member;
 use trefoil_schema::peer::message::Body;
-use trefoil_schema::peer::{ForwardJob, InstanceRef};
+use trefoil_schema::peer::{ForwardJob, InstanceRef, JobAnswer as JobAnswerMessage};
 
+use super::pending::AnswerResult;
 use super::{Peers, convert, forward};
 use crate::links::Incoming;
 use crate::runtime::RequestContext;
@@ -41,12 +43,7 @@
                     |peers: Arc<Self>, key: JobKey| async move { peers.serve_cancel(&key).await };
                 self.serve_key(from.clone(), request.request_id, &request.key, serve);
             }
-            Body::JobAnswer(answer) => {
-                // Answers to closed requests are late or duplicates.
-                if !self.pending.answer(answer) {
-                    self.counters.count_stale_answer();
-                }
-            }
+            Body::JobAnswer(answer) => self.accept_answer(from, answer),
             Body::KeyHandover(part) => self.accept_part(from, part),
             Body::KeyHandoverAck(ack) => self.accept_ack(from, ack),
             Body::ConfigRequest(request) => {
@@ -74,6 +71,22 @@
         }
     }
 
+    fn accept_answer(&self, from: &InstanceRef, answer: JobAnswerMessage) {
+        let (request_id, answered_key) = (answer.request_id, answer.key.clone());
+        match self.pending.answer(&Member::from(from), answer) {
+            AnswerResult::Passed => {}
+            AnswerResult::Unexpected => self.counters.count_stale_answer(),
+            AnswerResult::Mismatch { key, asked } => {
+                self.counters.count_mismatched_answer();
+                warn!(self.context.log, "answer does not belong to the request with its ID";
+                    "request_id" => request_id, "key" => key.as_str(),
+                    "answered_key" => answered_key,
+                    "asked" => &asked.name, "asked_incarnation" => asked.incarnation,
+                    "from" => &from.name, "from_incarnation" => from.incarnation);
+            }
+        }
+    }
+
     fn handle_membership_message(self: &Arc<Self>, from: &InstanceRef, body: Body) {
         self.handle(Event::Message {
             from: Member::from(from),
@@ -83,7 +96,7 @@
 
     /// Sends a response, which may be lost; the requester repeats its request.
     fn reply(&self, to: &InstanceRef, body: Body) {
-        let _ = self.links.send(&to.name, body);
+        let _ = self.links.send(to, body);
     }
 
     fn serve_job(self: &Arc<Self>, from: InstanceRef, job: ForwardJob) {
@@ -201,11 +214,11 @@
 
     fn reply_answer(&self, to: &InstanceRef, request_id: u64, key: &str, answer: &JobAnswer) {
         let message = convert::answer_message(request_id, key, answer);
-        if self.links.send(&to.name, Body::JobAnswer(message)).is_err() {
+        if self.links.send(to, Body::JobAnswer(message)).is_err() {
             // Too large, or the queue is full: send the outcome without results.
             let message =
                 convert::answer_message(request_id, key, &convert::without_results(answer));
-            let _ = self.links.send(&to.name, Body::JobAnswer(message));
+            let _ = self.links.send(to, Body::JobAnswer(message));
         }
     }
 }
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -28,6 +28,7 @@
 use trefoil_core::key::JobKey;
 use trefoil_core::time::Now;
 use trefoil_core::verdict::Verdict;
+use trefoil_core::view::Member;
 
 use crate::util::clock::Clock;
 use crate::util::telemetry::Telemetry;
@@ -242,7 +243,7 @@
     /// Accepts slots lent by a peer for `loan_ms`; `lent` is empty if it has none.
     pub fn borrow_slots(
         self: &Arc<Self>,
-        lender: &str,
+        lender: &Member,
         service: &str,
         lent: &[WorkerSlots],
         loan_ms: u64,
@@ -257,7 +258,7 @@
     /// Takes back slots returned by a peer.
     pub fn reclaim_slots(
         self: &Arc<Self>,
-        borrower: &str,
+        borrower: &Member,
         service: &str,
         returned: &[WorkerSlots],
     ) {
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -67,6 +67,7 @@
         (WastedMessage::Misrouted, peers.misrouted()),
         (WastedMessage::Reasked, peers.reasked()),
         (WastedMessage::StalePeerMessage, peers.stale_answers()),
+        (WastedMessage::MismatchedAnswer, peers.mismatched_answers()),
     ];
     for (kind, count) in wasted {
         totals.push(Total::Wasted(kind), count);
--- a/src/util/telemetry/metrics.rs
+++ b/src/util/telemetry/metrics.rs
@@ -31,6 +31,8 @@
     Misrouted,
     /// A peer's message that nothing waits for any more.
     StalePeerMessage,
+    /// A peer's answer whose key or sender is not that of the request with its ID.
+    MismatchedAnswer,
     /// A request sent again to the key's owner.
     Reasked,
     /// A slot request that a peer could not grant, or its answer.
@@ -46,6 +48,7 @@
             Self::Resubmission => "resubmission",
             Self::Misrouted => "misrouted",
             Self::StalePeerMessage => "stale_peer_message",
+            Self::MismatchedAnswer => "mismatched_answer",
             Self::Reasked => "reasked",
             Self::SlotsRefused => "slots_refused",
         }
--- a/src/util/telemetry/totals.rs
+++ b/src/util/telemetry/totals.rs
@@ -207,6 +207,10 @@
             (Total::PeerDropped("rubbish"), dropped.rubbish),
             (Total::PeerDropped("doubled"), dropped.doubled),
             (Total::PeerDropped("stale"), dropped.stale),
+            (
+                Total::PeerDropped("other_incarnation"),
+                dropped.other_incarnation,
+            ),
             (Total::PeerDropped("senders"), dropped.senders),
             (Total::PeerDropped("unknown"), dropped.unknown),
             (Total::PeerDropped("inbox_full"), dropped.inbox_full),
--- a/tests/testsuite/faults_owner.rs
+++ b/tests/testsuite/faults_owner.rs
@@ -184,3 +184,40 @@
     assert!(callers.finish().await.complete > 20);
     deployment.check_history();
 }
+
+/// A restarted instance numbers its requests from 1 again, while its peers still send
+/// answers to the requests of its previous incarnation.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restarted_entry_ignores_answers_to_its_previous_incarnation() {
+    const ENTRY: usize = 2;
+    const OWNER: usize = 0;
+    const ROUNDS: usize = 3;
+    let mut deployment = Deployment::start(DeploymentOptions::default()).await;
+    for round in 0..ROUNDS {
+        let mut callers = JoinSet::new();
+        for _ in 0..8 {
+            let job = deployment
+                .client
+                .job(&deployment.key_owned_by(OWNER, true), 4, 300);
+            let client = Arc::clone(&deployment.client);
+            callers.spawn(async move { client.submit(ENTRY, &job).await });
+        }
+        sleep(Duration::from_millis(60)).await;
+        deployment.instances[ENTRY].restart();
+        for _ in 0..50 {
+            let job = deployment
+                .client
+                .job(&deployment.key_owned_by(OWNER, true), 2, 400);
+            let client = Arc::clone(&deployment.client);
+            callers.spawn(async move { client.submit(ENTRY, &job).await });
+            sleep(Duration::from_millis(20)).await;
+        }
+        callers.join_all().await;
+        deployment.check_history();
+        if round + 1 < ROUNDS {
+            // Requests of the next round get the same low IDs.
+            deployment.instances[ENTRY].restart();
+            deployment.wait_until_serving().await;
+        }
+    }
+}
--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -82,6 +82,7 @@
 fn frame(name: &str, incarnation: u64, sequence: u64, request_id: u64) -> Vec<u8> {
     let message = Message {
         body: Some(cancel(request_id)),
+        ..Message::default()
     };
     let frame = Frame {
         from: Some(reference(name, incarnation)),
@@ -108,6 +109,22 @@
     }
 }
 
+#[tokio::test]
+async fn messages_for_another_incarnation_are_dropped_and_counted() {
+    let (a_settings, b_settings) = (settings("a", 1), settings("b", 2));
+    let (a, _at_a) = start(&a_settings);
+    a.set_peer("b", b_settings.listen);
+    // Queued before "b" listens, as for an instance that restarts.
+    a.send(&reference("b", 1), cancel(1)).unwrap();
+    a.send(&reference("b", 2), cancel(2)).unwrap();
+    a.send(&reference("b", 3), cancel(3)).unwrap();
+    a.send_to_any("b", cancel(4)).unwrap();
+    let (b, mut at_b) = start(&b_settings);
+    assert_eq!(request_id(&next(&mut at_b).await), 2);
+    assert_eq!(request_id(&next(&mut at_b).await), 4);
+    assert_eq!(b.stats().dropped.other_incarnation, 2);
+}
+
 #[tokio::test]
 async fn messages_are_delivered_in_order_and_batched() {
     const COUNT: u64 = 2_000;
@@ -117,12 +134,12 @@
     // "b" does not listen yet, so that the messages are batched regardless of the
     // speed of the machine.
     for id in 0..COUNT {
-        a.send("b", cancel(id)).unwrap();
+        a.send_to_any("b", cancel(id)).unwrap();
     }
     let (b, mut at_b) = start(&b_settings);
     b.set_peer("a", a_settings.listen);
     for id in 0..COUNT {
-        b.send("a", cancel(id)).unwrap();
+        b.send_to_any("a", cancel(id)).unwrap();
     }
     for id in 0..COUNT {
         let incoming = next(&mut at_b).await;
@@ -144,7 +161,7 @@
     let (_b, mut at_b) = start(&b_settings);
     a.set_peer("b", b_settings.listen);
     for id in 1..=5 {
-        a.send("b", cancel(id)).unwrap();
+        a.send_to_any("b", cancel(id)).unwrap();
         assert_eq!(request_id(&next(&mut at_b).await), id);
         assert_eq!(a.stats().frames_out, id);
     }
@@ -223,7 +240,7 @@
     let (b, mut at_b) = start(&b_settings);
     let (a, _at_a) = start(&a_settings);
     a.set_peer("b", b_settings.listen);
-    a.send("b", cancel(1)).unwrap();
+    a.send_to_any("b", cancel(1)).unwrap();
     next(&mut at_b).await;
     drop(a);
     let (a, mut at_a) = start(&LinkSettings {
@@ -231,11 +248,11 @@
         ..a_settings.clone()
     });
     a.set_peer("b", b_settings.listen);
-    a.send("b", cancel(2)).unwrap();
+    a.send_to_any("b", cancel(2)).unwrap();
     let incoming = next(&mut at_b).await;
     assert_eq!(incoming.from, reference("a", 2));
     b.set_peer("a", a_settings.listen);
-    b.send("a", cancel(3)).unwrap();
+    b.send_to_any("a", cancel(3)).unwrap();
     assert_eq!(request_id(&next(&mut at_a).await), 3);
 }
 
@@ -245,17 +262,17 @@
     let (a, _at_a) = start(&settings("a", 1));
     let (_b, mut at_b) = start(&b_settings);
     a.set_peer("b", free_address());
-    a.send("b", cancel(1)).unwrap();
+    a.send_to_any("b", cancel(1)).unwrap();
     a.set_peer("b", b_settings.listen);
     assert_eq!(request_id(&next(&mut at_b).await), 1);
     a.remove_peer("b");
-    let error = a.send("b", cancel(2)).unwrap_err();
+    let error = a.send_to_any("b", cancel(2)).unwrap_err();
     assert_eq!(error.verdict, Verdict::NotRun);
     assert!(matches!(error.kind, LinkErrorKind::UnknownPeer { .. }));
     // Sequence numbers continue, or the receiver would drop the frame as a
     // duplicate.
     a.set_peer("b", b_settings.listen);
-    a.send("b", cancel(3)).unwrap();
+    a.send_to_any("b", cancel(3)).unwrap();
     assert_eq!(request_id(&next(&mut at_b).await), 3);
 }
 
@@ -275,14 +292,14 @@
     a.set_peer("dead", dead.local_addr().unwrap());
     let mut rejected = 0;
     for id in 0..1_000 {
-        if let Err(error) = a.send("dead", cancel(id)) {
+        if let Err(error) = a.send_to_any("dead", cancel(id)) {
             assert_eq!(error.verdict, Verdict::NotRun);
             assert!(matches!(error.kind, LinkErrorKind::QueueFull { .. }));
             rejected += 1;
         }
     }
     assert_eq!(rejected, 1_000 - LIMIT);
-    a.send("b", cancel(7)).unwrap();
+    a.send_to_any("b", cancel(7)).unwrap();
     assert_eq!(request_id(&next(&mut at_b).await), 7);
     assert_eq!(a.stats().dropped.queue_full, 900);
 }
@@ -299,7 +316,7 @@
     });
     a.set_peer("frozen", frozen.local_addr().unwrap());
     for id in 0..10 {
-        a.send("frozen", cancel(id)).unwrap();
+        a.send_to_any("frozen", cancel(id)).unwrap();
     }
     let stats = wait_for(&a, |stats| stats.redials > 0 && stats.dropped.late == 10).await;
     assert_eq!(stats.frames_out, 0);
@@ -335,7 +352,7 @@
         );
         let key = "k".repeat(MESSAGE_BYTES);
         let cancel = CancelJob { request_id: 1, key };
-        queue_full += usize::from(a.send("unread", Body::CancelJob(cancel)).is_err());
+        queue_full += usize::from(a.send_to_any("unread", Body::CancelJob(cancel)).is_err());
         tokio::time::sleep(Duration::from_millis(1)).await;
     }
     let stats = a.stats();
@@ -355,13 +372,13 @@
         ..settings("a", 1)
     });
     a.set_peer("b", b_settings.listen);
-    a.send("b", cancel(1)).unwrap();
+    a.send_to_any("b", cancel(1)).unwrap();
     tokio::time::sleep(Duration::from_millis(310)).await;
     let job = ForwardJob {
         timeout_ms: 1_000,
         ..ForwardJob::default()
     };
-    a.send("b", Body::ForwardJob(job)).unwrap();
+    a.send_to_any("b", Body::ForwardJob(job)).unwrap();
     assert_eq!(a.stats().dropped.late, 1);
     tokio::time::sleep(Duration::from_millis(20)).await;
     let (_b, mut at_b) = start(&b_settings);
@@ -380,7 +397,7 @@
     a.set_peer("b", free_address());
     let key = "k".repeat(65);
     let error = a
-        .send("b", Body::CancelJob(CancelJob { request_id: 1, key }))
+        .send_to_any("b", Body::CancelJob(CancelJob { request_id: 1, key }))
         .unwrap_err();
     assert_eq!(error.verdict, Verdict::NotRun);
     assert!(matches!(error.kind, LinkErrorKind::TooLarge { .. }));
@@ -407,7 +424,7 @@
     let listener = tokio::net::TcpListener::bind(address).await.unwrap();
     let (a, _at_a) = start(&settings("a", 9));
     a.set_peer("b", address);
-    a.send("b", cancel(4)).unwrap();
+    a.send_to_any("b", cancel(4)).unwrap();
     let (mut stream, _) = timeout(WAIT_LIMIT, listener.accept())
         .await
         .unwrap()
--- a/tests/testsuite/metrics.rs
+++ b/tests/testsuite/metrics.rs
@@ -212,9 +212,11 @@
     for (index, address) in pair.peers.into_iter().enumerate() {
         let name = format!("entry-{}", index + 1);
         links.set_peer(&name, address);
-        links.send(&name, Body::ForwardJob(job.clone())).unwrap();
         links
-            .send(&name, Body::JobAnswer(unexpected_answer.clone()))
+            .send_to_any(&name, Body::ForwardJob(job.clone()))
+            .unwrap();
+        links
+            .send_to_any(&name, Body::JobAnswer(unexpected_answer.clone()))
             .unwrap();
     }
     let wasted = |page: &str, kind| series_value(page, "trefoil_wasted_messages_total", kind);
