dispatch: a result ends only the delegation that it belongs to

Callers could have had a job started by two owners.

Cause: an entry matched results by job, pool and the owner's name. With two links to one owner (both dialed, or an old connection of an incarnation that has ended) a late RETURNED of the first delegation could end the second, and the job went to a third owner while it ran.

Fix: delegations are numbered and results carry the number; a mismatch is counted and logged. A peer that has started again closes the links to its earlier incarnations.

--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -50,6 +50,8 @@
     unsafe_holder: Option<Holder>,
     /// The current or last ownership that the job was delegated to.
     holder: Option<Holder>,
+    /// Number of the current or last delegation; 0 before the first.
+    delegation: u64,
     /// Whether an owner that may have started tasks was lost.
     may_have_run: bool,
     /// Pools whose owners have refused it.
@@ -64,6 +66,8 @@
     local_domain: String,
     jobs: HashMap<String, EntryJob>,
     requests: HashMap<RequestId, String>,
+    /// Number of the last delegation of any job.
+    last_delegation: u64,
     pools: BTreeMap<String, PoolView>,
     /// Pools of the local failure domain that this entry uses, with or without owner.
     local_pools: Vec<String>,
@@ -115,6 +119,7 @@
             unsafe_pool: String::new(),
             unsafe_holder: None,
             holder: None,
+            delegation: 0,
             may_have_run: false,
             refused_by: Vec::new(),
             refusal: None,
@@ -168,6 +173,14 @@
         if job.state != JobState::Delegated(from.clone()) {
             return;
         }
+        // Instances before the numbering of delegations report 0.
+        if result.delegation != 0 && result.delegation != job.delegation {
+            return out.push(Command::StaleResult {
+                from: from.clone(),
+                result: result.clone(),
+                delegation: job.delegation,
+            });
+        }
         match outcome {
             Outcome::Completed => self.answer(id, Answer::Completed, out),
             Outcome::Failed => self.answer(id, Answer::Failed, out),
@@ -316,7 +329,10 @@
         job.state = JobState::Delegated(to.clone());
         job.holder = Some(view.holder.clone());
         job.refusal = None;
+        self.last_delegation += 1;
+        job.delegation = self.last_delegation;
         let mut spec = job.spec.clone();
+        spec.delegation = job.delegation;
         spec.age_ms = now_ms.saturating_sub(job.arrived_ms);
         out.push(Command::Delegate {
             to,
--- a/crates/core/src/dispatch/entry/command.rs
+++ b/crates/core/src/dispatch/entry/command.rs
@@ -2,6 +2,8 @@
 
 use trefoil_schema::dispatch::{Holder, Job as JobSpec, Outcome};
 
+use super::super::owner::JobResult;
+
 /// Identifies a caller's request within the process.
 pub type RequestId = u64;
 
@@ -30,6 +32,15 @@
         /// Why it was revoked.
         cause: RevocationCause,
     },
+    /// Log and count the result of an earlier delegation, which is ignored.
+    StaleResult {
+        /// The pool and its owner.
+        from: PoolOwner,
+        /// The ignored result.
+        result: JobResult,
+        /// Number of the current delegation.
+        delegation: u64,
+    },
     /// Cancel a job at its owner.
     Cancel {
         /// The pool and its owner.
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -224,6 +224,7 @@
             let job = &mut self.jobs[key];
             if !job.stopping {
                 job.origin = Some(origin);
+                job.spec.delegation = spec.delegation;
                 job.paused = false;
                 self.queue.invalidate();
                 return self.schedule(now_ms, out);
@@ -233,16 +234,11 @@
         }
         if let Some(outcome) = self.ended_outcome(&spec.id) {
             let reason = "it ended a moment ago";
-            return self.report(origin, spec.id, outcome, reason, out);
+            return job_results::report(origin, JobResult::new(&spec, outcome), reason, out);
         }
         if self.released {
-            return self.report(
-                origin,
-                spec.id,
-                Outcome::Returned,
-                "ownership has ended",
-                out,
-            );
+            let result = JobResult::new(&spec, Outcome::Returned);
+            return job_results::report(origin, result, "ownership has ended", out);
         }
         let id = spec.id.clone();
         let mut spec = spec;
--- a/crates/core/src/dispatch/owner/command.rs
+++ b/crates/core/src/dispatch/owner/command.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use trefoil_schema::dispatch::Outcome;
+use trefoil_schema::dispatch::{Job as JobSpec, Outcome};
 
 use super::LogEvent;
 use crate::dispatch::fence::Fence;
@@ -38,12 +38,26 @@
 pub struct JobResult {
     /// Id of the job, as its caller chose it.
     pub job_id: String,
+    /// Number of the delegation that this is the result of; 0 if it has none.
+    pub delegation: u64,
     /// How the job ended.
     pub outcome: Outcome,
     /// Delay after which a refused job is worth retrying; 0 if unknown.
     pub retry_after_ms: u64,
 }
 
+impl JobResult {
+    /// The result of a delegated job.
+    pub fn new(spec: &JobSpec, outcome: Outcome) -> Self {
+        Self {
+            job_id: spec.id.clone(),
+            delegation: spec.delegation,
+            outcome,
+            retry_after_ms: 0,
+        }
+    }
+}
+
 /// The result of a start or stop order.
 #[expect(missing_docs, reason = "the fields repeat those of the order")]
 #[derive(Clone, Debug)]
--- a/crates/core/src/dispatch/owner/job_results.rs
+++ b/crates/core/src/dispatch/owner/job_results.rs
@@ -91,7 +91,8 @@
         let job = &mut self.jobs[key];
         let id = job.spec.id.clone();
         if let Some(origin) = job.origin {
-            self.report(origin, id.clone(), outcome, reason, out);
+            let result = JobResult::new(&job.spec, outcome);
+            report(origin, result, reason, out);
         }
         if matches!(outcome, Outcome::Completed | Outcome::Failed) {
             self.ended_jobs.push_back((now_ms, id, outcome));
@@ -113,36 +114,25 @@
         let job = &self.jobs[key];
         if let Some(origin) = job.origin {
             let result = JobResult {
-                job_id: job.spec.id.clone(),
-                outcome: Outcome::NotRun,
                 retry_after_ms,
+                ..JobResult::new(&job.spec, Outcome::NotRun)
             };
-            out.push(Command::JobEnded {
-                origin,
-                result,
-                reason,
-            });
+            report(origin, result, reason, out);
         }
         self.stop_job(now_ms, key, out);
     }
+}
 
-    pub(super) fn report(
-        &self,
-        origin: Origin,
-        job_id: String,
-        outcome: Outcome,
-        reason: &'static str,
-        out: &mut Vec<Command>,
-    ) {
-        let result = JobResult {
-            job_id,
-            outcome,
-            retry_after_ms: 0,
-        };
-        out.push(Command::JobEnded {
-            origin,
-            result,
-            reason,
-        });
-    }
+/// Reports a result to the origin of the job.
+pub(super) fn report(
+    origin: Origin,
+    result: JobResult,
+    reason: &'static str,
+    out: &mut Vec<Command>,
+) {
+    out.push(Command::JobEnded {
+        origin,
+        result,
+        reason,
+    });
 }
--- a/crates/core/tests/dispatch_entry.rs
+++ b/crates/core/tests/dispatch_entry.rs
@@ -36,6 +36,7 @@
 fn result(job_id: &str, outcome: Outcome) -> JobResult {
     JobResult {
         job_id: job_id.to_owned(),
+        delegation: 0,
         outcome,
         retry_after_ms: 0,
     }
@@ -187,6 +188,43 @@
     assert!(entry.is_empty());
 }
 
+#[test]
+fn the_result_of_an_earlier_delegation_is_ignored() {
+    // The owner returns a job over one link after it was revoked and delegated to the same
+    // owner again over another link. If the late result were taken for that of the current
+    // delegation, the job would be started by two owners.
+    let delegation = |out: &[Command]| match out {
+        [.., Command::Delegate { spec, .. }] => spec.delegation,
+        other => panic!("not delegated: {other:?}"),
+    };
+    let mut entry = Entry::new("forde");
+    let owner = pool_owner("forde/0", "a");
+    update_pool(&mut entry, 0, "forde/0", "a", 0);
+    let first = delegation(&submit(&mut entry, 1, 1, "x"));
+    entry.on_pool_lost(2, &owner, RevocationCause::OwnerChanged, &mut Vec::new());
+    let second = delegation(&update_pool(&mut entry, 3, "forde/0", "a", 0));
+    update_pool(&mut entry, 4, "forde/1", "b", 0);
+    for outcome in [Outcome::Returned, Outcome::NotRun, Outcome::Failed] {
+        let late = JobResult {
+            delegation: first,
+            ..result("x", outcome)
+        };
+        let mut out = Vec::new();
+        entry.on_job_ended(5, &owner, &late, &mut out);
+        assert!(
+            matches!(&out[..], [Command::StaleResult { delegation, .. }] if *delegation == second),
+            "{out:?}"
+        );
+    }
+    let current = JobResult {
+        delegation: second,
+        ..result("x", Outcome::Completed)
+    };
+    let mut out = Vec::new();
+    entry.on_job_ended(6, &owner, &current, &mut out);
+    assert_eq!(answers(&out), [(1, Answer::Completed)]);
+}
+
 #[test]
 fn reused_id_of_a_different_job_is_rejected() {
     let mut entry = Entry::new("forde");
--- a/crates/instance/src/instance/effects.rs
+++ b/crates/instance/src/instance/effects.rs
@@ -86,6 +86,17 @@
                 info!(self.log, #WORK_TAG, "delegation revoked"; "job" => job_id, "pool" => from.pool,
                 "owner" => from.owner, "cause" => ?cause)
             }
+            entry::Command::StaleResult {
+                from,
+                result,
+                delegation,
+            } => {
+                self.metrics.stale_results.inc();
+                warn!(self.log, #WORK_TAG, "result of an earlier delegation ignored";
+                    "job" => result.job_id, "pool" => from.pool, "owner" => from.owner,
+                    "outcome" => ?result.outcome, "delegation" => result.delegation,
+                    "current_delegation" => delegation);
+            }
             entry::Command::Cancel { to, job_id } => {
                 if to.owner != self.node.name {
                     self.send_cancel(&to, job_id);
--- a/crates/instance/src/instance/frames.rs
+++ b/crates/instance/src/instance/frames.rs
@@ -44,6 +44,7 @@
                 Body::Ended(ended) => {
                     let result = JobResult {
                         job_id: ended.job_id,
+                        delegation: ended.delegation,
                         outcome: decode_outcome(ended.outcome),
                         retry_after_ms: ended.retry_after_ms,
                     };
@@ -70,15 +71,14 @@
         now_ms: u64,
         effects: &mut Effects,
     ) {
-        let job_id = delegate.job.as_ref().map(|job| job.id.clone());
+        let result = delegate
+            .job
+            .as_ref()
+            .map(|job| JobResult::new(job, Outcome::Returned));
         let pool = delegate.pool.clone();
         let origin = Origin::Link(id);
-        if !state.delegate(origin, delegate, now_ms, effects) {
-            let result = JobResult {
-                job_id: job_id.unwrap_or_default(),
-                outcome: Outcome::Returned,
-                retry_after_ms: 0,
-            };
+        let is_accepted = state.delegate(origin, delegate, now_ms, effects);
+        if let Some(result) = result.filter(|_| !is_accepted) {
             let ended = owner::Command::JobEnded {
                 origin,
                 result,
@@ -238,6 +238,7 @@
                 reason: reason.to_owned(),
                 pool,
                 retry_after_ms: result.retry_after_ms,
+                delegation: result.delegation,
             })));
         }
     }
--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -43,6 +43,8 @@
     Congested,
     /// This process was stalled.
     Stalled,
+    /// The peer has started again.
+    Superseded,
     /// Both sides agreed to close it.
     Retired,
 }
@@ -83,6 +85,22 @@
         links.filter(move |link| link.peer.name == name)
     }
 
+    /// Returns the links to earlier incarnations of a peer. Frames on their way there are
+    /// about jobs and pools that the peer no longer has.
+    fn links_to_earlier_incarnations(&self, node: &Node) -> Vec<u64> {
+        let links = self.links.iter();
+        let is_earlier =
+            |link: &Link| link.peer.name == node.name && link.peer.incarnation < node.incarnation;
+        let earlier = links.filter(|(_, link)| is_earlier(link));
+        earlier.map(|(&id, _)| id).collect()
+    }
+
+    /// Whether a later incarnation of a peer is linked.
+    fn knows_later_incarnation(&self, node: &Node) -> bool {
+        let mut links = self.links_to(&node.name);
+        links.any(|link| link.peer.incarnation > node.incarnation)
+    }
+
     /// Returns a link to a peer over which jobs may be delegated.
     pub(super) fn link_to(&self, name: &str) -> Option<&Link> {
         self.links_to(name)
@@ -158,7 +176,8 @@
         else {
             return;
         };
-        if node.name == self.node.name {
+        let is_stale = self.state.borrow().peers.knows_later_incarnation(&node);
+        if node.name == self.node.name || is_stale {
             return;
         }
         let id = {
@@ -186,7 +205,10 @@
     ) {
         info!(self.log, "link up"; "peer" => &node.name, "incarnation" => node.incarnation,
             "side" => ?side);
-        self.update(|state, now_ms, _| {
+        self.update(|state, now_ms, effects| {
+            for earlier in state.peers.links_to_earlier_incarnations(&node) {
+                self.close_link(state, earlier, LinkDownCause::Superseded, now_ms, effects);
+            }
             state.ownership.on_link_up(now_ms, &node);
             let link = Link {
                 peer: node,
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -27,6 +27,8 @@
     pub(crate) stops: IntCounter,
     /// Lease renewals sent to workers.
     pub(crate) lease_renewals: IntCounter,
+    /// Results of earlier delegations of a job, which are ignored.
+    pub(crate) stale_results: IntCounter,
     /// Requests that are malformed, match no route or come before the declarations.
     pub bad_requests: IntCounter,
     jobs_awaited: IntGauge,
@@ -57,6 +59,11 @@
             start_answer_ms: histogram(&registry, "trefoil_start_answer_ms", "Start to answer.")?,
             stops: counter(&registry, "trefoil_stops_total", "Stops ordered.")?,
             lease_renewals: counter(&registry, "trefoil_holds_total", "Holds ordered.")?,
+            stale_results: counter(
+                &registry,
+                "trefoil_stale_results_total",
+                "Results of earlier delegations.",
+            )?,
             bad_requests: counter(
                 &registry,
                 "trefoil_bad_requests_total",
--- a/crates/instance/tests/suspension.rs
+++ b/crates/instance/tests/suspension.rs
@@ -1,113 +1,23 @@
 //! Suspension of the machine: the instance's clock includes the suspended time, the
 //! runtime's timers do not.
 
+mod support;
+
 use std::cell::Cell;
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
+use support::{FakePlatform, settings};
 use tokio::task::{LocalSet, spawn_local};
-use trefoil_core::dispatch::order::{
-    OrderOutcome, RenewOrder, RenewOutcome, StartOrder, StopOrder,
-};
-use trefoil_core::dispatch::ownership::{ClaimRecord, ClaimWriteOutcome};
-use trefoil_core::dispatch::worker::WorkerRecord;
 use trefoil_instance::clock::Clock;
-use trefoil_instance::declarations::{Declarations, DeclarationsUpdate};
 use trefoil_instance::instance::Instance;
 use trefoil_instance::metrics::Metrics;
-use trefoil_instance::platform::{DeploymentState, Store, StoreError, WorkerClient};
-use trefoil_instance::settings::InstanceSettings;
 use trefoil_instance::store_polling;
-use trefoil_schema::dispatch::Node;
 
-const DOMAIN: &str = "forde";
 /// Long enough for peers to close their links and take over the pool.
 const SUSPENDED_MS: u64 = 3000;
 const TIMEOUT: Duration = Duration::from_secs(20);
 
-/// A platform without workers whose store has one pool and accepts every claim.
-#[derive(Default)]
-struct FakePlatform {
-    claims: Rc<Cell<u64>>,
-}
-
-impl Store for FakePlatform {
-    async fn declarations(&self) -> Result<DeclarationsUpdate, StoreError> {
-        Ok(DeclarationsUpdate {
-            confirmed_revision: 1,
-            changed: Some(Declarations::default()),
-        })
-    }
-
-    async fn deployment_state(&self) -> Result<DeploymentState, StoreError> {
-        Ok(DeploymentState {
-            pool_counts: HashMap::from([(DOMAIN.to_owned(), 1)]),
-            ..DeploymentState::default()
-        })
-    }
-
-    async fn workers(&self, _failure_domain: &str) -> Result<Vec<WorkerRecord>, StoreError> {
-        Ok(Vec::new())
-    }
-
-    fn unreadable_entries(&self) -> usize {
-        0
-    }
-
-    async fn register(&self, _node: &Node) -> Result<(), StoreError> {
-        Ok(())
-    }
-
-    async fn deregister(&self) -> Result<(), StoreError> {
-        Ok(())
-    }
-
-    async fn create_pools(&self, _failure_domain: &str, _pools: u32) -> Result<(), StoreError> {
-        Ok(())
-    }
-
-    async fn write_claim(&self, _record: &ClaimRecord, _revision: u64) -> ClaimWriteOutcome {
-        self.claims.set(self.claims.get() + 1);
-        ClaimWriteOutcome::Written {
-            revision: self.claims.get(),
-        }
-    }
-}
-
-impl WorkerClient for FakePlatform {
-    async fn start(&self, _order: &StartOrder) -> OrderOutcome {
-        OrderOutcome::NoAnswer
-    }
-
-    async fn stop(&self, _order: &StopOrder) -> OrderOutcome {
-        OrderOutcome::NoAnswer
-    }
-
-    async fn renew(&self, _order: &RenewOrder) -> RenewOutcome {
-        RenewOutcome::NoAnswer
-    }
-}
-
-fn settings() -> InstanceSettings {
-    let any_port = "127.0.0.1:0".parse().unwrap();
-    InstanceSettings {
-        instance: "a".to_owned(),
-        failure_domain: DOMAIN.to_owned(),
-        callers_address: any_port,
-        ready_address: any_port,
-        links_address: any_port,
-        links_advertised_address: None,
-        metrics_address: None,
-        store_address: any_port,
-        seeds: Vec::new(),
-        cpu_share: 1.0,
-        cores: 1.0,
-        close_within_ms: 5000,
-        stop_budget_ms: 6000,
-    }
-}
-
 async fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
     let began = std::time::Instant::now();
     while !condition() {
--- a/crates/replay/src/simulation.rs
+++ b/crates/replay/src/simulation.rs
@@ -398,7 +398,7 @@
                     },
                 );
             }
-            entry::Command::Revoked { .. } => {}
+            entry::Command::Revoked { .. } | entry::Command::StaleResult { .. } => {}
             entry::Command::Answer { request_id, answer } => {
                 let at_ms = self.now_ms - WARM_UP_MS;
                 let outcome = match answer {
