--- a/tests/testsuite/daemon.rs
+++ b/tests/testsuite/daemon.rs
@@ -18,6 +18,8 @@
 use trefoilbay::server::drain::DrainController;
 use trefoilbay::util::clock::Clock;
 
+use crate::support::address::free_address;
+
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 const POLLS_MAX: u32 = 250;
 
@@ -29,7 +31,7 @@
 
 impl Daemon {
     async fn start(overrides: &[&str]) -> Self {
-        let address = free_address();
+        let address = free_address().to_string();
         let child = command(&address, overrides).spawn().unwrap();
         let daemon = Self {
             child: Some(child),
@@ -94,11 +96,6 @@
     }
 }
 
-fn free_address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap().to_string()
-}
-
 fn command(address: &str, overrides: &[&str]) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_trefoild"));
     command.args(["--set", &format!("http_address={address}")]);
--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -2,7 +2,6 @@
 //! unresponsive peers.
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU8, Ordering::Relaxed};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -19,19 +18,11 @@
     GREETING, Incoming, LinkErrorKind, LinkSettings, LinkStats, Links, ProbeResult, probe,
 };
 
+use crate::support::address::free_address;
+
 /// Limit of each wait for an expected event.
 const WAIT_LIMIT: Duration = Duration::from_secs(10);
 
-/// A loopback address that no other test uses. Otherwise an outgoing connection
-/// could take the port before it is listened on.
-fn free_address() -> SocketAddr {
-    static USED: AtomicU8 = AtomicU8::new(1);
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    let ip = Ipv4Addr::new(127, high | 0x80, low, USED.fetch_add(1, Relaxed));
-    let listener = TcpListener::bind((ip, 0)).unwrap();
-    listener.local_addr().unwrap()
-}
-
 fn settings(name: &str, incarnation: u64) -> LinkSettings {
     LinkSettings {
         local_instance: reference(name, incarnation),
--- a/tests/testsuite/support/pair.rs
+++ b/tests/testsuite/support/pair.rs
@@ -1,7 +1,7 @@
 //! Two instances of one failure domain in the test's process, with a fake
 //! platform.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hyper::header::{HeaderName, HeaderValue};
@@ -17,6 +17,8 @@
 use trefoilbay::util::settings;
 use trefoilbay::util::telemetry::Telemetry;
 
+use super::address::free_address;
+
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 const POLLS_MAX: u32 = 500;
 const NAMES: [&str; 2] = ["entry-1", "entry-2"];
@@ -227,8 +229,3 @@
     }];
     settings
 }
-
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
