core: a worker counts as replaced only once it is no longer listed

Read in the diff: the entry of an earlier incarnation is listed until it expires, and is taken up anew after each 421. A lost worker at its address, cut off and not crashed, would have been taken for its predecessor's victim. a_worker_that_another_one_replaces_at_its_address_has_crashed covers both.

--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -170,7 +170,7 @@
     pub fn set_workers(&mut self, now_ms: u64, records: Vec<WorkerRecord>, out: &mut Vec<Command>) {
         let listed: HashSet<Arc<str>> = records.iter().map(|record| record.id.clone()).collect();
         for record in records {
-            self.upsert_worker(now_ms, record, out);
+            self.upsert_worker(now_ms, record, &listed, out);
         }
         for (key, worker) in &mut self.workers {
             if worker.unlisted_since_ms.is_none() && !listed.contains(&worker.record.id) {
@@ -182,7 +182,13 @@
         self.schedule(now_ms, out);
     }
 
-    fn upsert_worker(&mut self, now_ms: u64, record: WorkerRecord, out: &mut Vec<Command>) {
+    fn upsert_worker(
+        &mut self,
+        now_ms: u64,
+        record: WorkerRecord,
+        listed: &HashSet<Arc<str>>,
+        out: &mut Vec<Command>,
+    ) {
         if let Some(&key) = self.worker_ids.get(&record.id) {
             let worker = &mut self.workers[key];
             if worker.record.draining != record.draining {
@@ -198,7 +204,7 @@
             return;
         }
         let id = record.id.clone();
-        self.confirm_crashes_before(now_ms, &record, out);
+        self.confirm_replaced(now_ms, &record, listed, out);
         let mut worker = Worker::new(record, self.fence);
         worker.in_stored_roster = self.is_in_stored_roster(&id);
         out.push(Command::Log(LogEvent::worker("listed", &worker)));
--- a/crates/core/src/dispatch/owner/poison_tasks.rs
+++ b/crates/core/src/dispatch/owner/poison_tasks.rs
@@ -139,26 +139,27 @@
         }
     }
 
-    /// Records that a worker has crashed, as a later incarnation has been seen.
+    /// Records that a worker has crashed, as a later incarnation has answered.
     fn confirm_crash(&mut self, now_ms: u64, record: &WorkerRecord, out: &mut Vec<Command>) {
-        self.explain_losses(now_ms, out, |loss| {
-            match !loss.has_crashed && loss.worker_id == record.id {
-                true => Explanation::Crashed,
-                false => Explanation::None,
-            }
+        self.explain_losses(now_ms, out, |loss| match loss.worker_id == record.id {
+            true => Explanation::Crashed,
+            false => Explanation::None,
         });
     }
 
-    /// Records that other incarnations at the address of a newly listed worker have crashed.
-    pub(super) fn confirm_crashes_before(
+    /// Records that a lost worker has crashed if a newly listed one has its address and it
+    /// is no longer listed itself. While both are listed, the new one may be the earlier
+    /// incarnation, whose entry has not expired yet.
+    pub(super) fn confirm_replaced(
         &mut self,
         now_ms: u64,
         record: &WorkerRecord,
+        listed: &HashSet<Arc<str>>,
         out: &mut Vec<Command>,
     ) {
         self.explain_losses(now_ms, out, |loss| {
-            let is_earlier = loss.address == record.address && loss.worker_id != record.id;
-            match !loss.has_crashed && is_earlier {
+            let is_replaced = loss.address == record.address && !listed.contains(&loss.worker_id);
+            match is_replaced {
                 true => Explanation::Crashed,
                 false => Explanation::None,
             }
--- a/crates/core/tests/dispatch_crashes.rs
+++ b/crates/core/tests/dispatch_crashes.rs
@@ -270,6 +270,40 @@
     assert_eq!(pool.ended, [("a".to_owned(), Outcome::Completed)]);
 }
 
+#[test]
+fn a_worker_that_another_one_replaces_at_its_address_has_crashed() {
+    for is_still_listed in [false, true] {
+        let mut pool = Pool::new(&["w1", "w2", "w3", "w4", "w5"]);
+        pool.delegate("a", 1);
+        for _ in 0..2 {
+            let runs = pool.workers_of("a").len();
+            pool.dead.insert(pool.workers_of("a")[runs - 1].clone());
+            while pool.workers_of("a").len() == runs && pool.now_ms < 2000 {
+                pool.run_until(pool.now_ms + 1);
+            }
+        }
+        // Two workers are lost; the registry lists others at their addresses.
+        let lost = pool.dead.clone();
+        let records = pool.workers.iter().map(|worker| worker.record.clone());
+        let records: Vec<_> = records
+            .flat_map(|record| {
+                let mut replacement = record.clone();
+                replacement.id = format!("{}-replacement", record.id).into();
+                match lost.contains(&*record.id) {
+                    true if is_still_listed => vec![record, replacement],
+                    true => vec![replacement],
+                    false => vec![record],
+                }
+            })
+            .collect();
+        let mut out = Vec::new();
+        pool.owner.set_workers(pool.now_ms, records, &mut out);
+        pool.take(out);
+        let failed = [("a".to_owned(), Outcome::Failed)];
+        assert_eq!(pool.ended == failed, !is_still_listed, "{:?}", pool.ended);
+    }
+}
+
 #[test]
 fn a_start_that_a_later_incarnation_rejects_does_not_blame_its_task() {
     // Workers that crashed by themselves shortly before the start.
