dispatch: an entry links with the next owner of a pool that its jobs wait for

Cause: in a large deployment an owner's heartbeat names all its pools, and an entry delegates to any of them, also to pools that it does not use by its own hash. When such a pool changes hands, its next owner does not dial the entry, and the entry does not look for it: the job waits until its leases have certainly expired, while the next owner could take it at once.

Fix: pools for whose next owner a job waits count as used, so that the entry reads the store at once and links with their owner. Full meshes are not concerned.

--- a/crates/core/src/dispatch/entry/revocation.rs
+++ b/crates/core/src/dispatch/entry/revocation.rs
@@ -22,6 +22,15 @@
         pools.map(pool_owner).collect()
     }
 
+    /// Pools whose next owners waiting jobs can be delegated to sooner than to others.
+    pub fn awaited_pools(&self, now_ms: u64) -> BTreeSet<String> {
+        let jobs = self.jobs.values();
+        let waiting = jobs
+            .filter(|job| job.state == JobState::Waiting && now_ms < job.unsafe_until_ms)
+            .filter(|job| !job.unsafe_pool.is_empty());
+        waiting.map(|job| job.unsafe_pool.clone()).collect()
+    }
+
     /// Whether jobs are delegated to an owner.
     pub fn has_jobs_at(&self, owner: &str) -> bool {
         let mut jobs = self.jobs.values();
--- a/crates/core/src/dispatch/ownership.rs
+++ b/crates/core/src/dispatch/ownership.rs
@@ -22,7 +22,7 @@
 mod peers;
 mod roster;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use trefoil_schema::dispatch::{Claim, Holder, Node};
 
@@ -120,6 +120,8 @@
     /// Pools of other failure domains, with the highest known claims.
     remote_pools: BTreeMap<String, Option<Claim>>,
     has_read_store: bool,
+    /// Pools whose next owners jobs of this instance's entry wait for.
+    awaited_pools: BTreeSet<String>,
     /// Whether the last list of instances in the store had new ones.
     is_listing_growing: bool,
     pending_claim: Option<PendingClaim>,
@@ -136,6 +138,7 @@
             pools: BTreeMap::new(),
             remote_pools: BTreeMap::new(),
             has_read_store: false,
+            awaited_pools: BTreeSet::new(),
             is_listing_growing: false,
             pending_claim: None,
             leaving: false,
@@ -164,6 +167,11 @@
         }
     }
 
+    /// Sets the pools whose next owners jobs of this instance's entry wait for.
+    pub fn set_awaited_pools(&mut self, names: BTreeSet<String>) {
+        self.awaited_pools = names;
+    }
+
     /// Stops claiming pools, because this instance is leaving.
     pub fn leave(&mut self) {
         self.leaving = true;
--- a/crates/core/src/dispatch/ownership/neighbours.rs
+++ b/crates/core/src/dispatch/ownership/neighbours.rs
@@ -87,14 +87,21 @@
             })
     }
 
-    /// Owners of the pools that this instance uses; `None` for a pool without an owner.
+    /// Owners of the pools that this instance uses, or for whose next owner its jobs wait;
+    /// `None` for a pool without an owner.
+    ///
+    /// An entry also delegates to other pools of the owners that it is linked with. Their
+    /// next owners do not know of it, and do not dial it.
     fn owners_in_use(&self) -> impl Iterator<Item = Option<&Node>> {
+        let is_awaited = |name: &str| self.awaited_pools.contains(name);
         let local = self.pools.iter();
-        let local = local.filter(|(name, _)| self.watches(&self.me, name));
+        let local = local.filter(move |(name, _)| is_awaited(name) || self.watches(&self.me, name));
         let local = local.map(|(_, pool)| pool.owner());
-        let remote = rendezvous_select(&self.me.name, self.remote_pools.keys(), REMOTE_POOLS);
-        let remote = remote.into_iter();
-        local.chain(remote.map(|name| self.remote_pools[name].as_ref()?.owner.as_ref()))
+        let used = rendezvous_select(&self.me.name, self.remote_pools.keys(), REMOTE_POOLS);
+        let remote = self.remote_pools.iter();
+        let remote =
+            remote.filter(move |(name, _)| is_awaited(name) || used.contains(&name.as_str()));
+        local.chain(remote.map(|(_, claim)| claim.as_ref()?.owner.as_ref()))
     }
 
     /// Names of the local pools that this instance uses.
--- a/crates/core/tests/dispatch_entry.rs
+++ b/crates/core/tests/dispatch_entry.rs
@@ -188,6 +188,22 @@
     assert!(entry.is_empty());
 }
 
+#[test]
+fn a_lost_job_awaits_the_next_owner_of_its_pool() {
+    let mut entry = Entry::new("forde");
+    let owner = pool_owner("forde/0", "a");
+    update_pool(&mut entry, 0, "forde/0", "a", 0);
+    submit(&mut entry, 1, 1, "x");
+    assert!(entry.awaited_pools(1).is_empty());
+    entry.on_job_ended(2, &owner, &result("x", Outcome::Lost), &mut Vec::new());
+    assert!(entry.awaited_pools(3).contains("forde/0"));
+    // Afterwards any owner can have it.
+    assert!(entry.awaited_pools(2 + REDELEGATION_DELAY_MS).is_empty());
+    let out = update_pool(&mut entry, 150, "forde/0", "b", 0);
+    assert_eq!(delegated(&out)[0].0, pool_owner("forde/0", "b"));
+    assert!(entry.awaited_pools(151).is_empty());
+}
+
 #[test]
 fn the_result_of_an_earlier_delegation_is_ignored() {
     // The owner returns a job over one link after it was revoked and delegated to the same
--- a/crates/core/tests/dispatch_neighbours.rs
+++ b/crates/core/tests/dispatch_neighbours.rs
@@ -1,6 +1,6 @@
 //! Links and watched pools in large deployments.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use trefoil_core::dispatch::ownership::{ClaimRecord, Command, Ownership};
 use trefoil_core::dispatch::pool;
@@ -221,6 +221,26 @@
     }
 }
 
+#[test]
+fn an_entry_links_with_the_next_owner_of_a_pool_that_its_jobs_wait_for() {
+    let claims = claims();
+    let mut ownership = instance(100, 236, &claims);
+    let before = names(&ownership.desired_peers());
+    // Of a local and of a remote pool that the instance does not use.
+    for (domain, name) in DOMAINS.iter().enumerate() {
+        let is_unused = |index: &u32| !before.contains(&owner_of(domain, *index).name);
+        let index = (0..POOLS).find(is_unused).unwrap();
+        let pool = pool::name(name, index);
+        ownership.set_awaited_pools(BTreeSet::from([pool.clone()]));
+        let desired = names(&ownership.desired_peers());
+        assert!(desired.contains(&owner_of(domain, index).name), "{pool}");
+        assert_eq!(desired.len(), before.len() + 1);
+        assert!(!ownership.is_linked_to_owners(), "the store is read");
+    }
+    ownership.set_awaited_pools(BTreeSet::new());
+    assert_eq!(names(&ownership.desired_peers()), before);
+}
+
 #[test]
 fn every_pool_is_watched_by_some_of_the_strongest_instances() {
     // A tenth of the instances has eight times the CPU of the others.
--- a/crates/instance/src/instance/effects.rs
+++ b/crates/instance/src/instance/effects.rs
@@ -84,7 +84,12 @@
                 cause,
             } => {
                 info!(self.log, #WORK_TAG, "delegation revoked"; "job" => job_id, "pool" => from.pool,
-                "owner" => from.owner, "cause" => ?cause)
+                "owner" => from.owner, "cause" => ?cause);
+                let is_released = cause == RevocationCause::Told(Outcome::Lost);
+                if is_released && !self.state.borrow().ownership.is_full_mesh() {
+                    // The next owner has written its claim, and may not be linked.
+                    self.store_read_requested.notify_waiters();
+                }
             }
             entry::Command::StaleResult {
                 from,
--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -303,9 +303,13 @@
         }
         let mut state = self.state.borrow_mut();
         let State {
-            ownership, peers, ..
+            ownership,
+            peers,
+            entry,
+            ..
         } = &mut *state;
         let is_mesh = ownership.is_full_mesh();
+        ownership.set_awaited_pools(entry.awaited_pools(now_ms));
         for node in ownership.desired_peers() {
             let name = node.name.as_str();
             let dialed_ms = peers.dialed_ms.get(name);
