--- a/crates/instance/src/instance/effects.rs
+++ b/crates/instance/src/instance/effects.rs
@@ -85,9 +85,10 @@
             } => {
                 info!(self.log, #WORK_TAG, "delegation revoked"; "job" => job_id, "pool" => from.pool,
                 "owner" => from.owner, "cause" => ?cause);
-                let is_released = cause == RevocationCause::Told(Outcome::Lost);
-                if is_released && !self.state.borrow().ownership.is_full_mesh() {
-                    // The next owner has written its claim, and may not be linked.
+                // Unless the owner is out of reach, the next one has written its claim by
+                // now, and may not be linked.
+                let is_handed_over = cause != RevocationCause::LinkLost;
+                if is_handed_over && !self.state.borrow().ownership.is_full_mesh() {
                     self.store_read_requested.notify_waiters();
                 }
             }
