instance: reads of the store are not left to owners that have lost it

Cause: an instance without pools reads the store every 4 s while a linked owner says that it reads it, and asked so only at the start of the 4 s. All owners lost the store 0.5 s later and the next configuration came at once; nobody told the instance. That an owner reads was also believed for 1.5 s after it had been true, and said by owners for 1.5 s after their last read.

Evidence: front-new-kingston-3's line "declarations in force" with confirmed_ms_ago 3925, 2.8 s after the configuration was acknowledged; the store was away for just the three owners from 17.1 s on.

Fix: the interval is chosen anew every 100 ms, by the owners' last heartbeats, and owners say that they read for 1 s after a read. The test an_instance_reads_the_store_itself_once_no_linked_owner_does failed before.

The tests of the crate share one binary and its support.

--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -332,10 +332,7 @@
 
     /// Whether a linked owner has reported a recent read of the store.
     pub(crate) fn owner_reads_store(&self) -> bool {
-        self.state
-            .borrow()
-            .peers
-            .any_peer_reads_store(self.now_ms())
+        self.state.borrow().peers.any_peer_reads_store()
     }
 
     fn update_gauges(&self) {
--- a/crates/instance/src/instance/frames.rs
+++ b/crates/instance/src/instance/frames.rs
@@ -102,9 +102,7 @@
         let name = link.peer.name.clone();
         link.owns_pools = !heartbeat.owned.is_empty();
         link.peer_sent_ms = link.peer_sent_ms.max(heartbeat.sent_ms);
-        if heartbeat.store_fresh {
-            link.store_fresh_ms = Some(now_ms);
-        }
+        link.store_fresh = heartbeat.store_fresh;
         // `echo_ms` is the time of the last heartbeat that the peer got over this link.
         if heartbeat.echo_ms > 0 {
             for owner in state.owners.values_mut() {
--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -57,7 +57,8 @@
     pub(super) last_heard_ms: u64,
     /// When declarations were last requested from the peer.
     pub(super) config_requested_ms: Option<u64>,
-    pub(super) store_fresh_ms: Option<u64>,
+    /// Whether the peer owns a pool and reads the store, by its last heartbeat.
+    pub(super) store_fresh: bool,
     /// Whether the peer owns a pool, which shortens the link's timeout.
     pub(super) owns_pools: bool,
     /// Latest time of the peer's clock received in its heartbeats.
@@ -65,8 +66,10 @@
     _guard: LinkGuard,
 }
 
-/// Maximum age of a read of the store that is reported as fresh.
-pub(super) const STORE_FRESH_MS: u64 = 1500;
+/// Maximum age of a read of the store that is reported as fresh: longer than an owner's
+/// interval between reads, and short enough for others to read new declarations within the
+/// two seconds in which they must be in force.
+pub(super) const STORE_FRESH_MS: u64 = 1000;
 
 /// All links, and the state of dialing.
 #[derive(Default)]
@@ -116,12 +119,8 @@
     }
 
     /// Whether any peer has recently reported a fresh read of the store.
-    pub(super) fn any_peer_reads_store(&self, now_ms: u64) -> bool {
-        let mut links = self.links.values();
-        links.any(|link| {
-            let fresh_ms = link.store_fresh_ms;
-            fresh_ms.is_some_and(|fresh_ms| fresh_ms + STORE_FRESH_MS > now_ms)
-        })
+    pub(super) fn any_peer_reads_store(&self) -> bool {
+        self.links.values().any(|link| link.store_fresh)
     }
 }
 
@@ -216,7 +215,7 @@
                 sender,
                 last_heard_ms: now_ms,
                 config_requested_ms: None,
-                store_fresh_ms: None,
+                store_fresh: false,
                 owns_pools: false,
                 peer_sent_ms: 0,
                 _guard: guard,
--- a/crates/instance/src/store_polling.rs
+++ b/crates/instance/src/store_polling.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use slog::{info, warn};
+use tokio::time::Instant;
 use trefoil_core::dispatch::pool;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -20,6 +21,9 @@
 const OWNER_READ_INTERVAL: Duration = Duration::from_millis(700);
 /// Interval between reads while a linked owner reports that it reads the store.
 const FOLLOWER_READ_INTERVAL: Duration = Duration::from_millis(4000);
+/// Interval of checks whether linked owners still read the store; their heartbeats come as
+/// often.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Delay after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Interval between renewals of the registration; a third of its TTL.
@@ -73,18 +77,31 @@
         let failed = result.is_err();
         health.log_change(&instance, "reads", result);
         health.failed = failed;
+        tokio::select! {
+            () = wait_until_due(&instance, failed) => {}
+            () = read_requested => {}
+        }
+    }
+}
+
+/// Waits until the next read is due. The interval is chosen again at each check, since the
+/// owners that reads are left to may lose the store meanwhile.
+async fn wait_until_due<P: Store + WorkerClient + 'static>(instance: &Instance<P>, failed: bool) {
+    let began = Instant::now();
+    loop {
         let left_to_owners = !instance.owns_pools()
             && instance.owner_reads_store()
             && !instance.is_awaiting_successor();
-        let delay = match (failed, left_to_owners) {
+        let interval = match (failed, left_to_owners) {
             (true, _) => RETRY_DELAY,
             (false, true) => FOLLOWER_READ_INTERVAL,
             (false, false) => OWNER_READ_INTERVAL,
         };
-        tokio::select! {
-            () = tokio::time::sleep(delay) => {}
-            () = read_requested => {}
+        let remaining = interval.saturating_sub(began.elapsed());
+        if remaining.is_zero() {
+            return;
         }
+        tokio::time::sleep(remaining.min(CHECK_INTERVAL)).await;
     }
 }
 
--- /dev/null
+++ b/crates/instance/tests/instance/main.rs
@@ -0,0 +1,6 @@
+//! Tests of an instance on a fake platform.
+
+mod restarted_peer;
+mod store_reads;
+mod support;
+mod suspension;
--- a/crates/instance/tests/support/mod.rs
+++ b/crates/instance/tests/instance/support/mod.rs
@@ -1,9 +1,12 @@
 //! A fake platform, and the settings of an instance on it.
 
+pub mod link;
+
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use tokio::task::LocalSet;
 use trefoil_core::dispatch::order::{
     OrderOutcome, RenewOrder, RenewOutcome, StartOrder, StopOrder,
 };
@@ -16,14 +19,28 @@
 
 pub const DOMAIN: &str = "forde";
 
-/// A platform without workers whose store has one pool and accepts every claim.
-#[derive(Default)]
+/// A platform without workers whose store accepts every claim.
 pub struct FakePlatform {
+    /// Number of pools of the failure domain.
+    pub pools: u32,
     pub claims: Rc<Cell<u64>>,
+    /// Number of reads of the declarations.
+    pub reads: Rc<Cell<u64>>,
+}
+
+impl Default for FakePlatform {
+    fn default() -> Self {
+        Self {
+            pools: 1,
+            claims: Rc::default(),
+            reads: Rc::default(),
+        }
+    }
 }
 
 impl Store for FakePlatform {
     async fn declarations(&self) -> Result<DeclarationsUpdate, StoreError> {
+        self.reads.set(self.reads.get() + 1);
         Ok(DeclarationsUpdate {
             confirmed_revision: 1,
             changed: Some(Declarations::default()),
@@ -32,7 +49,7 @@
 
     async fn deployment_state(&self) -> Result<DeploymentState, StoreError> {
         Ok(DeploymentState {
-            pool_counts: HashMap::from([(DOMAIN.to_owned(), 1)]),
+            pool_counts: HashMap::from([(DOMAIN.to_owned(), self.pools)]),
             ..DeploymentState::default()
         })
     }
@@ -97,3 +114,12 @@
         stop_budget_ms: 6000,
     }
 }
+
+/// Runs a test on a single-threaded runtime.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
--- a/crates/instance/tests/suspension.rs
+++ b/crates/instance/tests/instance/suspension.rs
@@ -1,19 +1,18 @@
 //! Suspension of the machine: the instance's clock includes the suspended time, the
 //! runtime's timers do not.
 
-mod support;
-
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
-use support::{FakePlatform, settings};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::spawn_local;
 use trefoil_instance::clock::Clock;
 use trefoil_instance::instance::Instance;
 use trefoil_instance::metrics::Metrics;
 use trefoil_instance::store_polling;
 
+use crate::support::{FakePlatform, run, settings};
+
 /// Long enough for peers to close their links and take over the pool.
 const SUSPENDED_MS: u64 = 3000;
 const TIMEOUT: Duration = Duration::from_secs(20);
@@ -40,11 +39,7 @@
 
 #[test]
 fn a_suspended_owner_releases_its_pool_and_claims_it_again() {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    LocalSet::new().block_on(&runtime, async {
+    run(async {
         let now_ms = Rc::new(Cell::new(0));
         spawn_local(run_clock(Rc::clone(&now_ms)));
         let platform = FakePlatform::default();
