--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -55,6 +55,8 @@
 
 /// Interval of the instance's timer, which drives retries and timeouts.
 const TICK_MS: u64 = 25;
+/// Instances of a failure domain that read the store when no linked owner does.
+const STANDBY_READERS: usize = 2;
 /// A tick that is this late counts as a stall of the process: peers have closed its
 /// links, and its leases may have expired. Peers run its jobs again only after
 /// [`LINK_TIMEOUT_MS`] plus [`REDELEGATION_DELAY_MS`].
@@ -330,6 +332,12 @@
         now_ms < since_ms + SUCCESSOR_WAIT_MAX_MS
     }
 
+    /// Whether this instance reads the store for others of its failure domain when no
+    /// owner does. If all did, a slow store would get more calls the slower it is.
+    pub(crate) fn is_standby_reader(&self) -> bool {
+        self.state.borrow().ownership.rank_in_domain() < STANDBY_READERS
+    }
+
     /// Whether a linked owner has reported a recent read of the store.
     pub(crate) fn owner_reads_store(&self) -> bool {
         self.state.borrow().peers.any_peer_reads_store()
--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -69,7 +69,7 @@
 /// Maximum age of a read of the store that is reported as fresh: longer than an owner's
 /// interval between reads, and short enough for others to read new declarations within the
 /// two seconds in which they must be in force.
-pub(super) const STORE_FRESH_MS: u64 = 1000;
+pub(super) const STORE_FRESH_MS: u64 = 1500;
 
 /// All links, and the state of dialing.
 #[derive(Default)]
--- a/crates/instance/src/store_polling.rs
+++ b/crates/instance/src/store_polling.rs
@@ -71,26 +71,42 @@
 async fn poll_store<P: Store + WorkerClient + 'static>(instance: Rc<Instance<P>>) {
     let mut health = StoreHealth::default();
     let mut worker_count = WorkerCount::default();
+    let mut next_read = NextRead::Everything;
     loop {
         let read_requested = instance.store_read_requested.notified();
-        let result = read_once(&instance, &mut worker_count).await;
+        let result = match next_read {
+            NextRead::Everything => read_once(&instance, &mut worker_count).await,
+            NextRead::Declarations => read_declarations(&instance).await,
+        };
         let failed = result.is_err();
         health.log_change(&instance, "reads", result);
         health.failed = failed;
-        tokio::select! {
-            () = wait_until_due(&instance, failed) => {}
-            () = read_requested => {}
-        }
+        next_read = tokio::select! {
+            next_read = wait_until_due(&instance, failed) => next_read,
+            () = read_requested => NextRead::Everything,
+        };
     }
 }
 
+/// What the next read of the store reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NextRead {
+    Everything,
+    Declarations,
+}
+
 /// Waits until the next read is due. The interval is chosen again at each check, since the
-/// owners that reads are left to may lose the store meanwhile.
-async fn wait_until_due<P: Store + WorkerClient + 'static>(instance: &Instance<P>, failed: bool) {
+/// owners that reads are left to may lose the store meanwhile. Then the declarations alone
+/// are read: only they must be in force in time, and the store may be overloaded.
+async fn wait_until_due<P: Store + WorkerClient + 'static>(
+    instance: &Instance<P>,
+    failed: bool,
+) -> NextRead {
     let began = Instant::now();
+    let mut was_left_to_owners = false;
     loop {
         let left_to_owners = !instance.owns_pools()
-            && instance.owner_reads_store()
+            && (instance.owner_reads_store() || !instance.is_standby_reader())
             && !instance.is_awaiting_successor();
         let interval = match (failed, left_to_owners) {
             (true, _) => RETRY_DELAY,
@@ -99,8 +115,13 @@
         };
         let remaining = interval.saturating_sub(began.elapsed());
         if remaining.is_zero() {
-            return;
+            let is_early = was_left_to_owners && began.elapsed() < FOLLOWER_READ_INTERVAL;
+            return match is_early {
+                true => NextRead::Declarations,
+                false => NextRead::Everything,
+            };
         }
+        was_left_to_owners |= left_to_owners;
         tokio::time::sleep(remaining.min(CHECK_INTERVAL)).await;
     }
 }
@@ -124,16 +145,20 @@
         }
         Ok(())
     };
-    let declarations = async {
-        let began_ms = instance.now_ms();
-        instance.apply_stored_declarations(instance.platform.declarations().await?, began_ms);
-        Ok(())
-    };
+    let declarations = read_declarations(instance);
     // A failing read does not cancel the others: declarations must arrive in time.
     let (workers, deployment, declarations) = tokio::join!(workers, deployment, declarations);
     workers.and(deployment).and(declarations)
 }
 
+async fn read_declarations<P: Store + WorkerClient + 'static>(
+    instance: &Rc<Instance<P>>,
+) -> Result<(), StoreError> {
+    let began_ms = instance.now_ms();
+    instance.apply_stored_declarations(instance.platform.declarations().await?, began_ms);
+    Ok(())
+}
+
 /// Number of registered workers, and since when it has been stable.
 #[derive(Default)]
 struct WorkerCount {
