--- a/crates/instance/src/store_polling.rs
+++ b/crates/instance/src/store_polling.rs
@@ -96,8 +96,9 @@
 }
 
 /// Waits until the next read is due. The interval is chosen again at each check, since the
-/// owners that reads are left to may lose the store meanwhile. Then the declarations alone
-/// are read: only they must be in force in time, and the store may be overloaded.
+/// owners that reads are left to may lose the store meanwhile. Then the first read is of
+/// the declarations alone: only they must be in force in time, and the store may be
+/// overloaded.
 async fn wait_until_due<P: Store + WorkerClient + 'static>(
     instance: &Instance<P>,
     failed: bool,
