core, replay: interfaces of the parts that answer hard load

Load reports carry free CPU by worker, a begin delay, classes, speeds by kind and the number of slow workers; owners keep the reports of other pools. Settings get remote_penalty and class_weights.

--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -212,6 +212,7 @@
         }
         let known = self.pools.get(&claim.pool);
         let was_serving = known.is_some_and(|view| view.load.serving);
+        let is_serving = load.serving;
         let view = PoolView {
             holder,
             failure_domain: claim.failure_domain.clone(),
@@ -221,7 +222,7 @@
             delegated_millicores: 0,
         };
         self.pools.insert(claim.pool.clone(), view);
-        if load.serving && !was_serving {
+        if is_serving && !was_serving {
             self.delegate_waiting(now_ms, out);
         }
     }
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -16,6 +16,7 @@
 //! * [`lease_renewal`]: lease renewal, and recovery of unanswered orders.
 //! * [`poison_tasks`]: tasks that crash the workers that start them.
 //! * [`overdue`]: polling and stopping of overdue runs.
+//! * [`peer_loads`]: loads of other pools.
 //! * [`adopt`]: adoption of a predecessor's runs.
 //! * [`closure`]: evacuation of a closed failure domain.
 //! * [`start_barrier`]: when a job that an earlier owner had may start.
@@ -37,6 +38,7 @@
 mod order_results;
 mod origins;
 mod overdue;
+mod peer_loads;
 mod placement;
 mod poison_tasks;
 mod queue;
@@ -52,7 +54,7 @@
 use std::sync::Arc;
 
 use slotmap::SlotMap;
-use trefoil_schema::dispatch::{Holder, Job as JobSpec, Outcome};
+use trefoil_schema::dispatch::{Holder, Job as JobSpec, Load, Outcome};
 
 use super::fence::Fence;
 use super::job::{Job, Origin, Task, TaskState};
@@ -108,6 +110,7 @@
     stored_roster: Option<Roster>,
     released: bool,
     admission: admission::Admission,
+    peer_loads: peer_loads::PeerLoads,
     settings: Settings,
 }
 
@@ -137,6 +140,7 @@
             stored_roster: None,
             released: false,
             admission: admission::Admission::default(),
+            peer_loads: peer_loads::PeerLoads::default(),
             settings: Settings::default(),
         }
     }
@@ -165,6 +169,13 @@
         &self.pool
     }
 
+    /// Records the load of another owner's pool, from its heartbeat.
+    pub fn observe_pool_load(&mut self, now_ms: u64, pool: &str, load: &Load) {
+        if pool != &*self.pool {
+            self.peer_loads.observe(now_ms, pool, load);
+        }
+    }
+
     /// Updates the workers that the registry lists for the pool. Workers that are no
     /// longer listed stay in use for a grace period.
     pub fn set_workers(&mut self, now_ms: u64, records: Vec<WorkerRecord>, out: &mut Vec<Command>) {
@@ -289,6 +300,7 @@
             return;
         }
         self.dirty_workers.extend(self.workers.keys());
+        self.peer_loads.expire(now_ms);
         self.queue.invalidate();
         self.expire_origins(now_ms, out);
         self.check_deadlines(now_ms, out);
--- a/crates/core/src/dispatch/owner/placement.rs
+++ b/crates/core/src/dispatch/owner/placement.rs
@@ -16,10 +16,6 @@
 const PRIOR_FAILURE_COST: f64 = 100.0;
 /// Cost of starting a suspect task beside others, or another task beside it.
 const SUSPECT_COLOCATION_COST: f64 = 10.0;
-/// Factor on run time away from the task's data: the lower bound that the platform's
-/// contract states.
-const REMOTE_DATA_FACTOR: f64 = 1.5;
-
 /// A run is stalled after this multiple of its expected time, plus [`STALL_SLACK_MS`].
 const STALL_FACTOR: f64 = 3.0;
 const STALL_SLACK_MS: u64 = 150;
@@ -222,7 +218,11 @@
         }
         let rack = phase.data_rack.as_str();
         let remote = !rack.is_empty() && !worker.record.labels.contains(rack);
-        let distance = if remote { REMOTE_DATA_FACTOR } else { 1.0 };
+        let distance = if remote {
+            self.settings.remote_penalty
+        } else {
+            1.0
+        };
         let left = candidate.free.minus(resources).cpu_millicores as f64;
         let unused_share = left / worker.record.capacity.cpu_millicores.max(1) as f64;
         let has_failed = job.failed_on.contains(&candidate.key);
@@ -234,7 +234,7 @@
             0.0
         };
         Some(
-            worker.health.slowdown * distance
+            worker.run_time_factor() * distance
                 + FRAGMENTATION_WEIGHT * unused_share
                 + failure_cost
                 + suspect_cost,
@@ -270,10 +270,10 @@
         let phase = job.phase(&job.tasks[index]);
         let resources = resources_of(phase);
         let estimate_ms = phase.estimate_ms;
-        let expected_ms = (estimate_ms as f64 * worker.health.slowdown) as u64;
+        let expected_ms = worker.expected_ms(estimate_ms);
         // The estimate may be far too low; the timeouts also allow for the class's mean.
         let mean_ms = self.run_times.mean_ms(&job.spec.class);
-        let mean_ms = mean_ms.map_or(0, |mean_ms| (mean_ms * worker.health.slowdown) as u64);
+        let mean_ms = mean_ms.map_or(0, |mean_ms| worker.expected_ms(mean_ms as u64));
         let task = &mut job.tasks[index];
         task.run_id = self.run_id_counter.max(task.run_id + 1);
         task.state = TaskState::Assigned(worker_key);
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -202,6 +202,8 @@
     pub leases_expire_ms: u64,
     /// Recent failures and speed.
     pub health: WorkerHealth,
+    /// Factor on run times while the worker is temporarily slow; 1 if it is not.
+    pub degradation: f64,
 }
 
 impl Worker {
@@ -227,9 +229,21 @@
             clock: None,
             leases_expire_ms: 0,
             health: WorkerHealth::default(),
+            degradation: 1.0,
         }
     }
 
+    /// Expected run time here of a task that takes `estimate_ms` on a worker of average
+    /// speed.
+    pub fn expected_ms(&self, estimate_ms: u64) -> u64 {
+        (estimate_ms as f64 * self.run_time_factor()) as u64
+    }
+
+    /// Factor on run times here, relative to a worker of average speed.
+    pub fn run_time_factor(&self) -> f64 {
+        self.health.slowdown * self.degradation
+    }
+
     /// Capacity that no run may be using; zero if the resources of a run are unknown.
     pub fn free_resources(&self) -> Resources {
         let mut free = self.record.capacity;
--- a/crates/core/tests/dispatch_closure.rs
+++ b/crates/core/tests/dispatch_closure.rs
@@ -88,6 +88,7 @@
         capacity_millicores: 10_000,
         free_millicores: 10_000,
         backlog_millicore_ms: 0,
+        ..Load::default()
     };
     entry.update_pool(0, &claim, load, out);
 }
--- a/crates/core/tests/dispatch_entry.rs
+++ b/crates/core/tests/dispatch_entry.rs
@@ -50,6 +50,7 @@
         capacity_millicores: 10_000,
         backlog_millicore_ms,
         free_millicores: if idle { 10_000 } else { 0 },
+        ..Load::default()
     }
 }
 
--- a/crates/instance/src/instance/effects.rs
+++ b/crates/instance/src/instance/effects.rs
@@ -207,7 +207,9 @@
             "workers_of_predecessor" => roster);
         let fence = Fence::new(claim.term, &self.node.name);
         let owner = Owner::new(&claim.pool, fence, unix_ms());
-        let mut owner = owner.with_predecessor(holder_of(claim), predecessor);
+        let mut owner = owner
+            .with_predecessor(holder_of(claim), predecessor)
+            .with_settings(self.settings.owner_settings());
         owner.await_declarations();
         let mut state = self.state.borrow_mut();
         state.owners.insert(claim.pool.clone(), owner);
--- a/crates/instance/src/instance/frames.rs
+++ b/crates/instance/src/instance/frames.rs
@@ -142,6 +142,9 @@
             return;
         };
         let load = owned.load.unwrap_or_default();
+        for known in state.owners.values_mut() {
+            known.observe_pool_load(now_ms, &claim.pool, &load);
+        }
         let owner = claim.owner.as_ref().map_or("", |node| node.name.as_str());
         // Jobs are delegated only over links that are not draining.
         if owner == self.node.name || state.peers.link_to(owner).is_some() {
@@ -237,6 +240,7 @@
                 pool,
                 retry_after_ms: result.retry_after_ms,
                 delegation: result.delegation,
+                load: None,
             })));
         }
     }
--- a/crates/instance/src/instance/workers.rs
+++ b/crates/instance/src/instance/workers.rs
@@ -113,6 +113,7 @@
         memory_mb: record.capacity.memory_mb,
         gpus: record.capacity.gpus,
         labels: record.labels.iter().map(ToString::to_string).collect(),
+        remaining_ms: 0,
     }
 }
 
--- a/crates/instance/src/settings.rs
+++ b/crates/instance/src/settings.rs
@@ -1,11 +1,13 @@
 //! Loading and validation of instance settings.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
 
 use derive_more::{Display, Error};
 use serde::Deserialize;
+use trefoil_core::dispatch::owner;
 
 /// Settings of one instance, read from a JSON file.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -44,6 +46,12 @@
     /// Time from the stop request until the platform kills the process.
     #[serde(default = "default_stop_budget_ms")]
     pub stop_budget_ms: u64,
+    /// Factor on the run time of a task away from its data.
+    #[serde(default = "default_remote_penalty")]
+    pub remote_penalty: f64,
+    /// Weights of job classes (routes) in fair sharing.
+    #[serde(default)]
+    pub class_weights: BTreeMap<String, f64>,
 }
 
 impl InstanceSettings {
@@ -56,6 +64,15 @@
     pub(crate) fn weight_millicores(&self) -> u64 {
         (self.cpu_share * self.cores * 1000.0) as u64
     }
+
+    /// Settings of the owners of pools.
+    pub(crate) fn owner_settings(&self) -> owner::Settings {
+        owner::Settings {
+            remote_penalty: self.remote_penalty,
+            class_weights: self.class_weights.clone(),
+            ..owner::Settings::default()
+        }
+    }
 }
 
 fn default_cores() -> f64 {
@@ -66,6 +83,10 @@
     5000
 }
 
+fn default_remote_penalty() -> f64 {
+    owner::Settings::default().remote_penalty
+}
+
 /// The platform's stop timeout.
 fn default_stop_budget_ms() -> u64 {
     6000
@@ -146,5 +167,12 @@
     if settings.stop_budget_ms == 0 {
         return Err(value("stop_budget_ms", "a number greater than 0"));
     }
+    if !(settings.remote_penalty.is_finite() && settings.remote_penalty >= 1.0) {
+        return Err(value("remote_penalty", "a number of at least 1"));
+    }
+    let is_valid_weight = |weight: &f64| weight.is_finite() && *weight > 0.0;
+    if !settings.class_weights.values().all(is_valid_weight) {
+        return Err(value("class_weights", "numbers greater than 0"));
+    }
     Ok(settings)
 }
--- a/crates/instance/tests/instance/support/mod.rs
+++ b/crates/instance/tests/instance/support/mod.rs
@@ -3,7 +3,7 @@
 pub mod link;
 
 use std::cell::Cell;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
 use tokio::task::LocalSet;
@@ -111,6 +111,8 @@
         cpu_share: 1.0,
         cores: 1.0,
         close_within_ms: 5000,
+        remote_penalty: 1.5,
+        class_weights: BTreeMap::new(),
         stop_budget_ms: 6000,
     }
 }
--- a/crates/replay/src/arrivals.rs
+++ b/crates/replay/src/arrivals.rs
@@ -5,7 +5,7 @@
 use trefoil_fakes::load::distribution::{Distribution, exponential};
 use trefoil_schema::dispatch::{Job, Phase};
 
-use crate::pattern::{Disturbance, JobClass, Pattern};
+use crate::pattern::{Disturbance, JobClass, Pattern, Tail};
 
 /// The response time objective is `STRETCH` times the longest run time plus `SLO_MS`.
 const STRETCH: f64 = 1.6;
@@ -86,37 +86,76 @@
 ) {
     let mut at_ms = 0.0;
     loop {
-        let factor = burst_factor(pattern, class, at_ms as u64);
+        let factors = domain_factors(pattern, class, at_ms as u64);
+        let factor = factors.iter().sum::<f64>() / factors.len() as f64;
         let per_ms = pattern.classes[class].base_rate_per_s * factor / 1000.0;
         at_ms += exponential(random, per_ms);
         if at_ms >= pattern.duration_ms as f64 {
             return;
         }
-        arrivals.push(arrival(pattern, class, at_ms as u64, random));
+        arrivals.push(arrival(pattern, class, at_ms as u64, &factors, random));
     }
 }
 
-fn burst_factor(pattern: &Pattern, class: usize, now_ms: u64) -> f64 {
-    let factors = pattern
-        .disturbances
-        .iter()
-        .filter_map(|disturbance| match *disturbance {
-            Disturbance::Burst {
-                class: affected,
-                factor,
-                from_ms,
-                to_ms,
-            } if affected.is_none_or(|affected| affected == class)
-                && (from_ms..to_ms).contains(&now_ms) =>
-            {
-                Some(factor)
-            }
-            _ => None,
-        });
-    factors.product()
+/// Factors on a class's base rate, by failure domain of the callers.
+fn domain_factors(pattern: &Pattern, class: usize, now_ms: u64) -> Vec<f64> {
+    let domains = 0..pattern.topology.domains;
+    let factor = |domain| {
+        let disturbances = pattern.disturbances.iter();
+        let factors =
+            disturbances.map(|disturbance| rate_factor(disturbance, class, domain, now_ms));
+        factors.product()
+    };
+    domains.map(factor).collect()
+}
+
+fn rate_factor(disturbance: &Disturbance, class: usize, domain: u32, now_ms: u64) -> f64 {
+    match *disturbance {
+        Disturbance::Burst {
+            class: burst_class,
+            domain: burst_domain,
+            factor,
+            from_ms,
+            to_ms,
+        } if burst_class.is_none_or(|burst_class| burst_class == class)
+            && burst_domain.is_none_or(|burst_domain| burst_domain == domain)
+            && (from_ms..to_ms).contains(&now_ms) =>
+        {
+            factor
+        }
+        Disturbance::Wave {
+            swing,
+            period_ms,
+            phase_step,
+        } => {
+            let periods = now_ms as f64 / period_ms as f64 + phase_step * f64::from(domain);
+            1.0 + swing * (periods * std::f64::consts::TAU).sin()
+        }
+        _ => 1.0,
+    }
 }
 
-fn arrival(pattern: &Pattern, class: usize, at_ms: u64, random: &mut ChaCha8Rng) -> Arrival {
+/// Draws the failure domain of a caller, with probabilities proportional to the rates.
+fn sample_domain(factors: &[f64], random: &mut ChaCha8Rng) -> u32 {
+    let is_even = factors.iter().all(|factor| *factor == factors[0]);
+    if is_even {
+        return random.random_range(0..factors.len() as u32);
+    }
+    let mut left = random.random::<f64>() * factors.iter().sum::<f64>();
+    let position = factors.iter().position(|factor| {
+        left -= factor;
+        left < 0.0
+    });
+    position.unwrap_or(factors.len() - 1) as u32
+}
+
+fn arrival(
+    pattern: &Pattern,
+    class: usize,
+    at_ms: u64,
+    domain_factors: &[f64],
+    random: &mut ChaCha8Rng,
+) -> Arrival {
     let shape = &pattern.classes[class];
     let run_time_distribution = Distribution::Lognormal {
         mean: shape.run_mean_ms,
@@ -127,7 +166,8 @@
     let tasks = sample_task_count(shape, random);
     let task_noise = noise_factor(TASK_SIGMA);
     let run_times_ms: Vec<u64> = (0..tasks)
-        .map(|_| (run_ms * task_noise.sample(random)).max(1.0) as u64)
+        .map(|_| run_ms * task_noise.sample(random) * tail_factor(pattern.tail, random))
+        .map(|run_ms| run_ms.max(1.0) as u64)
         .collect();
     let estimate_ms = (run_ms * noise_factor(ESTIMATE_SIGMA).sample(random)).max(1.0) as u64;
     let longest_ms = run_times_ms.iter().copied().max().unwrap_or(0);
@@ -135,7 +175,7 @@
     let mut arrival = Arrival {
         at_ms,
         class,
-        domain: random.random_range(0..pattern.topology.domains),
+        domain: sample_domain(domain_factors, random),
         entry: random.random_range(0..pattern.topology.entries_per_domain),
         spec: job_spec(shape, tasks, estimate_ms, random),
         run_times_ms,
@@ -151,6 +191,14 @@
     arrival
 }
 
+/// Factor on the run time of one task.
+fn tail_factor(tail: Option<Tail>, random: &mut ChaCha8Rng) -> f64 {
+    match tail {
+        Some(tail) if random.random::<f64>() < tail.share => tail.factor,
+        _ => 1.0,
+    }
+}
+
 /// Lognormal factor of mean 1.
 fn noise_factor(sigma: f64) -> Distribution {
     Distribution::Lognormal { mean: 1.0, sigma }
--- a/crates/replay/src/bin/trefoil-replay.rs
+++ b/crates/replay/src/bin/trefoil-replay.rs
@@ -12,7 +12,12 @@
 use trefoil_replay::{arrivals, bound, simulation};
 
 /// Admits every job and refuses queued ones only once they have expired.
-const ADMIT_ALL: Settings = Settings { admit_all: true };
+fn admit_all() -> Settings {
+    Settings {
+        admit_all: true,
+        ..Settings::default()
+    }
+}
 
 fn main() -> Result<(), Box<dyn Error>> {
     let matches = command().get_matches();
@@ -79,11 +84,11 @@
 
 fn show(matches: &ArgMatches) {
     let settings = match matches.get_flag("admit-all") {
-        true => ADMIT_ALL,
+        true => admit_all(),
         false => Settings::default(),
     };
     for (pattern, seed) in replays(matches) {
-        let (stats, bound) = replay(&pattern, seed, settings);
+        let (stats, bound) = replay(&pattern, seed, settings.clone());
         let table = Table {
             pattern: &pattern,
             stats: &stats,
@@ -101,14 +106,14 @@
     println!("| pattern, seed | every job admitted | judged |");
     println!("|---|---|---|");
     for (pattern, seed) in replays(matches) {
-        let share = |settings| {
+        let share = |settings: Settings| {
             let (stats, bound) = replay(&pattern, seed, settings);
             stats.weighted_goodput(&pattern) / bound
         };
         let row = Comparison {
             pattern: format!("{} {seed}", pattern.name),
             admission_control: share(Settings::default()),
-            admit_all: share(ADMIT_ALL),
+            admit_all: share(admit_all()),
         };
         println!(
             "| {} | {:.2} | {:.2} |",
--- a/crates/replay/src/pattern.rs
+++ b/crates/replay/src/pattern.rs
@@ -8,8 +8,54 @@
     pub pools_per_domain: u32,
     pub workers_per_pool: u32,
     pub entries_per_domain: u32,
+    /// Kinds of workers, assigned in turn.
+    pub worker_kinds: &'static [WorkerKind],
 }
 
+/// A kind of worker, relative to a standard worker.
+#[derive(Clone, Copy, Debug)]
+pub struct WorkerKind {
+    /// Label that its workers carry.
+    pub label: &'static str,
+    /// Factor on the CPU capacity.
+    pub capacity: f64,
+    /// Factor on run times.
+    pub slowdown: f64,
+}
+
+/// Every third worker is half as large again, and slower.
+const DEFAULT_KINDS: &[WorkerKind] = &[
+    STANDARD_KIND,
+    STANDARD_KIND,
+    WorkerKind {
+        label: "b",
+        capacity: 1.5,
+        slowdown: 1.3,
+    },
+];
+
+const STANDARD_KIND: WorkerKind = WorkerKind {
+    label: "a",
+    capacity: 1.0,
+    slowdown: 1.0,
+};
+
+/// Every third worker is half as large again and 2.4 times as fast as the others.
+const UNEVEN_KINDS: &[WorkerKind] = &[
+    SLOW_KIND,
+    SLOW_KIND,
+    WorkerKind {
+        label: "b",
+        capacity: 1.5,
+        slowdown: 1.0 / 1.7,
+    },
+];
+
+const SLOW_KIND: WorkerKind = WorkerKind {
+    slowdown: 1.0 / 0.7,
+    ..STANDARD_KIND
+};
+
 impl Default for Topology {
     /// Two thirds of its capacity are used by [`default_classes`] at their base rates.
     fn default() -> Self {
@@ -18,6 +64,7 @@
             pools_per_domain: 2,
             workers_per_pool: 40,
             entries_per_domain: 4,
+            worker_kinds: DEFAULT_KINDS,
         }
     }
 }
@@ -48,11 +95,22 @@
     Burst {
         /// Position of the class; `None` for all.
         class: Option<usize>,
+        /// Failure domain of the callers; `None` for all.
+        domain: Option<u32>,
         /// Factor on the base rate.
         factor: f64,
         from_ms: u64,
         to_ms: u64,
     },
+    /// Arrival rates that rise and fall as a sine wave, with a phase of its own in each
+    /// failure domain.
+    Wave {
+        /// Amplitude as a share of the base rate.
+        swing: f64,
+        period_ms: u64,
+        /// Phase difference between successive failure domains, in periods.
+        phase_step: f64,
+    },
     /// Callers that give up before their answer.
     Abandonment {
         /// Share of callers.
@@ -78,8 +136,10 @@
     },
     /// Workers that announce their drain and exit 4 s later.
     WorkersLeave {
-        /// Share of all workers.
+        /// Share of the workers.
         share: f64,
+        /// Failure domain of the workers; `None` for all.
+        domain: Option<u32>,
         /// Time of the announcement.
         at_ms: u64,
     },
@@ -90,6 +150,15 @@
         /// Time of their registration.
         at_ms: u64,
     },
+    /// Workers on which tasks run slower, while their answers and their health stay normal.
+    SlowWorkers {
+        /// Share of all workers.
+        share: f64,
+        /// Factor on run times.
+        factor: f64,
+        from_ms: u64,
+        to_ms: u64,
+    },
     /// Orders to workers get no answer and have no effect.
     Unanswered {
         /// Share of orders.
@@ -113,6 +182,15 @@
     FixedDelay { wait_ms: u64 },
 }
 
+/// Tasks whose run time exceeds that of the others in their job.
+#[derive(Clone, Copy, Debug)]
+pub struct Tail {
+    /// Share of tasks.
+    pub share: f64,
+    /// Factor on their run times.
+    pub factor: f64,
+}
+
 /// A load pattern.
 #[derive(Clone, Debug)]
 pub struct Pattern {
@@ -122,6 +200,8 @@
     pub topology: Topology,
     /// The job classes.
     pub classes: Vec<JobClass>,
+    /// Tasks that run longer by themselves, on any worker.
+    pub tail: Option<Tail>,
     /// Deviations from the base load.
     pub disturbances: Vec<Disturbance>,
     /// What callers do after a refusal.
@@ -136,6 +216,7 @@
             name: "calm",
             topology: Topology::default(),
             classes: default_classes(1.0),
+            tail: None,
             disturbances: Vec::new(),
             retry_policy: RetryPolicy::Never,
             duration_ms: 10_000,
@@ -164,6 +245,7 @@
 pub fn all() -> Vec<Pattern> {
     let burst = |class, factor, from_ms, to_ms| Disturbance::Burst {
         class,
+        domain: None,
         factor,
         from_ms,
         to_ms,
@@ -195,6 +277,7 @@
                 burst(None, 2.0, 2000, 8000),
                 Disturbance::WorkersLeave {
                     share: 0.25,
+                    domain: None,
                     at_ms: 3000,
                 },
             ],
@@ -252,9 +335,106 @@
                 to_ms: 4500,
             }],
         ),
+        in_large_deployment(pattern(
+            "contention",
+            vec![
+                wave(),
+                burst(Some(0), 4.0, 1000, 4000),
+                burst(Some(2), 3.0, 5000, 8000),
+                burst(Some(1), 3.0, 9000, 12_000),
+                burst(None, 2.2, 13_000, 17_000),
+                Disturbance::WorkersLeave {
+                    share: 0.1,
+                    domain: None,
+                    at_ms: 5000,
+                },
+            ],
+        )),
+        in_large_deployment(pattern("waves", vec![wave(), burst(None, 1.2, 0, 18_000)])),
+        in_large_deployment(pattern(
+            "domain-burst",
+            vec![
+                Disturbance::Burst {
+                    class: None,
+                    domain: Some(0),
+                    factor: 3.5,
+                    from_ms: 2000,
+                    to_ms: 9000,
+                },
+                Disturbance::WorkersLeave {
+                    share: 0.6,
+                    domain: Some(1),
+                    at_ms: 4000,
+                },
+            ],
+        )),
+        on_uneven_workers(in_large_deployment(pattern(
+            "uneven-workers",
+            vec![
+                burst(Some(0), 1.6, 3000, 7000),
+                burst(None, 1.5, 10_000, 14_000),
+            ],
+        ))),
+        in_large_deployment(pattern("slow-workers", vec![slow(0.25)])),
+        on_uneven_workers(in_large_deployment(pattern(
+            "slow-uneven",
+            vec![slow(0.14)],
+        ))),
+        in_large_deployment(pattern("slow-most", vec![slow(0.6)])),
     ]
 }
 
+/// Load that moves between the failure domains within a few seconds.
+fn wave() -> Disturbance {
+    Disturbance::Wave {
+        swing: 0.55,
+        period_ms: 17_000,
+        phase_step: 0.08,
+    }
+}
+
+/// A share of the workers runs tasks 6 times slower for a while.
+fn slow(share: f64) -> Disturbance {
+    Disturbance::SlowWorkers {
+        share,
+        factor: 6.0,
+        from_ms: 4000,
+        to_ms: 11_000,
+    }
+}
+
+/// The pattern in four failure domains with 352 workers, for 18 seconds.
+fn in_large_deployment(pattern: Pattern) -> Pattern {
+    let topology = Topology {
+        domains: 4,
+        workers_per_pool: 44,
+        entries_per_domain: 8,
+        ..Topology::default()
+    };
+    Pattern {
+        topology,
+        classes: default_classes(352.0 / 240.0),
+        duration_ms: 18_000,
+        ..pattern
+    }
+}
+
+/// The pattern on workers of uneven size and speed, with tasks that run longer by themselves.
+fn on_uneven_workers(pattern: Pattern) -> Pattern {
+    let topology = Topology {
+        worker_kinds: UNEVEN_KINDS,
+        ..pattern.topology
+    };
+    Pattern {
+        topology,
+        tail: Some(Tail {
+            share: 0.03,
+            factor: 7.0,
+        }),
+        ..pattern
+    }
+}
+
 /// The pattern at a fifth of the size, with one pool per failure domain.
 fn in_small_deployment(pattern: Pattern) -> Pattern {
     let topology = Topology {
--- a/crates/replay/src/simulation.rs
+++ b/crates/replay/src/simulation.rs
@@ -144,6 +144,11 @@
     simulation.outcomes
 }
 
+/// A number in `0.0..1.0`, deterministic for each input.
+fn unit_hash(number: u64) -> f64 {
+    (xxh3_64(&number.to_le_bytes()) >> 11) as f64 / (1_u64 << 53) as f64
+}
+
 impl<'a> Simulation<'a> {
     fn new(pattern: &'a Pattern, arrivals: &'a [Arrival], settings: owner::Settings) -> Self {
         let topology = pattern.topology;
@@ -170,7 +175,7 @@
             worker_pools: Vec::new(),
         };
         for domain in 0..topology.domains {
-            simulation.add_domain(domain, topology, settings);
+            simulation.add_domain(domain, topology, &settings);
         }
         simulation.schedule_initial_events();
         simulation
@@ -191,10 +196,15 @@
                 Disturbance::WorkersJoin { workers, at_ms } => {
                     self.schedule_at(WARM_UP_MS + at_ms, Event::WorkersJoin { workers });
                 }
-                Disturbance::WorkersLeave { share, at_ms } => {
-                    let leaving = (self.workers.len() as f64 * share) as usize;
-                    let stride = self.workers.len() / leaving.max(1);
-                    for worker in (0..self.workers.len()).step_by(stride.max(1)).take(leaving) {
+                Disturbance::WorkersLeave {
+                    share,
+                    domain,
+                    at_ms,
+                } => {
+                    let workers = self.workers_of(domain);
+                    let leaving = (workers.len() as f64 * share) as usize;
+                    let stride = workers.len() / leaving.max(1);
+                    for &worker in workers.iter().step_by(stride.max(1)).take(leaving) {
                         self.schedule_at(WARM_UP_MS + at_ms, Event::WorkerLeaves { worker });
                     }
                 }
@@ -218,8 +228,7 @@
                     } if (from_ms..to_ms).contains(&now_ms) => Some(share),
                     _ => None,
                 });
-        let unit = (xxh3_64(&order_number.to_le_bytes()) >> 11) as f64 / (1_u64 << 53) as f64;
-        unit < shares.sum()
+        unit_hash(order_number) < shares.sum()
     }
 
     fn schedule_at(&mut self, at_ms: u64, event: Event) {
@@ -471,9 +480,12 @@
         for pool in 0..self.owners.len() {
             let load = self.owners[pool].load(self.now_ms);
             let claim = self.claim_on(pool);
+            for owner in &mut self.owners {
+                owner.observe_pool_load(self.now_ms, &claim.pool, &load);
+            }
             for entry in 0..self.entries.len() {
                 self.with_entry(entry, |entry, now_ms, out| {
-                    entry.update_pool(now_ms, &claim, load, out);
+                    entry.update_pool(now_ms, &claim, load.clone(), out);
                 });
             }
         }
--- a/crates/replay/src/simulation/orders.rs
+++ b/crates/replay/src/simulation/orders.rs
@@ -51,7 +51,7 @@
             run_id: order.run_id,
             outcome,
         };
-        self.schedule_after(run_ms as u64, run_ends);
+        self.schedule_at(self.run_end_ms(worker, run_ms), run_ends);
     }
 
     pub(super) fn on_stop(&mut self, pool: usize, order: StopOrder) {
--- a/crates/replay/tests/overload.rs
+++ b/crates/replay/tests/overload.rs
@@ -1,67 +1,10 @@
 //! What callers get under overload.
 
-use trefoil_core::dispatch::owner::Settings;
-use trefoil_replay::arrivals::{self, Arrival};
-use trefoil_replay::pattern::{self, Pattern, RetryPolicy};
-use trefoil_replay::simulation::{ReplayOutcomes, RetryOutcome};
-use trefoil_replay::stats::{CallerOutcome, ClassStats, ReplayStats, quantile};
-use trefoil_replay::{bound, simulation};
-
-struct Replay {
-    pattern: Pattern,
-    arrivals: Vec<Arrival>,
-    first_attempts: Vec<CallerOutcome>,
-    retries: Vec<RetryOutcome>,
-    stats: ReplayStats,
-}
-
-impl Replay {
-    fn of(name: &str, seed: u64) -> Self {
-        Self::of_pattern(pattern::find(name).unwrap(), seed)
-    }
-
-    fn of_pattern(pattern: Pattern, seed: u64) -> Self {
-        let arrivals = arrivals::generate(&pattern, seed);
-        let ReplayOutcomes {
-            first_attempts,
-            retries,
-        } = simulation::run(&pattern, &arrivals, Settings::default());
-        let stats = ReplayStats::new(&pattern, &arrivals, &first_attempts);
-        Self {
-            pattern,
-            arrivals,
-            first_attempts,
-            retries: retries.into_iter().flatten().collect(),
-            stats,
-        }
-    }
+mod support;
 
-    /// Weighted goodput as a share of the upper bound.
-    fn share_of_bound(&self) -> f64 {
-        let capacity = |at_ms| simulation::capacity_at(&self.pattern, at_ms);
-        let bound = bound::max_weighted_goodput(&self.pattern, &self.arrivals, capacity);
-        let goodput = self.stats.weighted_goodput(&self.pattern);
-        assert!(
-            goodput <= bound,
-            "goodput {goodput} exceeds the bound {bound}"
-        );
-        goodput / bound
-    }
-
-    /// Share of the retries that were refused again.
-    fn retries_refused(&self) -> f64 {
-        let is_refused =
-            |retry: &&RetryOutcome| matches!(retry.outcome, CallerOutcome::Refused { .. });
-        let refused = self.retries.iter().filter(is_refused).count();
-        refused as f64 / self.retries.len() as f64
-    }
-
-    /// Share of a class's jobs that completed on time.
-    fn on_time(&self, class: usize) -> f64 {
-        let class = &self.stats.classes[class];
-        class.on_time as f64 / class.eligible as f64
-    }
-}
+use support::Replay;
+use trefoil_replay::pattern::{self, Pattern, RetryPolicy};
+use trefoil_replay::stats::{CallerOutcome, ClassStats, quantile};
 
 #[test]
 fn base_load_is_served_on_time() {
