core: tasks of a draining worker that exits are not suspect

A loss of a worker makes its tasks suspect: after two losses a task waits up to 2 s, and after two confirmed crashes its job fails. A worker that has announced its drain exits as planned, so its exit says nothing about the tasks that it ends.

--- a/crates/core/src/dispatch/owner/poison_tasks.rs
+++ b/crates/core/src/dispatch/owner/poison_tasks.rs
@@ -13,7 +13,8 @@
 //! wait for as long as the cut lasts.
 //!
 //! Losses that coincide are not attributed to tasks, since their cause is a rack, a
-//! failure domain, or this instance's own network.
+//! failure domain, or this instance's own network. Nor is the loss of a draining worker, which
+//! has announced that it exits.
 
 use super::super::job::{Task, WorkerLoss};
 use super::super::worker::Run;
@@ -69,7 +70,9 @@
         }
         let suspects_tasks = !self.worker_losses.are_correlated();
         for (key, runs) in lost {
-            let loss = WorkerLoss::new(&self.workers[key].record, false);
+            let record = &self.workers[key].record;
+            let loss = WorkerLoss::new(record, false);
+            let suspects_tasks = suspects_tasks && !record.draining;
             for run in runs {
                 self.requeue(now_ms, &run.owner, 0);
                 if suspects_tasks {
@@ -96,7 +99,8 @@
                 RunState::Starting(fence) => fence < worker.fence,
                 RunState::Running | RunState::Stopping { .. } => true,
             };
-            if may_have_run && !self.worker_losses.are_correlated() {
+            let is_planned = worker.record.draining;
+            if may_have_run && !is_planned && !self.worker_losses.are_correlated() {
                 self.record_worker_loss(now_ms, loss.clone(), run.owner, out);
             }
         }
