core, platform: restart runs that cannot end before a worker exits

Draining workers report the minimum time until their exit. It was not read, so a run that could not end before was lost, and its task started again once its lease had expired.

--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -15,6 +15,7 @@
 //! * [`order_results`]: results of start and stop orders.
 //! * [`lease_renewal`]: lease renewal, and recovery of unanswered orders.
 //! * [`poison_tasks`]: tasks that crash the workers that start them.
+//! * [`departure`]: runs on workers that are about to exit.
 //! * [`overdue`]: polling and stopping of overdue runs.
 //! * [`peer_loads`]: loads of other pools.
 //! * [`adopt`]: adoption of a predecessor's runs.
@@ -31,6 +32,7 @@
 mod closure;
 mod command;
 mod completions;
+mod departure;
 mod forecast;
 mod job_results;
 mod lease_renewal;
@@ -69,6 +71,7 @@
 use super::ownership::{Predecessor, Roster};
 use super::worker::{FencingState, RunOwner, RunState, Worker, WorkerRecord};
 pub use command::{Command, JobResult, OrderResult};
+pub use departure::{DepartureAction, RunOutlook};
 pub use log_event::{LogEvent, LogTopic};
 pub use settings::Settings;
 pub use start_barrier::StartBarrier;
@@ -90,6 +93,7 @@
     job_ids: HashMap<String, JobKey>,
     queue: queue::Queue,
     run_times: run_times::RunTimes,
+    departures: departure::Departures,
     answer_timeout: answer_timeout::AnswerTimeout,
     /// Outcomes of runs that no job here has claimed, and when they were listed.
     orphan_completions: HashMap<Arc<str>, (RunOutcome, u64)>,
@@ -127,6 +131,7 @@
             job_ids: HashMap::new(),
             queue: queue::Queue::default(),
             run_times: run_times::RunTimes::default(),
+            departures: departure::Departures::default(),
             answer_timeout: answer_timeout::AnswerTimeout::default(),
             orphan_completions: HashMap::new(),
             worker_losses: poison_tasks::WorkerLosses::default(),
@@ -211,12 +216,16 @@
                 out.push(Command::Log(event));
             }
             worker.unlisted_since_ms = None;
+            if worker.record.departure != record.departure {
+                worker.exit = departure::expected_exit(now_ms, worker, record.departure);
+            }
             worker.record = record;
             return;
         }
         let id = record.id.clone();
         self.confirm_replaced(now_ms, &record, listed, out);
         let mut worker = Worker::new(record, self.fence);
+        worker.exit = departure::expected_exit(now_ms, &worker, worker.record.departure);
         worker.in_stored_roster = self.is_in_stored_roster(&id);
         out.push(Command::Log(LogEvent::worker("listed", &worker)));
         let key = self.workers.insert(worker);
@@ -307,6 +316,7 @@
         self.return_jobs(now_ms, out);
         self.refuse_expired(now_ms, out);
         self.schedule(now_ms, out);
+        self.restart_departing(now_ms, out);
         self.recheck_waiting(now_ms, out);
         let is_expired = |at_ms: u64| at_ms + ENDED_JOB_RETENTION_MS < now_ms;
         while self
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -29,12 +29,32 @@
     pub service: Arc<str>,
     /// Whether it is about to leave and accepts no new tasks.
     pub draining: bool,
+    /// The exit that a draining worker has announced; `None` if the time is unknown.
+    pub departure: Option<Departure>,
     /// Total resources for tasks.
     pub capacity: Resources,
     /// Labels for its kind and its rack.
     pub labels: BTreeSet<Arc<str>>,
 }
 
+/// The announced exit of a draining worker. Everything that runs on the worker ends with it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Departure {
+    /// Minimum time from the report until the exit.
+    pub remaining_ms: u64,
+    /// The worker's clock when it reported `remaining_ms`; `None` if unknown.
+    pub reported_clock_ms: Option<u64>,
+}
+
+/// When a worker may exit, by the owner's monotonic clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ExpectedExit {
+    /// Earliest time of the exit.
+    pub earliest_ms: u64,
+    /// When the worker reported it, as far as known.
+    pub reported_ms: u64,
+}
+
 /// Resources of a worker or a task.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[expect(missing_docs, reason = "fields explain themselves")]
@@ -164,6 +184,8 @@
 pub struct Worker {
     /// Last entry in the registry.
     pub record: WorkerRecord,
+    /// When it may exit, if it has announced that.
+    pub exit: Option<ExpectedExit>,
     /// Since when the registry has not listed it.
     pub unlisted_since_ms: Option<u64>,
     /// Highest fence used for it.
@@ -211,6 +233,7 @@
     pub fn new(record: WorkerRecord, fence: Fence) -> Self {
         Self {
             record,
+            exit: None,
             unlisted_since_ms: None,
             fence,
             fencing: FencingState::Unfenced,
--- a/crates/core/tests/dispatch_support/mod.rs
+++ b/crates/core/tests/dispatch_support/mod.rs
@@ -31,6 +31,7 @@
         failure_domain: Arc::from("forde"),
         service: Arc::from("register"),
         draining: false,
+        departure: None,
         capacity: Resources {
             cpu_millicores: 2000,
             memory_mb: 1000,
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -95,7 +95,7 @@
     declared: declared::DeclarationState,
     worker_records: Vec<WorkerRecord>,
     /// Workers of the own failure domain's pools, as last reported by their owners.
-    pool_workers: HashMap<String, Vec<WorkerRecord>>,
+    pool_workers: HashMap<String, workers::ReportedWorkers>,
     pool_count: u32,
     pending_requests: HashMap<RequestId, oneshot::Sender<Answer>>,
     next_request_id: RequestId,
@@ -197,7 +197,7 @@
             .is_multiple_of(HEARTBEAT_MS / TICK_MS)
         {
             self.send_heartbeats();
-            self.update_gauges();
+            self.update_metrics();
         }
     }
 
@@ -343,8 +343,13 @@
         self.state.borrow().peers.any_peer_reads_store()
     }
 
-    fn update_gauges(&self) {
-        let state = self.state.borrow();
+    fn update_metrics(&self) {
+        let mut state = self.state.borrow_mut();
+        let restarts = state
+            .owners
+            .values_mut()
+            .map(Owner::take_departure_restarts);
+        self.metrics.departure_restarts.inc_by(restarts.sum());
         let stats = state.owners.values().map(Owner::stats);
         self.metrics.set_stats(state.entry.len(), stats.sum());
         self.metrics.set_closed(state.is_closed());
--- a/crates/instance/src/instance/frames.rs
+++ b/crates/instance/src/instance/frames.rs
@@ -56,7 +56,7 @@
                 Body::ConfigRequest(request) => {
                     self.send_declarations(state, id, request.revision);
                 }
-                Body::PoolWorkers(reported) => state.on_pool_workers(reported),
+                Body::PoolWorkers(reported) => state.on_pool_workers(now_ms, reported),
                 Body::Retire(_) => link.retirement.on_offer_received(),
                 Body::Config(_) | Body::Hello(_) => {}
             }
--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -224,8 +224,9 @@
         });
         let state = self.state.borrow();
         if let Some(link) = state.peers.links.get(&id) {
-            link.send_heartbeat(&self.build_heartbeat(&state, self.now_ms()));
-            state.send_pool_workers(link);
+            let now_ms = self.now_ms();
+            link.send_heartbeat(&self.build_heartbeat(&state, now_ms));
+            state.send_pool_workers(now_ms, link);
         }
     }
 
--- a/crates/instance/src/instance/workers.rs
+++ b/crates/instance/src/instance/workers.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use trefoil_core::dispatch::pool;
-use trefoil_core::dispatch::worker::Resources;
+use trefoil_core::dispatch::worker::{Departure, Resources};
 use trefoil_schema::dispatch::frame::Body;
 use trefoil_schema::dispatch::{PoolWorkers, Worker};
 
@@ -45,7 +45,8 @@
         now_ms: u64,
         effects: &mut Effects,
     ) {
-        if let Some(records) = self.pool_workers.get(pool).cloned() {
+        if let Some(reported) = self.pool_workers.get(pool) {
+            let records = reported.records_at(now_ms);
             self.set_pool_workers(pool, records, now_ms, effects);
         }
     }
@@ -57,53 +58,107 @@
         now_ms: u64,
         effects: &mut Effects,
     ) {
-        let known = self.pool_workers.get(pool);
-        if known != Some(&records) {
-            self.pool_workers.insert(pool.to_owned(), records.clone());
-            let links = self.peers.links.values();
-            for link in links.filter(|link| link.peer.failure_domain == self.failure_domain) {
-                self.send_workers_of_pool(link, pool);
-            }
-        }
+        let reported = ReportedWorkers {
+            received_ms: now_ms,
+            records: records.clone(),
+        };
+        let known = self.pool_workers.insert(pool.to_owned(), reported);
+        let is_news = known.is_none_or(|known| has_changed(&known.records, &records));
         let roster = self.with_owner(pool, effects, |owner, out| {
             owner.set_workers(now_ms, records, out);
             owner.roster()
         });
+        if is_news {
+            let links = self.peers.links.values();
+            for link in links.filter(|link| link.peer.failure_domain == self.failure_domain) {
+                self.send_workers_of_pool(now_ms, link, pool);
+            }
+        }
         if let Some(roster) = roster {
             self.ownership.set_roster(pool, roster);
         }
     }
 
     /// Sends the workers of all owned pools to a new peer of the same failure domain.
-    pub(super) fn send_pool_workers(&self, link: &Link) {
+    pub(super) fn send_pool_workers(&self, now_ms: u64, link: &Link) {
         if link.peer.failure_domain == self.failure_domain {
             for pool in self.owners.keys() {
-                self.send_workers_of_pool(link, pool);
+                self.send_workers_of_pool(now_ms, link, pool);
             }
         }
     }
 
-    fn send_workers_of_pool(&self, link: &Link, pool: &str) {
-        let records = self.pool_workers.get(pool).into_iter().flatten();
+    fn send_workers_of_pool(&self, now_ms: u64, link: &Link, pool: &str) {
+        let reported = self.pool_workers.get(pool);
+        let records = reported.map_or(&[][..], |reported| &reported.records);
+        let owner = self.owners.get(pool);
+        let encode_worker = |record: &WorkerRecord| {
+            let remaining_ms = owner.and_then(|owner| owner.remaining_ms(now_ms, &record.id));
+            encode_worker(record, remaining_ms)
+        };
         // A link whose send queue is full is closed by the next heartbeat.
         link.sender.send(encode(Body::PoolWorkers(PoolWorkers {
             pool: pool.to_owned(),
-            workers: records.map(encode_worker).collect(),
+            workers: records.iter().map(encode_worker).collect(),
         })));
     }
 
     /// Stores the workers reported by the owner of a pool.
-    pub(super) fn on_pool_workers(&mut self, reported: PoolWorkers) {
+    pub(super) fn on_pool_workers(&mut self, now_ms: u64, reported: PoolWorkers) {
         if self.owners.contains_key(&reported.pool) {
             return;
         }
         let records = reported.workers.into_iter();
         let records = records.map(|worker| decode_worker(worker, &self.failure_domain));
-        self.pool_workers.insert(reported.pool, records.collect());
+        let workers = ReportedWorkers {
+            received_ms: now_ms,
+            records: records.collect(),
+        };
+        self.pool_workers.insert(reported.pool, workers);
     }
 }
 
-fn encode_worker(record: &WorkerRecord) -> Worker {
+/// Workers of a pool, as its owner read or reported them.
+#[derive(Clone, Debug)]
+pub(super) struct ReportedWorkers {
+    /// When they were read, or received from the owner.
+    received_ms: u64,
+    records: Vec<WorkerRecord>,
+}
+
+impl ReportedWorkers {
+    /// The records with the times until announced exits as of `now_ms`.
+    fn records_at(&self, now_ms: u64) -> Vec<WorkerRecord> {
+        let age_ms = now_ms.saturating_sub(self.received_ms);
+        let mut records = self.records.clone();
+        for departure in records
+            .iter_mut()
+            .filter_map(|record| record.departure.as_mut())
+        {
+            departure.remaining_ms = departure.remaining_ms.saturating_sub(age_ms);
+        }
+        records
+    }
+}
+
+/// Whether the records differ in more than the time until an announced exit. That time is
+/// not sent again, since the receiver counts it down, and it changes with every report.
+fn has_changed(known: &[WorkerRecord], records: &[WorkerRecord]) -> bool {
+    let without_time = |record: &WorkerRecord| WorkerRecord {
+        departure: record.departure.map(|_| Departure {
+            remaining_ms: 0,
+            reported_clock_ms: None,
+        }),
+        ..record.clone()
+    };
+    let is_same = |(known, record): (&WorkerRecord, &WorkerRecord)| {
+        known == record || without_time(known) == without_time(record)
+    };
+    known.len() != records.len() || !known.iter().zip(records).all(is_same)
+}
+
+/// `remaining_ms` is the time until an announced exit, as of now.
+fn encode_worker(record: &WorkerRecord, remaining_ms: Option<u64>) -> Worker {
     Worker {
         id: record.id.to_string(),
         address: record.address.to_string(),
@@ -113,7 +168,8 @@
         memory_mb: record.capacity.memory_mb,
         gpus: record.capacity.gpus,
         labels: record.labels.iter().map(ToString::to_string).collect(),
-        remaining_ms: 0,
+        // 0 means unknown.
+        remaining_ms: remaining_ms.map_or(0, |remaining_ms| remaining_ms.max(1)),
     }
 }
 
@@ -124,6 +180,10 @@
         failure_domain: Arc::from(failure_domain),
         service: Arc::from(worker.service),
         draining: worker.draining,
+        departure: (worker.draining && worker.remaining_ms > 0).then_some(Departure {
+            remaining_ms: worker.remaining_ms,
+            reported_clock_ms: None,
+        }),
         capacity: Resources {
             cpu_millicores: worker.cpu_millicores,
             memory_mb: worker.memory_mb,
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -25,6 +25,8 @@
     pub(crate) start_answer_ms: Histogram,
     /// Stop orders sent to workers.
     pub(crate) stops: IntCounter,
+    /// Runs stopped and started elsewhere because their workers were about to exit.
+    pub(crate) departure_restarts: IntCounter,
     /// Lease renewals sent to workers.
     pub(crate) lease_renewals: IntCounter,
     /// Results of earlier delegations of a job, which are ignored.
@@ -58,6 +60,11 @@
             starts: counter(&registry, "trefoil_starts_total", "Starts ordered.")?,
             start_answer_ms: histogram(&registry, "trefoil_start_answer_ms", "Start to answer.")?,
             stops: counter(&registry, "trefoil_stops_total", "Stops ordered.")?,
+            departure_restarts: counter(
+                &registry,
+                "trefoil_departure_restarts_total",
+                "Runs moved off workers that were about to exit.",
+            )?,
             lease_renewals: counter(&registry, "trefoil_holds_total", "Holds ordered.")?,
             stale_results: counter(
                 &registry,
--- a/crates/replay/examples/owner_rate.rs
+++ b/crates/replay/examples/owner_rate.rs
@@ -76,6 +76,7 @@
         failure_domain: Arc::from("domain"),
         service: Arc::from("service"),
         draining: false,
+        departure: None,
         capacity: Resources {
             cpu_millicores: 16_000,
             memory_mb: 65_536,
--- a/crates/replay/src/pattern.rs
+++ b/crates/replay/src/pattern.rs
@@ -134,12 +134,15 @@
         from_ms: u64,
         to_ms: u64,
     },
-    /// Workers that announce their drain and exit 4 s later.
+    /// Workers that announce their drain and exit later.
     WorkersLeave {
         /// Share of the workers.
         share: f64,
         /// Failure domain of the workers; `None` for all.
         domain: Option<u32>,
+        /// Time until the exit, as the workers report it; `None` if they exit after 4 s without
+        /// having reported that.
+        notice_ms: Option<u64>,
         /// Time of the announcement.
         at_ms: u64,
     },
@@ -278,6 +281,7 @@
                 Disturbance::WorkersLeave {
                     share: 0.25,
                     domain: None,
+                    notice_ms: None,
                     at_ms: 3000,
                 },
             ],
@@ -346,6 +350,7 @@
                 Disturbance::WorkersLeave {
                     share: 0.1,
                     domain: None,
+                    notice_ms: None,
                     at_ms: 5000,
                 },
             ],
@@ -364,10 +369,16 @@
                 Disturbance::WorkersLeave {
                     share: 0.6,
                     domain: Some(1),
+                    notice_ms: None,
                     at_ms: 4000,
                 },
             ],
         )),
+        Pattern {
+            // The workers that stay have room for all jobs, so that only the exits matter.
+            classes: default_classes(0.7 * 352.0 / 240.0),
+            ..in_large_deployment(pattern("short-notice", short_notices()))
+        },
         on_uneven_workers(in_large_deployment(pattern(
             "uneven-workers",
             vec![
@@ -393,6 +404,18 @@
     }
 }
 
+/// A quarter of the workers of one failure domain after the other leaves at short notice.
+fn short_notices() -> Vec<Disturbance> {
+    let notices_ms = [(0, 2000), (1, 1000), (2, 1500), (3, 700)];
+    let leave = |(domain, notice_ms)| Disturbance::WorkersLeave {
+        share: 0.25,
+        domain: Some(domain),
+        notice_ms: Some(notice_ms),
+        at_ms: 2500 + 3000 * u64::from(domain),
+    };
+    notices_ms.into_iter().map(leave).collect()
+}
+
 /// A share of the workers runs tasks 6 times slower for a while.
 fn slow(share: f64) -> Disturbance {
     Disturbance::SlowWorkers {
--- a/crates/replay/src/simulation.rs
+++ b/crates/replay/src/simulation.rs
@@ -20,7 +20,7 @@
     RenewOrder, RenewOutcome, RunOutcome, StartOrder, StopOrder, WorkerKey,
 };
 use trefoil_core::dispatch::owner::{self, OrderResult, Owner};
-use trefoil_core::dispatch::worker::WorkerRecord;
+use trefoil_core::dispatch::worker::{Departure, WorkerRecord};
 use trefoil_schema::dispatch::{Claim, Job, Node};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -38,7 +38,7 @@
 const TICK_MS: u64 = 25;
 /// Interval at which owners read the worker registry.
 const REGISTRY_POLL_MS: u64 = 700;
-/// Time from a worker's drain announcement to its exit.
+/// Time from a worker's drain announcement to its exit, unless it has announced another.
 const WORKER_DRAIN_MS: u64 = 4000;
 /// Virtual time of the first request; before it, owners fence their workers.
 const WARM_UP_MS: u64 = 1000;
@@ -107,6 +107,7 @@
     RegistryPoll,
     WorkerLeaves {
         worker: usize,
+        notice_ms: Option<u64>,
     },
     WorkerGone {
         worker: usize,
@@ -199,13 +200,15 @@
                 Disturbance::WorkersLeave {
                     share,
                     domain,
+                    notice_ms,
                     at_ms,
                 } => {
                     let workers = self.workers_of(domain);
                     let leaving = (workers.len() as f64 * share) as usize;
                     let stride = workers.len() / leaving.max(1);
                     for &worker in workers.iter().step_by(stride.max(1)).take(leaving) {
-                        self.schedule_at(WARM_UP_MS + at_ms, Event::WorkerLeaves { worker });
+                        let leaves = Event::WorkerLeaves { worker, notice_ms };
+                        self.schedule_at(WARM_UP_MS + at_ms, leaves);
                     }
                 }
                 _ => {}
@@ -328,11 +331,17 @@
                 self.schedule_after(REGISTRY_POLL_MS, Event::RegistryPoll);
                 self.poll_registry();
             }
-            Event::WorkerLeaves { worker } => {
-                self.workers[worker].record.draining = true;
-                self.schedule_after(WORKER_DRAIN_MS, Event::WorkerGone { worker });
+            Event::WorkerLeaves { worker, notice_ms } => {
+                let record = &mut self.workers[worker].record;
+                record.draining = true;
+                record.departure = notice_ms.map(|remaining_ms| Departure {
+                    remaining_ms,
+                    reported_clock_ms: Some(self.now_ms),
+                });
+                let exits_after_ms = notice_ms.unwrap_or(WORKER_DRAIN_MS);
+                self.schedule_after(exits_after_ms, Event::WorkerGone { worker });
             }
-            Event::WorkerGone { worker } => self.workers[worker].up = false,
+            Event::WorkerGone { worker } => self.remove_worker(worker),
             Event::WorkersJoin { workers } => {
                 for pool in 0..self.pattern.topology.pools_per_domain as usize {
                     (0..workers).for_each(|index| self.add_worker(pool, index));
--- a/crates/replay/src/simulation/orders.rs
+++ b/crates/replay/src/simulation/orders.rs
@@ -97,6 +97,14 @@
         }
     }
 
+    /// Lets a worker exit; its open renewal gets no answer.
+    pub(super) fn remove_worker(&mut self, worker: usize) {
+        if let Some(renewal) = self.workers[worker].exit() {
+            let pool = self.worker_pools[worker];
+            self.answer_renewal(pool, &renewal.order, RenewOutcome::NoAnswer);
+        }
+    }
+
     fn answer_renewal(&mut self, pool: usize, order: &RenewOrder, outcome: RenewOutcome) {
         let result = Event::RenewResult {
             pool,
--- a/crates/replay/src/simulation/topology.rs
+++ b/crates/replay/src/simulation/topology.rs
@@ -27,8 +27,9 @@
             Disturbance::WorkersLeave {
                 share,
                 domain,
+                notice_ms,
                 at_ms: from,
-            } if at_ms >= from + WORKER_DRAIN_MS => match domain {
+            } if at_ms >= from + notice_ms.unwrap_or(WORKER_DRAIN_MS) => match domain {
                 Some(_) => -initial * share / f64::from(topology.domains),
                 None => -initial * share,
             },
@@ -124,6 +125,7 @@
             failure_domain: Arc::from(self.pools[pool].split('/').next().unwrap_or("")),
             service: Arc::from("service"),
             draining: false,
+            departure: None,
             capacity: Resources {
                 cpu_millicores: (WORKER_MILLICORES as f64 * kind.capacity) as u64,
                 memory_mb: 65_536,
--- a/crates/replay/src/worker.rs
+++ b/crates/replay/src/worker.rs
@@ -75,6 +75,14 @@
         true
     }
 
+    /// Ends all runs without a completion that anybody learns of, as the worker exits.
+    pub fn exit(&mut self) -> Option<PendingRenewal> {
+        self.up = false;
+        self.runs.clear();
+        self.completions.clear();
+        self.pending_renewal.take()
+    }
+
     /// Applies a renewal: takes its fencing token and drops the completions that it acknowledges.
     pub fn apply_renewal(&mut self, order: &RenewOrder) {
         self.fence = self.fence.max(order.target.fence);
