--- /dev/null
+++ b/crates/instance/tests/instance/pool_workers.rs
@@ -0,0 +1,115 @@
+//! What owners tell the instances of their failure domain about their workers.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use trefoil_core::dispatch::worker::{Departure, Resources, WorkerRecord};
+use trefoil_instance::instance::Instance;
+use trefoil_instance::metrics::Metrics;
+use trefoil_instance::store_polling;
+use trefoil_schema::dispatch::frame::Body;
+use trefoil_schema::dispatch::{PoolWorkers, Worker};
+
+use crate::support::link::Link;
+use crate::support::{DOMAIN, FakePlatform, run, settings};
+
+const REMAINING_MS: u64 = 5000;
+
+fn draining_record() -> WorkerRecord {
+    WorkerRecord {
+        id: Arc::from("w1"),
+        address: Arc::from("w1:80"),
+        failure_domain: Arc::from(DOMAIN),
+        service: Arc::from("register"),
+        draining: true,
+        departure: Some(Departure {
+            remaining_ms: REMAINING_MS,
+            reported_clock_ms: None,
+        }),
+        capacity: Resources::default(),
+        labels: Default::default(),
+    }
+}
+
+/// An instance on the platform, without ticks.
+async fn start(platform: FakePlatform) -> (Rc<Instance<FakePlatform>>, std::net::SocketAddr) {
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let instance = Instance::new(settings(), log, Metrics::new().unwrap(), platform);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn_local(Rc::clone(&instance).accept_links(listener));
+    (instance, address)
+}
+
+/// Lets the instance own the pool; returns the time until the exit of its worker that it then
+/// reports.
+async fn reported_remaining_ms(
+    instance: &Rc<Instance<FakePlatform>>,
+    address: std::net::SocketAddr,
+) -> u64 {
+    spawn_local(Rc::clone(instance).tick_forever());
+    store_polling::start(instance);
+    for incarnation in 2.. {
+        let mut link = Link::open(address, incarnation).await;
+        // The link is closed after a while, since the peer sends no heartbeats.
+        while let Some(body) = link.next().await {
+            if let Body::PoolWorkers(reported) = body
+                && let [worker] = reported.workers.as_slice()
+            {
+                return worker.remaining_ms;
+            }
+        }
+    }
+    unreachable!("the loop has no end")
+}
+
+/// Guards against a successor that does not know when the workers of its pool exit.
+#[test]
+fn an_owner_reports_when_a_draining_worker_exits() {
+    run(async {
+        let platform = FakePlatform {
+            workers: Some(vec![draining_record()]),
+            ..FakePlatform::default()
+        };
+        let (instance, address) = start(platform).await;
+        let remaining_ms = reported_remaining_ms(&instance, address).await;
+        // The age of the report is not known.
+        assert!((1..REMAINING_MS).contains(&remaining_ms), "{remaining_ms}");
+    });
+}
+
+/// Guards against the loss of the time, or its use as if it were new, when the owner changes
+/// while the registry cannot be read.
+#[test]
+fn a_successor_counts_down_the_reported_time() {
+    run(async {
+        let platform = FakePlatform {
+            workers: None,
+            ..FakePlatform::default()
+        };
+        let (instance, address) = start(platform).await;
+        let mut link = Link::open(address, 1).await;
+        link.read_heartbeat().await;
+        let worker = Worker {
+            id: "w1".to_owned(),
+            address: "w1:80".to_owned(),
+            service: "register".to_owned(),
+            draining: true,
+            remaining_ms: REMAINING_MS,
+            ..Worker::default()
+        };
+        let reported = PoolWorkers {
+            pool: format!("{DOMAIN}/0"),
+            workers: vec![worker],
+        };
+        link.send(Body::PoolWorkers(reported)).await;
+        let waited = Duration::from_millis(300);
+        tokio::time::sleep(waited).await;
+        let remaining_ms = reported_remaining_ms(&instance, address).await;
+        let passed_ms = REMAINING_MS - waited.as_millis() as u64;
+        assert!((1..=passed_ms).contains(&remaining_ms), "{remaining_ms}");
+    });
+}
--- a/crates/instance/tests/instance/support/mod.rs
+++ b/crates/instance/tests/instance/support/mod.rs
@@ -19,13 +19,17 @@
 
 pub const DOMAIN: &str = "forde";
 
-/// A platform without workers whose store accepts every claim.
+const UNAVAILABLE: StoreError = StoreError::Refused { status: 503 };
+
+/// A platform whose workers answer no call and whose store accepts every claim.
 pub struct FakePlatform {
     /// Number of pools of the failure domain.
     pub pools: u32,
     pub claims: Rc<Cell<u64>>,
     /// Number of reads of the declarations.
     pub reads: Rc<Cell<u64>>,
+    /// Registered workers; `None` if neither they nor the declarations can be read.
+    pub workers: Option<Vec<WorkerRecord>>,
 }
 
 impl Default for FakePlatform {
@@ -34,6 +38,7 @@
             pools: 1,
             claims: Rc::default(),
             reads: Rc::default(),
+            workers: Some(Vec::new()),
         }
     }
 }
@@ -41,9 +46,16 @@
 impl Store for FakePlatform {
     async fn declarations(&self) -> Result<DeclarationsUpdate, StoreError> {
         self.reads.set(self.reads.get() + 1);
+        if self.workers.is_none() {
+            return Err(UNAVAILABLE);
+        }
+        let declarations = Declarations {
+            services: std::iter::once("register".to_owned()).collect(),
+            ..Declarations::default()
+        };
         Ok(DeclarationsUpdate {
             confirmed_revision: 1,
-            changed: Some(Declarations::default()),
+            changed: Some(declarations),
         })
     }
 
@@ -55,7 +67,7 @@
     }
 
     async fn workers(&self, _failure_domain: &str) -> Result<Vec<WorkerRecord>, StoreError> {
-        Ok(Vec::new())
+        self.workers.clone().ok_or(UNAVAILABLE)
     }
 
     fn unreadable_entries(&self) -> usize {
