core: suspect slow workers and restart their runs elsewhere

Cause: a slow worker was known only by its finished runs.

Change: a likelihood-ratio test over completed runs and runs in progress. Suspected workers get probes only, and their runs are restarted where that ends sooner.

--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -16,6 +16,7 @@
 //! * [`lease_renewal`]: lease renewal, and recovery of unanswered orders.
 //! * [`poison_tasks`]: tasks that crash the workers that start them.
 //! * [`overdue`]: polling and stopping of overdue runs.
+//! * [`slow_workers`]: workers that have become slow.
 //! * [`peer_loads`]: loads of other pools.
 //! * [`adopt`]: adoption of a predecessor's runs.
 //! * [`closure`]: evacuation of a closed failure domain.
@@ -47,6 +48,7 @@
 mod run_times;
 mod settings;
 mod shares;
+mod slow_workers;
 mod start_barrier;
 mod stats;
 
@@ -71,6 +73,11 @@
 pub use command::{Command, JobResult, OrderResult};
 pub use log_event::{LogEvent, LogTopic};
 pub use settings::Settings;
+pub(crate) use slow_workers::Slowness;
+pub use slow_workers::{
+    STALL_FACTOR, SUSPICION_THRESHOLD, completed_evidence, mean_total, running_evidence,
+    shared_estimate_bound, survival,
+};
 pub use start_barrier::StartBarrier;
 pub use stats::OwnerStats;
 
@@ -111,6 +118,7 @@
     released: bool,
     admission: admission::Admission,
     peer_loads: peer_loads::PeerLoads,
+    slow_workers: slow_workers::SlowWorkers,
     settings: Settings,
 }
 
@@ -141,6 +149,7 @@
             released: false,
             admission: admission::Admission::default(),
             peer_loads: peer_loads::PeerLoads::default(),
+            slow_workers: slow_workers::SlowWorkers::default(),
             settings: Settings::default(),
         }
     }
@@ -304,6 +313,7 @@
         self.queue.invalidate();
         self.expire_origins(now_ms, out);
         self.check_deadlines(now_ms, out);
+        self.judge_slow_workers(now_ms, out);
         self.return_jobs(now_ms, out);
         self.refuse_expired(now_ms, out);
         self.schedule(now_ms, out);
--- a/crates/core/src/dispatch/owner/completions.rs
+++ b/crates/core/src/dispatch/owner/completions.rs
@@ -28,10 +28,15 @@
         let took_ms = now_ms.saturating_sub(run.ordered_ms);
         match completion.outcome {
             RunOutcome::Done => {
-                let slowdown = worker.health.slowdown;
-                worker.health.record_success(run.estimate_ms, took_ms);
+                let lasting_ms = self.observe_run_time(now_ms, key, &run, took_ms, out);
+                let health = &mut self.workers[key].health;
+                let slowdown = health.slowdown;
+                // A run that does not count has the expected time, which changes nothing.
+                let regular_ms = (run.estimate_ms as f64 * slowdown) as u64;
+                health.record_success(run.estimate_ms, lasting_ms.unwrap_or(regular_ms));
                 if let RunOwner::Task(job, _) = run.owner
                     && let Some(job) = self.jobs.get(job)
+                    && lasting_ms.is_some()
                 {
                     self.run_times.record(&job.spec.class, took_ms, slowdown);
                 }
@@ -40,6 +45,7 @@
             RunOutcome::Stopped | RunOutcome::LeaseExpired => {}
         }
         if completion.outcome != RunOutcome::Done {
+            self.observe_run_end(now_ms, key, &run);
             let mut event = LogEvent::job("run ended", &completion.task);
             event.worker = self.workers[key].record.id.to_string();
             event.detail = format!("{:?} after {took_ms} ms", completion.outcome);
--- a/crates/core/src/dispatch/owner/placement.rs
+++ b/crates/core/src/dispatch/owner/placement.rs
@@ -225,6 +225,9 @@
         };
         let left = candidate.free.minus(resources).cpu_millicores as f64;
         let unused_share = left / worker.record.capacity.cpu_millicores.max(1) as f64;
+        let slowness_cost = worker
+            .slowness
+            .cost(now_ms, &job.tasks[index], phase.estimate_ms)?;
         let has_failed = job.failed_on.contains(&candidate.key);
         let failure_cost = if has_failed { PRIOR_FAILURE_COST } else { 0.0 };
         let is_colocated = candidate.has_suspect || (is_suspect && candidate.runs > 0);
@@ -237,7 +240,8 @@
             worker.run_time_factor() * distance
                 + FRAGMENTATION_WEIGHT * unused_share
                 + failure_cost
-                + suspect_cost,
+                + suspect_cost
+                + slowness_cost,
         )
     }
 
@@ -289,6 +293,7 @@
             expected_ms,
             timeouts: run_timeouts(expected_ms.max(mean_ms), task.stalls),
         });
+        worker.slowness.record_start(&task.name, task.run_id);
         out.push(Command::Start(StartOrder {
             target: target_of(worker_key, worker),
             task: task.name.clone(),
--- a/crates/core/src/dispatch/owner/stats.rs
+++ b/crates/core/src/dispatch/owner/stats.rs
@@ -19,6 +19,12 @@
     pub runs: usize,
     /// Number of queue sorts so far.
     pub queue_sorts: u64,
+    /// Workers that are suspected as slow.
+    pub suspected_workers: usize,
+    /// Number of times that a worker was suspected as slow.
+    pub suspicions: u64,
+    /// Number of runs of slow workers that were stopped to be restarted elsewhere.
+    pub slow_run_restarts: u64,
 }
 
 impl std::iter::Sum for OwnerStats {
@@ -30,6 +36,9 @@
             workers_fenced: sum.workers_fenced + stats.workers_fenced,
             runs: sum.runs + stats.runs,
             queue_sorts: sum.queue_sorts + stats.queue_sorts,
+            suspected_workers: sum.suspected_workers + stats.suspected_workers,
+            suspicions: sum.suspicions + stats.suspicions,
+            slow_run_restarts: sum.slow_run_restarts + stats.slow_run_restarts,
         })
     }
 }
@@ -44,7 +53,9 @@
                 && !worker.record.draining
         });
         let mut load = Load::default();
-        for worker in open.filter(|worker| !worker.health.is_on_probation()) {
+        for worker in open
+            .filter(|worker| !worker.health.is_on_probation() && !worker.slowness.is_suspected())
+        {
             load.serving = true;
             load.capacity_millicores += worker.record.capacity.cpu_millicores;
             load.free_millicores += worker.free_resources().cpu_millicores;
@@ -58,6 +69,7 @@
         }
         let jobs = self.jobs.values().filter(|job| !job.stopping);
         load.backlog_millicore_ms += jobs.map(Job::waiting_millicore_ms).sum::<u64>();
+        load.slow_workers = self.slow_workers();
         load.closed = self.is_closed();
         load.serving &= !self.released && self.is_open();
         load
@@ -73,6 +85,9 @@
             workers_fenced: self.workers.values().filter(fenced).count(),
             runs: self.workers.values().map(|worker| worker.runs.len()).sum(),
             queue_sorts: self.queue.sorts(),
+            suspected_workers: self.suspected_workers(),
+            suspicions: self.slow_workers.suspicions,
+            slow_run_restarts: self.slow_workers.restarts,
         }
     }
 }
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -15,6 +15,7 @@
     UNLISTED_GRACE_MS,
 };
 use super::order::JobKey;
+use super::owner::Slowness;
 
 /// A worker's entry in the platform's registry.
 #[derive(Clone, Debug, PartialEq)]
@@ -204,6 +205,8 @@
     pub health: WorkerHealth,
     /// Factor on run times while the worker is temporarily slow; 1 if it is not.
     pub degradation: f64,
+    /// Evidence for that, and probes while it is suspected.
+    pub(crate) slowness: Slowness,
 }
 
 impl Worker {
@@ -230,6 +233,7 @@
             leases_expire_ms: 0,
             health: WorkerHealth::default(),
             degradation: 1.0,
+            slowness: Slowness::default(),
         }
     }
 
@@ -269,6 +273,7 @@
             && !self.has_left(now_ms)
             && !self.record.draining
             && self.health.allows_task(now_ms, self.runs.len())
+            && self.slowness.accepts_task(now_ms)
     }
 
     /// Whether new tasks may be started there, or can be once it has answered a call
@@ -279,6 +284,7 @@
             && !self.has_left(now_ms)
             && !self.record.draining
             && !self.health.is_on_probation()
+            && !self.slowness.is_suspected()
     }
 
     /// Records a renewal without an answer, and backs off.
