core: do not stop runs of the tail as stalled; learn the tail's share

Cause: a run was stopped as stalled after 3 times its expected time and 150 ms. Tasks that take 7 times as long by themselves were restarted in vain.

The share of the tail is learned, and runs of suspected workers are restarted by expected end over both explanations.

--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -74,10 +74,7 @@
 pub use log_event::{LogEvent, LogTopic};
 pub use settings::Settings;
 pub(crate) use slow_workers::Slowness;
-pub use slow_workers::{
-    STALL_FACTOR, SUSPICION_THRESHOLD, completed_evidence, mean_total, running_evidence,
-    shared_estimate_bound, survival,
-};
+pub use slow_workers::{RunTimeModel, STALL_FACTOR, SUSPICION_THRESHOLD, shared_estimate_bound};
 pub use start_barrier::StartBarrier;
 pub use stats::OwnerStats;
 
--- a/crates/core/src/dispatch/owner/placement.rs
+++ b/crates/core/src/dispatch/owner/placement.rs
@@ -8,6 +8,7 @@
 use super::super::limits::START_LEASE_MS;
 use super::super::worker::{Resources, Run, RunTimeouts};
 use super::shares::Shares;
+use super::slow_workers::STALL_FACTOR;
 use super::*;
 
 /// Weight of the CPU share that a placement leaves unused, relative to run time.
@@ -16,8 +17,7 @@
 const PRIOR_FAILURE_COST: f64 = 100.0;
 /// Cost of starting a suspect task beside others, or another task beside it.
 const SUSPECT_COLOCATION_COST: f64 = 10.0;
-/// A run is stalled after this multiple of its expected time, plus [`STALL_SLACK_MS`].
-const STALL_FACTOR: f64 = 3.0;
+/// Added to [`STALL_FACTOR`] times the expected time of a run.
 const STALL_SLACK_MS: u64 = 150;
 /// A worker is polled for a run's completion after this multiple of the run's expected
 /// time, plus [`CHECK_SLACK_MS`].
--- a/crates/core/src/dispatch/owner/slow_workers.rs
+++ b/crates/core/src/dispatch/owner/slow_workers.rs
@@ -19,21 +19,23 @@
 
 use std::collections::HashMap;
 
-pub use evidence::{
-    STALL_FACTOR, SUSPICION_THRESHOLD, completed_evidence, mean_total, running_evidence,
-    shared_estimate_bound, survival,
-};
+pub use evidence::{RunTimeModel, STALL_FACTOR, SUSPICION_THRESHOLD, shared_estimate_bound};
 
 use super::super::job::LATE_FACTOR;
 use super::super::worker::{Resources, Run};
 use super::*;
 
+/// Probability that a worker is slow before its runs are considered, if no other worker
+/// looks slow; otherwise the share of those that do.
+const SLOW_PRIOR_MIN: f64 = 0.005;
+/// Evidence of a failed probe.
+const FAILED_PROBE_EVIDENCE: f64 = 3.0;
 /// Assumed factor on the run times of a suspected worker: slow workers are 6 to 8 times
 /// slower.
 const DEGRADATION: f64 = 6.0;
 /// Bound on the sum of evidence, so that two regular runs show that a worker which looks
 /// slow is not.
-const SCORE_MAX: f64 = SUSPICION_THRESHOLD + 2.0;
+const SCORE_MAX: f64 = SUSPICION_THRESHOLD + 4.0;
 /// Time of two calls, which is no evidence in short runs.
 const CALLS_MS: u64 = 10;
 /// Share of all workers that may look slow at once. A quarter was seen slow at a time;
@@ -85,6 +87,8 @@
 pub(crate) struct Slowness {
     /// Sum of the evidence of completed runs; at least 0.
     score: f64,
+    /// That and the evidence of the runs in progress, as of the last listing.
+    evidence: f64,
     looks_slow: bool,
     suspicion: Option<Suspicion>,
     /// Lasting slowdown before `score` began to grow.
@@ -167,8 +171,13 @@
             && suspicion.is_probe(run)
         {
             suspicion.record_failed_probe(now_ms);
+            self.record_evidence(FAILED_PROBE_EVIDENCE);
         }
     }
+
+    fn record_evidence(&mut self, evidence: f64) {
+        self.score = (self.score + evidence).clamp(0.0, SCORE_MAX);
+    }
 }
 
 /// What the owner knows about slow workers as a whole.
@@ -177,6 +186,7 @@
     /// Moving average of the logarithm of relative run times by class, on workers that are
     /// not suspected.
     offsets: HashMap<String, f64>,
+    model: RunTimeModel,
     /// Nobody is suspected until then.
     suspended_until_ms: u64,
     /// Restarts that are left of the budget, and when it was last increased.
@@ -244,7 +254,7 @@
         };
         let regular_ms = regular_ms(worker, run, slow_workers.offset(&job.spec.class));
         let ratio = ratio(at_ms.saturating_sub(run.ordered_ms), regular_ms);
-        let evidence = running_evidence(ratio);
+        let evidence = slow_workers.model.running_evidence(ratio);
         match by_job.iter_mut().find(|(known, ..)| *known == key) {
             Some((_, sum, min_ratio)) => {
                 *sum += evidence;
@@ -255,7 +265,7 @@
     }
     let bounded = |&(_, sum, ratio): &(JobKey, f64, f64)| {
         // A single run is bounded by the tail.
-        sum.min(shared_estimate_bound(ratio).max(running_evidence(ratio)))
+        sum.min(shared_estimate_bound(ratio).max(slow_workers.model.running_evidence(ratio)))
     };
     by_job.iter().map(bounded).sum()
 }
@@ -281,17 +291,25 @@
         let regular_ms = regular_ms(worker, run, 1.0);
         let raw_ratio = ratio(took_ms, regular_ms);
         let ratio = raw_ratio / self.slow_workers.offset(class);
+        let model = self.slow_workers.model;
         if let Some(suspicion) = &mut worker.slowness.suspicion {
             if suspicion.is_probe(run) {
                 if ratio <= PROBE_FAILED_RATIO {
                     clear(now_ms, worker, "slow worker has recovered", ratio, out);
                 } else {
                     suspicion.record_failed_probe(now_ms);
+                    worker.slowness.record_evidence(FAILED_PROBE_EVIDENCE);
                 }
+            } else {
+                let evidence = model.completed_evidence(ratio);
+                worker.slowness.record_evidence(evidence);
             }
             return None;
         }
-        let mut evidence = completed_evidence(ratio);
+        if !worker.slowness.looks_slow {
+            self.slow_workers.model.record(ratio);
+        }
+        let mut evidence = model.completed_evidence(ratio);
         if self.answer_timeout.is_lossy() {
             // The completion may have been listed late.
             evidence = evidence.min(0.0);
@@ -300,7 +318,7 @@
         if slowness.score == 0.0 {
             slowness.slowdown_before = Some(worker.health.slowdown);
         }
-        slowness.score = (slowness.score + evidence).clamp(0.0, SCORE_MAX);
+        slowness.record_evidence(evidence);
         self.slow_workers
             .record_deviation(class, raw_ratio.max(f64::MIN_POSITIVE).ln());
         (ratio <= LASTING_RATIO_MAX).then_some(took_ms)
@@ -355,7 +373,7 @@
             }
             self.slow_workers.suspicions += 1;
         }
-        self.restart_slow_runs(now_ms, out);
+        self.restart_slow_runs(now_ms, share, out);
     }
 
     fn judge_evidence(&mut self, now_ms: u64) {
@@ -370,6 +388,7 @@
                 && evidence_at(now_ms) >= SUSPICION_THRESHOLD
                 && worker.fencing == FencingState::Fenced;
             let slowness = &mut worker.slowness;
+            slowness.evidence = listed;
             slowness.looks_slow = slowness.is_suspected() || listed >= SUSPICION_THRESHOLD;
             if is_poll_due && !slowness.is_suspected() {
                 worker.request_poll();
@@ -420,7 +439,7 @@
     }
 
     /// Stops runs on suspected workers that end sooner elsewhere.
-    fn restart_slow_runs(&mut self, now_ms: u64, out: &mut Vec<Command>) {
+    fn restart_slow_runs(&mut self, now_ms: u64, share: f64, out: &mut Vec<Command>) {
         let mut targets: Vec<(WorkerKey, Resources)> = Vec::new();
         let is_target =
             |worker: &&Worker| worker.accepts_tasks(now_ms) && !worker.slowness.is_suspected();
@@ -438,6 +457,8 @@
                 targets.push((key, worker.free_resources()));
             }
         }
+        let prior = share.clamp(SLOW_PRIOR_MIN, SLOW_SHARE_MAX);
+        let prior_odds = prior / (1.0 - prior);
         let answer_timeout_ms = self.answer_timeout.timeout_ms();
         for key in suspected {
             let mut stopped = Vec::new();
@@ -445,7 +466,8 @@
                 if self.slow_workers.restarts_left < 1.0 {
                     break;
                 }
-                let Some(restart) = self.restart_of(now_ms, key, position, &targets) else {
+                let Some(restart) = self.restart_of(now_ms, key, position, &targets, prior_odds)
+                else {
                     continue;
                 };
                 let worker = &mut self.workers[key];
@@ -490,6 +512,7 @@
         key: WorkerKey,
         position: usize,
         targets: &[(WorkerKey, Resources)],
+        prior_odds: f64,
     ) -> Option<Restart> {
         let worker = &self.workers[key];
         let run = &worker.runs[position];
@@ -524,10 +547,18 @@
         let slowdown = |key: WorkerKey| self.workers[key].health.slowdown;
         let (target, &(target_key, _)) = targets
             .min_by(|(_, left), (_, right)| slowdown(left.0).total_cmp(&slowdown(right.0)))?;
-        let kept_ms = (mean_total(ratio, DEGRADATION) - ratio) * regular_ms;
-        // The work that has survived so far here is likely longer than expected.
-        let total = mean_total(ratio / DEGRADATION, 1.0);
-        let there_ms = total * regular_ms * slowdown(target_key) / worker.health.slowdown;
+        let model = &self.slow_workers.model;
+        // How long the run takes if the worker is not slow, and the run is of the tail.
+        let total_regular = model.mean_total(ratio, 1.0);
+        // How long it takes elsewhere if the worker is slow.
+        let total_moved = model.mean_total(ratio / DEGRADATION, 1.0);
+        let total_slow = model.mean_total(ratio, DEGRADATION);
+        let speed = slowdown(target_key) / worker.health.slowdown;
+        let odds = prior_odds * worker.slowness.evidence.exp();
+        let slow = odds / (1.0 + odds);
+        let mean = |if_slow: f64, if_regular: f64| slow * if_slow + (1.0 - slow) * if_regular;
+        let kept_ms = (mean(total_slow, total_regular) - ratio) * regular_ms;
+        let there_ms = mean(total_moved, total_regular) * regular_ms * speed;
         let moved_ms = there_ms + STOP_MS as f64;
         let late_ms = job.objective_ms(LATE_FACTOR).min(job.caller_deadline_ms());
         let is_useful = now_ms + moved_ms as u64 <= late_ms;
