core: restart runs of slow workers also where capacity comes free soon

Cause: in a saturated pool no worker had free capacity, and failed probes ran to their end. Probes delayed jobs at a rate of 60 per second.

--- a/crates/core/src/dispatch/owner/slow_workers.rs
+++ b/crates/core/src/dispatch/owner/slow_workers.rs
@@ -44,15 +44,27 @@
 /// How long nobody is suspected after the limit was exceeded, so that owners do not
 /// alternate between both states with each report.
 const SUSPENSION_MS: u64 = 1000;
-/// First interval between probes; it doubles up to [`PROBE_INTERVAL_MAX_MS`].
-const PROBE_INTERVAL_MS: u64 = 200;
-/// Capacity lost after a recovery, against one late task for each probe that fails.
-const PROBE_INTERVAL_MAX_MS: u64 = 1000;
-/// A probe that takes longer than this multiple of its expected time has failed: 2.3 % of
-/// the regular runs outside the tail, and on a worker 6 times slower all but 0.6 %.
-const PROBE_FAILED_RATIO: f64 = 2.2;
-/// Longest task that serves as a probe at once. The limit grows while none is found.
-const PROBE_TASK_MS: u64 = 100;
+/// First interval between probes if the worker is probably not slow: the suspicion costs
+/// capacity.
+const PROBE_INTERVAL_WEAK_MS: u64 = 100;
+/// First interval between probes if the worker is probably slow: workers stay slow for
+/// seconds, and each failed probe delays a job.
+const PROBE_INTERVAL_STRONG_MS: u64 = 800;
+/// Probability from which a worker is probably slow.
+const PROBABLY_SLOW: f64 = 0.7;
+/// The interval doubles with each failed probe up to this: capacity that is lost after a
+/// recovery, against one late job for each failed probe.
+const PROBE_INTERVAL_MAX_MS: u64 = 1600;
+/// A probe that takes longer than this multiple of its expected time has failed: 4 % of
+/// the regular runs outside the tail, and on a worker 6 times slower all but 0.3 %.
+const PROBE_FAILED_RATIO: f64 = 2.0;
+/// Longest task that serves as a probe at once: stopped and restarted, it still ends
+/// within its objective, which is 1.6 times its duration and 60 ms.
+const PROBE_TASK_STRONG_MS: u64 = 40;
+/// The same if the worker is probably not slow.
+const PROBE_TASK_WEAK_MS: u64 = 200;
+/// Growth of that limit while no task is short enough, per millisecond.
+const PROBE_TASK_GROWTH: f64 = 0.1;
 /// Cost of a probe in placement: it is preferred, since a suspected worker is never the
 /// cheapest.
 const PROBE_COST: f64 = -100.0;
@@ -70,6 +82,8 @@
 const STOP_MS: u64 = 50 + CALLS_MS;
 /// Maximum age of the listing on whose basis a run is restarted.
 const LISTING_AGE_MAX_MS: u64 = 60;
+/// Remaining time of an overdue run, as a share of its expected time.
+const OVERDUE_SHARE: f64 = 0.2;
 /// Restarts of one task: afterwards its own work is the likely cause.
 const RESTARTS_MAX: u32 = 2;
 /// A run that took longer than this multiple of its expected time does not change the
@@ -101,16 +115,23 @@
     since_ms: u64,
     next_probe_ms: u64,
     probe_interval_ms: u64,
+    /// Longest task that serves as a probe at once.
+    probe_task_ms: u64,
     /// Task and run id of the probe in progress.
     probe: Option<(Arc<str>, u64)>,
 }
 
 impl Suspicion {
-    fn new(now_ms: u64) -> Self {
+    fn new(now_ms: u64, probability: f64) -> Self {
+        let (interval_ms, probe_task_ms) = match probability >= PROBABLY_SLOW {
+            true => (PROBE_INTERVAL_STRONG_MS, PROBE_TASK_STRONG_MS),
+            false => (PROBE_INTERVAL_WEAK_MS, PROBE_TASK_WEAK_MS),
+        };
         Self {
             since_ms: now_ms,
-            next_probe_ms: now_ms + PROBE_INTERVAL_MS,
-            probe_interval_ms: PROBE_INTERVAL_MS,
+            next_probe_ms: now_ms + interval_ms,
+            probe_interval_ms: interval_ms,
+            probe_task_ms,
             probe: None,
         }
     }
@@ -122,6 +143,7 @@
 
     fn record_failed_probe(&mut self, now_ms: u64) {
         self.probe = None;
+        self.probe_task_ms = PROBE_TASK_STRONG_MS;
         self.probe_interval_ms = (self.probe_interval_ms * 2).min(PROBE_INTERVAL_MAX_MS);
         self.next_probe_ms = now_ms + self.probe_interval_ms;
     }
@@ -146,7 +168,8 @@
     pub(crate) fn cost(&self, now_ms: u64, task: &Task, estimate_ms: u64) -> Option<f64> {
         let had_trouble = task.stalls + task.failures > 0 || task.is_suspect();
         if let Some(suspicion) = &self.suspicion {
-            let longest_ms = PROBE_TASK_MS + now_ms.saturating_sub(suspicion.next_probe_ms);
+            let due_for_ms = now_ms.saturating_sub(suspicion.next_probe_ms) as f64;
+            let longest_ms = suspicion.probe_task_ms + (due_for_ms * PROBE_TASK_GROWTH) as u64;
             let is_probe = self.accepts_task(now_ms) && !had_trouble && estimate_ms <= longest_ms;
             return is_probe.then_some(PROBE_COST);
         }
@@ -227,6 +250,13 @@
     }
 }
 
+/// Probability that a worker is slow, if `share` of the workers look slow.
+fn slow_probability(share: f64, evidence: f64) -> f64 {
+    let prior = share.clamp(SLOW_PRIOR_MIN, SLOW_SHARE_MAX);
+    let odds = prior / (1.0 - prior) * evidence.exp();
+    odds / (1.0 + odds)
+}
+
 /// Expected time of a run if its worker is not degraded.
 fn regular_ms(worker: &Worker, run: &Run, offset: f64) -> f64 {
     run.estimate_ms.max(1) as f64 * worker.health.slowdown * offset
@@ -358,15 +388,18 @@
             if is_suspended || !slowness.looks_slow || slowness.is_suspected() {
                 continue;
             }
+            let probability = slow_probability(share, slowness.evidence);
             let mut event = LogEvent::worker("worker suspected as slow", worker);
             event.last_heard_ms = Some(now_ms.saturating_sub(worker.last_heard_ms));
             event.detail = format!(
-                "completed runs {:.1}, runs in progress {}, share of slow workers {share:.2}",
+                "evidence {:.1}, of completed runs {:.1}, runs in progress {}, share of slow \
+                 workers {share:.2}, probability {probability:.2}",
+                slowness.evidence,
                 slowness.score,
                 worker.runs.len()
             );
             out.push(Command::Log(event));
-            worker.slowness.suspicion = Some(Suspicion::new(now_ms));
+            worker.slowness.suspicion = Some(Suspicion::new(now_ms, probability));
             worker.degradation = DEGRADATION;
             if let Some(slowdown) = worker.slowness.slowdown_before {
                 worker.health.slowdown = slowdown;
@@ -440,7 +473,7 @@
 
     /// Stops runs on suspected workers that end sooner elsewhere.
     fn restart_slow_runs(&mut self, now_ms: u64, share: f64, out: &mut Vec<Command>) {
-        let mut targets: Vec<(WorkerKey, Resources)> = Vec::new();
+        let mut targets = Vec::new();
         let is_target =
             |worker: &&Worker| worker.accepts_tasks(now_ms) && !worker.slowness.is_suspected();
         let suspected: Vec<WorkerKey> = self
@@ -454,11 +487,9 @@
         }
         for (key, worker) in &self.workers {
             if is_target(&worker) {
-                targets.push((key, worker.free_resources()));
+                targets.push(RestartTarget::new(now_ms, key, worker));
             }
         }
-        let prior = share.clamp(SLOW_PRIOR_MIN, SLOW_SHARE_MAX);
-        let prior_odds = prior / (1.0 - prior);
         let answer_timeout_ms = self.answer_timeout.timeout_ms();
         for key in suspected {
             let mut stopped = Vec::new();
@@ -466,8 +497,7 @@
                 if self.slow_workers.restarts_left < 1.0 {
                     break;
                 }
-                let Some(restart) = self.restart_of(now_ms, key, position, &targets, prior_odds)
-                else {
+                let Some(restart) = self.restart_of(now_ms, key, position, &targets, share) else {
                     continue;
                 };
                 let worker = &mut self.workers[key];
@@ -475,7 +505,7 @@
                     worker.request_poll();
                     break;
                 }
-                targets[restart.target].1 = targets[restart.target].1.minus(&restart.resources);
+                targets[restart.target].take(&restart.resources);
                 self.slow_workers.restarts_left -= 1.0;
                 self.slow_workers.restarts += 1;
                 let mut event = LogEvent::job("restarting run of slow worker", &restart.task);
@@ -511,8 +541,8 @@
         now_ms: u64,
         key: WorkerKey,
         position: usize,
-        targets: &[(WorkerKey, Resources)],
-        prior_odds: f64,
+        targets: &[RestartTarget],
+        share: f64,
     ) -> Option<Restart> {
         let worker = &self.workers[key];
         let run = &worker.runs[position];
@@ -537,16 +567,18 @@
             return None;
         }
         let label = job.phase(task).required_label.as_str();
-        let targets = targets.iter().enumerate().filter(|(_, (key, free))| {
-            let worker = &self.workers[*key];
-            free.fits(&resources)
-                && *worker.record.service == *job.spec.service
+        let slowdown = |key: WorkerKey| self.workers[key].health.slowdown;
+        let ends = targets.iter().enumerate().filter_map(|(index, target)| {
+            let worker = &self.workers[target.key];
+            let is_allowed = *worker.record.service == *job.spec.service
                 && (label.is_empty() || worker.record.labels.contains(label))
-                && !job.failed_on.contains(key)
+                && !job.failed_on.contains(&target.key);
+            let wait_ms = target.available_at_ms(&resources)?.saturating_sub(now_ms);
+            let end_ms = wait_ms + (run.estimate_ms as f64 * slowdown(target.key)) as u64;
+            is_allowed.then_some((end_ms, wait_ms, index))
         });
-        let slowdown = |key: WorkerKey| self.workers[key].health.slowdown;
-        let (target, &(target_key, _)) = targets
-            .min_by(|(_, left), (_, right)| slowdown(left.0).total_cmp(&slowdown(right.0)))?;
+        let (_, wait_ms, target) = ends.min()?;
+        let target_key = targets[target].key;
         let model = &self.slow_workers.model;
         // How long the run takes if the worker is not slow, and the run is of the tail.
         let total_regular = model.mean_total(ratio, 1.0);
@@ -554,12 +586,11 @@
         let total_moved = model.mean_total(ratio / DEGRADATION, 1.0);
         let total_slow = model.mean_total(ratio, DEGRADATION);
         let speed = slowdown(target_key) / worker.health.slowdown;
-        let odds = prior_odds * worker.slowness.evidence.exp();
-        let slow = odds / (1.0 + odds);
+        let slow = slow_probability(share, worker.slowness.evidence);
         let mean = |if_slow: f64, if_regular: f64| slow * if_slow + (1.0 - slow) * if_regular;
         let kept_ms = (mean(total_slow, total_regular) - ratio) * regular_ms;
         let there_ms = mean(total_moved, total_regular) * regular_ms * speed;
-        let moved_ms = there_ms + STOP_MS as f64;
+        let moved_ms = there_ms + STOP_MS.max(wait_ms) as f64;
         let late_ms = job.objective_ms(LATE_FACTOR).min(job.caller_deadline_ms());
         let is_useful = now_ms + moved_ms as u64 <= late_ms;
         (moved_ms < kept_ms && is_useful).then(|| Restart {
@@ -573,6 +604,50 @@
     }
 }
 
+/// A worker that can take restarted runs. Their jobs have begun, so they are first in the
+/// queue for capacity that comes free there.
+struct RestartTarget {
+    key: WorkerKey,
+    /// Resources that come free, and when, soonest first.
+    releases: Vec<(u64, Resources)>,
+    /// Resources of the runs that were stopped to be restarted here.
+    taken: Resources,
+}
+
+impl RestartTarget {
+    fn new(now_ms: u64, key: WorkerKey, worker: &Worker) -> Self {
+        let release = |run: &Run| {
+            let overdue_ms = now_ms + (run.expected_ms as f64 * OVERDUE_SHARE) as u64;
+            let end_ms = overdue_ms.max(run.ordered_ms + run.expected_ms);
+            (end_ms, run.resources.unwrap_or_default())
+        };
+        let mut releases: Vec<_> = worker.runs.iter().map(release).collect();
+        releases.push((now_ms, worker.free_resources()));
+        releases.sort_by_key(|&(at_ms, _)| at_ms);
+        Self {
+            key,
+            releases,
+            taken: Resources::default(),
+        }
+    }
+
+    /// When `resources` are free here; `None` if never.
+    fn available_at_ms(&self, resources: &Resources) -> Option<u64> {
+        let needed = resources.plus(&self.taken);
+        let mut free = Resources::default();
+        let mut releases = self.releases.iter();
+        let enough = releases.find(|(_, released)| {
+            free = free.plus(released);
+            free.fits(&needed)
+        });
+        enough.map(|&(at_ms, _)| at_ms)
+    }
+
+    fn take(&mut self, resources: &Resources) {
+        self.taken = self.taken.plus(resources);
+    }
+}
+
 /// A run that ends sooner elsewhere.
 struct Restart {
     /// Position among the targets.
