--- a/crates/core/src/dispatch/owner/slow_workers.rs
+++ b/crates/core/src/dispatch/owner/slow_workers.rs
@@ -591,7 +591,12 @@
         let kept_ms = (mean(total_slow, total_regular) - ratio) * regular_ms;
         let there_ms = mean(total_moved, total_regular) * regular_ms * speed;
         let moved_ms = there_ms + STOP_MS.max(wait_ms) as f64;
-        let late_ms = job.objective_ms(LATE_FACTOR).min(job.caller_deadline_ms());
+        // The objective grows with the work, of which the estimate may be too low.
+        let work = mean(total_moved, total_regular) * offset;
+        let excess_ms = (work - 1.0).max(0.0) * run.estimate_ms as f64;
+        let excess_ms = excess_ms * job.spec.stretch * LATE_FACTOR;
+        let late_ms = job.objective_ms(LATE_FACTOR) + excess_ms as u64;
+        let late_ms = late_ms.min(job.caller_deadline_ms());
         let is_useful = now_ms + moved_ms as u64 <= late_ms;
         (moved_ms < kept_ms && is_useful).then(|| Restart {
             target,
--- a/crates/core/src/dispatch/owner/slow_workers/evidence.rs
+++ b/crates/core/src/dispatch/owner/slow_workers/evidence.rs
@@ -136,7 +136,11 @@
     /// never negative.
     pub fn running_evidence(&self, ratio: f64) -> f64 {
         // Beyond the tail, runs are stalled rather than slow.
-        let ratio = ratio.min(TAIL_FACTOR);
+        let ratio = if ratio.is_nan() {
+            0.0
+        } else {
+            ratio.min(TAIL_FACTOR)
+        };
         bounded((self.survival(ratio, SLOW_FACTOR) / self.survival(ratio, 1.0)).ln()).max(0.0)
     }
 
--- a/crates/replay/tests/support/mod.rs
+++ b/crates/replay/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use trefoil_replay::arrivals::{self, Arrival};
 use trefoil_replay::pattern::{self, Pattern};
 use trefoil_replay::simulation::{ReplayOutcomes, RetryOutcome};
-use trefoil_replay::stats::{CallerOutcome, ReplayStats};
+use trefoil_replay::stats::{CallerOutcome, ClassStats, ReplayStats};
 use trefoil_replay::{bound, simulation};
 
 /// A replay of one pattern with one seed.
@@ -59,6 +59,12 @@
         refused as f64 / self.retries.len() as f64
     }
 
+    /// Share of the jobs that a count includes.
+    pub fn share(&self, count: impl Fn(&ClassStats) -> u64) -> f64 {
+        let eligible = self.stats.sum(|class| class.eligible);
+        self.stats.sum(count) as f64 / eligible as f64
+    }
+
     /// Share of a class's jobs that completed on time.
     pub fn on_time(&self, class: usize) -> f64 {
         let class = &self.stats.classes[class];
