core: stall timeout of 3 times the expected time on workers that look slow

Change: the earlier timeout holds on workers that look slow and are not suspected, and on workers on probation.

--- a/crates/core/src/dispatch/owner/overdue.rs
+++ b/crates/core/src/dispatch/owner/overdue.rs
@@ -31,7 +31,15 @@
 }
 
 /// Decides what to do about a run of a worker that last answered at `heard_ms`.
-fn overdue_action(run: &Run, now_ms: u64, heard_ms: u64, is_lossy: bool) -> OverdueAction {
+/// Without evidence against the worker (`is_doubtful`), a run that takes long may be of the
+/// tail, which takes as long on any worker.
+fn overdue_action(
+    run: &Run,
+    now_ms: u64,
+    heard_ms: u64,
+    is_lossy: bool,
+    is_doubtful: bool,
+) -> OverdueAction {
     let passed = |from_ms: u64, time_ms: u64| now_ms >= from_ms + time_ms;
     match (run.state, run.owner) {
         (RunState::Stopping { ordered_ms }, _) if passed(ordered_ms, STOP_RETRY_MS) => {
@@ -41,7 +49,15 @@
             OverdueAction::Stop
         }
         (RunState::Running, RunOwner::Task(job, index)) => {
-            let RunTimeouts { check_ms, stall_ms } = run.timeouts;
+            let RunTimeouts {
+                check_ms,
+                stall_ms,
+                doubtful_stall_ms,
+            } = run.timeouts;
+            let stall_ms = match is_doubtful {
+                true => doubtful_stall_ms,
+                false => stall_ms,
+            };
             let (check_ms, is_repoll_due) = match is_lossy {
                 true => (
                     check_ms.min(run.expected_ms),
@@ -79,10 +95,13 @@
             return;
         }
         let target = target_of(key, worker);
+        // Runs of suspected workers are restarted by `slow_workers`.
+        let is_doubtful = worker.health.is_on_probation()
+            || (worker.slowness.looks_slow() && !worker.slowness.is_suspected());
         let mut stalled = Vec::new();
         let mut polled_task = None;
         for run in &mut worker.runs {
-            match overdue_action(run, now_ms, worker.last_heard_ms, is_lossy) {
+            match overdue_action(run, now_ms, worker.last_heard_ms, is_lossy, is_doubtful) {
                 OverdueAction::Wait => continue,
                 OverdueAction::Poll => {
                     polled_task.get_or_insert_with(|| run.task.clone());
--- a/crates/core/src/dispatch/owner/placement.rs
+++ b/crates/core/src/dispatch/owner/placement.rs
@@ -17,7 +17,10 @@
 const PRIOR_FAILURE_COST: f64 = 100.0;
 /// Cost of starting a suspect task beside others, or another task beside it.
 const SUSPECT_COLOCATION_COST: f64 = 10.0;
-/// Added to [`STALL_FACTOR`] times the expected time of a run.
+/// A run on a worker that looks slow or has failed is stalled after this multiple of its
+/// expected time, plus [`STALL_SLACK_MS`].
+const DOUBTFUL_STALL_FACTOR: f64 = 3.0;
+/// Added to the stall timeouts.
 const STALL_SLACK_MS: u64 = 150;
 /// A worker is polled for a run's completion after this multiple of the run's expected
 /// time, plus [`CHECK_SLACK_MS`].
@@ -30,10 +33,11 @@
 /// the estimate may be wrong.
 pub(super) fn run_timeouts(expected_ms: u64, stalls: u32) -> RunTimeouts {
     let times = |factor: f64| (expected_ms as f64 * factor) as u64;
-    let base_ms = times(STALL_FACTOR) + STALL_SLACK_MS;
+    let stall_ms = |factor| (times(factor) + STALL_SLACK_MS) << stalls.min(STALL_DOUBLINGS_MAX);
     RunTimeouts {
         check_ms: times(CHECK_FACTOR) + CHECK_SLACK_MS,
-        stall_ms: base_ms << stalls.min(STALL_DOUBLINGS_MAX),
+        stall_ms: stall_ms(STALL_FACTOR),
+        doubtful_stall_ms: stall_ms(DOUBTFUL_STALL_FACTOR),
     }
 }
 
--- a/crates/core/src/dispatch/owner/slow_workers.rs
+++ b/crates/core/src/dispatch/owner/slow_workers.rs
@@ -155,6 +155,11 @@
         self.suspicion.is_some()
     }
 
+    /// Whether the evidence suffices for a suspicion.
+    pub(super) fn looks_slow(&self) -> bool {
+        self.looks_slow
+    }
+
     /// Whether a task may be started: always if the worker is not suspected, otherwise if
     /// a probe is due.
     pub(crate) fn accepts_task(&self, now_ms: u64) -> bool {
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -132,6 +132,8 @@
     pub check_ms: u64,
     /// Time after which the run is considered stalled.
     pub stall_ms: u64,
+    /// The same if its worker looks slow or has failed a task since its last success.
+    pub doubtful_stall_ms: u64,
 }
 
 /// Whether the worker accepts orders of this owner.
