--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -17,6 +17,7 @@
 //! * [`poison_tasks`]: tasks that crash the workers that start them.
 //! * [`departure`]: runs on workers that are about to exit.
 //! * [`overdue`]: polling and stopping of overdue runs.
+//! * [`slow_workers`]: workers that have become slow.
 //! * [`peer_loads`]: loads of other pools.
 //! * [`adopt`]: adoption of a predecessor's runs.
 //! * [`closure`]: evacuation of a closed failure domain.
@@ -49,6 +50,7 @@
 mod run_times;
 mod settings;
 mod shares;
+mod slow_workers;
 mod start_barrier;
 mod stats;
 
@@ -74,6 +76,8 @@
 pub use departure::{DepartureAction, RunOutlook};
 pub use log_event::{LogEvent, LogTopic};
 pub use settings::Settings;
+pub(crate) use slow_workers::Slowness;
+pub use slow_workers::{RunTimeModel, STALL_FACTOR, SUSPICION_THRESHOLD, shared_estimate_bound};
 pub use start_barrier::StartBarrier;
 pub use stats::OwnerStats;
 
@@ -115,6 +119,7 @@
     released: bool,
     admission: admission::Admission,
     peer_loads: peer_loads::PeerLoads,
+    slow_workers: slow_workers::SlowWorkers,
     settings: Settings,
 }
 
@@ -146,6 +151,7 @@
             released: false,
             admission: admission::Admission::default(),
             peer_loads: peer_loads::PeerLoads::default(),
+            slow_workers: slow_workers::SlowWorkers::default(),
             settings: Settings::default(),
         }
     }
@@ -313,6 +319,7 @@
         self.queue.invalidate();
         self.expire_origins(now_ms, out);
         self.check_deadlines(now_ms, out);
+        self.judge_slow_workers(now_ms, out);
         self.return_jobs(now_ms, out);
         self.refuse_expired(now_ms, out);
         self.schedule(now_ms, out);
--- a/crates/core/src/dispatch/owner/placement.rs
+++ b/crates/core/src/dispatch/owner/placement.rs
@@ -8,6 +8,7 @@
 use super::super::limits::START_LEASE_MS;
 use super::super::worker::{Resources, Run, RunTimeouts};
 use super::shares::Shares;
+use super::slow_workers::STALL_FACTOR;
 use super::*;
 
 /// Weight of the CPU share that a placement leaves unused, relative to run time.
@@ -16,8 +17,10 @@
 const PRIOR_FAILURE_COST: f64 = 100.0;
 /// Cost of starting a suspect task beside others, or another task beside it.
 const SUSPECT_COLOCATION_COST: f64 = 10.0;
-/// A run is stalled after this multiple of its expected time, plus [`STALL_SLACK_MS`].
-const STALL_FACTOR: f64 = 3.0;
+/// A run on a worker that looks slow or has failed is stalled after this multiple of its
+/// expected time, plus [`STALL_SLACK_MS`].
+const DOUBTFUL_STALL_FACTOR: f64 = 3.0;
+/// Added to the stall timeouts.
 const STALL_SLACK_MS: u64 = 150;
 /// A worker is polled for a run's completion after this multiple of the run's expected
 /// time, plus [`CHECK_SLACK_MS`].
@@ -30,10 +33,11 @@
 /// the estimate may be wrong.
 pub(super) fn run_timeouts(expected_ms: u64, stalls: u32) -> RunTimeouts {
     let times = |factor: f64| (expected_ms as f64 * factor) as u64;
-    let base_ms = times(STALL_FACTOR) + STALL_SLACK_MS;
+    let stall_ms = |factor| (times(factor) + STALL_SLACK_MS) << stalls.min(STALL_DOUBLINGS_MAX);
     RunTimeouts {
         check_ms: times(CHECK_FACTOR) + CHECK_SLACK_MS,
-        stall_ms: base_ms << stalls.min(STALL_DOUBLINGS_MAX),
+        stall_ms: stall_ms(STALL_FACTOR),
+        doubtful_stall_ms: stall_ms(DOUBTFUL_STALL_FACTOR),
     }
 }
 
@@ -225,6 +229,9 @@
         };
         let left = candidate.free.minus(resources).cpu_millicores as f64;
         let unused_share = left / worker.record.capacity.cpu_millicores.max(1) as f64;
+        let slowness_cost = worker
+            .slowness
+            .cost(now_ms, &job.tasks[index], phase.estimate_ms)?;
         let has_failed = job.failed_on.contains(&candidate.key);
         let failure_cost = if has_failed { PRIOR_FAILURE_COST } else { 0.0 };
         let is_colocated = candidate.has_suspect || (is_suspect && candidate.runs > 0);
@@ -237,7 +244,8 @@
             worker.run_time_factor() * distance
                 + FRAGMENTATION_WEIGHT * unused_share
                 + failure_cost
-                + suspect_cost,
+                + suspect_cost
+                + slowness_cost,
         )
     }
 
@@ -289,6 +297,7 @@
             expected_ms,
             timeouts: run_timeouts(expected_ms.max(mean_ms), task.stalls),
         });
+        worker.slowness.record_start(&task.name, task.run_id);
         out.push(Command::Start(StartOrder {
             target: target_of(worker_key, worker),
             task: task.name.clone(),
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -15,6 +15,7 @@
     UNLISTED_GRACE_MS,
 };
 use super::order::JobKey;
+use super::owner::Slowness;
 
 /// A worker's entry in the platform's registry.
 #[derive(Clone, Debug, PartialEq)]
@@ -151,6 +152,8 @@
     pub check_ms: u64,
     /// Time after which the run is considered stalled.
     pub stall_ms: u64,
+    /// The same if its worker looks slow or has failed a task since its last success.
+    pub doubtful_stall_ms: u64,
 }
 
 /// Whether the worker accepts orders of this owner.
@@ -226,6 +229,8 @@
     pub health: WorkerHealth,
     /// Factor on run times while the worker is temporarily slow; 1 if it is not.
     pub degradation: f64,
+    /// Evidence for that, and probes while it is suspected.
+    pub(crate) slowness: Slowness,
 }
 
 impl Worker {
@@ -253,6 +258,7 @@
             leases_expire_ms: 0,
             health: WorkerHealth::default(),
             degradation: 1.0,
+            slowness: Slowness::default(),
         }
     }
 
@@ -292,6 +298,7 @@
             && !self.has_left(now_ms)
             && !self.record.draining
             && self.health.allows_task(now_ms, self.runs.len())
+            && self.slowness.accepts_task(now_ms)
     }
 
     /// Whether new tasks may be started there, or can be once it has answered a call
@@ -302,6 +309,7 @@
             && !self.has_left(now_ms)
             && !self.record.draining
             && !self.health.is_on_probation()
+            && !self.slowness.is_suspected()
     }
 
     /// Records a renewal without an answer, and backs off.
