--- a/crates/replay/src/pattern.rs
+++ b/crates/replay/src/pattern.rs
@@ -374,6 +374,18 @@
                 },
             ],
         )),
+        in_large_deployment(pattern(
+            "burst-short-notice",
+            vec![
+                burst(None, 1.5, 2000, 15_000),
+                Disturbance::WorkersLeave {
+                    share: 0.25,
+                    domain: None,
+                    notice_ms: Some(2000),
+                    at_ms: 6000,
+                },
+            ],
+        )),
         Pattern {
             // The workers that stay have room for all jobs, so that only the exits matter.
             classes: default_classes(0.7 * 352.0 / 240.0),
--- a/crates/replay/src/simulation.rs
+++ b/crates/replay/src/simulation.rs
@@ -341,7 +341,14 @@
                 let exits_after_ms = notice_ms.unwrap_or(WORKER_DRAIN_MS);
                 self.schedule_after(exits_after_ms, Event::WorkerGone { worker });
             }
-            Event::WorkerGone { worker } => self.remove_worker(worker),
+            Event::WorkerGone { worker } => {
+                // Patterns without a notice keep their results: there, an open renewal of the
+                // worker is still answered.
+                match self.workers[worker].record.departure {
+                    Some(_) => self.remove_worker(worker),
+                    None => self.workers[worker].up = false,
+                }
+            }
             Event::WorkersJoin { workers } => {
                 for pool in 0..self.pattern.topology.pools_per_domain as usize {
                     (0..workers).for_each(|index| self.add_worker(pool, index));
