--- a/crates/replay/tests/leaving_workers.rs
+++ b/crates/replay/tests/leaving_workers.rs
@@ -16,7 +16,7 @@
         .iter()
         .map(|replay| replay.stats.classes[LONG].late + replay.stats.classes[LONG].too_late)
         .sum();
-    // 22 if no run is stopped before its worker exits, and 9 otherwise.
+    // 19 if no run is stopped before its worker exits.
     assert!(late <= 15, "{late} long jobs are late");
     for replay in &replays {
         assert!(replay.share_of_bound() > 0.98);
