--- a/crates/core/tests/dispatch_slow_workers.rs
+++ b/crates/core/tests/dispatch_slow_workers.rs
@@ -4,11 +4,13 @@
 
 use std::collections::BTreeSet;
 
-use dispatch_support::orders::{LINK, answer_renewal, answer_start, fenced_owner};
+use dispatch_support::orders::{
+    LINK, answer_renewal, answer_start, completion, fenced_owner, renewed,
+};
 use dispatch_support::{SimWorker, holder, job, owner_after, renewals, starts, stops};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use trefoil_core::dispatch::order::{OrderOutcome, RenewOrder, StartOrder, StopOrder};
+use trefoil_core::dispatch::order::{OrderOutcome, RenewOrder, RunOutcome, StartOrder, StopOrder};
 use trefoil_core::dispatch::owner::{
     Command, OrderResult, Owner, RunTimeModel, STALL_FACTOR, SUSPICION_THRESHOLD,
     shared_estimate_bound,
@@ -403,13 +405,66 @@
 /// Guards against following reports of owners that are gone.
 #[test]
 fn stale_reports_of_slow_workers_elsewhere_are_ignored() {
-    let mut pool = Pool::with_slow_workers(1);
+    // The first worker is the fastest, so that it gets tasks.
+    let fast_task_ms = TASK_MS / 2;
+    let mut pool = Pool::new();
+    pool.set_task_ms(1, fast_task_ms);
+    pool.run_until(2000);
+    pool.set_task_ms(1, 6 * fast_task_ms);
     for _ in 0..20 {
         pool.observe_peer(9);
         pool.run_until(pool.now_ms + 100);
         assert_eq!(pool.owner.stats().suspected_workers, 0);
     }
-    pool.run_until(pool.now_ms + 4000);
+    assert_eq!(pool.owner.stats().suspicions, 0);
+    // The worker recovers, is no longer on probation for its stalled runs, and is slow again
+    // when the reports are stale.
+    pool.set_task_ms(1, fast_task_ms);
+    pool.run_until(pool.now_ms + 6000);
+    assert_eq!(pool.owner.stats().suspicions, 0);
+    pool.set_task_ms(1, 6 * fast_task_ms);
+    pool.run_until_restart();
     assert_eq!(pool.owner.stats().suspected_workers, 1);
     pool.assert_all_complete();
 }
+
+/// Guards against a second attempt on a worker that may be as bad as the first one, while
+/// another worker has just succeeded.
+#[test]
+fn a_task_that_failed_goes_to_a_worker_of_proven_health_next() {
+    let mut owner = fenced_owner(1, &["w1", "w2", "w3"]);
+    let mut out = Vec::new();
+    owner.delegate(3000, LINK, job("a", 3, TASK_MS), 0, None, &mut out);
+    let started = starts(&out);
+    let open_renewals: Vec<RenewOrder> = started
+        .iter()
+        .flat_map(|start| {
+            let outcome = OrderOutcome::Done { clock_ms: 53_000 };
+            renewals(&answer_start(&mut owner, 3002, start, outcome))
+        })
+        .collect();
+    // Two tasks run on one worker, which is slower but succeeds; the third fails.
+    let (failing, proven): (Vec<_>, Vec<_>) = started.iter().partition(|start| {
+        let same = started
+            .iter()
+            .filter(|other| other.target.worker == start.target.worker);
+        same.count() == 1
+    });
+    assert_eq!((failing.len(), proven.len()), (1, 2));
+    let renewal_of = |start: &StartOrder| {
+        let mut renewals = open_renewals.iter();
+        renewals
+            .find(|renewal| renewal.target.worker == start.target.worker)
+            .expect("a renewal is open")
+    };
+    let done = vec![completion(1, proven[0]), completion(2, proven[1])];
+    let answer = renewed(vec![], done);
+    answer_renewal(&mut owner, 3150, renewal_of(proven[0]), answer);
+    let mut failed = completion(1, failing[0]);
+    failed.outcome = RunOutcome::Failed;
+    let answer = renewed(vec![], vec![failed]);
+    let out = answer_renewal(&mut owner, 3160, renewal_of(failing[0]), answer);
+    let restarted = starts(&out);
+    assert_eq!(restarted.len(), 1);
+    assert_eq!(restarted[0].target.worker, proven[0].target.worker);
+}
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Prometheus metrics of an instance.
 
+use std::cell::Cell;
+
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -37,6 +39,12 @@
     workers: IntGauge,
     workers_fenced: IntGauge,
     runs: IntGauge,
+    workers_suspected: IntGauge,
+    suspicions: IntCounter,
+    slow_run_restarts: IntCounter,
+    /// Totals at the last call of [`Self::set_stats`]. They fall when an owner is released.
+    last_suspicions: Cell<u64>,
+    last_slow_run_restarts: Cell<u64>,
     closed: IntGauge,
     unreadable: IntGauge,
 }
@@ -79,6 +87,23 @@
             workers: gauge(&registry, "trefoil_workers", "Workers of this owner.")?,
             workers_fenced: gauge(&registry, "trefoil_workers_fenced", "Workers that obey.")?,
             runs: gauge(&registry, "trefoil_runs", "Runs that may be on workers.")?,
+            workers_suspected: gauge(
+                &registry,
+                "trefoil_workers_suspected",
+                "Workers suspected as slow, which get probes only.",
+            )?,
+            suspicions: counter(
+                &registry,
+                "trefoil_worker_suspicions_total",
+                "Times that a worker was suspected as slow.",
+            )?,
+            slow_run_restarts: counter(
+                &registry,
+                "trefoil_slow_run_restarts_total",
+                "Runs of slow workers stopped to be restarted elsewhere.",
+            )?,
+            last_suspicions: Cell::new(0),
+            last_slow_run_restarts: Cell::new(0),
             closed: gauge(
                 &registry,
                 "trefoil_failure_domain_closed",
@@ -111,6 +136,13 @@
         self.workers.set(owned.workers as i64);
         self.workers_fenced.set(owned.workers_fenced as i64);
         self.runs.set(owned.runs as i64);
+        self.workers_suspected.set(owned.suspected_workers as i64);
+        let last = self.last_suspicions.replace(owned.suspicions);
+        self.suspicions
+            .inc_by(owned.suspicions.saturating_sub(last));
+        let last = self.last_slow_run_restarts.replace(owned.slow_run_restarts);
+        self.slow_run_restarts
+            .inc_by(owned.slow_run_restarts.saturating_sub(last));
     }
 
     /// Encodes all metrics in the Prometheus text format.
