--- a/crates/core/src/dispatch/owner/slow_workers.rs
+++ b/crates/core/src/dispatch/owner/slow_workers.rs
@@ -11,8 +11,8 @@
 //! sooner by expectation and the job can still end on time or late. A run is stopped
 //! first; its task is requeued when the worker lists the end of the run.
 //!
-//! Trade-offs: a worker needs two overdue runs to be suspected, so a slow worker with one
-//! run is found only once it has completed one. If more than [`SLOW_SHARE_MAX`] of all
+//! Trade-offs: a worker needs two or three overdue runs to be suspected, so one with a single
+//! run is found only once it has completed others. If more than [`SLOW_SHARE_MAX`] of all
 //! workers look slow, the load or the estimates are to blame, and nobody is suspected.
 
 mod evidence;
