core, instance, replay: route jobs by the shape of free CPU and the begin delay

Cause: an entry took a pool as free if the sum of its free CPU covered a job. A busy pool has a tenth or more of it free in pieces that no task fits into, so that full pools were sent jobs and sent them round.

Owners report free CPU by shape and the forecast delay of a new job; a refusal carries the load of the pool.

--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -8,6 +8,7 @@
 //! * [`forecast`]: when waiting jobs can begin.
 //! * [`shares`]: fair sharing between job classes.
 //! * [`queue`]: the order in which waiting jobs are placed.
+//! * [`room`]: free capacity by shape, and when a new job can begin.
 //! * [`run_times`]: run times learned by job class.
 //! * [`placement`]: which task starts on which worker.
 //! * [`reservation`]: workers reserved for late jobs that have begun.
@@ -44,6 +45,7 @@
 mod queue;
 mod rate;
 mod reservation;
+mod room;
 mod run_times;
 mod settings;
 mod shares;
@@ -111,6 +113,7 @@
     released: bool,
     admission: admission::Admission,
     peer_loads: peer_loads::PeerLoads,
+    refusal_load: room::RefusalLoad,
     settings: Settings,
 }
 
@@ -141,6 +144,7 @@
             released: false,
             admission: admission::Admission::default(),
             peer_loads: peer_loads::PeerLoads::default(),
+            refusal_load: None,
             settings: Settings::default(),
         }
     }
