--- a/crates/core/src/dispatch/entry/refusal.rs
+++ b/crates/core/src/dispatch/entry/refusal.rs
@@ -36,7 +36,7 @@
 const DELEGATION_MS: f64 = 3.0;
 /// Margin for the error of a report: the job's slack must be this multiple of the delay
 /// reported by the second pool. With 1, 22 in 100 delegations under contention are sent on.
-const SECOND_DELAY_FACTOR: f64 = 3.0;
+const SECOND_DELAY_FACTOR: f64 = 4.0;
 /// Multiple of a job's slack that the reported delays must exceed for a refusal by the
 /// entry. Half of the slack is what an owner requires of a class over its share.
 const DELAY_FACTOR_MIN: f64 = 0.5;
--- a/crates/core/src/dispatch/owner/room.rs
+++ b/crates/core/src/dispatch/owner/room.rs
@@ -63,10 +63,10 @@
 impl Owner {
     /// The pool's load for a refusal, at most [`REFUSAL_LOAD_INTERVAL_MS`] old.
     pub fn refusal_load(&mut self, now_ms: u64) -> Load {
-        if let Some((at_ms, load)) = &self.refusal_load {
-            if now_ms < at_ms + REFUSAL_LOAD_INTERVAL_MS {
-                return load.clone();
-            }
+        if let Some((at_ms, load)) = &self.refusal_load
+            && now_ms < at_ms + REFUSAL_LOAD_INTERVAL_MS
+        {
+            return load.clone();
         }
         let load = self.load(now_ms);
         self.refusal_load = Some((now_ms, load.clone()));
