--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -8,6 +8,7 @@
 //! * [`forecast`]: when waiting jobs can begin.
 //! * [`shares`]: fair sharing between job classes.
 //! * [`queue`]: the order in which waiting jobs are placed.
+//! * [`room`]: free capacity by shape, and when a new job can begin.
 //! * [`run_times`]: run times learned by job class.
 //! * [`placement`]: which task starts on which worker.
 //! * [`reservation`]: workers reserved for late jobs that have begun.
@@ -47,6 +48,7 @@
 mod queue;
 mod rate;
 mod reservation;
+mod room;
 mod run_times;
 mod settings;
 mod shares;
@@ -120,6 +122,7 @@
     admission: admission::Admission,
     peer_loads: peer_loads::PeerLoads,
     slow_workers: slow_workers::SlowWorkers,
+    refusal_load: room::RefusalLoad,
     settings: Settings,
 }
 
@@ -152,6 +155,7 @@
             admission: admission::Admission::default(),
             peer_loads: peer_loads::PeerLoads::default(),
             slow_workers: slow_workers::SlowWorkers::default(),
+            refusal_load: None,
             settings: Settings::default(),
         }
     }
