core: start jobs that strand no CPU before other waiting jobs

Tasks of half a worker leave CPU in pieces that no waiting task fits into. Of the jobs that have not begun and can still end in time, those whose tasks all fit now without such pieces are started first. Begun jobs keep their place, and a job that waits alone is not restricted.

--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -10,6 +10,7 @@
 //! * [`queue`]: the order in which waiting jobs are placed.
 //! * [`run_times`]: run times learned by job class.
 //! * [`placement`]: which task starts on which worker.
+//! * [`packing`]: placements that strand no CPU.
 //! * [`reservation`]: workers reserved for late jobs that have begun.
 //! * [`answer_timeout`]: adaptive timeout of workers' answers.
 //! * [`order_results`]: results of start and stop orders.
@@ -38,6 +39,7 @@
 mod order_results;
 mod origins;
 mod overdue;
+pub mod packing;
 mod peer_loads;
 mod placement;
 mod poison_tasks;
--- a/crates/core/src/dispatch/owner/placement.rs
+++ b/crates/core/src/dispatch/owner/placement.rs
@@ -1,12 +1,18 @@
 //! Placement of waiting tasks on workers.
 //!
-//! Jobs are tried in queue order. A task goes to the worker where it costs least, by
-//! expected run time and fragmentation. Workers on probation get one task at a time.
+//! Jobs that have begun are tried first, in queue order. While several jobs wait, those
+//! whose tasks all fit without stranding CPU come next ([`packing`]), then the others. A
+//! task goes to the worker where it costs least, by expected run time and fragmentation.
+//! Workers on probation get one task at a time.
+//!
+//! [`packing`]: super::packing
 
 use trefoil_schema::dispatch::Phase;
 
 use super::super::limits::START_LEASE_MS;
 use super::super::worker::{Resources, Run, RunTimeouts};
+use super::packing::Packing;
+use super::queue::{Lateness, lateness};
 use super::shares::Shares;
 use super::*;
 
@@ -23,6 +29,9 @@
 /// time, plus [`CHECK_SLACK_MS`].
 const CHECK_FACTOR: f64 = 1.6;
 const CHECK_SLACK_MS: u64 = 50;
+/// Bound on the waiting jobs for which a packed placement is tried in one event, so that
+/// a long queue costs an owner of a tenth of a core little.
+const PACKED_JOBS_MAX: usize = 60;
 /// Bound on the doublings of the stall timeout.
 const STALL_DOUBLINGS_MAX: u32 = 6;
 
@@ -47,6 +56,7 @@
 }
 
 /// A worker that accepts tasks, with the tasks placed so far taken into account.
+#[derive(Clone, Copy)]
 pub(super) struct Candidate {
     pub(super) key: WorkerKey,
     pub(super) free: Resources,
@@ -55,6 +65,13 @@
     has_suspect: bool,
 }
 
+/// Where a task was planned to start, and the candidate as it was before.
+struct PlannedStart {
+    index: usize,
+    position: usize,
+    before: Candidate,
+}
+
 impl Owner {
     /// Starts every waiting task that fits, in queue order.
     pub(super) fn place(&mut self, now_ms: u64, out: &mut Vec<Command>) {
@@ -69,13 +86,33 @@
         }
         let queue = std::mem::take(&mut self.queue);
         let mut begun = 0;
-        for key in queue.jobs() {
-            begun += u32::from(self.place_job(now_ms, key, &mut candidates, out));
+        let is_started = |owner: &Self, key| owner.jobs.get(key).is_some_and(|job| job.started);
+        let (started, unstarted): (Vec<JobKey>, Vec<JobKey>) =
+            queue.jobs().partition(|&key| is_started(self, key));
+        for &key in &started {
+            self.place_job(now_ms, key, &mut candidates, out);
             self.reserve(now_ms, key, &mut candidates);
             if queue.none_fits(max_free_millicores(&candidates)) {
                 break;
             }
         }
+        // A single job does not compete for capacity and gets the fastest workers.
+        if unstarted.len() > 1 {
+            let packing = queue.packing();
+            for &key in unstarted.iter().take(PACKED_JOBS_MAX) {
+                if queue.none_fits(max_free_millicores(&candidates)) {
+                    break;
+                }
+                begun += u32::from(self.place_packed(now_ms, key, packing, &mut candidates, out));
+            }
+        }
+        for &key in &unstarted {
+            if queue.none_fits(max_free_millicores(&candidates)) {
+                break;
+            }
+            begun += u32::from(self.place_job(now_ms, key, &mut candidates, out));
+            self.reserve(now_ms, key, &mut candidates);
+        }
         self.queue = queue;
         if begun > 0 {
             self.queue.mark_unsorted();
@@ -171,29 +208,134 @@
         candidates: &mut [Candidate],
         out: &mut Vec<Command>,
     ) -> bool {
+        let Some(position) = self.cheapest(now_ms, key, index, candidates, None, &[]) else {
+            return false;
+        };
+        self.occupy(key, index, &mut candidates[position]);
+        self.start(now_ms, key, index, candidates[position].key, out);
+        true
+    }
+
+    /// Starts all tasks of a job that has not begun, if all of them fit now without
+    /// stranding CPU and the job can still end in time. Returns whether it has begun.
+    fn place_packed(
+        &mut self,
+        now_ms: u64,
+        key: JobKey,
+        packing: Packing,
+        candidates: &mut [Candidate],
+        out: &mut Vec<Command>,
+    ) -> bool {
+        let Some(job) = self.jobs.get(key) else {
+            return false;
+        };
+        if job.started
+            || job.is_suspect()
+            || lateness(job, now_ms) != Lateness::InTime
+            || !self.may_start(now_ms, false)
+        {
+            return false;
+        }
+        let mut planned: Vec<PlannedStart> = Vec::new();
+        for index in 0..job.tasks.len() {
+            let task = &job.tasks[index];
+            if !job.is_phase_ready(usize::from(task.phase)) {
+                continue;
+            }
+            let position = self
+                .can_start_task(key, index, now_ms)
+                .then(|| self.cheapest(now_ms, key, index, candidates, Some(packing), &planned))
+                .flatten();
+            let Some(position) = position else {
+                for start in planned.iter().rev() {
+                    candidates[start.position] = start.before;
+                }
+                return false;
+            };
+            planned.push(PlannedStart {
+                index,
+                position,
+                before: candidates[position],
+            });
+            self.occupy(key, index, &mut candidates[position]);
+        }
+        for start in &planned {
+            self.start(
+                now_ms,
+                key,
+                start.index,
+                candidates[start.position].key,
+                out,
+            );
+        }
+        self.jobs[key].started
+    }
+
+    fn occupy(&self, key: JobKey, index: usize, candidate: &mut Candidate) {
+        let job = &self.jobs[key];
+        let task = &job.tasks[index];
+        candidate.free = candidate.free.minus(&resources_of(job.phase(task)));
+        candidate.runs += 1;
+        candidate.has_suspect |= task.is_suspect();
+    }
+
+    /// Position of the candidate on which a task costs least; with `packing`, only among
+    /// those on which it strands no CPU.
+    fn cheapest(
+        &self,
+        now_ms: u64,
+        key: JobKey,
+        index: usize,
+        candidates: &[Candidate],
+        packing: Option<Packing>,
+        planned: &[PlannedStart],
+    ) -> Option<usize> {
         let job = &self.jobs[key];
         let task = &job.tasks[index];
         let phase = job.phase(task);
         let resources = resources_of(phase);
-        let is_suspect = task.is_suspect();
-        let costs = candidates
-            .iter()
-            .enumerate()
-            .filter_map(|(position, candidate)| {
-                let cost = self.cost(candidate, job, index, phase, &resources, now_ms)?;
-                Some((cost, position))
-            });
-        let Some((_, position)) = costs.min_by(|left, right| left.0.total_cmp(&right.0)) else {
-            return false;
+        let is_planned = |start: &&PlannedStart, position: usize| {
+            start.position == position && job.tasks[start.index].phase == task.phase
         };
-        candidates[position].free = candidates[position].free.minus(&resources);
-        candidates[position].runs += 1;
-        candidates[position].has_suspect |= is_suspect;
-        self.start(now_ms, key, index, candidates[position].key, out);
-        true
+        let mut best: Option<(f64, usize)> = None;
+        for (position, candidate) in candidates.iter().enumerate() {
+            if !candidate.free.fits(&resources) {
+                continue;
+            }
+            let capacity = self.workers[candidate.key].record.capacity;
+            let left = candidate.free.minus(&resources).cpu_millicores;
+            if packing.is_some_and(|packing| packing.strands(left, capacity.cpu_millicores)) {
+                continue;
+            }
+            let planned_here = match phase.per_worker_max {
+                0 => 0,
+                _ => planned
+                    .iter()
+                    .filter(|start| is_planned(start, position))
+                    .count(),
+            };
+            let cost = self.cost(
+                candidate,
+                job,
+                index,
+                phase,
+                &resources,
+                planned_here as u32,
+                now_ms,
+            );
+            let Some(cost) = cost else {
+                continue;
+            };
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, position));
+            }
+        }
+        best.map(|(_, position)| position)
     }
 
-    /// Cost of a task on a worker; `None` if it must not start there.
+    /// Cost of a task on a worker; `None` if it must not start there. `planned_here` is
+    /// the number of tasks of its phase that are about to start there.
+    #[expect(clippy::too_many_arguments, reason = "all are inputs of one formula")]
     fn cost(
         &self,
         candidate: &Candidate,
@@ -201,6 +343,7 @@
         index: usize,
         phase: &Phase,
         resources: &Resources,
+        planned_here: u32,
         now_ms: u64,
     ) -> Option<f64> {
         let worker = &self.workers[candidate.key];
@@ -212,7 +355,8 @@
             && worker.health.allows_task(now_ms, candidate.runs)
             && (label.is_empty() || worker.record.labels.contains(label))
             && (phase.per_worker_max == 0
-                || self.count_assigned(candidate.key, job, index) < phase.per_worker_max);
+                || self.count_assigned(candidate.key, job, index) + planned_here
+                    < phase.per_worker_max);
         if !allowed {
             return None;
         }
--- a/crates/core/src/dispatch/owner/queue.rs
+++ b/crates/core/src/dispatch/owner/queue.rs
@@ -21,6 +21,7 @@
 
 use super::super::job::Job;
 use super::super::order::JobKey;
+use super::packing::Packing;
 use super::shares::Shares;
 
 /// Minimum interval of sorts that only new jobs cause, so that a backlog which arrives
@@ -139,6 +140,11 @@
         self.order.iter().map(|&(_, key)| key)
     }
 
+    /// How placements avoid stranding CPU for the tasks that wait.
+    pub(super) fn packing(&self) -> Packing {
+        Packing::new(self.min_millicores)
+    }
+
     /// Whether no waiting task fits into `free_millicores`.
     pub(super) fn none_fits(&self, free_millicores: u64) -> bool {
         self.order.is_empty() || free_millicores < self.min_millicores
