core: learn worker speeds by label, and start tasks where their jobs end in time

Learned speeds were lost with the owner, and a job was started on a slow worker even if it could only end late there. Speeds are now learned as robust moving averages of logarithms, passed on by label in Load.kinds, and used as prior of workers without runs. A task waits for a busy worker while its job can still end in time there and not where it fits now, or is away from its data there.

Classes with a heavy tail are recognized from their runs. Their long tasks were stopped as stalled at 3 times the expected time, which wasted the run and put the worker on probation; the limit is 10 times for them.

--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -22,6 +22,7 @@
 //! * [`closure`]: evacuation of a closed failure domain.
 //! * [`start_barrier`]: when a job that an earlier owner had may start.
 //! * [`origins`]: liveness of the origins that delegated jobs.
+//! * [`worker_speed`]: speeds of workers by label.
 //! * [`completions`]: effects of a completed run on its task, job and worker.
 //! * [`job_results`]: how jobs end.
 
@@ -41,7 +42,7 @@
 mod overdue;
 pub mod packing;
 mod peer_loads;
-mod placement;
+pub mod placement;
 mod poison_tasks;
 mod queue;
 mod rate;
@@ -51,6 +52,7 @@
 mod shares;
 mod start_barrier;
 mod stats;
+pub mod worker_speed;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
@@ -72,6 +74,7 @@
 use super::worker::{FencingState, RunOwner, RunState, Worker, WorkerRecord};
 pub use command::{Command, JobResult, OrderResult};
 pub use log_event::{LogEvent, LogTopic};
+pub use placement::PlacementStats;
 pub use settings::Settings;
 pub use start_barrier::StartBarrier;
 pub use stats::OwnerStats;
@@ -113,6 +116,8 @@
     released: bool,
     admission: admission::Admission,
     peer_loads: peer_loads::PeerLoads,
+    worker_speeds: worker_speed::WorkerSpeeds,
+    placement_stats: PlacementStats,
     settings: Settings,
 }
 
@@ -143,6 +148,8 @@
             released: false,
             admission: admission::Admission::default(),
             peer_loads: peer_loads::PeerLoads::default(),
+            worker_speeds: worker_speed::WorkerSpeeds::default(),
+            placement_stats: PlacementStats::default(),
             settings: Settings::default(),
         }
     }
@@ -220,6 +227,7 @@
         self.confirm_replaced(now_ms, &record, listed, out);
         let mut worker = Worker::new(record, self.fence);
         worker.in_stored_roster = self.is_in_stored_roster(&id);
+        worker.set_prior(&self.worker_speeds);
         out.push(Command::Log(LogEvent::worker("listed", &worker)));
         let key = self.workers.insert(worker);
         self.worker_ids.insert(id, key);
@@ -303,6 +311,7 @@
         }
         self.dirty_workers.extend(self.workers.keys());
         self.peer_loads.expire(now_ms);
+        self.update_worker_speeds(now_ms);
         self.queue.invalidate();
         self.expire_origins(now_ms, out);
         self.check_deadlines(now_ms, out);
--- a/crates/core/src/dispatch/owner/adopt.rs
+++ b/crates/core/src/dispatch/owner/adopt.rs
@@ -36,7 +36,7 @@
                     run.resources = Some(placement::resources_of(&phase));
                     run.estimate_ms = phase.estimate_ms;
                     run.expected_ms = phase.estimate_ms;
-                    run.timeouts = placement::run_timeouts(run.expected_ms, 0);
+                    run.timeouts = placement::run_timeouts(run.expected_ms, 0, false);
                 }
                 task.run_id = task.run_id.max(run.run_id);
                 run.owner = RunOwner::Task(key, index);
--- a/crates/core/src/dispatch/owner/lease_renewal.rs
+++ b/crates/core/src/dispatch/owner/lease_renewal.rs
@@ -273,7 +273,7 @@
             confirmed_ms: now_ms,
             estimate_ms: expected_ms,
             expected_ms,
-            timeouts: placement::run_timeouts(expected_ms, 0),
+            timeouts: placement::run_timeouts(expected_ms, 0, false),
         });
         // The earlier owner may have renewed the lease just before.
         worker.leases_expire_ms = worker
--- a/crates/core/src/dispatch/owner/placement.rs
+++ b/crates/core/src/dispatch/owner/placement.rs
@@ -5,6 +5,11 @@
 //! task goes to the worker where it costs least, by expected run time and fragmentation.
 //! Workers on probation get one task at a time.
 //!
+//! Workers on which the job would miss its objective cost more. If the cheapest worker is
+//! such a worker, or away from the task's data, the task waits for a busy worker while the
+//! job can still end in time there by the expected ends of runs, so that a job with slack
+//! takes the slow worker instead. Each awaited worker is counted for one task.
+//!
 //! [`packing`]: super::packing
 
 use trefoil_schema::dispatch::Phase;
@@ -13,17 +18,23 @@
 use super::super::worker::{Resources, Run, RunTimeouts};
 use super::packing::Packing;
 use super::queue::{Lateness, lateness};
+use super::reservation::available_at_ms;
 use super::shares::Shares;
 use super::*;
 
 /// Weight of the CPU share that a placement leaves unused, relative to run time.
 const FRAGMENTATION_WEIGHT: f64 = 0.3;
+/// Cost of a worker on which the job would miss its objective.
+const LATE_COST: f64 = 3.0;
 /// Cost of a worker on which a task of the job failed before.
 const PRIOR_FAILURE_COST: f64 = 100.0;
 /// Cost of starting a suspect task beside others, or another task beside it.
 const SUSPECT_COLOCATION_COST: f64 = 10.0;
 /// A run is stalled after this multiple of its expected time, plus [`STALL_SLACK_MS`].
 const STALL_FACTOR: f64 = 3.0;
+/// The same for a class whose tasks take up to 7 times as long by themselves, with a margin
+/// for the error of the estimate. Stopping them wastes the run and blames the worker.
+const HEAVY_TAIL_STALL_FACTOR: f64 = 10.0;
 const STALL_SLACK_MS: u64 = 150;
 /// A worker is polled for a run's completion after this multiple of the run's expected
 /// time, plus [`CHECK_SLACK_MS`].
@@ -37,9 +48,13 @@
 
 /// Timeouts of a run. Each earlier stall of its task doubles the stall timeout, since
 /// the estimate may be wrong.
-pub(super) fn run_timeouts(expected_ms: u64, stalls: u32) -> RunTimeouts {
+pub(super) fn run_timeouts(expected_ms: u64, stalls: u32, heavy_tailed: bool) -> RunTimeouts {
+    let factor = match heavy_tailed {
+        true => HEAVY_TAIL_STALL_FACTOR,
+        false => STALL_FACTOR,
+    };
     let times = |factor: f64| (expected_ms as f64 * factor) as u64;
-    let base_ms = times(STALL_FACTOR) + STALL_SLACK_MS;
+    let base_ms = times(factor) + STALL_SLACK_MS;
     RunTimeouts {
         check_ms: times(CHECK_FACTOR) + CHECK_SLACK_MS,
         stall_ms: base_ms << stalls.min(STALL_DOUBLINGS_MAX),
@@ -65,6 +80,51 @@
     has_suspect: bool,
 }
 
+/// When a job would end if a task started on some worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Prospect {
+    /// Expected end of the job.
+    pub end_ms: u64,
+    /// Whether the worker is on another rack than the task's data.
+    pub is_remote: bool,
+}
+
+/// Whether a task waits for a worker that is busy (`later`) instead of starting on one that
+/// has room (`now`): only if the job still ends within its objective there, and would not
+/// here or would be away from its data.
+pub fn should_wait(now: Prospect, later: Prospect, objective_ms: u64) -> bool {
+    let is_better = now.end_ms > objective_ms || (now.is_remote && !later.is_remote);
+    is_better && later.end_ms <= objective_ms
+}
+
+fn is_remote(worker: &Worker, phase: &Phase) -> bool {
+    let rack = phase.data_rack.as_str();
+    !rack.is_empty() && !worker.record.labels.contains(rack)
+}
+
+/// Counters of placement since the owner was created.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PlacementStats {
+    /// Times that a task was held back for a faster worker.
+    pub waited_for_faster: u64,
+    /// Times that a task was held back for a worker near its data.
+    pub waited_for_rack: u64,
+    /// Speeds by label that other owners reported and that were ignored as implausible.
+    pub kinds_ignored: u64,
+}
+
+impl PlacementStats {
+    /// The sum.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            waited_for_faster: self.waited_for_faster + other.waited_for_faster,
+            waited_for_rack: self.waited_for_rack + other.waited_for_rack,
+            kinds_ignored: self.kinds_ignored + other.kinds_ignored,
+        }
+    }
+}
+
 /// Where a task was planned to start, and the candidate as it was before.
 struct PlannedStart {
     index: usize,
@@ -86,11 +146,12 @@
         }
         let queue = std::mem::take(&mut self.queue);
         let mut begun = 0;
+        let mut claimed = Vec::new();
         let is_started = |owner: &Self, key| owner.jobs.get(key).is_some_and(|job| job.started);
         let (started, unstarted): (Vec<JobKey>, Vec<JobKey>) =
             queue.jobs().partition(|&key| is_started(self, key));
         for &key in &started {
-            self.place_job(now_ms, key, &mut candidates, out);
+            self.place_job(now_ms, key, &mut candidates, &mut claimed, out);
             self.reserve(now_ms, key, &mut candidates);
             if queue.none_fits(max_free_millicores(&candidates)) {
                 break;
@@ -110,7 +171,7 @@
             if queue.none_fits(max_free_millicores(&candidates)) {
                 break;
             }
-            begun += u32::from(self.place_job(now_ms, key, &mut candidates, out));
+            begun += u32::from(self.place_job(now_ms, key, &mut candidates, &mut claimed, out));
             self.reserve(now_ms, key, &mut candidates);
         }
         self.queue = queue;
@@ -150,6 +211,7 @@
         now_ms: u64,
         key: JobKey,
         candidates: &mut [Candidate],
+        claimed: &mut Vec<WorkerKey>,
         out: &mut Vec<Command>,
     ) -> bool {
         let Some(job) = self.jobs.get(key) else {
@@ -167,7 +229,7 @@
             if phase == full_phase || !self.can_start_task(key, index, now_ms) {
                 continue;
             }
-            if !self.place_task(now_ms, key, index, candidates, out) {
+            if !self.place_task(now_ms, key, index, candidates, claimed, out) {
                 full_phase = phase;
             }
         }
@@ -206,11 +268,18 @@
         key: JobKey,
         index: usize,
         candidates: &mut [Candidate],
+        claimed: &mut Vec<WorkerKey>,
         out: &mut Vec<Command>,
     ) -> bool {
         let Some(position) = self.cheapest(now_ms, key, index, candidates, None, &[]) else {
             return false;
         };
+        if let Some(awaited) =
+            self.awaited_worker(now_ms, key, index, &candidates[position], claimed)
+        {
+            claimed.push(awaited);
+            return false;
+        }
         self.occupy(key, index, &mut candidates[position]);
         self.start(now_ms, key, index, candidates[position].key, out);
         true
@@ -271,6 +340,61 @@
         self.jobs[key].started
     }
 
+    /// The worker that a task waits for instead of starting on `candidate` now; `None` to
+    /// start. Workers in `claimed` are awaited by tasks that go first.
+    fn awaited_worker(
+        &mut self,
+        now_ms: u64,
+        key: JobKey,
+        index: usize,
+        candidate: &Candidate,
+        claimed: &[WorkerKey],
+    ) -> Option<WorkerKey> {
+        let job = &self.jobs[key];
+        let phase = job.phase(&job.tasks[index]);
+        let resources = resources_of(phase);
+        let (estimate_ms, objective_ms) = (job.remaining_ms(), job.objective_ms(1.0));
+        let prospect = |worker: &Worker, at_ms: u64| {
+            let is_remote = is_remote(worker, phase);
+            let distance = self.distance(is_remote);
+            Prospect {
+                end_ms: at_ms + (worker.expected_ms(estimate_ms) as f64 * distance) as u64,
+                is_remote,
+            }
+        };
+        let start_now = prospect(&self.workers[candidate.key], now_ms);
+        if start_now.end_ms <= objective_ms && !start_now.is_remote {
+            return None;
+        }
+        let label = phase.required_label.as_str();
+        let awaited = self.workers.iter().find(|(key, worker)| {
+            *key != candidate.key
+                && !claimed.contains(key)
+                && *worker.record.service == *job.spec.service
+                && (label.is_empty() || worker.record.labels.contains(label))
+                && worker.accepts_tasks(now_ms)
+                && available_at_ms(worker, &resources)
+                    // A run that is overdue has no expected end.
+                    .filter(|&at_ms| at_ms > now_ms)
+                    .is_some_and(|at_ms| {
+                        should_wait(start_now, prospect(worker, at_ms), objective_ms)
+                    })
+        });
+        let (awaited, _) = awaited?;
+        match start_now.is_remote {
+            true => self.placement_stats.waited_for_rack += 1,
+            false => self.placement_stats.waited_for_faster += 1,
+        }
+        Some(awaited)
+    }
+
+    fn distance(&self, is_remote: bool) -> f64 {
+        match is_remote {
+            true => self.settings.remote_penalty,
+            false => 1.0,
+        }
+    }
+
     fn occupy(&self, key: JobKey, index: usize, candidate: &mut Candidate) {
         let job = &self.jobs[key];
         let task = &job.tasks[index];
@@ -280,7 +404,7 @@
     }
 
     /// Position of the candidate on which a task costs least; with `packing`, only among
-    /// those on which it strands no CPU.
+    /// those on which it strands no CPU and the job ends in time, near its data.
     fn cheapest(
         &self,
         now_ms: u64,
@@ -297,6 +421,7 @@
         let is_planned = |start: &&PlannedStart, position: usize| {
             start.position == position && job.tasks[start.index].phase == task.phase
         };
+        let (remaining_ms, objective_ms) = (job.remaining_ms(), job.objective_ms(1.0));
         let mut best: Option<(f64, usize)> = None;
         for (position, candidate) in candidates.iter().enumerate() {
             if !candidate.free.fits(&resources) {
@@ -304,7 +429,13 @@
             }
             let capacity = self.workers[candidate.key].record.capacity;
             let left = candidate.free.minus(&resources).cpu_millicores;
-            if packing.is_some_and(|packing| packing.strands(left, capacity.cpu_millicores)) {
+            let worker = &self.workers[candidate.key];
+            let is_packed = |packing: Packing| {
+                !packing.strands(left, capacity.cpu_millicores)
+                    && !is_remote(worker, phase)
+                    && now_ms + worker.expected_ms(remaining_ms) <= objective_ms
+            };
+            if !packing.is_none_or(is_packed) {
                 continue;
             }
             let planned_here = match phase.per_worker_max {
@@ -360,12 +491,11 @@
         if !allowed {
             return None;
         }
-        let rack = phase.data_rack.as_str();
-        let remote = !rack.is_empty() && !worker.record.labels.contains(rack);
-        let distance = if remote {
-            self.settings.remote_penalty
-        } else {
-            1.0
+        let factor = worker.run_time_factor() * self.distance(is_remote(worker, phase));
+        let end_ms = now_ms + (job.remaining_ms() as f64 * factor) as u64;
+        let late_cost = match end_ms <= job.objective_ms(1.0) {
+            true => 0.0,
+            false => LATE_COST,
         };
         let left = candidate.free.minus(resources).cpu_millicores as f64;
         let unused_share = left / worker.record.capacity.cpu_millicores.max(1) as f64;
@@ -377,12 +507,7 @@
         } else {
             0.0
         };
-        Some(
-            worker.run_time_factor() * distance
-                + FRAGMENTATION_WEIGHT * unused_share
-                + failure_cost
-                + suspect_cost,
-        )
+        Some(factor + late_cost + FRAGMENTATION_WEIGHT * unused_share + failure_cost + suspect_cost)
     }
 
     /// Number of tasks of the same phase that are assigned to a worker.
@@ -417,6 +542,7 @@
         let expected_ms = worker.expected_ms(estimate_ms);
         // The estimate may be far too low; the timeouts also allow for the class's mean.
         let mean_ms = self.run_times.mean_ms(&job.spec.class);
+        let heavy_tailed = self.run_times.is_heavy_tailed(&job.spec.class);
         let mean_ms = mean_ms.map_or(0, |mean_ms| worker.expected_ms(mean_ms as u64));
         let task = &mut job.tasks[index];
         task.run_id = self.run_id_counter.max(task.run_id + 1);
@@ -431,7 +557,7 @@
             confirmed_ms: now_ms,
             estimate_ms,
             expected_ms,
-            timeouts: run_timeouts(expected_ms.max(mean_ms), task.stalls),
+            timeouts: run_timeouts(expected_ms.max(mean_ms), task.stalls, heavy_tailed),
         });
         out.push(Command::Start(StartOrder {
             target: target_of(worker_key, worker),
--- a/crates/core/src/dispatch/owner/reservation.rs
+++ b/crates/core/src/dispatch/owner/reservation.rs
@@ -48,7 +48,7 @@
 
 /// When a worker will have `resources` free, by the expected ends of its runs; `None`
 /// if it is too small.
-fn available_at_ms(worker: &Worker, resources: &Resources) -> Option<u64> {
+pub(super) fn available_at_ms(worker: &Worker, resources: &Resources) -> Option<u64> {
     let mut runs: Vec<(u64, Resources)> = worker
         .runs
         .iter()
--- a/crates/core/src/dispatch/owner/run_times.rs
+++ b/crates/core/src/dispatch/owner/run_times.rs
@@ -11,6 +11,13 @@
 const WEIGHT: f64 = 0.05;
 /// Samples needed before a class's mean is used.
 const SAMPLES_MIN: u32 = 10;
+/// A run of more than this multiple of the class's mean is long. Estimates that are off by
+/// 0.4 (lognormal) reach it once in 4,000 runs.
+const LONG_FACTOR: f64 = 4.0;
+/// Weight of the newest sample in the moving average of the share of long runs.
+const LONG_WEIGHT: f64 = 0.01;
+/// Share of long runs from which a class is heavy-tailed.
+const HEAVY_TAIL_SHARE: f64 = 0.004;
 /// Bound on the number of classes for which statistics are kept.
 const CLASSES_MAX: usize = 1024;
 
@@ -19,6 +26,8 @@
     /// Mean of the natural logarithms of run times in milliseconds.
     mean_log_ms: f64,
     samples: u32,
+    /// Moving average of the share of runs that are long.
+    long_share: f64,
 }
 
 #[derive(Debug, Default)]
@@ -38,6 +47,10 @@
             self.classes.insert(class.to_owned(), ClassStats::default());
         }
         if let Some(known) = self.classes.get_mut(class) {
+            if known.samples >= SAMPLES_MIN {
+                let is_long = log_ms - known.mean_log_ms > LONG_FACTOR.ln();
+                known.long_share += LONG_WEIGHT * (f64::from(is_long) - known.long_share);
+            }
             known.samples = known.samples.saturating_add(1);
             let weight = WEIGHT.max(1.0 / f64::from(known.samples));
             known.mean_log_ms += weight * (log_ms - known.mean_log_ms);
@@ -50,6 +63,13 @@
         (class.samples >= SAMPLES_MIN).then(|| class.mean_log_ms.exp())
     }
 
+    /// Whether tasks of the class take several times as long by themselves now and then, so
+    /// that a long run says little about its worker.
+    pub(super) fn is_heavy_tailed(&self, class: &str) -> bool {
+        let class = self.classes.get(class);
+        class.is_some_and(|class| class.long_share >= HEAVY_TAIL_SHARE)
+    }
+
     /// Combines a job's estimates with the mean of its class.
     pub(super) fn refine_estimates(&self, spec: &mut JobSpec) {
         let Some(mean_ms) = self.mean_ms(&spec.class) else {
--- a/crates/core/src/dispatch/owner/stats.rs
+++ b/crates/core/src/dispatch/owner/stats.rs
@@ -19,6 +19,8 @@
     pub runs: usize,
     /// Number of queue sorts so far.
     pub queue_sorts: u64,
+    /// Placements that waited for another worker, and reports that were ignored.
+    pub placement: PlacementStats,
 }
 
 impl std::iter::Sum for OwnerStats {
@@ -30,6 +32,7 @@
             workers_fenced: sum.workers_fenced + stats.workers_fenced,
             runs: sum.runs + stats.runs,
             queue_sorts: sum.queue_sorts + stats.queue_sorts,
+            placement: sum.placement.plus(stats.placement),
         })
     }
 }
@@ -58,6 +61,7 @@
         }
         let jobs = self.jobs.values().filter(|job| !job.stopping);
         load.backlog_millicore_ms += jobs.map(Job::waiting_millicore_ms).sum::<u64>();
+        load.kinds = self.kind_speeds();
         load.closed = self.is_closed();
         load.serving &= !self.released && self.is_open();
         load
@@ -73,6 +77,7 @@
             workers_fenced: self.workers.values().filter(fenced).count(),
             runs: self.workers.values().map(|worker| worker.runs.len()).sum(),
             queue_sorts: self.queue.sorts(),
+            placement: self.placement_stats,
         }
     }
 }
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -37,6 +37,9 @@
     workers: IntGauge,
     workers_fenced: IntGauge,
     runs: IntGauge,
+    waits_for_faster: IntGauge,
+    waits_for_rack: IntGauge,
+    kinds_ignored: IntGauge,
     closed: IntGauge,
     unreadable: IntGauge,
 }
@@ -79,6 +82,21 @@
             workers: gauge(&registry, "trefoil_workers", "Workers of this owner.")?,
             workers_fenced: gauge(&registry, "trefoil_workers_fenced", "Workers that obey.")?,
             runs: gauge(&registry, "trefoil_runs", "Runs that may be on workers.")?,
+            waits_for_faster: gauge(
+                &registry,
+                "trefoil_waits_for_faster_worker",
+                "Times that a task was held back for a faster worker, at the pools owned now.",
+            )?,
+            waits_for_rack: gauge(
+                &registry,
+                "trefoil_waits_for_rack",
+                "Times that a task was held back for a worker near its data, at the pools owned now.",
+            )?,
+            kinds_ignored: gauge(
+                &registry,
+                "trefoil_kind_speeds_ignored",
+                "Implausible worker speeds reported by other owners, at the pools owned now.",
+            )?,
             closed: gauge(
                 &registry,
                 "trefoil_failure_domain_closed",
@@ -111,6 +129,11 @@
         self.workers.set(owned.workers as i64);
         self.workers_fenced.set(owned.workers_fenced as i64);
         self.runs.set(owned.runs as i64);
+        let placement = owned.placement;
+        self.waits_for_faster
+            .set(placement.waited_for_faster as i64);
+        self.waits_for_rack.set(placement.waited_for_rack as i64);
+        self.kinds_ignored.set(placement.kinds_ignored as i64);
     }
 
     /// Encodes all metrics in the Prometheus text format.
