--- a/crates/core/src/dispatch/owner/run_times.rs
+++ b/crates/core/src/dispatch/owner/run_times.rs
@@ -1,7 +1,9 @@
 //! Mean run times by job class, learned from completed tasks.
 //!
 //! A caller's estimate and the mean of its class are off by about the same
-//! factor, so the two are combined by their geometric mean.
+//! factor, so the two are combined by their geometric mean. Run times are divided by the
+//! worker's speed, which is learned from the same runs. An error of their common scale
+//! halves with each step of the combination, so the callers' estimates fix the scale.
 
 use std::collections::HashMap;
 
