--- a/crates/core/src/dispatch/owner/placement.rs
+++ b/crates/core/src/dispatch/owner/placement.rs
@@ -404,7 +404,8 @@
     }
 
     /// Position of the candidate on which a task costs least; with `packing`, only among
-    /// those on which it strands no CPU and the job ends in time, near its data.
+    /// those on which it strands no CPU and the job ends in time, near its data and not beside a
+    /// suspect task.
     fn cheapest(
         &self,
         now_ms: u64,
@@ -433,6 +434,7 @@
             let is_packed = |packing: Packing| {
                 !packing.strands(left, capacity.cpu_millicores)
                     && !is_remote(worker, phase)
+                    && !candidate.has_suspect
                     && now_ms + worker.expected_ms(remaining_ms) <= objective_ms
             };
             if !packing.is_none_or(is_packed) {
--- a/crates/core/tests/dispatch_crashes.rs
+++ b/crates/core/tests/dispatch_crashes.rs
@@ -371,6 +371,32 @@
 
 #[test]
 fn a_suspect_task_is_isolated_while_there_is_capacity() {
+    let mut pool = Pool::new(&["w1", "w2", "w3"]);
+    pool.poison.insert("bad");
+    pool.delegate("bad", 1);
+    let mut number = 0;
+    while pool.now_ms < 2000 {
+        pool.delegate(&format!("busy{number}"), 1);
+        pool.run_until(pool.now_ms + 70);
+        number += 1;
+    }
+    let bad: Vec<&(u64, StartOrder)> = pool
+        .started
+        .iter()
+        .filter(|(_, start)| start.task.starts_with("bad"))
+        .collect();
+    let (again_ms, again) = bad[1];
+    let beside = pool.started.iter().filter(|(at_ms, start)| {
+        start.target.worker == again.target.worker
+            && start.task != again.task
+            && at_ms + TASK_MS > *again_ms
+            && *at_ms < again_ms + TASK_MS
+    });
+    assert_eq!(beside.count(), 0);
+}
+
+#[test]
+fn each_suspect_task_is_isolated_while_a_worker_without_one_is_free() {
     // The loss of the first worker makes two tasks suspect. Each occupies a worker, and
     // the other jobs fit on the fourth.
     let mut pool = Pool::new(&["w1", "w2", "w3", "w4"]);
