--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -11,6 +11,7 @@
 //! * [`room`]: free capacity by shape, and when a new job can begin.
 //! * [`run_times`]: run times learned by job class.
 //! * [`placement`]: which task starts on which worker.
+//! * [`packing`]: placements that strand no CPU.
 //! * [`reservation`]: workers reserved for late jobs that have begun.
 //! * [`answer_timeout`]: adaptive timeout of workers' answers.
 //! * [`order_results`]: results of start and stop orders.
@@ -24,6 +25,7 @@
 //! * [`closure`]: evacuation of a closed failure domain.
 //! * [`start_barrier`]: when a job that an earlier owner had may start.
 //! * [`origins`]: liveness of the origins that delegated jobs.
+//! * [`worker_speed`]: speeds of workers by label.
 //! * [`completions`]: effects of a completed run on its task, job and worker.
 //! * [`job_results`]: how jobs end.
 
@@ -42,8 +44,9 @@
 mod order_results;
 mod origins;
 mod overdue;
+pub mod packing;
 mod peer_loads;
-mod placement;
+pub mod placement;
 mod poison_tasks;
 mod queue;
 mod rate;
@@ -55,6 +58,7 @@
 mod slow_workers;
 mod start_barrier;
 mod stats;
+pub mod worker_speed;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
@@ -77,6 +81,7 @@
 pub use command::{Command, JobResult, OrderResult};
 pub use departure::{DepartureAction, RunOutlook};
 pub use log_event::{LogEvent, LogTopic};
+pub use placement::PlacementStats;
 pub use settings::Settings;
 pub(crate) use slow_workers::Slowness;
 pub use slow_workers::{RunTimeModel, STALL_FACTOR, SUSPICION_THRESHOLD, shared_estimate_bound};
@@ -123,6 +128,8 @@
     peer_loads: peer_loads::PeerLoads,
     slow_workers: slow_workers::SlowWorkers,
     refusal_load: room::RefusalLoad,
+    worker_speeds: worker_speed::WorkerSpeeds,
+    placement_stats: PlacementStats,
     settings: Settings,
 }
 
@@ -156,6 +163,8 @@
             peer_loads: peer_loads::PeerLoads::default(),
             slow_workers: slow_workers::SlowWorkers::default(),
             refusal_load: None,
+            worker_speeds: worker_speed::WorkerSpeeds::default(),
+            placement_stats: PlacementStats::default(),
             settings: Settings::default(),
         }
     }
@@ -237,6 +246,7 @@
         let mut worker = Worker::new(record, self.fence);
         worker.exit = departure::expected_exit(now_ms, &worker, worker.record.departure);
         worker.in_stored_roster = self.is_in_stored_roster(&id);
+        worker.set_prior(&self.worker_speeds);
         out.push(Command::Log(LogEvent::worker("listed", &worker)));
         let key = self.workers.insert(worker);
         self.worker_ids.insert(id, key);
@@ -320,6 +330,7 @@
         }
         self.dirty_workers.extend(self.workers.keys());
         self.peer_loads.expire(now_ms);
+        self.update_worker_speeds(now_ms);
         self.queue.invalidate();
         self.expire_origins(now_ms, out);
         self.check_deadlines(now_ms, out);
--- a/crates/core/src/dispatch/owner/completions.rs
+++ b/crates/core/src/dispatch/owner/completions.rs
@@ -34,11 +34,16 @@
                 // A run that does not count has the expected time, which changes nothing.
                 let regular_ms = (run.estimate_ms as f64 * slowdown) as u64;
                 health.record_success(run.estimate_ms, lasting_ms.unwrap_or(regular_ms));
+                let is_slow = self.workers[key].slowness.is_suspected();
                 if let RunOwner::Task(job, _) = run.owner
                     && let Some(job) = self.jobs.get(job)
-                    && lasting_ms.is_some()
                 {
-                    self.run_times.record(&job.spec.class, took_ms, slowdown);
+                    let class = &job.spec.class;
+                    match lasting_ms {
+                        Some(_) => self.run_times.record(class, took_ms, slowdown),
+                        None if is_slow => {}
+                        None => self.run_times.record_length(class, took_ms, slowdown),
+                    }
                 }
             }
             RunOutcome::Failed => self.attribute_failure(now_ms, key, run.owner),
--- a/crates/core/src/dispatch/owner/slow_workers/evidence.rs
+++ b/crates/core/src/dispatch/owner/slow_workers/evidence.rs
@@ -39,9 +39,9 @@
 /// `uneven-workers`, whose speeds are unknown at first, 42 of 352 workers were in 18 s; a
 /// threshold of 6 gave ten times as many and cost 0.04 of the goodput.
 pub const SUSPICION_THRESHOLD: f64 = 8.0;
-/// Multiple of the expected time after which a run is stalled even if nothing else is
-/// known against its worker. Of the runs on workers that are not slow, 2 in 1,000 take
-/// longer, nearly all of the tail.
+/// Multiple of the expected time after which a run of a heavy-tailed class is stalled even
+/// if nothing else is known against its worker. Of the runs on workers that are not slow,
+/// 2 in 1,000 take longer, nearly all of the tail.
 pub const STALL_FACTOR: f64 = 13.0;
 
 /// Probability that a standard normal variable exceeds `z`.
--- a/crates/core/src/dispatch/owner/stats.rs
+++ b/crates/core/src/dispatch/owner/stats.rs
@@ -25,6 +25,8 @@
     pub suspicions: u64,
     /// Number of runs of slow workers that were stopped to be restarted elsewhere.
     pub slow_run_restarts: u64,
+    /// Placements that waited for another worker, and reports that were ignored.
+    pub placement: PlacementStats,
 }
 
 impl std::iter::Sum for OwnerStats {
@@ -39,6 +41,7 @@
             suspected_workers: sum.suspected_workers + stats.suspected_workers,
             suspicions: sum.suspicions + stats.suspicions,
             slow_run_restarts: sum.slow_run_restarts + stats.slow_run_restarts,
+            placement: sum.placement.plus(stats.placement),
         })
     }
 }
@@ -75,6 +78,7 @@
         let jobs = self.jobs.values().filter(|job| !job.stopping);
         load.backlog_millicore_ms += jobs.map(Job::waiting_millicore_ms).sum::<u64>();
         load.slow_workers = self.slow_workers();
+        load.kinds = self.kind_speeds();
         load.closed = self.is_closed();
         load.serving &= !self.released && self.is_open();
         load
@@ -93,6 +97,7 @@
             suspected_workers: self.suspected_workers(),
             suspicions: self.slow_workers.suspicions,
             slow_run_restarts: self.slow_workers.restarts,
+            placement: self.placement_stats,
         }
     }
 }
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -51,6 +51,9 @@
     /// Totals at the last call of [`Self::set_stats`]. They fall when an owner is released.
     last_suspicions: Cell<u64>,
     last_slow_run_restarts: Cell<u64>,
+    waits_for_faster: IntGauge,
+    waits_for_rack: IntGauge,
+    kinds_ignored: IntGauge,
     closed: IntGauge,
     unreadable: IntGauge,
 }
@@ -127,6 +130,21 @@
             )?,
             last_suspicions: Cell::new(0),
             last_slow_run_restarts: Cell::new(0),
+            waits_for_faster: gauge(
+                &registry,
+                "trefoil_waits_for_faster_worker",
+                "Times that a task was held back for a faster worker, at the pools owned now.",
+            )?,
+            waits_for_rack: gauge(
+                &registry,
+                "trefoil_waits_for_rack",
+                "Times that a task was held back for a worker near its data, at the pools owned now.",
+            )?,
+            kinds_ignored: gauge(
+                &registry,
+                "trefoil_kind_speeds_ignored",
+                "Implausible worker speeds reported by other owners, at the pools owned now.",
+            )?,
             closed: gauge(
                 &registry,
                 "trefoil_failure_domain_closed",
@@ -166,6 +184,11 @@
         let last = self.last_slow_run_restarts.replace(owned.slow_run_restarts);
         self.slow_run_restarts
             .inc_by(owned.slow_run_restarts.saturating_sub(last));
+        let placement = owned.placement;
+        self.waits_for_faster
+            .set(placement.waited_for_faster as i64);
+        self.waits_for_rack.set(placement.waited_for_rack as i64);
+        self.kinds_ignored.set(placement.kinds_ignored as i64);
     }
 
     /// Encodes all metrics in the Prometheus text format.
