--- a/crates/core/src/dispatch/entry/pool_selection.rs
+++ b/crates/core/src/dispatch/entry/pool_selection.rs
@@ -26,7 +26,7 @@
 /// and the greater age of its load.
 const REMOTE_PENALTY_MS: f64 = 15.0;
 /// Difference in delay by which a pool becomes less likely by the factor e.
-const DELAY_SCALE_MS: f64 = 80.0;
+const DELAY_SCALE_MS: f64 = 40.0;
 /// Delay of a job in a pool without waiting jobs into which it does not fit by shape:
 /// until a few runs have ended.
 const NO_FIT_DELAY_MS: f64 = 10.0;
--- a/crates/core/src/dispatch/entry/refusal.rs
+++ b/crates/core/src/dispatch/entry/refusal.rs
@@ -34,10 +34,12 @@
 const REPORTING_POOLS_TRIED_MAX: usize = 2;
 /// Time for a job to reach another owner, and for that one to order its tasks.
 const DELEGATION_MS: f64 = 3.0;
+/// Margin for the error of a report: the job's slack must be this multiple of the delay
+/// reported by the second pool. With 1, 22 in 100 delegations under contention are sent on.
+const SECOND_DELAY_FACTOR: f64 = 4.0;
 /// Multiple of a job's slack that the reported delays must exceed for a refusal by the
-/// entry. With 0.5, owners would have served part of the refused jobs: 0.02 less goodput in
-/// a burst of all classes.
-const DELAY_FACTOR_MIN: f64 = 2.0;
+/// entry. Half of the slack is what an owner requires of a class over its share.
+const DELAY_FACTOR_MIN: f64 = 0.5;
 /// Margin of a refusal by the entry, in milliseconds for each millisecond since the
 /// report: a pool works its queue off at this rate if nothing more arrives.
 const MARGIN_PER_AGE: f64 = 1.0;
@@ -113,7 +115,8 @@
             return refusals < POOLS_TRIED_MAX;
         }
         let delay_ms = view.begin_delay_ms(self.request(now_ms, &job.spec));
-        refusals < REPORTING_POOLS_TRIED_MAX && delay_ms + DELEGATION_MS <= slack_ms(now_ms, job)
+        refusals < REPORTING_POOLS_TRIED_MAX
+            && delay_ms * SECOND_DELAY_FACTOR + DELEGATION_MS <= slack_ms(now_ms, job)
     }
 
     pub(super) fn request<'a>(&'a self, now_ms: u64, spec: &'a JobSpec) -> Request<'a> {
--- a/crates/replay/tests/routing.rs
+++ b/crates/replay/tests/routing.rs
@@ -3,21 +3,16 @@
 mod support;
 
 use support::Replay;
+use trefoil_replay::stats::quantile;
 
 /// Guards against full pools that look free because the sum of their free CPU is large:
-/// jobs are sent round from one full pool to the next. Before, 19 in 100 delegations were
-/// sent on in `waves`, 26 in `domain-burst` and 11 in `small-edge`. The goal of 5 in 100 is
-/// not reached in the first two.
+/// jobs are sent round from one full pool to the next. On `waves`, 7 in 100 delegations
+/// were revoked to try another pool.
 #[test]
-fn fewer_delegations_are_sent_on_to_another_pool() {
-    for (pattern, max) in [
-        ("waves", 0.08),
-        ("domain-burst", 0.13),
-        ("small-edge", 0.05),
-        ("shift", 0.01),
-    ] {
+fn few_delegations_are_sent_on_to_another_pool() {
+    for pattern in ["waves", "domain-burst", "shift", "small-edge"] {
         let share = Replay::of(pattern, 1).routing.sent_on_share();
-        assert!(share < max, "{pattern}: {share}");
+        assert!(share < 0.05, "{pattern}: {share}");
     }
 }
 
@@ -36,3 +31,12 @@
         assert_eq!(replay.routing.refused_by_entry, 0, "{pattern}");
     }
 }
+
+/// Guards against refusals by entries that cost callers more than they spare.
+#[test]
+fn entries_refuse_part_of_a_burst_without_a_loss_of_goodput() {
+    let replay = Replay::of("contention", 1);
+    assert!(replay.routing.refused_by_entry > 50);
+    assert!(replay.stats.weighted_goodput(&replay.pattern) > 0.70);
+    assert!(quantile(&replay.stats.refusal_latencies_ms(), 0.5) < 25);
+}
