--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -6,18 +6,16 @@
 //! only after all runs of the job must have ended.
 //!
 //! * [`command`]: commands and answers.
-//! * [`pool_room`]: free capacity of a pool by shape.
 //! * [`pool_selection`]: selects the pool for a job.
 //! * [`revocation`]: revokes jobs from owners.
 //! * [`refusal`]: jobs that are refused or abandoned.
 
 mod command;
-mod pool_room;
 mod pool_selection;
 mod refusal;
 mod revocation;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use trefoil_schema::dispatch::{Claim, Holder, Job as JobSpec, Load, Outcome};
 
@@ -25,12 +23,10 @@
 use super::owner::JobResult;
 use super::ownership::holder_of;
 
-use pool_selection::{DomainContact, PoolView, select_pool};
-use refusal::{ALL_CLOSED, Refusal, RetrySpread};
+use pool_selection::{PoolView, initial_millicores, select_pool, total_millicore_ms};
+use refusal::{ALL_CLOSED, Refusal};
 
-pub use command::{
-    Answer, Command, PoolOwner, RequestId, RevocationCause, RoutingEvent, RoutingOutcome,
-};
+pub use command::{Answer, Command, PoolOwner, RequestId, RevocationCause};
 
 #[derive(Clone, Debug, PartialEq)]
 enum JobState {
@@ -77,11 +73,6 @@
     local_pools: Vec<String>,
     /// Failure domains that have pools; empty until they are known.
     failure_domains: BTreeSet<String>,
-    /// Number of instances that own a pool, as a lower bound of the number of entries.
-    entries: usize,
-    retry_spread: RetrySpread,
-    /// Failure domains whose owners have been heard from.
-    contacts: BTreeMap<String, DomainContact>,
 }
 
 impl Entry {
@@ -135,9 +126,7 @@
         };
         self.requests.insert(request_id, id.clone());
         self.jobs.insert(id.clone(), job);
-        if !self.refuse_if_hopeless(now_ms, &id, out) {
-            self.try_delegate(now_ms, &id, out);
-        }
+        self.try_delegate(now_ms, &id, out);
     }
 
     /// Removes a caller; a job without callers is cancelled.
@@ -164,28 +153,6 @@
         }
     }
 
-    /// Updates the load of a pool whose owner has refused a job.
-    pub fn on_refusal_load(
-        &mut self,
-        now_ms: u64,
-        from: &PoolOwner,
-        load: Load,
-        out: &mut Vec<Command>,
-    ) {
-        let known = self.pools.get_mut(&from.pool);
-        if let Some(view) = known.filter(|view| view.holder.owner == from.owner) {
-            // Whether the pool serves is left to heartbeats, which make jobs wait for it.
-            let load = Load {
-                serving: view.load.serving,
-                closed: view.load.closed,
-                ..load
-            };
-            if !view.set_load(now_ms, load) {
-                out.push(Command::MalformedLoad);
-            }
-        }
-    }
-
     /// Handles the result of a job that its owner reports.
     pub fn on_job_ended(
         &mut self,
@@ -246,19 +213,15 @@
         let known = self.pools.get(&claim.pool);
         let was_serving = known.is_some_and(|view| view.load.serving);
         let is_serving = load.serving;
-        let contact = self.contacts.entry(claim.failure_domain.clone());
-        let contact = contact.or_insert_with(|| DomainContact::new(now_ms));
-        contact.record(now_ms);
-        let reachable_since_ms = contact.reachable_since_ms;
-        let view = self.pools.entry(claim.pool.clone()).or_default();
-        view.holder = holder;
-        view.failure_domain.clone_from(&claim.failure_domain);
-        view.reachable_since_ms = reachable_since_ms;
-        if !view.set_load(now_ms, load) {
-            out.push(Command::MalformedLoad);
-        }
-        let owners = self.pools.values().map(|view| view.holder.owner.as_str());
-        self.entries = owners.collect::<HashSet<&str>>().len();
+        let view = PoolView {
+            holder,
+            failure_domain: claim.failure_domain.clone(),
+            load,
+            last_heard_ms: now_ms,
+            delegated_millicore_ms: 0,
+            delegated_millicores: 0,
+        };
+        self.pools.insert(claim.pool.clone(), view);
         if is_serving && !was_serving {
             self.delegate_waiting(now_ms, out);
         }
@@ -270,9 +233,6 @@
         for view in self.pools.values_mut() {
             view.last_heard_ms += stall_ms;
         }
-        for contact in self.contacts.values_mut() {
-            contact.last_heard_ms += stall_ms;
-        }
     }
 
     /// Delegates jobs that have become safe and abandons those that have timed out.
@@ -331,16 +291,13 @@
     fn find_pool(&self, now_ms: u64, job: &EntryJob) -> Option<String> {
         let is_safe = now_ms >= job.unsafe_until_ms;
         let serving = self.pools.iter().filter(|(_, view)| view.load.serving);
-        let allowed = serving.filter(|(pool, view)| {
-            (is_safe || **pool == job.unsafe_pool)
-                && !job.refused_by.contains(pool)
-                && self.may_try(now_ms, job, view)
+        let allowed = serving.filter(|(pool, _)| {
+            (is_safe || **pool == job.unsafe_pool) && !job.refused_by.contains(pool)
         });
         let allowed: Vec<(&String, &PoolView)> = allowed.collect();
         let fresh = allowed.iter().filter(|(_, view)| !view.is_stale(now_ms));
-        let request = self.request(now_ms, &job.spec);
-        select_pool(fresh.copied(), request)
-            .or_else(|| select_pool(allowed.iter().copied(), request))
+        select_pool(fresh.copied(), &self.local_domain, &job.spec)
+            .or_else(|| select_pool(allowed.iter().copied(), &self.local_domain, &job.spec))
     }
 
     /// Delegates a waiting job if a pool is available for it.
@@ -364,7 +321,8 @@
         let (Some(job), Some(view)) = (self.jobs.get_mut(id), self.pools.get_mut(&pool)) else {
             return;
         };
-        view.record_delegated(&job.spec);
+        view.delegated_millicore_ms += total_millicore_ms(&job.spec);
+        view.delegated_millicores += initial_millicores(&job.spec);
         let to = PoolOwner {
             pool,
             owner: view.holder.owner.clone(),
@@ -402,20 +360,15 @@
         self.all_domains_closed() || self.pools.values().any(|view| view.load.serving)
     }
 
-    /// Whether an owner is known in each failure domain.
-    fn knows_all_domains(&self) -> bool {
-        let views = self.pools.values();
-        let known: BTreeSet<&String> = views.map(|view| &view.failure_domain).collect();
-        self.failure_domains.iter().all(|name| known.contains(name))
-    }
-
     /// Whether all failure domains are closed.
     ///
     /// An owner must be known in each of them: after a simultaneous start of all
     /// instances, the first known owners may be in a closed failure domain while
     /// another one is open.
     fn all_domains_closed(&self) -> bool {
-        let knows_all = self.knows_all_domains();
+        let views = self.pools.values();
+        let known: BTreeSet<&String> = views.map(|view| &view.failure_domain).collect();
+        let knows_all = self.failure_domains.iter().all(|name| known.contains(name));
         let all_closed = self.pools.values().all(|view| view.load.closed);
         !self.failure_domains.is_empty() && knows_all && all_closed
     }
--- a/crates/core/src/dispatch/entry/command.rs
+++ b/crates/core/src/dispatch/entry/command.rs
@@ -41,10 +41,6 @@
         /// Number of the current delegation.
         delegation: u64,
     },
-    /// Log and count a refusal by the entry, or what became of a job that an owner refused.
-    Routing(RoutingEvent),
-    /// Count a load report with a malformed part, which is ignored.
-    MalformedLoad,
     /// Cancel a job at its owner.
     Cancel {
         /// The pool and its owner.
@@ -61,42 +57,6 @@
     },
 }
 
-/// A decision of the entry by the loads that owners reported.
-#[derive(Clone, Debug, PartialEq)]
-pub struct RoutingEvent {
-    /// Id of the job.
-    pub job_id: String,
-    /// Forecast delay until the job begins in the best of the other pools, in
-    /// milliseconds; 0 if there is none.
-    pub delay_ms: u64,
-    /// Age of that pool's report, in milliseconds.
-    pub age_ms: u64,
-    /// Time until the job's latest start, in milliseconds; negative if it has passed.
-    pub slack_ms: i64,
-    /// The decision.
-    pub outcome: RoutingOutcome,
-}
-
-/// What the entry decided.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum RoutingOutcome {
-    /// The entry refused the job without asking an owner.
-    RefusedByEntry {
-        /// When the caller is told to retry.
-        retry_after_ms: u64,
-    },
-    /// The job, refused by an owner, was delegated to another one.
-    SentOn {
-        /// The pool and its owner.
-        to: PoolOwner,
-    },
-    /// The job, refused by an owner, is refused to the caller.
-    NotSentOn {
-        /// When the caller is told to retry.
-        retry_after_ms: u64,
-    },
-}
-
 /// Why a job is revoked from an owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RevocationCause {
--- a/crates/core/src/dispatch/job.rs
+++ b/crates/core/src/dispatch/job.rs
@@ -277,7 +277,7 @@
 }
 
 /// Estimated time of the critical path through the phases.
-pub(super) fn critical_path_ms(phases: &[Phase]) -> u64 {
+fn critical_path_ms(phases: &[Phase]) -> u64 {
     if let [only] = phases {
         return only.estimate_ms;
     }
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -8,7 +8,6 @@
 //! * [`forecast`]: when waiting jobs can begin.
 //! * [`shares`]: fair sharing between job classes.
 //! * [`queue`]: the order in which waiting jobs are placed.
-//! * [`room`]: free capacity by shape, and when a new job can begin.
 //! * [`run_times`]: run times learned by job class.
 //! * [`placement`]: which task starts on which worker.
 //! * [`packing`]: placements that strand no CPU.
@@ -51,7 +50,6 @@
 mod queue;
 mod rate;
 mod reservation;
-mod room;
 mod run_times;
 mod settings;
 mod shares;
@@ -127,7 +125,6 @@
     admission: admission::Admission,
     peer_loads: peer_loads::PeerLoads,
     slow_workers: slow_workers::SlowWorkers,
-    refusal_load: room::RefusalLoad,
     worker_speeds: worker_speed::WorkerSpeeds,
     placement_stats: PlacementStats,
     settings: Settings,
@@ -162,7 +159,6 @@
             admission: admission::Admission::default(),
             peer_loads: peer_loads::PeerLoads::default(),
             slow_workers: slow_workers::SlowWorkers::default(),
-            refusal_load: None,
             worker_speeds: worker_speed::WorkerSpeeds::default(),
             placement_stats: PlacementStats::default(),
             settings: Settings::default(),
--- a/crates/core/src/dispatch/owner/admit.rs
+++ b/crates/core/src/dispatch/owner/admit.rs
@@ -144,7 +144,7 @@
         }
     }
 
-    pub(super) fn forecast(&self, now_ms: u64) -> Forecast {
+    fn forecast(&self, now_ms: u64) -> Forecast {
         let mut forecast = Forecast::new(now_ms);
         let usable = self.workers.values();
         for worker in usable.filter(|worker| worker.accepts_tasks_soon(now_ms)) {
--- a/crates/core/src/dispatch/owner/stats.rs
+++ b/crates/core/src/dispatch/owner/stats.rs
@@ -56,15 +56,12 @@
                 && !worker.record.draining
         });
         let mut load = Load::default();
-        let mut free_millicores = Vec::with_capacity(self.workers.len());
         for worker in open
             .filter(|worker| !worker.health.is_on_probation() && !worker.slowness.is_suspected())
         {
             load.serving = true;
             load.capacity_millicores += worker.record.capacity.cpu_millicores;
-            let free = worker.free_resources().cpu_millicores;
-            load.free_millicores += free;
-            free_millicores.push(free);
+            load.free_millicores += worker.free_resources().cpu_millicores;
             for run in &worker.runs {
                 let cpu = run
                     .resources
@@ -73,8 +70,6 @@
                 load.backlog_millicore_ms += cpu * end_ms.saturating_sub(now_ms);
             }
         }
-        load.free_cpu = room::free_cpu(free_millicores.into_iter());
-        load.begin_delay_ms = self.begin_delay_ms(now_ms);
         let jobs = self.jobs.values().filter(|job| !job.stopping);
         load.backlog_millicore_ms += jobs.map(Job::waiting_millicore_ms).sum::<u64>();
         load.slow_workers = self.slow_workers();
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -42,7 +42,7 @@
 use trefoil_core::dispatch::owner::{self, Owner};
 use trefoil_core::dispatch::ownership::{self, Ownership};
 use trefoil_core::dispatch::worker::WorkerRecord;
-use trefoil_schema::dispatch::{Claim, Delegate, Job as JobSpec, Load, Node, Outcome};
+use trefoil_schema::dispatch::{Claim, Delegate, Job as JobSpec, Node, Outcome};
 
 use crate::clock::Clock;
 use crate::log::{WORK_TAG, unix_ms};
@@ -359,13 +359,6 @@
 }
 
 impl State {
-    /// The load of a pool to report with the outcome of a job, if its owner refused it.
-    fn refusal_load(&mut self, pool: &str, outcome: Outcome, now_ms: u64) -> Option<Load> {
-        let owner = self.owners.get_mut(pool);
-        let owner = owner.filter(|_| outcome == Outcome::NotRun);
-        owner.map(|owner| owner.refusal_load(now_ms))
-    }
-
     /// Calls the owner of a pool, if this instance owns it, and queues its commands.
     fn with_owner<T>(
         &mut self,
--- a/crates/instance/src/instance/effects.rs
+++ b/crates/instance/src/instance/effects.rs
@@ -5,7 +5,7 @@
 
 use std::collections::VecDeque;
 
-use trefoil_core::dispatch::entry::{RevocationCause, RoutingEvent, RoutingOutcome};
+use trefoil_core::dispatch::entry::RevocationCause;
 use trefoil_core::dispatch::owner::{LogEvent, LogTopic};
 use trefoil_core::dispatch::ownership::{Predecessor, Roster, holder_of};
 
@@ -103,8 +103,6 @@
                     "outcome" => ?result.outcome, "delegation" => result.delegation,
                     "current_delegation" => delegation);
             }
-            entry::Command::Routing(event) => self.log_routing(&event),
-            entry::Command::MalformedLoad => self.metrics.malformed_loads.inc(),
             entry::Command::Cancel { to, job_id } => {
                 if to.owner != self.node.name {
                     self.send_cancel(&to, job_id);
@@ -135,15 +133,11 @@
                     "retry_after_ms" => result.retry_after_ms);
                 match origin {
                     Origin::Local => {
-                        let now_ms = self.now_ms();
                         let owner = self.node.name.clone();
                         let from = PoolOwner { pool, owner };
                         let out = &mut effects.entry;
                         let mut state = self.state.borrow_mut();
-                        if let Some(load) = state.refusal_load(&from.pool, result.outcome, now_ms) {
-                            state.entry.on_refusal_load(now_ms, &from, load, out);
-                        }
-                        state.entry.on_job_ended(now_ms, &from, &result, out);
+                        state.entry.on_job_ended(self.now_ms(), &from, &result, out);
                     }
                     Origin::Link(link) => self.send_ended(link, pool, result, reason),
                 }
@@ -159,20 +153,6 @@
         effects
     }
 
-    fn log_routing(&self, event: &RoutingEvent) {
-        let (decision, to, retry_after_ms) = match &event.outcome {
-            RoutingOutcome::RefusedByEntry { retry_after_ms } => {
-                ("refused_by_entry", "", *retry_after_ms)
-            }
-            RoutingOutcome::SentOn { to } => ("sent_on", to.pool.as_str(), 0),
-            RoutingOutcome::NotSentOn { retry_after_ms } => ("not_sent_on", "", *retry_after_ms),
-        };
-        self.metrics.routing.with_label_values(&[decision]).inc();
-        info!(self.log, #WORK_TAG, "routing decision"; "job" => &event.job_id,
-            "decision" => decision, "delay_ms" => event.delay_ms, "age_ms" => event.age_ms,
-            "slack_ms" => event.slack_ms, "pool" => to, "retry_after_ms" => retry_after_ms);
-    }
-
     fn log_event(&self, pool: &str, event: LogEvent) {
         match event.topic {
             LogTopic::Work => info!(self.log, #WORK_TAG, "{}", event.event;
--- a/crates/instance/src/instance/frames.rs
+++ b/crates/instance/src/instance/frames.rs
@@ -51,10 +51,6 @@
                     let pool = ended.pool;
                     let from = PoolOwner { pool, owner: name };
                     let out = &mut effects.entry;
-                    let is_refused = result.outcome == Outcome::NotRun;
-                    if let Some(load) = ended.load.filter(|_| is_refused) {
-                        state.entry.on_refusal_load(now_ms, &from, load, out);
-                    }
                     state.entry.on_job_ended(now_ms, &from, &result, out);
                 }
                 Body::ConfigRequest(request) => {
@@ -234,8 +230,7 @@
     }
 
     pub(super) fn send_ended(&self, link: u64, pool: String, result: JobResult, reason: &str) {
-        let mut state = self.state.borrow_mut();
-        let load = state.refusal_load(&pool, result.outcome, self.now_ms());
+        let state = self.state.borrow();
         if let Some(link) = state.peers.links.get(&link) {
             // If the link is down, the peer takes its jobs back anyway.
             link.sender.send(encode(Body::Ended(Ended {
@@ -245,7 +240,7 @@
                 pool,
                 retry_after_ms: result.retry_after_ms,
                 delegation: result.delegation,
-                load,
+                load: None,
             })));
         }
     }
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -33,10 +33,6 @@
     pub(crate) lease_renewals: IntCounter,
     /// Results of earlier delegations of a job, which are ignored.
     pub(crate) stale_results: IntCounter,
-    /// Load reports of other instances with a malformed part, which is ignored.
-    pub(crate) malformed_loads: IntCounter,
-    /// Jobs refused by this entry, or by an owner, labeled by the entry's decision.
-    pub(crate) routing: IntCounterVec,
     /// Requests that are malformed, match no route or come before the declarations.
     pub bad_requests: IntCounter,
     jobs_awaited: IntGauge,
@@ -69,12 +65,6 @@
         let answers = Opts::new("trefoil_answers_total", "Callers' requests by outcome.");
         let answers = IntCounterVec::new(answers, &["outcome"])?;
         registry.register(Box::new(answers.clone()))?;
-        let routing = Opts::new(
-            "trefoil_routing_total",
-            "Refused jobs by the entry's decision.",
-        );
-        let routing = IntCounterVec::new(routing, &["decision"])?;
-        registry.register(Box::new(routing.clone()))?;
         Ok(Self {
             answers,
             answer_ms: histogram(&registry, "trefoil_answer_ms", "Whole request to answer.")?,
@@ -92,12 +82,6 @@
                 "trefoil_stale_results_total",
                 "Results of earlier delegations.",
             )?,
-            malformed_loads: counter(
-                &registry,
-                "trefoil_malformed_loads_total",
-                "Load reports with a malformed part.",
-            )?,
-            routing,
             bad_requests: counter(
                 &registry,
                 "trefoil_bad_requests_total",
--- a/crates/replay/examples/owner_rate.rs
+++ b/crates/replay/examples/owner_rate.rs
@@ -19,10 +19,7 @@
 const EVENTS: usize = 200;
 
 fn main() {
-    println!(
-        "{:>7} {:>12} {:>9} {:>9}",
-        "waiting", "delegate us", "tick us", "load us"
-    );
+    println!("{:>7} {:>12} {:>9}", "waiting", "delegate us", "tick us");
     for waiting in [0, 10, 30, 100, 300] {
         let mut owner = owner();
         // Distant objectives, so that every job is admitted and waits.
@@ -40,12 +37,7 @@
             owner.tick(1000, &mut Vec::new());
         }
         let tick_us = begun.elapsed().as_secs_f64() * 1e6 / EVENTS as f64;
-        let begun = Instant::now();
-        for _ in 0..EVENTS {
-            std::hint::black_box(owner.load(1000));
-        }
-        let load_us = begun.elapsed().as_secs_f64() * 1e6 / EVENTS as f64;
-        println!("{waiting:>7} {delegate_us:>12.1} {tick_us:>9.1} {load_us:>9.1}");
+        println!("{waiting:>7} {delegate_us:>12.1} {tick_us:>9.1}");
     }
 }
 
--- a/crates/replay/src/bin/trefoil-replay.rs
+++ b/crates/replay/src/bin/trefoil-replay.rs
@@ -8,7 +8,6 @@
 use trefoil_core::dispatch::owner::Settings;
 use trefoil_replay::pattern::{self, Pattern};
 use trefoil_replay::plot::{self, Comparison};
-use trefoil_replay::simulation::RoutingStats;
 use trefoil_replay::stats::{ReplayStats, Table};
 use trefoil_replay::{arrivals, bound, simulation};
 
@@ -89,19 +88,14 @@
         false => Settings::default(),
     };
     for (pattern, seed) in replays(matches) {
-        let (stats, bound, routing) = replay(&pattern, seed, settings.clone());
+        let (stats, bound) = replay(&pattern, seed, settings.clone());
         let table = Table {
             pattern: &pattern,
             stats: &stats,
             bound,
         };
         match matches.get_flag("brief") {
-            true => println!(
-                "{}; sent on {:.3}, refused by entry {}",
-                table.line(),
-                routing.sent_on_share(),
-                routing.refused_by_entry
-            ),
+            true => println!("{}", table.line()),
             false => print!("{table}"),
         }
     }
@@ -113,7 +107,7 @@
     println!("|---|---|---|");
     for (pattern, seed) in replays(matches) {
         let share = |settings: Settings| {
-            let (stats, bound, _) = replay(&pattern, seed, settings);
+            let (stats, bound) = replay(&pattern, seed, settings);
             stats.weighted_goodput(&pattern) / bound
         };
         let row = Comparison {
@@ -130,14 +124,13 @@
     plot::write_svg(&rows, file)
 }
 
-/// Results of a replay, the upper bound on their weighted goodput, and the decisions of the
-/// entries.
-fn replay(pattern: &Pattern, seed: u64, settings: Settings) -> (ReplayStats, f64, RoutingStats) {
+/// Results of a replay, and the upper bound on their weighted goodput.
+fn replay(pattern: &Pattern, seed: u64, settings: Settings) -> (ReplayStats, f64) {
     let arrivals = arrivals::generate(pattern, seed);
-    let outcomes = simulation::run(pattern, &arrivals, settings);
-    let stats = ReplayStats::new(pattern, &arrivals, &outcomes.first_attempts);
+    let outcomes = simulation::run(pattern, &arrivals, settings).first_attempts;
+    let stats = ReplayStats::new(pattern, &arrivals, &outcomes);
     let bound = bound::max_weighted_goodput(pattern, &arrivals, |at_ms| {
         simulation::capacity_at(pattern, at_ms)
     });
-    (stats, bound, outcomes.routing)
+    (stats, bound)
 }
--- a/crates/replay/src/simulation.rs
+++ b/crates/replay/src/simulation.rs
@@ -2,12 +2,10 @@
 //!
 //! * [`callers`]: requests, answers and retries.
 //! * [`orders`]: how workers carry out orders, and their answers.
-//! * [`routing`]: counts of the decisions of entries.
 //! * [`topology`]: pools, workers and their capacity.
 
 mod callers;
 mod orders;
-mod routing;
 mod topology;
 
 use std::cmp::Reverse;
@@ -23,7 +21,7 @@
 };
 use trefoil_core::dispatch::owner::{self, OrderResult, Owner};
 use trefoil_core::dispatch::worker::{Departure, WorkerRecord};
-use trefoil_schema::dispatch::{Claim, Job, Load, Node, Outcome};
+use trefoil_schema::dispatch::{Claim, Job, Node};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::arrivals::Arrival;
@@ -32,7 +30,6 @@
 use crate::worker::Worker;
 use callers::Attempt;
 pub use callers::{ReplayOutcomes, RetryOutcome};
-pub use routing::RoutingStats;
 pub use topology::capacity_at;
 
 /// One-way latency between two instances, or an instance and a worker.
@@ -67,8 +64,6 @@
         entry: usize,
         pool: usize,
         result: owner::JobResult,
-        /// Load of the pool, if it has refused the job.
-        load: Option<Box<Load>>,
     },
     Start {
         pool: usize,
@@ -164,7 +159,6 @@
             outcomes: ReplayOutcomes {
                 first_attempts: vec![CallerOutcome::Abandoned; arrivals.len()],
                 retries: vec![None; arrivals.len()],
-                routing: RoutingStats::default(),
             },
             now_ms: 0,
             end_ms: WARM_UP_MS + pattern.duration_ms + COOL_DOWN_MS,
@@ -291,13 +285,9 @@
                 entry,
                 pool,
                 result,
-                load,
             } => {
                 let from = self.owner_of(pool);
                 self.with_entry(entry, |entry, now_ms, out| {
-                    if let Some(load) = load {
-                        entry.on_refusal_load(now_ms, &from, *load, out);
-                    }
                     entry.on_job_ended(now_ms, &from, &result, out);
                 });
             }
@@ -410,7 +400,6 @@
                 unsafe_for_ms,
                 ..
             } => {
-                self.outcomes.routing.delegations += 1;
                 let pool = self.pool_positions[&to.pool];
                 let spec = Box::new(spec);
                 self.schedule_after(
@@ -434,10 +423,7 @@
                     },
                 );
             }
-            entry::Command::Revoked { .. }
-            | entry::Command::StaleResult { .. }
-            | entry::Command::MalformedLoad => {}
-            entry::Command::Routing(event) => self.outcomes.routing.record(&event.outcome),
+            entry::Command::Revoked { .. } | entry::Command::StaleResult { .. } => {}
             entry::Command::Answer { request_id, answer } => {
                 let at_ms = self.now_ms - WARM_UP_MS;
                 let outcome = match answer {
@@ -483,14 +469,10 @@
                 result,
                 ..
             } => {
-                let is_refused = result.outcome == Outcome::NotRun;
-                let now_ms = self.now_ms;
-                let load = is_refused.then(|| Box::new(self.owners[pool].refusal_load(now_ms)));
                 let job_ended = Event::JobEnded {
                     entry: entry as usize,
                     pool,
                     result,
-                    load,
                 };
                 self.schedule_after(ONE_WAY_MS, job_ended);
             }
--- a/crates/replay/src/simulation/callers.rs
+++ b/crates/replay/src/simulation/callers.rs
@@ -2,7 +2,6 @@
 
 use trefoil_core::dispatch::entry::RequestId;
 
-use super::routing::RoutingStats;
 use super::{Event, Simulation, WARM_UP_MS};
 use crate::pattern::RetryPolicy;
 use crate::stats::CallerOutcome;
@@ -49,8 +48,6 @@
     pub first_attempts: Vec<CallerOutcome>,
     /// Outcome of the retry, for callers that made one.
     pub retries: Vec<Option<RetryOutcome>>,
-    /// Decisions of the entries.
-    pub routing: RoutingStats,
 }
 
 impl Simulation<'_> {
--- a/crates/replay/tests/support/mod.rs
+++ b/crates/replay/tests/support/mod.rs
@@ -5,7 +5,7 @@
 use trefoil_core::dispatch::owner::Settings;
 use trefoil_replay::arrivals::{self, Arrival};
 use trefoil_replay::pattern::{self, Pattern};
-use trefoil_replay::simulation::{ReplayOutcomes, RetryOutcome, RoutingStats};
+use trefoil_replay::simulation::{ReplayOutcomes, RetryOutcome};
 use trefoil_replay::stats::{CallerOutcome, ClassStats, ReplayStats};
 use trefoil_replay::{bound, simulation};
 
@@ -16,7 +16,6 @@
     pub first_attempts: Vec<CallerOutcome>,
     pub retries: Vec<RetryOutcome>,
     pub stats: ReplayStats,
-    pub routing: RoutingStats,
 }
 
 impl Replay {
@@ -29,7 +28,6 @@
         let ReplayOutcomes {
             first_attempts,
             retries,
-            routing,
         } = simulation::run(&pattern, &arrivals, Settings::default());
         let stats = ReplayStats::new(&pattern, &arrivals, &first_attempts);
         Self {
@@ -38,7 +36,6 @@
             first_attempts,
             retries: retries.into_iter().flatten().collect(),
             stats,
-            routing,
         }
     }
 
