core: stall timeouts by what is known against the worker; isolation by number of losses

If every worker has a suspect task, a task shares with the one that has the fewest losses. The two tests of stalled runs are as they were.

--- a/crates/core/src/dispatch/owner/overdue.rs
+++ b/crates/core/src/dispatch/owner/overdue.rs
@@ -30,15 +30,38 @@
     Stalled(JobKey, usize),
 }
 
+/// What is known against the worker of a run that takes long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Evidence {
+    /// Nothing: a run of a heavy-tailed class takes as long on any worker.
+    None,
+    /// It looks slow, or has failed a task since its last success.
+    Doubtful,
+    /// It is suspected as slow; [`slow_workers`](super::slow_workers) restarts its runs.
+    Suspected,
+}
+
+impl Evidence {
+    fn against(worker: &Worker) -> Self {
+        if worker.health.is_on_probation() {
+            Self::Doubtful
+        } else if worker.slowness.is_suspected() {
+            Self::Suspected
+        } else if worker.slowness.looks_slow() {
+            Self::Doubtful
+        } else {
+            Self::None
+        }
+    }
+}
+
 /// Decides what to do about a run of a worker that last answered at `heard_ms`.
-/// Without evidence against the worker (`is_doubtful`), a run that takes long may be of the
-/// tail, which takes as long on any worker.
 fn overdue_action(
     run: &Run,
     now_ms: u64,
     heard_ms: u64,
     is_lossy: bool,
-    is_doubtful: bool,
+    evidence: Evidence,
 ) -> OverdueAction {
     let passed = |from_ms: u64, time_ms: u64| now_ms >= from_ms + time_ms;
     match (run.state, run.owner) {
@@ -52,11 +75,13 @@
             let RunTimeouts {
                 check_ms,
                 stall_ms,
-                doubtful_stall_ms,
+                long_stall_ms,
+                heavy_tailed,
             } = run.timeouts;
-            let stall_ms = match is_doubtful {
-                true => doubtful_stall_ms,
-                false => stall_ms,
+            let stall_ms = match evidence {
+                Evidence::Suspected => long_stall_ms,
+                Evidence::None if heavy_tailed => long_stall_ms,
+                Evidence::None | Evidence::Doubtful => stall_ms,
             };
             let (check_ms, is_repoll_due) = match is_lossy {
                 true => (
@@ -95,13 +120,11 @@
             return;
         }
         let target = target_of(key, worker);
-        // Runs of suspected workers are restarted by `slow_workers`.
-        let is_doubtful = worker.health.is_on_probation()
-            || (worker.slowness.looks_slow() && !worker.slowness.is_suspected());
+        let evidence = Evidence::against(worker);
         let mut stalled = Vec::new();
         let mut polled_task = None;
         for run in &mut worker.runs {
-            match overdue_action(run, now_ms, worker.last_heard_ms, is_lossy, is_doubtful) {
+            match overdue_action(run, now_ms, worker.last_heard_ms, is_lossy, evidence) {
                 OverdueAction::Wait => continue,
                 OverdueAction::Poll => {
                     polled_task.get_or_insert_with(|| run.task.clone());
--- a/crates/core/src/dispatch/owner/placement.rs
+++ b/crates/core/src/dispatch/owner/placement.rs
@@ -32,7 +32,7 @@
 /// Cost of starting a suspect task beside others, or another task beside it.
 const SUSPECT_COLOCATION_COST: f64 = 10.0;
 /// A run is stalled after this multiple of its expected time, plus [`STALL_SLACK_MS`],
-/// unless its class is heavy-tailed and nothing is known against its worker.
+/// unless its class is heavy-tailed or its worker is suspected as slow.
 const REGULAR_STALL_FACTOR: f64 = 3.0;
 /// Added to the stall timeouts.
 const STALL_SLACK_MS: u64 = 150;
@@ -49,16 +49,13 @@
 /// Timeouts of a run. Each earlier stall of its task doubles the stall timeout, since
 /// the estimate may be wrong.
 pub(super) fn run_timeouts(expected_ms: u64, stalls: u32, heavy_tailed: bool) -> RunTimeouts {
-    let factor = match heavy_tailed {
-        true => STALL_FACTOR,
-        false => REGULAR_STALL_FACTOR,
-    };
     let times = |factor: f64| (expected_ms as f64 * factor) as u64;
     let stall_ms = |factor| (times(factor) + STALL_SLACK_MS) << stalls.min(STALL_DOUBLINGS_MAX);
     RunTimeouts {
         check_ms: times(CHECK_FACTOR) + CHECK_SLACK_MS,
-        stall_ms: stall_ms(factor),
-        doubtful_stall_ms: stall_ms(REGULAR_STALL_FACTOR),
+        stall_ms: stall_ms(REGULAR_STALL_FACTOR),
+        long_stall_ms: stall_ms(STALL_FACTOR),
+        heavy_tailed,
     }
 }
 
@@ -77,8 +74,8 @@
     pub(super) key: WorkerKey,
     pub(super) free: Resources,
     runs: usize,
-    /// Whether a run of a suspect task is there.
-    has_suspect: bool,
+    /// Highest number of losses of a suspect task there; 0 if there is none.
+    suspect_losses: usize,
 }
 
 /// When a job would end if a task started on some worker.
@@ -244,7 +241,7 @@
             key,
             free: worker.free_resources(),
             runs: worker.runs.len(),
-            has_suspect: self.has_suspect(worker),
+            suspect_losses: self.suspect_losses(worker),
         });
         let some_fits =
             |candidate: &Candidate| !self.queue.none_fits(candidate.free.cpu_millicores);
@@ -401,7 +398,7 @@
         let task = &job.tasks[index];
         candidate.free = candidate.free.minus(&resources_of(job.phase(task)));
         candidate.runs += 1;
-        candidate.has_suspect |= task.is_suspect();
+        candidate.suspect_losses = candidate.suspect_losses.max(task.losses.len());
     }
 
     /// Position of the candidate on which a task costs least; with `packing`, only among
@@ -435,7 +432,7 @@
             let is_packed = |packing: Packing| {
                 !packing.strands(left, capacity.cpu_millicores)
                     && !is_remote(worker, phase)
-                    && !candidate.has_suspect
+                    && candidate.suspect_losses == 0
                     && now_ms + worker.expected_ms(remaining_ms) <= objective_ms
             };
             if !packing.is_none_or(is_packed) {
@@ -484,7 +481,7 @@
         let label = phase.required_label.as_str();
         let is_suspect = job.tasks[index].is_suspect();
         let allowed = candidate.free.fits(resources)
-            && !(is_suspect && candidate.has_suspect)
+            && !(is_suspect && candidate.suspect_losses > 0)
             && *worker.record.service == *job.spec.service
             && worker.health.allows_task(now_ms, candidate.runs)
             && (label.is_empty() || worker.record.labels.contains(label))
@@ -507,12 +504,12 @@
             .cost(now_ms, &job.tasks[index], phase.estimate_ms)?;
         let has_failed = job.failed_on.contains(&candidate.key);
         let failure_cost = if has_failed { PRIOR_FAILURE_COST } else { 0.0 };
-        let is_colocated = candidate.has_suspect || (is_suspect && candidate.runs > 0);
-        let suspect_cost = if is_colocated {
-            SUSPECT_COLOCATION_COST
-        } else {
-            0.0
-        };
+        // If all workers have a suspect task, the one with the fewest losses is the least likely
+        // to be a poison task.
+        let suspects = candidate
+            .suspect_losses
+            .max(usize::from(is_suspect && candidate.runs > 0));
+        let suspect_cost = SUSPECT_COLOCATION_COST * suspects as f64;
         Some(
             factor
                 + late_cost
--- a/crates/core/src/dispatch/owner/poison_tasks.rs
+++ b/crates/core/src/dispatch/owner/poison_tasks.rs
@@ -212,15 +212,16 @@
         }
     }
 
-    /// Whether a run of a suspect task is on a worker.
-    pub(super) fn has_suspect(&self, worker: &Worker) -> bool {
-        worker.runs.iter().any(|run| match run.owner {
+    /// Highest number of losses of a suspect task on a worker; 0 if there is none.
+    pub(super) fn suspect_losses(&self, worker: &Worker) -> usize {
+        let losses = worker.runs.iter().map(|run| match run.owner {
             RunOwner::Task(key, index) => {
                 let job = self.jobs.get(key);
-                job.is_some_and(|job| job.tasks[index].is_suspect())
+                job.map_or(0, |job| job.tasks[index].losses.len())
             }
-            RunOwner::Orphan { .. } => false,
-        })
+            RunOwner::Orphan { .. } => 0,
+        });
+        losses.max().unwrap_or(0)
     }
 }
 
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -152,8 +152,10 @@
     pub check_ms: u64,
     /// Time after which the run is considered stalled.
     pub stall_ms: u64,
-    /// The same if its worker looks slow or has failed a task since its last success.
-    pub doubtful_stall_ms: u64,
+    /// The same if the run may take several times longer by itself.
+    pub long_stall_ms: u64,
+    /// Whether tasks of its class take several times longer by themselves now and then.
+    pub heavy_tailed: bool,
 }
 
 /// Whether the worker accepts orders of this owner.
