--- a/crates/core/src/dispatch/owner/overdue.rs
+++ b/crates/core/src/dispatch/owner/overdue.rs
@@ -37,7 +37,7 @@
     None,
     /// It looks slow, or has failed a task since its last success.
     Doubtful,
-    /// It is suspected as slow; [`slow_workers`](super::slow_workers) restarts its runs.
+    /// It is suspected as slow; [`slow_workers`] restarts its runs.
     Suspected,
 }
 
--- a/crates/instance/src/instance/frames.rs
+++ b/crates/instance/src/instance/frames.rs
@@ -240,7 +240,6 @@
                 pool,
                 retry_after_ms: result.retry_after_ms,
                 delegation: result.delegation,
-                load: None,
             })));
         }
     }
--- a/crates/instance/src/settings.rs
+++ b/crates/instance/src/settings.rs
@@ -1,6 +1,5 @@
 //! Loading and validation of instance settings.
 
-use std::collections::BTreeMap;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -49,9 +48,6 @@
     /// Factor on the run time of a task away from its data.
     #[serde(default = "default_remote_penalty")]
     pub remote_penalty: f64,
-    /// Weights of job classes (routes) in fair sharing.
-    #[serde(default)]
-    pub class_weights: BTreeMap<String, f64>,
 }
 
 impl InstanceSettings {
@@ -69,7 +65,6 @@
     pub(crate) fn owner_settings(&self) -> owner::Settings {
         owner::Settings {
             remote_penalty: self.remote_penalty,
-            class_weights: self.class_weights.clone(),
             ..owner::Settings::default()
         }
     }
@@ -170,9 +165,5 @@
     if !(settings.remote_penalty.is_finite() && settings.remote_penalty >= 1.0) {
         return Err(value("remote_penalty", "a number of at least 1"));
     }
-    let is_valid_weight = |weight: &f64| weight.is_finite() && *weight > 0.0;
-    if !settings.class_weights.values().all(is_valid_weight) {
-        return Err(value("class_weights", "numbers greater than 0"));
-    }
     Ok(settings)
 }
--- a/crates/replay/src/bin/trefoil-replay.rs
+++ b/crates/replay/src/bin/trefoil-replay.rs
@@ -88,7 +88,7 @@
         false => Settings::default(),
     };
     for (pattern, seed) in replays(matches) {
-        let (stats, bound) = replay(&pattern, seed, settings.clone());
+        let (stats, bound) = replay(&pattern, seed, settings);
         let table = Table {
             pattern: &pattern,
             stats: &stats,
--- a/crates/replay/src/simulation.rs
+++ b/crates/replay/src/simulation.rs
@@ -176,7 +176,7 @@
             worker_pools: Vec::new(),
         };
         for domain in 0..topology.domains {
-            simulation.add_domain(domain, topology, &settings);
+            simulation.add_domain(domain, topology, settings);
         }
         simulation.schedule_initial_events();
         simulation
--- a/crates/replay/src/simulation/topology.rs
+++ b/crates/replay/src/simulation/topology.rs
@@ -61,7 +61,7 @@
 }
 
 impl Simulation<'_> {
-    pub(super) fn add_domain(&mut self, domain: u32, topology: Topology, settings: &Settings) {
+    pub(super) fn add_domain(&mut self, domain: u32, topology: Topology, settings: Settings) {
         let domain_name = format!("d{domain}");
         for _ in 0..topology.entries_per_domain {
             self.entries.push(Entry::new(&domain_name));
@@ -70,7 +70,7 @@
             let position = self.pools.len();
             let name = pool::name(&domain_name, index);
             let fence = Fence::new(1, "owner");
-            let owner = Owner::new(&name, fence, 1).with_settings(settings.clone());
+            let owner = Owner::new(&name, fence, 1).with_settings(settings);
             self.owners.push(owner);
             self.pool_positions.insert(name.clone(), position);
             self.pools.push(name);
