core: runs that do not count for a worker's speed leave it untouched

A run too long to count was recorded with the expected time. That raised the number of runs that the speed seems to rest on, so that a worker without a valid run no longer took its label's speed, and it ended a succession of outliers.

--- a/crates/core/src/dispatch/owner/completions.rs
+++ b/crates/core/src/dispatch/owner/completions.rs
@@ -1,6 +1,7 @@
 //! Effects of a completed run on its task, its job and its worker.
 
 use super::super::order::RunCompletion;
+use super::super::worker::Run;
 use super::*;
 
 impl Owner {
@@ -28,23 +29,8 @@
         let took_ms = now_ms.saturating_sub(run.ordered_ms);
         match completion.outcome {
             RunOutcome::Done => {
-                let lasting_ms = self.observe_run_time(now_ms, key, &run, took_ms, out);
-                let health = &mut self.workers[key].health;
-                let slowdown = health.slowdown;
-                // A run that does not count has the expected time, which changes nothing.
-                let regular_ms = (run.estimate_ms as f64 * slowdown) as u64;
-                health.record_success(run.estimate_ms, lasting_ms.unwrap_or(regular_ms));
-                let is_slow = self.workers[key].slowness.is_suspected();
-                if let RunOwner::Task(job, _) = run.owner
-                    && let Some(job) = self.jobs.get(job)
-                {
-                    let class = &job.spec.class;
-                    match lasting_ms {
-                        Some(_) => self.run_times.record(class, took_ms, slowdown),
-                        None if is_slow => {}
-                        None => self.run_times.record_length(class, took_ms, slowdown),
-                    }
-                }
+                worker.health.record_success();
+                self.learn_run_time(now_ms, key, &run, took_ms, out);
             }
             RunOutcome::Failed => self.attribute_failure(now_ms, key, run.owner),
             RunOutcome::Stopped | RunOutcome::LeaseExpired => {}
@@ -70,6 +56,34 @@
         }
     }
 
+    /// Learns the speed of the worker and the run times of the class from a completed run.
+    fn learn_run_time(
+        &mut self,
+        now_ms: u64,
+        key: WorkerKey,
+        run: &Run,
+        took_ms: u64,
+        out: &mut Vec<Command>,
+    ) {
+        let is_lasting = self.observe_run_time(now_ms, key, run, took_ms, out);
+        let worker = &mut self.workers[key];
+        let slowdown = worker.health.slowdown;
+        if is_lasting {
+            worker.health.record_run_time(run.estimate_ms, took_ms);
+        }
+        let is_suspected = worker.slowness.is_suspected();
+        if let RunOwner::Task(job, _) = run.owner
+            && let Some(job) = self.jobs.get(job)
+        {
+            let class = &job.spec.class;
+            match is_lasting {
+                true => self.run_times.record(class, took_ms, slowdown),
+                false if is_suspected => {}
+                false => self.run_times.record_length(class, took_ms, slowdown),
+            }
+        }
+    }
+
     /// Attributes a failed run to its worker or to its job.
     ///
     /// Prevents jobs that can never succeed from putting all workers on probation, which would
--- a/crates/core/src/dispatch/owner/slow_workers.rs
+++ b/crates/core/src/dispatch/owner/slow_workers.rs
@@ -306,8 +306,8 @@
 }
 
 impl Owner {
-    /// Records the time of a completed run as evidence. Returns the time that counts for
-    /// the lasting speed of the worker and its class, if it does.
+    /// Records the time of a completed run as evidence. Returns whether it counts for the
+    /// lasting speed of the worker and for its class.
     pub(super) fn observe_run_time(
         &mut self,
         now_ms: u64,
@@ -315,14 +315,16 @@
         run: &Run,
         took_ms: u64,
         out: &mut Vec<Command>,
-    ) -> Option<u64> {
+    ) -> bool {
         let worker = &mut self.workers[key];
         worker.slowness.last_success_ms = Some(now_ms);
         let job = match run.owner {
             RunOwner::Task(job, _) => self.jobs.get(job),
             RunOwner::Orphan { .. } => None,
         };
-        let class = job.map(|job| job.spec.class.as_str())?;
+        let Some(class) = job.map(|job| job.spec.class.as_str()) else {
+            return false;
+        };
         let regular_ms = regular_ms(worker, run, 1.0);
         let raw_ratio = ratio(took_ms, regular_ms);
         let ratio = raw_ratio / self.slow_workers.offset(class);
@@ -339,7 +341,7 @@
                 let evidence = model.completed_evidence(ratio);
                 worker.slowness.record_evidence(evidence);
             }
-            return None;
+            return false;
         }
         if !worker.slowness.looks_slow {
             self.slow_workers.model.record(ratio);
@@ -356,7 +358,7 @@
         slowness.record_evidence(evidence);
         self.slow_workers
             .record_deviation(class, raw_ratio.max(f64::MIN_POSITIVE).ln());
-        (ratio <= LASTING_RATIO_MAX).then_some(took_ms)
+        ratio <= LASTING_RATIO_MAX
     }
 
     /// Records the end of a run that did not succeed.
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -402,7 +402,7 @@
     paused_until_ms: u64,
     /// Lasting factor on run times, relative to the estimates.
     pub slowdown: f64,
-    /// Number of completed runs.
+    /// Number of runs that the speed was learned from.
     runs: u32,
     /// Number of runs in succession that were far longer (or, if negative, far shorter)
     /// than expected.
@@ -432,9 +432,14 @@
         self.failures > 0
     }
 
-    /// Records a success; `estimate_ms` is the run time on a worker of average speed.
-    pub fn record_success(&mut self, estimate_ms: u64, took_ms: u64) {
+    /// Records a success, which ends the probation.
+    pub fn record_success(&mut self) {
         self.failures = 0;
+    }
+
+    /// Learns the speed from a completed run; `estimate_ms` is the run time on a worker of
+    /// average speed.
+    pub fn record_run_time(&mut self, estimate_ms: u64, took_ms: u64) {
         let log_ratio = (took_ms.max(1) as f64 / estimate_ms.max(1) as f64).ln();
         let log_slowdown = self.slowdown.ln();
         let difference = log_ratio - log_slowdown;
@@ -462,7 +467,7 @@
             .clamp(*SLOWDOWN_RANGE.start(), *SLOWDOWN_RANGE.end());
     }
 
-    /// Number of completed runs, from which the speed was learned.
+    /// Number of runs that the speed was learned from.
     pub fn runs(&self) -> u32 {
         self.runs
     }
--- a/crates/core/tests/dispatch_placement.rs
+++ b/crates/core/tests/dispatch_placement.rs
@@ -199,21 +199,21 @@
     let mut health = WorkerHealth::default();
     for run in 0..300 {
         let took_ms = if run % 33 == 32 { 700 } else { 100 };
-        health.record_success(100, took_ms);
+        health.record_run_time(100, took_ms);
         assert!(health.slowdown < 1.3, "{}", health.slowdown);
     }
     let before = health.slowdown;
     assert!((0.9..1.2).contains(&before));
     for _ in 0..6 {
-        health.record_success(100, 600);
+        health.record_run_time(100, 600);
     }
     assert!(health.slowdown > 3.0, "{}", health.slowdown);
     let mut fast = WorkerHealth::default();
     for _ in 0..30 {
-        fast.record_success(170, 100);
+        fast.record_run_time(170, 100);
     }
     assert!((fast.slowdown - 0.59).abs() < 0.02);
-    fast.record_success(0, 0);
+    fast.record_run_time(0, 0);
     assert!(fast.slowdown.is_finite());
 }
 
