--- a/crates/core/src/dispatch/limits.rs
+++ b/crates/core/src/dispatch/limits.rs
@@ -20,6 +20,9 @@
 /// Maximum timeout for a worker's answer, in addition to the requested wait; the
 /// owner adapts it downwards. It is longer than a CPU throttling pause of the instance.
 pub const ANSWER_TIMEOUT_MAX_MS: u64 = 100;
+/// Time from the order to stop a run until its task can start elsewhere: the platform's
+/// contract grants a stop 50, and its answer and the listing of the end take a round trip.
+pub const RESTART_DELAY_MS: u64 = 60;
 /// Delay before a worker is called again after the first call without an answer.
 /// It doubles with each further one, up to [`RETRY_BACKOFF_MAX_MS`].
 pub const RETRY_BACKOFF_MIN_MS: u64 = 2;
--- a/crates/core/src/dispatch/owner/admit.rs
+++ b/crates/core/src/dispatch/owner/admit.rs
@@ -155,7 +155,7 @@
                 let millicores = run
                     .resources
                     .map_or(0, |resources| resources.cpu_millicores);
-                forecast.add_run(run.ordered_ms, run.expected_ms, millicores);
+                forecast.add_release(run.expected_end_ms(now_ms), millicores);
             }
         }
         forecast
--- a/crates/core/src/dispatch/owner/departure.rs
+++ b/crates/core/src/dispatch/owner/departure.rs
@@ -22,20 +22,15 @@
 use std::collections::BTreeMap;
 
 use super::super::job::LATE_FACTOR;
-use super::super::limits::LEASE_MS;
-use super::super::worker::{Departure, ExpectedExit, Resources, Run};
+use super::super::limits::{LEASE_MS, RESTART_DELAY_MS};
+use super::super::worker::{Departure, ExpectedExit, OVERDUE_SHARE, Resources, Run};
 use super::*;
 
 /// Standard deviation of the natural logarithm of a run time relative to its estimate.
 const RUN_TIME_SIGMA: f64 = 0.4;
-/// Time from the order to stop a run until its task can start elsewhere: the platform's
-/// contract grants a stop 50 ms, and its answer and the listing of the end take a round trip.
-const STOP_MS: u64 = 60;
 /// Time from the exit of a worker until the tasks lost there can start elsewhere: the lease
 /// renewed just before has to expire.
 const LOSS_MS: u64 = LEASE_MS + 20;
-/// Remaining time of an overdue run, as a share of its expected time.
-const OVERDUE_SHARE: f64 = 0.2;
 /// Minimum gain in expected worth for which a run is stopped. A smaller one is within the error
 /// of the estimates, and the stop costs two orders and the work done so far.
 const GAIN_MIN: f64 = 0.05;
@@ -91,7 +86,7 @@
     pub fn action(&self) -> DepartureAction {
         // A restart ends at best after a run of the same expected time.
         let restart_ms = self.restart_ms.unwrap_or(self.expected_ms);
-        let restarted_end_ms = STOP_MS + restart_ms;
+        let restarted_end_ms = RESTART_DELAY_MS + restart_ms;
         let saved_ms = self
             .left_end_ms(restart_ms)
             .saturating_sub(restarted_end_ms);
@@ -121,7 +116,7 @@
 
     /// Expected worth of the job if the run is stopped and the task then takes `restart_ms`.
     fn restarted_worth(&self, restart_ms: u64) -> f64 {
-        self.worth(|within_ms| ends_within(within_ms.saturating_sub(STOP_MS), restart_ms))
+        self.worth(|within_ms| ends_within(within_ms.saturating_sub(RESTART_DELAY_MS), restart_ms))
     }
 
     /// Expected worth of the job if the run is left; the task takes `restart_ms` elsewhere if
@@ -320,20 +315,12 @@
         let resources = placement::resources_of(phase);
         let fits = |room: &Room| {
             let worker = &self.workers[room.worker];
-            let label = phase.required_label.as_str();
-            room.free.fits(&resources)
-                && *worker.record.service == *job.spec.service
-                && (label.is_empty() || worker.record.labels.contains(label))
+            room.free.fits(&resources) && worker.can_run(&job.spec.service, phase)
         };
         let run_ms = |room: &Room| {
             let worker = &self.workers[room.worker];
-            let rack = phase.data_rack.as_str();
-            let is_remote = !rack.is_empty() && !worker.record.labels.contains(rack);
-            let expected_ms = worker.expected_ms(phase.estimate_ms);
-            match is_remote {
-                true => (expected_ms as f64 * self.settings.remote_penalty) as u64,
-                false => expected_ms,
-            }
+            let expected_ms = worker.expected_ms(phase.estimate_ms) as f64;
+            (expected_ms * self.distance(worker.is_remote(phase))) as u64
         };
         let rooms = rooms.iter().enumerate().filter(|(_, room)| fits(room));
         let costs = rooms.map(|(position, room)| (position, run_ms(room)));
@@ -423,7 +410,7 @@
         outlook.elapsed_ms,
         outlook.expected_ms,
         outlook.left_end_ms(restart_ms),
-        STOP_MS + restart_ms,
+        RESTART_DELAY_MS + restart_ms,
         outlook.on_time_for_ms,
         outlook.useful_for_ms,
     );
--- a/crates/core/src/dispatch/owner/forecast.rs
+++ b/crates/core/src/dispatch/owner/forecast.rs
@@ -10,9 +10,6 @@
 
 use super::super::limits::LEASE_MAX_MS;
 
-/// Remaining time of an overdue run, as a share of its expected time.
-const OVERDUE_SHARE: f64 = 0.2;
-
 /// Added to the forecast of a job that needs more CPU than is known to come free: by
 /// then an unresponsive worker has answered, or its leases have expired.
 const UNKNOWN_CAPACITY_MS: u64 = LEASE_MAX_MS;
@@ -41,13 +38,6 @@
         }
     }
 
-    /// Adds a run that was ordered at `ordered_ms` and takes about `expected_ms`.
-    pub(super) fn add_run(&mut self, ordered_ms: u64, expected_ms: u64, millicores: u64) {
-        let overdue_ms = self.last_begin_ms + (expected_ms as f64 * OVERDUE_SHARE) as u64;
-        let end_ms = overdue_ms.max(ordered_ms + expected_ms);
-        self.add_release(end_ms, millicores);
-    }
-
     /// Adds CPU that comes free at `at_ms`.
     pub(super) fn add_release(&mut self, at_ms: u64, millicores: u64) {
         self.releases.push(Reverse((at_ms, millicores)));
--- a/crates/core/src/dispatch/owner/placement.rs
+++ b/crates/core/src/dispatch/owner/placement.rs
@@ -96,11 +96,6 @@
     is_better && later.end_ms <= objective_ms
 }
 
-fn is_remote(worker: &Worker, phase: &Phase) -> bool {
-    let rack = phase.data_rack.as_str();
-    !rack.is_empty() && !worker.record.labels.contains(rack)
-}
-
 /// Counters of placement since the owner was created.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PlacementStats {
@@ -354,7 +349,7 @@
         let resources = resources_of(phase);
         let (estimate_ms, objective_ms) = (job.remaining_ms(), job.objective_ms(1.0));
         let prospect = |worker: &Worker, at_ms: u64| {
-            let is_remote = is_remote(worker, phase);
+            let is_remote = worker.is_remote(phase);
             let distance = self.distance(is_remote);
             Prospect {
                 end_ms: at_ms + (worker.expected_ms(estimate_ms) as f64 * distance) as u64,
@@ -365,12 +360,10 @@
         if start_now.end_ms <= objective_ms && !start_now.is_remote {
             return None;
         }
-        let label = phase.required_label.as_str();
         let awaited = self.workers.iter().find(|(key, worker)| {
             *key != candidate.key
                 && !claimed.contains(key)
-                && *worker.record.service == *job.spec.service
-                && (label.is_empty() || worker.record.labels.contains(label))
+                && worker.can_run(&job.spec.service, phase)
                 && worker.accepts_tasks(now_ms)
                 && available_at_ms(worker, &resources)
                     // A run that is overdue has no expected end.
@@ -387,7 +380,8 @@
         Some(awaited)
     }
 
-    fn distance(&self, is_remote: bool) -> f64 {
+    /// Factor on the run time of a task by where its data is.
+    pub(super) fn distance(&self, is_remote: bool) -> f64 {
         match is_remote {
             true => self.settings.remote_penalty,
             false => 1.0,
@@ -432,7 +426,7 @@
             let worker = &self.workers[candidate.key];
             let is_packed = |packing: Packing| {
                 !packing.strands(left, capacity.cpu_millicores)
-                    && !is_remote(worker, phase)
+                    && !worker.is_remote(phase)
                     && candidate.suspect_losses == 0
                     && now_ms + worker.expected_ms(remaining_ms) <= objective_ms
             };
@@ -465,7 +459,7 @@
         best.map(|(_, position)| position)
     }
 
-    /// Cost of a task on a worker; `None` if it must not start there. `planned_here` is
+    /// Cost of a task on a worker where it fits; `None` if it must not start there. `planned_here` is
     /// the number of tasks of its phase that are about to start there.
     #[expect(clippy::too_many_arguments, reason = "all are inputs of one formula")]
     fn cost(
@@ -479,20 +473,17 @@
         now_ms: u64,
     ) -> Option<f64> {
         let worker = &self.workers[candidate.key];
-        let label = phase.required_label.as_str();
         let is_suspect = job.tasks[index].is_suspect();
-        let allowed = candidate.free.fits(resources)
-            && !(is_suspect && candidate.suspect_losses > 0)
-            && *worker.record.service == *job.spec.service
+        let allowed = !(is_suspect && candidate.suspect_losses > 0)
+            && worker.can_run(&job.spec.service, phase)
             && worker.health.allows_task(now_ms, candidate.runs)
-            && (label.is_empty() || worker.record.labels.contains(label))
             && (phase.per_worker_max == 0
                 || self.count_assigned(candidate.key, job, index) + planned_here
                     < phase.per_worker_max);
         if !allowed {
             return None;
         }
-        let factor = worker.run_time_factor() * self.distance(is_remote(worker, phase));
+        let factor = worker.run_time_factor() * self.distance(worker.is_remote(phase));
         let end_ms = now_ms + (job.remaining_ms() as f64 * factor) as u64;
         let late_cost = match end_ms <= job.objective_ms(1.0) {
             true => 0.0,
--- a/crates/core/src/dispatch/owner/slow_workers.rs
+++ b/crates/core/src/dispatch/owner/slow_workers.rs
@@ -22,7 +22,9 @@
 pub use evidence::{RunTimeModel, STALL_FACTOR, SUSPICION_THRESHOLD, shared_estimate_bound};
 
 use super::super::job::LATE_FACTOR;
+use super::super::limits::RESTART_DELAY_MS;
 use super::super::worker::{Resources, Run};
+use super::overdue::LISTING_AGE_MAX_MS;
 use super::*;
 
 /// Probability that a worker is slow before its runs are considered, if no other worker
@@ -78,12 +80,6 @@
 /// Restarts of runs per worker of the pool and second, if no worker of the deployment
 /// looks slow; the rate falls to 0 at [`SLOW_SHARE_MAX`]. A worker has two or three runs.
 const RESTARTS_PER_WORKER: f64 = 2.0;
-/// The platform's contract grants a stop 50 ms; its answer and the start take two calls.
-const STOP_MS: u64 = 50 + CALLS_MS;
-/// Maximum age of the listing on whose basis a run is restarted.
-const LISTING_AGE_MAX_MS: u64 = 60;
-/// Remaining time of an overdue run, as a share of its expected time.
-const OVERDUE_SHARE: f64 = 0.2;
 /// Restarts of one task: afterwards its own work is the likely cause.
 const RESTARTS_MAX: u32 = 2;
 /// A run that took longer than this multiple of its expected time does not change the
@@ -573,13 +569,12 @@
         if suspicion.is_probe(run) && ratio <= PROBE_FAILED_RATIO {
             return None;
         }
-        let label = job.phase(task).required_label.as_str();
+        let phase = job.phase(task);
         let slowdown = |key: WorkerKey| self.workers[key].health.slowdown;
         let ends = targets.iter().enumerate().filter_map(|(index, target)| {
             let worker = &self.workers[target.key];
-            let is_allowed = *worker.record.service == *job.spec.service
-                && (label.is_empty() || worker.record.labels.contains(label))
-                && !job.failed_on.contains(&target.key);
+            let is_allowed =
+                worker.can_run(&job.spec.service, phase) && !job.failed_on.contains(&target.key);
             let wait_ms = target.available_at_ms(&resources)?.saturating_sub(now_ms);
             let end_ms = wait_ms + (run.estimate_ms as f64 * slowdown(target.key)) as u64;
             is_allowed.then_some((end_ms, wait_ms, index))
@@ -597,7 +592,7 @@
         let mean = |if_slow: f64, if_regular: f64| slow * if_slow + (1.0 - slow) * if_regular;
         let kept_ms = (mean(total_slow, total_regular) - ratio) * regular_ms;
         let there_ms = mean(total_moved, total_regular) * regular_ms * speed;
-        let moved_ms = there_ms + STOP_MS.max(wait_ms) as f64;
+        let moved_ms = there_ms + RESTART_DELAY_MS.max(wait_ms) as f64;
         // The objective grows with the work, of which the estimate may be too low.
         let work = mean(total_moved, total_regular) * offset;
         let excess_ms = (work - 1.0).max(0.0) * run.estimate_ms as f64;
@@ -629,9 +624,8 @@
 impl RestartTarget {
     fn new(now_ms: u64, key: WorkerKey, worker: &Worker) -> Self {
         let release = |run: &Run| {
-            let overdue_ms = now_ms + (run.expected_ms as f64 * OVERDUE_SHARE) as u64;
-            let end_ms = overdue_ms.max(run.ordered_ms + run.expected_ms);
-            (end_ms, run.resources.unwrap_or_default())
+            let resources = run.resources.unwrap_or_default();
+            (run.expected_end_ms(now_ms), resources)
         };
         let mut releases: Vec<_> = worker.runs.iter().map(release).collect();
         releases.push((now_ms, worker.free_resources()));
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -9,6 +9,8 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use trefoil_schema::dispatch::Phase;
+
 use super::fence::Fence;
 use super::limits::{
     CLOCK_DRIFT_MAX, IDLE_RETRY_BACKOFF_MAX_MS, RETRY_BACKOFF_MAX_MS, RETRY_BACKOFF_MIN_MS,
@@ -145,6 +147,17 @@
     pub timeouts: RunTimeouts,
 }
 
+/// Remaining time that is assumed of an overdue run, as a share of its expected time.
+pub(super) const OVERDUE_SHARE: f64 = 0.2;
+
+impl Run {
+    /// Expected end, as of `now_ms`.
+    pub fn expected_end_ms(&self, now_ms: u64) -> u64 {
+        let overdue_end_ms = now_ms + (self.expected_ms as f64 * OVERDUE_SHARE) as u64;
+        overdue_end_ms.max(self.ordered_ms + self.expected_ms)
+    }
+}
+
 /// Timeouts of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RunTimeouts {
@@ -287,6 +300,18 @@
         free
     }
 
+    /// Whether tasks of a phase of a job for `service` may run there at all.
+    pub fn can_run(&self, service: &str, phase: &Phase) -> bool {
+        let label = phase.required_label.as_str();
+        *self.record.service == *service && (label.is_empty() || self.record.labels.contains(label))
+    }
+
+    /// Whether the data of a phase's tasks is on another rack.
+    pub fn is_remote(&self, phase: &Phase) -> bool {
+        let rack = phase.data_rack.as_str();
+        !rack.is_empty() && !self.record.labels.contains(rack)
+    }
+
     /// Whether it has been missing from the registry for longer than the grace period.
     pub fn has_left(&self, now_ms: u64) -> bool {
         let since_ms = self.unlisted_since_ms;
