core: tasks wait for suspect tasks to end rather than run beside them

If every worker with room ran a suspect task, the choice among them was a tie that position decided, and learned speeds since. A task now waits until the suspect task is expected to end, while its job can still end in time.

--- a/crates/core/src/dispatch/owner/placement.rs
+++ b/crates/core/src/dispatch/owner/placement.rs
@@ -76,7 +76,7 @@
     pub(super) free: Resources,
     runs: usize,
     /// Highest number of losses of a suspect task there; 0 if there is none.
-    suspect_losses: usize,
+    pub(super) suspect_losses: usize,
 }
 
 /// When a job would end if a task started on some worker.
@@ -268,6 +268,9 @@
         let Some(position) = self.cheapest(now_ms, key, index, candidates, None, &[]) else {
             return false;
         };
+        if self.awaits_suspects(now_ms, key, index, &candidates[position]) {
+            return false;
+        }
         if let Some(awaited) =
             self.awaited_worker(now_ms, key, index, &candidates[position], claimed)
         {
--- a/crates/core/src/dispatch/owner/poison_tasks.rs
+++ b/crates/core/src/dispatch/owner/poison_tasks.rs
@@ -3,7 +3,8 @@
 //! Prevents a poison task from taking down one worker after another, with all runs
 //! there. A lost worker may also be unreachable, so a loss only makes a task suspect: it
 //! is retried, on an otherwise idle worker if possible, and never beside another suspect
-//! task, which would be suspected along with it.
+//! task, which would be suspected along with it. If every worker that has room runs a
+//! suspect task, other tasks wait for its end while their jobs can still end in time.
 //!
 //! A worker has crashed if a later incarnation answers or registers at its address. The
 //! second worker that has crashed under a task fails its job. A worker that answers again
@@ -18,6 +19,7 @@
 
 use super::super::job::{Task, WorkerLoss};
 use super::super::worker::Run;
+use super::placement::Candidate;
 use super::*;
 
 /// Workers that crashed under one task after which its job fails.
@@ -212,16 +214,43 @@
         }
     }
 
+    /// Whether a task waits until the suspect tasks on the only workers that have room are
+    /// expected to end, instead of being lost with them: only if its job can still end in
+    /// time then.
+    pub(super) fn awaits_suspects(
+        &self,
+        now_ms: u64,
+        key: JobKey,
+        index: usize,
+        candidate: &Candidate,
+    ) -> bool {
+        let job = &self.jobs[key];
+        if candidate.suspect_losses == 0 || job.tasks[index].is_suspect() {
+            return false;
+        }
+        let worker = &self.workers[candidate.key];
+        let suspects = worker.runs.iter().filter(|run| self.losses(run) > 0);
+        let ends_ms = suspects.map(|run| run.ordered_ms + run.expected_ms);
+        let free_ms = ends_ms.max().unwrap_or(0);
+        let end_ms = free_ms + worker.expected_ms(job.remaining_ms());
+        now_ms < free_ms && end_ms <= job.objective_ms(1.0)
+    }
+
     /// Highest number of losses of a suspect task on a worker; 0 if there is none.
     pub(super) fn suspect_losses(&self, worker: &Worker) -> usize {
-        let losses = worker.runs.iter().map(|run| match run.owner {
+        let losses = worker.runs.iter().map(|run| self.losses(run));
+        losses.max().unwrap_or(0)
+    }
+
+    /// Number of losses of a run's task.
+    fn losses(&self, run: &Run) -> usize {
+        match run.owner {
             RunOwner::Task(key, index) => {
                 let job = self.jobs.get(key);
                 job.map_or(0, |job| job.tasks[index].losses.len())
             }
             RunOwner::Orphan { .. } => 0,
-        });
-        losses.max().unwrap_or(0)
+        }
     }
 }
 
