--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -16,6 +16,7 @@
 //! * [`order_results`]: results of start and stop orders.
 //! * [`lease_renewal`]: lease renewal, and recovery of unanswered orders.
 //! * [`poison_tasks`]: tasks that crash the workers that start them.
+//! * [`restart_targets`]: where runs that are stopped can start again.
 //! * [`departure`]: runs on workers that are about to exit.
 //! * [`overdue`]: polling and stopping of overdue runs.
 //! * [`slow_workers`]: workers that have become slow.
@@ -50,6 +51,7 @@
 mod queue;
 mod rate;
 mod reservation;
+mod restart_targets;
 mod run_times;
 mod settings;
 mod shares;
--- a/crates/core/src/dispatch/owner/departure.rs
+++ b/crates/core/src/dispatch/owner/departure.rs
@@ -10,7 +10,7 @@
 //! elsewhere. Run times are modelled as lognormal, since estimates and class means are off by
 //! 0.4 in the logarithm. A run is stopped only if the restart ends sooner, its job can then
 //! still be of use, the expected worth of the job grows (a late answer has a fifth of the worth
-//! of one on time) or much time is saved, and a worker that accepts tasks has room for it now.
+//! of one on time) or much time is saved, and its task fits on a worker that accepts tasks.
 //! Otherwise it is left alone: the stop would give up its progress for nothing.
 //!
 //! The task starts elsewhere only once the worker has listed the end of the stopped run, or
@@ -23,7 +23,9 @@
 
 use super::super::job::LATE_FACTOR;
 use super::super::limits::{LEASE_MS, RESTART_DELAY_MS};
-use super::super::worker::{Departure, ExpectedExit, OVERDUE_SHARE, Resources, Run};
+use super::super::worker::{Departure, ExpectedExit, OVERDUE_SHARE, Run};
+use super::placement::resources_of;
+use super::restart_targets::RestartTarget;
 use super::*;
 
 /// Standard deviation of the natural logarithm of a run time relative to its estimate.
@@ -75,8 +77,8 @@
     LeaveToEnd,
     /// Left, since its job could not be of use after a restart.
     LeaveTooLate,
-    /// Left for now, since no worker that accepts tasks has room for its task.
-    LeaveForRoom,
+    /// Left for now, since its task fits on no worker that accepts tasks.
+    LeaveNoCapacity,
     /// Stopped, to start its task elsewhere.
     Restart,
 }
@@ -97,7 +99,7 @@
         } else if restarted_end_ms > self.useful_for_ms {
             DepartureAction::LeaveTooLate
         } else if self.restart_ms.is_none() {
-            DepartureAction::LeaveForRoom
+            DepartureAction::LeaveNoCapacity
         } else {
             DepartureAction::Restart
         }
@@ -201,12 +203,6 @@
     exit: ExpectedExit,
 }
 
-/// CPU and other resources free on a worker that accepts tasks, less what restarts need.
-struct Room {
-    worker: WorkerKey,
-    free: Resources,
-}
-
 impl Owner {
     /// Minimum time until the announced exit of a worker; `None` if it has announced none.
     pub fn remaining_ms(&self, now_ms: u64, worker_id: &str) -> Option<u64> {
@@ -231,13 +227,16 @@
         if runs.is_empty() {
             return;
         }
-        let mut rooms = self.rooms(now_ms);
-        let free_millicores: u64 = rooms.iter().map(|room| room.free.cpu_millicores).sum();
-        let stopping_millicores = self.reserve_for_stopping(&mut rooms);
+        let mut targets = self.restart_targets(now_ms);
+        let free_millicores: u64 = targets
+            .iter()
+            .map(|target| target.free.cpu_millicores)
+            .sum();
+        let stopping_millicores = self.reserve_for_stopping(&mut targets);
         let budget_millicores = (free_millicores as f64 * FREE_SHARE) as u64;
         let mut left_millicores = budget_millicores.saturating_sub(stopping_millicores);
         for run in runs {
-            self.decide(now_ms, &run, &mut rooms, &mut left_millicores, out);
+            self.decide(now_ms, &run, &mut targets, &mut left_millicores, out);
         }
     }
 
@@ -253,9 +252,7 @@
                 continue;
             }
             for run in &worker.runs {
-                if let (RunState::Running, RunOwner::Task(job, index)) = (run.state, run.owner)
-                    && self.can_restart(job)
-                {
+                if let Some((job, index)) = self.restartable(run) {
                     runs.push(DepartingRun {
                         worker: key,
                         run_id: run.run_id,
@@ -270,80 +267,68 @@
         runs
     }
 
-    /// Whether tasks of a job may start again.
-    fn can_restart(&self, key: JobKey) -> bool {
-        let job = self.jobs.get(key);
-        job.is_some_and(|job| !job.stopping && !job.paused) && self.is_open()
-    }
-
-    fn rooms(&self, now_ms: u64) -> Vec<Room> {
-        let workers = self.workers.iter();
-        let open = workers.filter(|(_, worker)| worker.accepts_tasks(now_ms));
-        let rooms = open.map(|(worker, state)| Room {
-            worker,
-            free: state.free_resources(),
-        });
-        rooms.collect()
-    }
-
-    /// Reserves room for the tasks whose runs on leaving workers are being stopped. Returns
-    /// the CPU that they need.
-    fn reserve_for_stopping(&self, rooms: &mut [Room]) -> u64 {
+    /// Reserves resources for the tasks whose runs on leaving workers are being stopped.
+    /// Returns the CPU that they need.
+    fn reserve_for_stopping(&self, targets: &mut [RestartTarget]) -> u64 {
         let leaving = self.workers.values().filter(|worker| worker.exit.is_some());
         let mut millicores = 0;
         for run in leaving.flat_map(|worker| &worker.runs) {
             if let (RunState::Stopping { .. }, RunOwner::Task(key, index)) = (run.state, run.owner)
-                && self.can_restart(key)
-                && let Some((position, _)) = self.best_room(rooms, &self.jobs[key], index)
+                && self.can_restart(key, index)
+                && let Some((position, _)) = self.best_target(targets, &self.jobs[key], index)
             {
-                let resources = self.resources_of(key, index);
-                rooms[position].free = rooms[position].free.minus(&resources);
+                let job = &self.jobs[key];
+                let resources = resources_of(job.phase(&job.tasks[index]));
+                targets[position].take(&resources);
                 millicores += resources.cpu_millicores;
             }
         }
         millicores
     }
 
-    fn resources_of(&self, key: JobKey, index: usize) -> Resources {
-        let job = &self.jobs[key];
-        placement::resources_of(job.phase(&job.tasks[index]))
-    }
-
-    /// Position of the room where a task ends soonest, and its expected run time there.
-    fn best_room(&self, rooms: &[Room], job: &Job, index: usize) -> Option<(usize, u64)> {
+    /// Position of the target with enough free resources where a task ends soonest, and its
+    /// expected run time there.
+    fn best_target(
+        &self,
+        targets: &[RestartTarget],
+        job: &Job,
+        index: usize,
+    ) -> Option<(usize, u64)> {
         let phase = job.phase(&job.tasks[index]);
-        let resources = placement::resources_of(phase);
-        let fits = |room: &Room| {
-            let worker = &self.workers[room.worker];
-            room.free.fits(&resources) && worker.can_run(&job.spec.service, phase)
+        let resources = resources_of(phase);
+        let fits = |target: &RestartTarget| {
+            target.has_free(&resources) && self.may_restart_on(target, job, phase)
         };
-        let run_ms = |room: &Room| {
-            let worker = &self.workers[room.worker];
+        let run_ms = |target: &RestartTarget| {
+            let worker = &self.workers[target.key];
             let expected_ms = worker.expected_ms(phase.estimate_ms) as f64;
             (expected_ms * self.distance(worker.is_remote(phase))) as u64
         };
-        let rooms = rooms.iter().enumerate().filter(|(_, room)| fits(room));
-        let costs = rooms.map(|(position, room)| (position, run_ms(room)));
-        costs.min_by_key(|&(_, run_ms)| run_ms)
+        let targets = targets
+            .iter()
+            .enumerate()
+            .filter(|(_, target)| fits(target));
+        let run_times = targets.map(|(position, target)| (position, run_ms(target)));
+        run_times.min_by_key(|&(_, run_ms)| run_ms)
     }
 
     fn decide(
         &mut self,
         now_ms: u64,
         departing: &DepartingRun,
-        rooms: &mut [Room],
+        targets: &mut [RestartTarget],
         left_millicores: &mut u64,
         out: &mut Vec<Command>,
     ) {
         let job = &self.jobs[departing.job];
-        let resources = self.resources_of(departing.job, departing.index);
-        let room = match resources.cpu_millicores <= *left_millicores {
-            true => self.best_room(rooms, job, departing.index),
+        let phase = job.phase(&job.tasks[departing.index]);
+        let resources = resources_of(phase);
+        let best = match resources.cpu_millicores <= *left_millicores {
+            true => self.best_target(targets, job, departing.index),
             false => None,
         };
-        let estimate_ms = job.phase(&job.tasks[departing.index]).estimate_ms;
         // Phases that depend on this one have to end in time as well.
-        let after_ms = job.remaining_ms().saturating_sub(estimate_ms);
+        let after_ms = job.remaining_ms().saturating_sub(phase.estimate_ms);
         let ends_for_ms = |factor: f64| {
             let until_ms = job.objective_ms(factor).min(job.caller_deadline_ms());
             until_ms.saturating_sub(now_ms + after_ms)
@@ -357,7 +342,7 @@
             elapsed_ms: now_ms.saturating_sub(run.ordered_ms),
             expected_ms: run.expected_ms,
             remaining_ms: departing.exit.earliest_ms.saturating_sub(now_ms),
-            restart_ms: room.map(|(_, run_ms)| run_ms),
+            restart_ms: best.map(|(_, run_ms)| run_ms),
             on_time_for_ms: ends_for_ms(1.0),
             useful_for_ms: ends_for_ms(LATE_FACTOR),
         };
@@ -370,9 +355,9 @@
             )));
         }
         if action == DepartureAction::Restart
-            && let Some((position, _)) = room
+            && let Some((position, _)) = best
         {
-            rooms[position].free = rooms[position].free.minus(&resources);
+            targets[position].take(&resources);
             *left_millicores -= resources.cpu_millicores;
             self.departures.restarts += 1;
             self.stop_departing(now_ms, departing, out);
--- a/crates/core/tests/dispatch_departure.rs
+++ b/crates/core/tests/dispatch_departure.rs
@@ -83,7 +83,7 @@
         restart_ms: None,
         ..CUT_SHORT
     };
-    assert_eq!(outlook.action(), DepartureAction::LeaveForRoom);
+    assert_eq!(outlook.action(), DepartureAction::LeaveNoCapacity);
 }
 
 /// Guards against a restart that turns a job that might be on time into a late one.
@@ -313,7 +313,7 @@
     scene.announce(100, Some(2000));
     let out = scene.tick(101);
     assert!(stops(&out).is_empty());
-    assert!(decisions(&out)[0].detail.contains("LeaveForRoom"));
+    assert!(decisions(&out)[0].detail.contains("LeaveNoCapacity"));
 }
 
 /// Guards against a stop of all runs at once when several workers leave.
