--- a/crates/core/src/dispatch/owner/placement.rs
+++ b/crates/core/src/dispatch/owner/placement.rs
@@ -6,22 +6,23 @@
 //! Workers on probation get one task at a time.
 //!
 //! Workers on which the job would miss its objective cost more. If the cheapest worker is
-//! such a worker, or away from the task's data, the task waits for a busy worker while the
-//! job can still end in time there by the expected ends of runs, so that a job with slack
-//! takes the slow worker instead. Each awaited worker is counted for one task.
+//! such a worker, or away from the task's data, the task may wait for a busy worker
+//! ([`waiting`]).
 //!
 //! [`packing`]: super::packing
 
+mod start;
+mod waiting;
+
 use trefoil_schema::dispatch::Phase;
 
-use super::super::limits::START_LEASE_MS;
-use super::super::worker::{Resources, Run, RunTimeouts};
+use super::super::worker::Resources;
 use super::packing::Packing;
 use super::queue::{Lateness, lateness};
-use super::reservation::available_at_ms;
 use super::shares::Shares;
-use super::slow_workers::STALL_FACTOR;
 use super::*;
+pub(super) use start::run_timeouts;
+pub use waiting::{Prospect, should_wait};
 
 /// Weight of the CPU share that a placement leaves unused, relative to run time.
 const FRAGMENTATION_WEIGHT: f64 = 0.3;
@@ -31,34 +32,9 @@
 const PRIOR_FAILURE_COST: f64 = 100.0;
 /// Cost of starting a suspect task beside others, or another task beside it.
 const SUSPECT_COLOCATION_COST: f64 = 10.0;
-/// A run is stalled after this multiple of its expected time, plus [`STALL_SLACK_MS`],
-/// unless its class is heavy-tailed or its worker is suspected as slow.
-const REGULAR_STALL_FACTOR: f64 = 3.0;
-/// Added to the stall timeouts. Estimates are off by 0.4, and tasks of a job differ by 0.15.
-const STALL_SLACK_MS: u64 = 150;
-/// A worker is polled for a run's completion after this multiple of the run's expected
-/// time, plus [`CHECK_SLACK_MS`].
-const CHECK_FACTOR: f64 = 1.6;
-/// Nine in ten runs have ended and reported it by then.
-const CHECK_SLACK_MS: u64 = 50;
 /// Bound on the waiting jobs for which a packed placement is tried in one event, so that
 /// a long queue costs an owner of a tenth of a core little.
 const PACKED_JOBS_MAX: usize = 60;
-/// Bound on the doublings of the stall timeout.
-const STALL_DOUBLINGS_MAX: u32 = 6;
-
-/// Timeouts of a run. Each earlier stall of its task doubles the stall timeout, since
-/// the estimate may be wrong.
-pub(super) fn run_timeouts(expected_ms: u64, stalls: u32, heavy_tailed: bool) -> RunTimeouts {
-    let times = |factor: f64| (expected_ms as f64 * factor) as u64;
-    let stall_ms = |factor| (times(factor) + STALL_SLACK_MS) << stalls.min(STALL_DOUBLINGS_MAX);
-    RunTimeouts {
-        check_ms: times(CHECK_FACTOR) + CHECK_SLACK_MS,
-        stall_ms: stall_ms(REGULAR_STALL_FACTOR),
-        long_stall_ms: stall_ms(STALL_FACTOR),
-        heavy_tailed,
-    }
-}
 
 /// Resources that a task of a phase requests.
 pub(super) fn resources_of(phase: &Phase) -> Resources {
@@ -79,23 +55,6 @@
     pub(super) suspect_losses: usize,
 }
 
-/// When a job would end if a task started on some worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Prospect {
-    /// Expected end of the job.
-    pub end_ms: u64,
-    /// Whether the worker is on another rack than the task's data.
-    pub is_remote: bool,
-}
-
-/// Whether a task waits for a worker that is busy (`later`) instead of starting on one that
-/// has room (`now`): only if the job still ends within its objective there, and would not
-/// here or would be away from its data.
-pub fn should_wait(now: Prospect, later: Prospect, objective_ms: u64) -> bool {
-    let is_better = now.end_ms > objective_ms || (now.is_remote && !later.is_remote);
-    is_better && later.end_ms <= objective_ms
-}
-
 /// Counters of placement since the owner was created.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PlacementStats {
@@ -337,52 +296,6 @@
         self.jobs[key].started
     }
 
-    /// The worker that a task waits for instead of starting on `candidate` now; `None` to
-    /// start. Workers in `claimed` are awaited by tasks that go first.
-    fn awaited_worker(
-        &mut self,
-        now_ms: u64,
-        key: JobKey,
-        index: usize,
-        candidate: &Candidate,
-        claimed: &[WorkerKey],
-    ) -> Option<WorkerKey> {
-        let job = &self.jobs[key];
-        let phase = job.phase(&job.tasks[index]);
-        let resources = resources_of(phase);
-        let (estimate_ms, objective_ms) = (job.remaining_ms(), job.objective_ms(1.0));
-        let prospect = |worker: &Worker, at_ms: u64| {
-            let is_remote = worker.is_remote(phase);
-            let distance = self.distance(is_remote);
-            Prospect {
-                end_ms: at_ms + (worker.expected_ms(estimate_ms) as f64 * distance) as u64,
-                is_remote,
-            }
-        };
-        let start_now = prospect(&self.workers[candidate.key], now_ms);
-        if start_now.end_ms <= objective_ms && !start_now.is_remote {
-            return None;
-        }
-        let awaited = self.workers.iter().find(|(key, worker)| {
-            *key != candidate.key
-                && !claimed.contains(key)
-                && worker.can_run(&job.spec.service, phase)
-                && worker.accepts_tasks(now_ms)
-                && available_at_ms(worker, &resources)
-                    // A run that is overdue has no expected end.
-                    .filter(|&at_ms| at_ms > now_ms)
-                    .is_some_and(|at_ms| {
-                        should_wait(start_now, prospect(worker, at_ms), objective_ms)
-                    })
-        });
-        let (awaited, _) = awaited?;
-        match start_now.is_remote {
-            true => self.placement_stats.waited_for_rack += 1,
-            false => self.placement_stats.waited_for_faster += 1,
-        }
-        Some(awaited)
-    }
-
     /// Factor on the run time of a task by where its data is.
     pub(super) fn distance(&self, is_remote: bool) -> f64 {
         match is_remote {
@@ -523,57 +436,6 @@
             .filter(|task| task.state == TaskState::Assigned(key))
             .count() as u32
     }
-
-    fn start(
-        &mut self,
-        now_ms: u64,
-        key: JobKey,
-        index: usize,
-        worker_key: WorkerKey,
-        out: &mut Vec<Command>,
-    ) {
-        let overdue_ms = self.origin_overdue_ms(now_ms, self.jobs[key].origin);
-        let overdue_ms = overdue_ms.max(self.max_origin_overdue_ms(now_ms, worker_key));
-        let worker = &mut self.workers[worker_key];
-        let Some(deadline_ms) = worker.extend_lease(now_ms, START_LEASE_MS, overdue_ms) else {
-            return;
-        };
-        self.run_id_counter += 1;
-        let job = &mut self.jobs[key];
-        job.started = true;
-        let phase = job.phase(&job.tasks[index]);
-        let resources = resources_of(phase);
-        let estimate_ms = phase.estimate_ms;
-        let expected_ms = worker.expected_ms(estimate_ms);
-        // The estimate may be far too low; the timeouts also allow for the class's mean.
-        let mean_ms = self.run_times.mean_ms(&job.spec.class);
-        let heavy_tailed = self.run_times.is_heavy_tailed(&job.spec.class);
-        let mean_ms = mean_ms.map_or(0, |mean_ms| worker.expected_ms(mean_ms as u64));
-        let task = &mut job.tasks[index];
-        task.run_id = self.run_id_counter.max(task.run_id + 1);
-        task.state = TaskState::Assigned(worker_key);
-        worker.runs.push(Run {
-            task: task.name.clone(),
-            run_id: task.run_id,
-            owner: RunOwner::Task(key, index),
-            state: RunState::Starting(worker.fence),
-            resources: Some(resources),
-            ordered_ms: now_ms,
-            confirmed_ms: now_ms,
-            estimate_ms,
-            expected_ms,
-            timeouts: run_timeouts(expected_ms.max(mean_ms), task.stalls, heavy_tailed),
-        });
-        worker.slowness.record_start(&task.name, task.run_id);
-        out.push(Command::Start(StartOrder {
-            target: target_of(worker_key, worker),
-            task: task.name.clone(),
-            run_id: task.run_id,
-            spec: job.task_spec.clone(),
-            deadline_ms,
-            answer_timeout_ms: self.answer_timeout.timeout_ms(),
-        }));
-    }
 }
 
 fn max_free_millicores(candidates: &[Candidate]) -> u64 {
