--- a/crates/core/tests/dispatch_crashes.rs
+++ b/crates/core/tests/dispatch_crashes.rs
@@ -4,12 +4,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use dispatch_support::orders::{LINK, answer_renewal, answer_start, fenced_owner};
-use dispatch_support::{SimWorker, job, renewals, starts, stops, worker_record};
-use trefoil_core::dispatch::order::{
-    OrderOutcome, RenewOrder, RenewOutcome, StartOrder, StopOrder,
+use dispatch_support::orders::{
+    LINK, Order, answer_renewal, answer_start, answer_stop, fenced_owner,
 };
-use trefoil_core::dispatch::owner::{Command, OrderResult, Owner};
+use dispatch_support::{SimWorker, job, renewals, starts, stops, worker_record};
+use trefoil_core::dispatch::order::{OrderOutcome, RenewOutcome, StartOrder};
+use trefoil_core::dispatch::owner::{Command, Owner};
 use trefoil_core::dispatch::worker::Resources;
 use trefoil_schema::dispatch::Outcome;
 
@@ -21,12 +21,6 @@
 /// Time until a crashed worker runs again, as a new incarnation.
 const RESTART_MS: u64 = 400;
 
-enum Order {
-    Start(StartOrder),
-    Stop(StopOrder),
-    Renew(RenewOrder),
-}
-
 /// An owner and its simulated workers in virtual time.
 struct Pool {
     owner: Owner,
@@ -105,11 +99,7 @@
     /// Sends an order, which is carried out when its result arrives. A poison task crashes
     /// its worker at once.
     fn send(&mut self, order: Order, answer_timeout_ms: u64) {
-        let id = match &order {
-            Order::Start(start) => start.target.worker_id.to_string(),
-            Order::Stop(stop) => stop.target.worker_id.to_string(),
-            Order::Renew(renewal) => renewal.target.worker_id.to_string(),
-        };
+        let id = order.worker_id().to_string();
         if let Order::Start(start) = &order
             && self.poison.iter().any(|job| start.task.starts_with(job))
         {
@@ -133,11 +123,7 @@
 
     fn answer(&mut self, order: Order) -> Vec<Command> {
         let now_ms = self.now_ms;
-        let id = match &order {
-            Order::Start(start) => &start.target.worker_id,
-            Order::Stop(stop) => &stop.target.worker_id,
-            Order::Renew(renewal) => &renewal.target.worker_id,
-        };
+        let id = order.worker_id();
         let is_silent = self.is_silent(id);
         let no_answer = match self.crashed.contains_key(&**id) && !is_silent {
             true => OrderOutcome::WrongIncarnation,
@@ -164,16 +150,7 @@
             Order::Stop(stop) => {
                 let worker = living(&stop.target.worker_id);
                 let outcome = worker.map_or(no_answer, |worker| worker.stop(now_ms, &stop));
-                let answer = OrderResult {
-                    worker: stop.target.worker,
-                    fence: stop.target.fence,
-                    task: stop.task,
-                    run_id: stop.run_id,
-                    outcome,
-                };
-                let mut out = Vec::new();
-                self.owner.on_stop_result(now_ms, &answer, &mut out);
-                out
+                answer_stop(&mut self.owner, now_ms, &stop, outcome)
             }
             Order::Renew(renewal) => {
                 let worker = living(&renewal.target.worker_id);
@@ -208,6 +185,31 @@
         }
     }
 
+    /// Delegates jobs of one task, named busy0 and so on, until `end_ms`.
+    fn run_busy_jobs_until(&mut self, end_ms: u64) {
+        let mut number = 0;
+        while self.now_ms < end_ms {
+            self.delegate(&format!("busy{number}"), 1);
+            self.run_until(self.now_ms + 70);
+            number += 1;
+        }
+    }
+
+    /// Number of other runs on the same worker during the second run of the task whose name
+    /// begins with `task`.
+    fn runs_beside_second_run(&self, task: &str) -> usize {
+        let starts = self.started.iter();
+        let mut again = starts.filter(|(_, start)| start.task.starts_with(task));
+        let (again_ms, again) = again.nth(1).expect("the task starts twice");
+        let beside = self.started.iter().filter(|(at_ms, start)| {
+            start.target.worker == again.target.worker
+                && start.task != again.task
+                && at_ms + TASK_MS > *again_ms
+                && *at_ms < again_ms + TASK_MS
+        });
+        beside.count()
+    }
+
     fn workers_of(&self, job: &str) -> Vec<String> {
         let starts = self.started.iter();
         let starts = starts.filter(|(_, start)| start.task.starts_with(job));
@@ -374,25 +376,8 @@
     let mut pool = Pool::new(&["w1", "w2", "w3"]);
     pool.poison.insert("bad");
     pool.delegate("bad", 1);
-    let mut number = 0;
-    while pool.now_ms < 2000 {
-        pool.delegate(&format!("busy{number}"), 1);
-        pool.run_until(pool.now_ms + 70);
-        number += 1;
-    }
-    let bad: Vec<&(u64, StartOrder)> = pool
-        .started
-        .iter()
-        .filter(|(_, start)| start.task.starts_with("bad"))
-        .collect();
-    let (again_ms, again) = bad[1];
-    let beside = pool.started.iter().filter(|(at_ms, start)| {
-        start.target.worker == again.target.worker
-            && start.task != again.task
-            && at_ms + TASK_MS > *again_ms
-            && *at_ms < again_ms + TASK_MS
-    });
-    assert_eq!(beside.count(), 0);
+    pool.run_busy_jobs_until(2000);
+    assert_eq!(pool.runs_beside_second_run("bad"), 0);
 }
 
 #[test]
@@ -402,26 +387,10 @@
     let mut pool = Pool::new(&["w1", "w2", "w3", "w4"]);
     pool.poison.insert("bad");
     pool.delegate("bad", 1);
-    let mut number = 0;
-    while pool.now_ms < 2000 {
-        pool.delegate(&format!("busy{number}"), 1);
-        pool.run_until(pool.now_ms + 70);
-        number += 1;
-    }
+    pool.run_busy_jobs_until(2000);
     for suspect in ["bad.", "busy0."] {
-        let starts: Vec<&(u64, StartOrder)> = pool
-            .started
-            .iter()
-            .filter(|(_, start)| start.task.starts_with(suspect))
-            .collect();
-        let (again_ms, again) = starts[1];
-        let beside = pool.started.iter().filter(|(at_ms, start)| {
-            start.target.worker == again.target.worker
-                && start.task != again.task
-                && at_ms + TASK_MS > *again_ms
-                && *at_ms < again_ms + TASK_MS
-        });
-        assert_eq!(beside.count(), 0, "beside {suspect}");
+        let beside = pool.runs_beside_second_run(suspect);
+        assert_eq!(beside, 0, "beside {suspect}");
     }
 }
 
--- a/crates/core/tests/dispatch_departure.rs
+++ b/crates/core/tests/dispatch_departure.rs
@@ -1,127 +1,20 @@
-//! Runs on workers that are about to exit: the decision, and its failures halfway.
+//! Runs on workers that are about to exit: the effects of a decision, and its failures halfway.
 
 mod dispatch_support;
 
 use std::sync::Arc;
 
-use dispatch_support::orders::{LINK, answer_renewal, answer_start, job_outcomes, renewed};
-use dispatch_support::{job, owner, owner_after, renewals, starts, stops, worker_record};
-use trefoil_core::dispatch::order::{
-    ListedRun, OrderOutcome, RenewOrder, RenewOutcome, RunCompletion, RunOutcome, StartOrder,
-    StopOrder,
+use dispatch_support::orders::{
+    LINK, answer_renewal, answer_start, answer_stop, ended_run, fenced_owner, job_outcomes, renewed,
 };
-use trefoil_core::dispatch::owner::{
-    Command, DepartureAction, LogEvent, OrderResult, Owner, RunOutlook,
+use dispatch_support::{job, owner_after, renewals, starts, stops, worker_record};
+use trefoil_core::dispatch::order::{
+    ListedRun, OrderOutcome, RenewOrder, RenewOutcome, RunOutcome, StartOrder, StopOrder,
 };
+use trefoil_core::dispatch::owner::{Command, LogEvent, Owner};
 use trefoil_core::dispatch::worker::{Departure, WorkerRecord};
 use trefoil_schema::dispatch::Outcome;
 
-/// A long run that has just begun on a worker that exits before it ends.
-const CUT_SHORT: RunOutlook = RunOutlook {
-    elapsed_ms: 100,
-    expected_ms: 4000,
-    remaining_ms: 1500,
-    restart_ms: Some(4000),
-    on_time_for_ms: 6000,
-    useful_for_ms: 18_000,
-};
-
-#[test]
-fn a_run_that_cannot_end_before_the_exit_is_restarted() {
-    assert_eq!(CUT_SHORT.action(), DepartureAction::Restart);
-}
-
-/// Guards against giving up work that is nearly done.
-#[test]
-fn a_run_that_likely_ends_before_the_exit_is_left() {
-    let action = |elapsed_ms, expected_ms| {
-        let outlook = RunOutlook {
-            elapsed_ms,
-            expected_ms,
-            ..CUT_SHORT
-        };
-        outlook.action()
-    };
-    assert_eq!(action(100, 200), DepartureAction::LeaveToEnd);
-    assert_eq!(action(3500, 4000), DepartureAction::LeaveToEnd);
-    // An underestimated run that is overdue has much progress as well.
-    assert_eq!(action(4800, 4000), DepartureAction::LeaveToEnd);
-}
-
-/// Guards against stopping every run that is estimated to end shortly after the exit: the
-/// estimates are off by 0.4 in the logarithm.
-#[test]
-fn the_margin_for_wrong_estimates_is_in_both_directions() {
-    let with_expected = |expected_ms| RunOutlook {
-        elapsed_ms: 0,
-        expected_ms,
-        restart_ms: Some(expected_ms),
-        ..CUT_SHORT
-    };
-    // Estimated to end before the exit, but it does not in more than a third of the cases.
-    let tight = with_expected(1300);
-    assert!(tight.left_end_ms(1300) > 1300);
-    assert_eq!(with_expected(500).action(), DepartureAction::LeaveToEnd);
-    assert_eq!(with_expected(3000).action(), DepartureAction::Restart);
-}
-
-/// Guards against work for jobs that no caller needs any more.
-#[test]
-fn a_run_whose_job_would_be_of_no_use_after_a_restart_is_left() {
-    let outlook = RunOutlook {
-        on_time_for_ms: 0,
-        useful_for_ms: 2000,
-        ..CUT_SHORT
-    };
-    assert_eq!(outlook.action(), DepartureAction::LeaveTooLate);
-}
-
-/// Guards against stopping a run whose task could not start elsewhere.
-#[test]
-fn a_run_is_left_while_there_is_no_room_elsewhere() {
-    let outlook = RunOutlook {
-        restart_ms: None,
-        ..CUT_SHORT
-    };
-    assert_eq!(outlook.action(), DepartureAction::LeaveNoCapacity);
-}
-
-/// Guards against a restart that turns a job that might be on time into a late one.
-#[test]
-fn a_restart_has_to_be_worth_more_than_the_chance_to_end_in_time() {
-    let outlook = RunOutlook {
-        elapsed_ms: 1500,
-        expected_ms: 3000,
-        remaining_ms: 1600,
-        restart_ms: Some(3000),
-        on_time_for_ms: 2500,
-        useful_for_ms: 9000,
-    };
-    assert_eq!(outlook.action(), DepartureAction::LeaveToEnd);
-}
-
-/// Guards against panics and wrong arithmetic on extreme values.
-#[test]
-fn extreme_values_have_a_decision() {
-    for elapsed_ms in [0, 1, 1 << 40] {
-        for expected_ms in [0, 1, 1 << 40] {
-            for remaining_ms in [0, 1, 86_400_000] {
-                for useful_for_ms in [0, u64::MAX] {
-                    let outlook = RunOutlook {
-                        elapsed_ms,
-                        expected_ms,
-                        remaining_ms,
-                        restart_ms: Some(expected_ms),
-                        on_time_for_ms: useful_for_ms,
-                        useful_for_ms,
-                    };
-                    outlook.action();
-                }
-            }
-        }
-    }
-}
-
 /// Time of the start of the task, and of its estimated duration.
 const START_MS: u64 = 10;
 const TASK_MS: u64 = 4000;
@@ -137,15 +30,6 @@
     }
 }
 
-fn completed(number: u64, order: &StartOrder, outcome: RunOutcome) -> RunCompletion {
-    RunCompletion {
-        number,
-        task: order.task.clone(),
-        run_id: order.run_id,
-        outcome,
-    }
-}
-
 fn listed(order: &StartOrder) -> ListedRun {
     ListedRun {
         task: order.task.clone(),
@@ -168,13 +52,7 @@
 }
 
 fn scene_on(ids: &[&'static str]) -> Scene {
-    let mut owner = owner(1);
-    let mut out = Vec::new();
-    let records = ids.iter().map(|id| worker_record(id)).collect();
-    owner.set_workers(0, records, &mut out);
-    for renewal in renewals(&out) {
-        answer_renewal(&mut owner, 1, &renewal, renewed(vec![], vec![]));
-    }
+    let mut owner = fenced_owner(1, ids);
     let mut out = Vec::new();
     owner.delegate(START_MS, LINK, job("a", 1, TASK_MS), 0, None, &mut out);
     let start = starts(&out).remove(0);
@@ -221,24 +99,6 @@
         assert!(starts(&out).is_empty(), "its end is not known yet");
         stops(&out).remove(0)
     }
-
-    fn answer_stop(
-        &mut self,
-        now_ms: u64,
-        order: &StopOrder,
-        outcome: OrderOutcome,
-    ) -> Vec<Command> {
-        let result = OrderResult {
-            worker: order.target.worker,
-            fence: order.target.fence,
-            task: order.task.clone(),
-            run_id: order.run_id,
-            outcome,
-        };
-        let mut out = Vec::new();
-        self.owner.on_stop_result(now_ms, &result, &mut out);
-        out
-    }
 }
 
 fn decisions(commands: &[Command]) -> Vec<&LogEvent> {
@@ -256,9 +116,14 @@
     let stop = scene.stop_for_exit(100);
     assert_eq!(stop.run_id, scene.start.run_id);
     let clock_ms = 50_110;
-    let out = scene.answer_stop(110, &stop, OrderOutcome::Done { clock_ms });
+    let out = answer_stop(
+        &mut scene.owner,
+        110,
+        &stop,
+        OrderOutcome::Done { clock_ms },
+    );
     assert!(starts(&out).is_empty(), "the answer alone is not the end");
-    let ended = completed(1, &scene.start, RunOutcome::Stopped);
+    let ended = ended_run(1, &scene.start, RunOutcome::Stopped);
     let renewal = scene.renewal.clone();
     let out = answer_renewal(
         &mut scene.owner,
@@ -332,7 +197,7 @@
             OrderOutcome::Done { clock_ms },
         );
     }
-    // Four runs on two workers that leave; the third has room for two.
+    // Four runs on two workers that leave; the third has capacity for two.
     let used: Vec<Arc<str>> = starts(&out)
         .iter()
         .chain([&scene.start])
@@ -349,7 +214,7 @@
     for tick in 0..4 {
         stopped += stops(&scene.tick(101 + 25 * tick)).len();
     }
-    assert_eq!(stopped, 1, "half of the room for two");
+    assert_eq!(stopped, 1, "half of the capacity for two");
 }
 
 /// Failure: the answer to the stop is lost. The run may go on, so the task must not start
@@ -358,7 +223,7 @@
 fn a_stop_without_an_answer_starts_nothing_until_the_end_is_listed() {
     let mut scene = scene();
     let stop = scene.stop_for_exit(100);
-    let out = scene.answer_stop(150, &stop, OrderOutcome::NoAnswer);
+    let out = answer_stop(&mut scene.owner, 150, &stop, OrderOutcome::NoAnswer);
     assert!(starts(&out).is_empty());
     let renewal = renewals(&out).remove(0);
     assert!(renewal.target.fence > stop.target.fence);
@@ -375,7 +240,7 @@
     let out = scene.tick(260);
     assert_eq!(stops(&out).len(), 1);
     assert!(starts(&out).is_empty());
-    let ended = completed(1, &scene.start, RunOutcome::Stopped);
+    let ended = ended_run(1, &scene.start, RunOutcome::Stopped);
     let out = answer_renewal(&mut scene.owner, 270, &next, renewed(vec![], vec![ended]));
     assert_eq!(starts(&out).len(), 1);
 }
@@ -385,7 +250,7 @@
 fn a_run_that_ends_before_the_stop_completes_its_job() {
     let mut scene = scene();
     scene.stop_for_exit(100);
-    let done = completed(1, &scene.start, RunOutcome::Done);
+    let done = ended_run(1, &scene.start, RunOutcome::Done);
     let renewal = scene.renewal.clone();
     let out = answer_renewal(&mut scene.owner, 120, &renewal, renewed(vec![], vec![done]));
     assert_eq!(job_outcomes(&out), [("a".to_owned(), Outcome::Completed)]);
@@ -430,9 +295,8 @@
 fn the_exit_of_a_draining_worker_does_not_make_its_tasks_suspect() {
     let mut scene = scene();
     scene.announce(100, Some(60_000));
-    let open = vec![scene.renewal.clone()];
+    let mut open = vec![scene.renewal.clone()];
     let mut lost_events = 0;
-    let mut open = open;
     for now_ms in (125..1000).step_by(25) {
         let mut out = scene.tick(now_ms);
         for renewal in std::mem::take(&mut open) {
@@ -458,7 +322,7 @@
     let mut out = Vec::new();
     let other = job("b", 2, TASK_MS);
     scene.owner.delegate(20, LINK, other, 0, None, &mut out);
-    // No room elsewhere, so the run is left.
+    // No capacity elsewhere, so the run is left.
     scene.announce(100, Some(1500));
     assert!(stops(&scene.tick(101)).is_empty());
     let gone_ms = 100 + 1500;
@@ -466,7 +330,7 @@
         let out = scene.tick(now_ms);
         assert!(stops(&out).is_empty());
     }
-    let done = completed(1, &scene.start, RunOutcome::Done);
+    let done = ended_run(1, &scene.start, RunOutcome::Done);
     let renewal = scene.renewal.clone();
     let out = answer_renewal(
         &mut scene.owner,
@@ -501,7 +365,7 @@
     for renewal in fencing {
         let is_leaving = renewal.target.worker_id == scene.leaving;
         // The worker had carried out the stop; its completion is not acknowledged yet.
-        let ended = completed(1, &scene.start, RunOutcome::Stopped);
+        let ended = ended_run(1, &scene.start, RunOutcome::Stopped);
         let completions = if is_leaving { vec![ended] } else { vec![] };
         out.extend(answer_renewal(
             &mut next,
@@ -557,7 +421,7 @@
     scene.announce(100, Some(2000));
     assert_eq!(scene.owner.load(100).free_millicores, 2000);
     assert_eq!(scene.owner.load(100).capacity_millicores, 2000);
-    // A job for which only the draining worker has room waits or is refused.
+    // A job for which only the draining worker has capacity waits or is refused.
     let mut out = Vec::new();
     let wide = job("b", 3, 100);
     scene.owner.delegate(110, LINK, wide, 0, None, &mut out);
--- a/crates/core/tests/dispatch_history/events.rs
+++ b/crates/core/tests/dispatch_history/events.rs
@@ -10,13 +10,7 @@
 use trefoil_schema::dispatch::Holder;
 
 use crate::dispatch_support::holder;
-
-#[derive(Clone, Debug)]
-pub enum Order {
-    Start(StartOrder),
-    Stop(StopOrder),
-    Renew(RenewOrder),
-}
+use crate::dispatch_support::orders::Order;
 
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -110,15 +104,6 @@
     holder(owner as u64 + 1)
 }
 
-pub fn worker_of(order: &Order) -> String {
-    let target = match order {
-        Order::Start(order) => &order.target,
-        Order::Stop(order) => &order.target,
-        Order::Renew(order) => &order.target,
-    };
-    target.worker_id.to_string()
-}
-
 pub fn answered(target: Target, task: Arc<str>, run_id: u64, outcome: OrderOutcome) -> OrderResult {
     OrderResult {
         worker: target.worker,
--- a/crates/core/tests/dispatch_history/main.rs
+++ b/crates/core/tests/dispatch_history/main.rs
@@ -7,6 +7,7 @@
 mod dispatch_support;
 mod events;
 mod simulation;
+mod takeover;
 
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 
--- a/crates/core/tests/dispatch_history/simulation.rs
+++ b/crates/core/tests/dispatch_history/simulation.rs
@@ -5,18 +5,17 @@
 
 use arbtest::arbitrary::{self, Unstructured};
 use trefoil_core::dispatch::job::Origin;
-use trefoil_core::dispatch::limits::{LINK_TIMEOUT_MS, REDELEGATION_DELAY_MS};
+use trefoil_core::dispatch::limits::REDELEGATION_DELAY_MS;
 use trefoil_core::dispatch::owner::{Command, Owner};
-use trefoil_core::dispatch::ownership::Roster;
 use trefoil_schema::dispatch::Outcome;
 
-use crate::INITIAL_WORKERS;
-use crate::dispatch_support::{SimWorker, job, owner, owner_after};
-use crate::events::{EntryJob, Event, Order, Record, answered, holder_of, unanswered, worker_of};
+use crate::dispatch_support::orders::Order;
+use crate::dispatch_support::{SimWorker, job};
+use crate::events::{EntryJob, Event, Record, answered, holder_of, unanswered};
 
 /// All jobs must have ended by then.
 const END_MS: u64 = 60_000;
-const TICK_PERIOD_MS: u64 = 25;
+pub const TICK_PERIOD_MS: u64 = 25;
 /// Time by which a closure of the failure domain must be in force.
 const CLOSE_WITHIN_MS: u64 = 5000;
 /// How long started jobs may start further tasks in a closed failure domain.
@@ -60,7 +59,7 @@
         self.next_event += 1;
     }
 
-    fn fault_occurs(&mut self, percent: u8) -> arbitrary::Result<bool> {
+    pub fn fault_occurs(&mut self, percent: u8) -> arbitrary::Result<bool> {
         Ok(self.faults_enabled && self.choices.int_in_range(0..=99_u8)? < percent)
     }
 
@@ -75,7 +74,7 @@
             );
         }
         let latency_ms = self.choices.int_in_range(1..=3)?;
-        let partition_until_ms = self.partitions.get(&(owner, worker_of(&order)));
+        let partition_until_ms = self.partitions.get(&(owner, order.worker_id().to_string()));
         let is_partitioned = partition_until_ms.is_some_and(|&until_ms| self.now_ms < until_ms);
         let delivery = match (
             is_partitioned || self.fault_occurs(6)?,
@@ -109,7 +108,7 @@
         Ok(())
     }
 
-    fn carry_out(&mut self, owner: usize, commands: Vec<Command>) -> arbitrary::Result<()> {
+    pub fn carry_out(&mut self, owner: usize, commands: Vec<Command>) -> arbitrary::Result<()> {
         for command in commands {
             match command {
                 Command::Start(order) => self.send(owner, Order::Start(order))?,
@@ -143,11 +142,11 @@
     fn arrive(&mut self, owner: usize, order: Order, answered: bool) -> arbitrary::Result<()> {
         let now_ms = self.now_ms;
         let back_ms = now_ms + self.choices.int_in_range(1..=3)?;
-        let id = worker_of(&order);
+        let id = order.worker_id().clone();
         let found = self
             .workers
             .iter()
-            .position(|worker| *worker.record.id == *id);
+            .position(|worker| worker.record.id == id);
         let position = found.expect("orders go to known workers");
         let counts = now_ms > self.resized_ms[position] + REDUCED_CAPACITY_DELAY_MS;
         let worker = &mut self.workers[position];
@@ -314,7 +313,7 @@
         self.delegate(&id, &entry_job)
     }
 
-    fn delegate(&mut self, id: &str, entry_job: &EntryJob) -> arbitrary::Result<()> {
+    pub fn delegate(&mut self, id: &str, entry_job: &EntryJob) -> arbitrary::Result<()> {
         let now_ms = self.now_ms;
         let spec = job(id, entry_job.tasks, 100);
         let unsafe_for_ms = entry_job.unsafe_until_ms.saturating_sub(now_ms);
@@ -333,7 +332,7 @@
     }
 
     /// The entry revokes a job, for the next owner.
-    fn revoke(&mut self, id: &str, next: usize, may_run: bool) {
+    pub fn revoke(&mut self, id: &str, next: usize, may_run: bool) {
         let Some(job) = self.unfinished_jobs.get_mut(id) else {
             return;
         };
@@ -366,109 +365,6 @@
         Ok(())
     }
 
-    /// Schedules the write of a roster, which fails if the store has another owner's claim.
-    fn send_roster(&mut self, owner: usize, roster: Roster) -> arbitrary::Result<()> {
-        let latency_ms = self.choices.int_in_range(1..=600)?;
-        let answered = !self.fault_occurs(20)?;
-        let event = Event::WriteRoster {
-            owner,
-            roster,
-            answered,
-        };
-        self.schedule(self.now_ms + latency_ms, event);
-        Ok(())
-    }
-
-    fn write_roster(
-        &mut self,
-        owner: usize,
-        roster: Roster,
-        answered: bool,
-    ) -> arbitrary::Result<()> {
-        if self.record.owner != owner {
-            return Ok(());
-        }
-        self.record.roster = Some(roster.clone());
-        let latency_ms = self.choices.int_in_range(1..=150)?;
-        if answered {
-            let event = Event::RosterStored { owner, roster };
-            self.schedule(self.now_ms + latency_ms, event);
-        }
-        Ok(())
-    }
-
-    fn replace_owner(&mut self) -> arbitrary::Result<()> {
-        let lost = self.owners.len() - 1;
-        // The owner crashes, or continues until it detects the loss of its link, possibly
-        // late.
-        if self.choices.ratio(1, 2)? {
-            self.active[lost] = false;
-        } else {
-            let late_ms = self.choices.int_in_range(0..=800)?;
-            let detected_ms = self.now_ms + LINK_TIMEOUT_MS + late_ms;
-            self.schedule(detected_ms, Event::OriginLost { owner: lost });
-        }
-        let next = self.owners.len();
-        for worker in 0..INITIAL_WORKERS {
-            if self.choices.ratio(1, 4)? {
-                let until_ms = self.now_ms + self.choices.int_in_range(0..=3000_u64)?;
-                self.partitions
-                    .insert((next, format!("w{worker}")), until_ms);
-            }
-        }
-        let known_workers = self.choices.int_in_range(1..=INITIAL_WORKERS)?;
-        self.take_over(known_workers)?;
-        let registry_ms: u64 = self.choices.int_in_range(0..=2000)?;
-        self.schedule(
-            self.now_ms + registry_ms,
-            Event::ReadRegistry { owner: next },
-        );
-        for id in self.unfinished_jobs.keys().cloned().collect::<Vec<_>>() {
-            self.revoke(&id, next, true);
-        }
-        self.returned_jobs.clear();
-        for (id, job) in self.unfinished_jobs.clone() {
-            self.delegate(&id, &job)?;
-        }
-        Ok(())
-    }
-
-    pub fn take_over(&mut self, known_workers: usize) -> arbitrary::Result<()> {
-        let term = self.owners.len() as u64 + 1;
-        let store_available = self.choices.ratio(2, 3)?;
-        let follows = self.record.owner + 1 == self.owners.len();
-        let used = self
-            .record
-            .roster
-            .clone()
-            .filter(|_| store_available && follows);
-        let mut next = match used {
-            Some(used) => {
-                let used: Vec<&str> = used.iter().map(|id| &**id).collect();
-                owner_after(term, &used)
-            }
-            None => owner(term),
-        };
-        if store_available {
-            self.record = Record {
-                owner: self.owners.len(),
-                roster: None,
-            };
-        }
-        let records = self.workers[..known_workers].iter();
-        let records = records.map(|worker| worker.record.clone());
-        let mut out = Vec::new();
-        next.set_workers(self.now_ms, records.collect(), &mut out);
-        if self.closed_ms.is_some() {
-            next.close(self.now_ms, self.now_ms, &mut out);
-        }
-        self.owners.push(next);
-        self.active.push(true);
-        let number = self.owners.len() - 1;
-        self.schedule(self.now_ms + TICK_PERIOD_MS, Event::Tick { owner: number });
-        self.carry_out(number, out)
-    }
-
     fn check(&mut self) {
         let mut running: BTreeMap<String, usize> = BTreeMap::new();
         for worker in &mut self.workers {
--- a/crates/core/tests/dispatch_slow_workers.rs
+++ b/crates/core/tests/dispatch_slow_workers.rs
@@ -5,15 +5,14 @@
 use std::collections::BTreeSet;
 
 use dispatch_support::orders::{
-    LINK, answer_renewal, answer_start, completion, fenced_owner, renewed,
+    LINK, Order, answer_renewal, answer_start, answer_stop, completion, fenced_owner, renewed,
 };
 use dispatch_support::{SimWorker, holder, job, owner_after, renewals, starts, stops};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use trefoil_core::dispatch::order::{OrderOutcome, RenewOrder, RunOutcome, StartOrder, StopOrder};
 use trefoil_core::dispatch::owner::{
-    Command, OrderResult, Owner, RunTimeModel, STALL_FACTOR, SUSPICION_THRESHOLD,
-    shared_estimate_bound,
+    Command, Owner, RunTimeModel, STALL_FACTOR, SUSPICION_THRESHOLD, shared_estimate_bound,
 };
 use trefoil_schema::dispatch::{Load, Outcome};
 
@@ -95,12 +94,6 @@
     assert!(f64::from(alarms) <= allowed, "{alarms} of {allowed:.0}");
 }
 
-enum Order {
-    Start(StartOrder),
-    Stop(StopOrder),
-    Renew(RenewOrder),
-}
-
 /// An owner and its simulated workers in virtual time, under a steady load.
 struct Pool {
     owner: Owner,
@@ -187,11 +180,7 @@
 
     fn answer(&mut self, order: Order) -> Vec<Command> {
         let now_ms = self.now_ms;
-        let id = match &order {
-            Order::Start(start) => start.target.worker_id.clone(),
-            Order::Stop(stop) => stop.target.worker_id.clone(),
-            Order::Renew(renewal) => renewal.target.worker_id.clone(),
-        };
+        let id = order.worker_id().clone();
         let worker = self.workers.iter_mut().find(|it| it.record.id == id);
         let Some(worker) = worker else {
             return Vec::new();
@@ -206,16 +195,7 @@
                     true => OrderOutcome::NoAnswer,
                     false => worker.stop(now_ms, &stop),
                 };
-                let answer = OrderResult {
-                    worker: stop.target.worker,
-                    fence: stop.target.fence,
-                    task: stop.task,
-                    run_id: stop.run_id,
-                    outcome,
-                };
-                let mut out = Vec::new();
-                self.owner.on_stop_result(now_ms, &answer, &mut out);
-                out
+                answer_stop(&mut self.owner, now_ms, &stop, outcome)
             }
             Order::Renew(renewal) => {
                 let outcome = worker.renew(now_ms, &renewal);
--- a/crates/core/tests/dispatch_support/orders.rs
+++ b/crates/core/tests/dispatch_support/orders.rs
@@ -1,8 +1,11 @@
 //! Shorthands for the events of an owner and for its orders.
 
+use std::sync::Arc;
+
 use trefoil_core::dispatch::job::Origin;
 use trefoil_core::dispatch::order::{
     ListedRun, OrderOutcome, RenewOrder, RenewOutcome, RunCompletion, RunOutcome, StartOrder,
+    StopOrder,
 };
 use trefoil_core::dispatch::owner::{Command, OrderResult, Owner};
 use trefoil_schema::dispatch::Outcome;
@@ -11,6 +14,24 @@
 
 pub const LINK: Origin = Origin::Link(7);
 
+/// An order on its way to a worker.
+#[derive(Clone, Debug)]
+pub enum Order {
+    Start(StartOrder),
+    Stop(StopOrder),
+    Renew(RenewOrder),
+}
+
+impl Order {
+    pub fn worker_id(&self) -> &Arc<str> {
+        match self {
+            Self::Start(start) => &start.target.worker_id,
+            Self::Stop(stop) => &stop.target.worker_id,
+            Self::Renew(renewal) => &renewal.target.worker_id,
+        }
+    }
+}
+
 pub fn renewed(running: Vec<ListedRun>, completions: Vec<RunCompletion>) -> RenewOutcome {
     RenewOutcome::Renewed {
         clock_ms: 50_000,
@@ -49,6 +70,24 @@
     out
 }
 
+pub fn answer_stop(
+    owner: &mut Owner,
+    now_ms: u64,
+    order: &StopOrder,
+    outcome: OrderOutcome,
+) -> Vec<Command> {
+    let answer = OrderResult {
+        worker: order.target.worker,
+        fence: order.target.fence,
+        task: order.task.clone(),
+        run_id: order.run_id,
+        outcome,
+    };
+    let mut out = Vec::new();
+    owner.on_stop_result(now_ms, &answer, &mut out);
+    out
+}
+
 /// An owner in a term whose workers are fenced and have no runs.
 pub fn fenced_owner(term: u64, ids: &[&str]) -> Owner {
     let mut owner = owner(term);
@@ -79,10 +118,14 @@
 }
 
 pub fn completion(number: u64, order: &StartOrder) -> RunCompletion {
+    ended_run(number, order, RunOutcome::Done)
+}
+
+pub fn ended_run(number: u64, order: &StartOrder, outcome: RunOutcome) -> RunCompletion {
     RunCompletion {
         number,
         task: order.task.clone(),
         run_id: order.run_id,
-        outcome: RunOutcome::Done,
+        outcome,
     }
 }
