--- a/crates/core/src/dispatch/owner/completions.rs
+++ b/crates/core/src/dispatch/owner/completions.rs
@@ -72,9 +72,7 @@
             worker.health.record_run_time(run.estimate_ms, took_ms);
         }
         let is_suspected = worker.slowness.is_suspected();
-        if let RunOwner::Task(job, _) = run.owner
-            && let Some(job) = self.jobs.get(job)
-        {
+        if let Some(job) = run.owner.job().and_then(|job| self.jobs.get(job)) {
             let class = &job.spec.class;
             match is_lasting {
                 true => self.run_times.record(class, took_ms, slowdown),
@@ -87,14 +85,11 @@
     /// Attributes a failed run to its worker or to its job.
     ///
     /// Prevents jobs that can never succeed from putting all workers on probation, which would
-    /// leave no capacity for other jobs: once
-    /// tasks of a job have failed on several workers and none has succeeded, the failures
-    /// are the job's, and the probation that they caused is lifted.
+    /// leave no capacity for other jobs: once tasks of a job have failed on several workers and
+    /// none has succeeded, the failures are the job's, and the probation that they caused is
+    /// lifted.
     fn attribute_failure(&mut self, now_ms: u64, key: WorkerKey, owner: RunOwner) {
-        let job = match owner {
-            RunOwner::Task(job, _) => self.jobs.get_mut(job),
-            RunOwner::Orphan { .. } => None,
-        };
+        let job = owner.job().and_then(|job| self.jobs.get_mut(job));
         let suspect = job.and_then(|job| {
             job.record_failure(key);
             job.is_suspect().then_some(job)
--- a/crates/core/src/dispatch/owner/overdue.rs
+++ b/crates/core/src/dispatch/owner/overdue.rs
@@ -11,8 +11,8 @@
 /// Interval at which a stop is repeated. The platform's contract grants a stop 50 ms,
 /// besides the time of an answer.
 const STOP_RETRY_MS: u64 = 150;
-/// Maximum age of the listing on whose basis a run is treated as stalled or restarted. If it is older, the
-/// worker is polled again.
+/// Maximum age of the listing on whose basis a run is treated as stalled or restarted. If it is
+/// older, the worker is polled again.
 pub(super) const LISTING_AGE_MAX_MS: u64 = 60;
 
 /// While many orders stay unanswered, a worker is polled once a run has taken its
--- a/crates/core/src/dispatch/owner/placement.rs
+++ b/crates/core/src/dispatch/owner/placement.rs
@@ -375,8 +375,8 @@
         best.map(|(_, position)| position)
     }
 
-    /// Cost of a task on a worker where it fits; `None` if it must not start there. `planned_here` is
-    /// the number of tasks of its phase that are about to start there.
+    /// Cost of a task on a worker where it fits; `None` if it must not start there.
+    /// `planned_here` is the number of tasks of its phase that are about to start there.
     #[expect(clippy::too_many_arguments, reason = "all are inputs of one formula")]
     fn cost(
         &self,
--- a/crates/core/src/dispatch/owner/placement/waiting.rs
+++ b/crates/core/src/dispatch/owner/placement/waiting.rs
@@ -1,7 +1,8 @@
 //! Whether a task waits for a busy worker instead of starting on a free one.
 //!
 //! It waits while its job can still end in time there by the expected ends of runs, so that a
-//! job with slack takes the slow worker instead. Each awaited worker is counted for one task, so that tasks do not wait for the same run.
+//! job with slack takes the slow worker instead. Each awaited worker is counted for one task,
+//! so that tasks do not wait for the same run.
 
 use super::super::reservation::available_at_ms;
 use super::super::*;
--- a/crates/core/src/dispatch/owner/slow_workers.rs
+++ b/crates/core/src/dispatch/owner/slow_workers.rs
@@ -168,10 +168,7 @@
     ) -> bool {
         let worker = &mut self.workers[key];
         worker.slowness.last_success_ms = Some(now_ms);
-        let job = match run.owner {
-            RunOwner::Task(job, _) => self.jobs.get(job),
-            RunOwner::Orphan { .. } => None,
-        };
+        let job = run.owner.job().and_then(|job| self.jobs.get(job));
         let Some(class) = job.map(|job| job.spec.class.as_str()) else {
             return false;
         };
--- a/crates/core/src/dispatch/owner/slow_workers/evidence.rs
+++ b/crates/core/src/dispatch/owner/slow_workers/evidence.rs
@@ -2,7 +2,8 @@
 //!
 //! The logarithm of a run's time relative to its expected time is normally distributed
 //! with deviation [`SIGMA`]; a learned share of the tasks, initially [`TAIL_SHARE`], takes
-//! [`TAIL_FACTOR`] times as long on any worker. On a slow worker, all times are longer by [`SLOW_FACTOR`].
+//! [`TAIL_FACTOR`] times as long on any worker. On a slow worker, all times are
+//! longer by [`SLOW_FACTOR`].
 //! A completed run contributes the ratio of the densities, a run in progress the ratio of
 //! the probabilities that it has not ended yet. Under the hypothesis that the worker is
 //! not slow, the expected likelihood ratio of each run is 1, so the test may look at runs
--- a/crates/core/src/dispatch/owner/worker_speed.rs
+++ b/crates/core/src/dispatch/owner/worker_speed.rs
@@ -3,7 +3,8 @@
 //! Answers deployments whose workers differ in speed, where a new owner, a new worker or a
 //! new incarnation would otherwise start from the mean and take a dozen runs to learn its
 //! speed. A worker without runs starts from the mean of the workers that share a label with
-//! it, or else of the pool, and its own runs take over as they come: a label may cover several speeds.
+//! it, or else of the pool, and its own runs take over as they come: a label may cover several
+//! speeds.
 //!
 //! Labels also name racks, and a rack mixes kinds. A label is used only if enough workers
 //! carry it and their speeds differ less from each other than those of all workers do.
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -125,6 +125,16 @@
     },
 }
 
+impl RunOwner {
+    /// The job that the run is for, if it is known.
+    pub fn job(&self) -> Option<JobKey> {
+        match *self {
+            Self::Task(job, _) => Some(job),
+            Self::Orphan { .. } => None,
+        }
+    }
+}
+
 /// A run that may be on the worker.
 #[derive(Clone, Debug)]
 pub struct Run {
--- a/crates/core/tests/dispatch_history/events.rs
+++ b/crates/core/tests/dispatch_history/events.rs
@@ -1,11 +1,8 @@
 //! Events of a simulated history.
 
-use std::sync::Arc;
-
 use trefoil_core::dispatch::order::{
-    OrderOutcome, RenewOrder, RenewOutcome, StartOrder, StopOrder, Target,
+    OrderOutcome, RenewOrder, RenewOutcome, StartOrder, StopOrder,
 };
-use trefoil_core::dispatch::owner::OrderResult;
 use trefoil_core::dispatch::ownership::Roster;
 use trefoil_schema::dispatch::Holder;
 
@@ -104,16 +101,6 @@
     holder(owner as u64 + 1)
 }
 
-pub fn answered(target: Target, task: Arc<str>, run_id: u64, outcome: OrderOutcome) -> OrderResult {
-    OrderResult {
-        worker: target.worker,
-        fence: target.fence,
-        task,
-        run_id,
-        outcome,
-    }
-}
-
 pub fn unanswered(owner: usize, order: Order) -> Event {
     let outcome = OrderOutcome::NoAnswer;
     match order {
--- a/crates/core/tests/dispatch_history/simulation.rs
+++ b/crates/core/tests/dispatch_history/simulation.rs
@@ -9,9 +9,9 @@
 use trefoil_core::dispatch::owner::{Command, Owner};
 use trefoil_schema::dispatch::Outcome;
 
-use crate::dispatch_support::orders::Order;
+use crate::dispatch_support::orders::{Order, order_result};
 use crate::dispatch_support::{SimWorker, job};
-use crate::events::{EntryJob, Event, Record, answered, holder_of, unanswered};
+use crate::events::{EntryJob, Event, Record, holder_of, unanswered};
 
 /// All jobs must have ended by then.
 const END_MS: u64 = 60_000;
@@ -243,11 +243,11 @@
         }
         match event {
             Event::Start { order, outcome, .. } => {
-                let answer = answered(order.target, order.task, order.run_id, outcome);
+                let answer = order_result(&order.target, &order.task, order.run_id, outcome);
                 acting_owner.on_start_result(now_ms, &answer, &mut out);
             }
             Event::Stop { order, outcome, .. } => {
-                let answer = answered(order.target, order.task, order.run_id, outcome);
+                let answer = order_result(&order.target, &order.task, order.run_id, outcome);
                 acting_owner.on_stop_result(now_ms, &answer, &mut out);
             }
             Event::Renew { order, outcome, .. } => {
--- a/crates/core/tests/dispatch_support/orders.rs
+++ b/crates/core/tests/dispatch_support/orders.rs
@@ -5,7 +5,7 @@
 use trefoil_core::dispatch::job::Origin;
 use trefoil_core::dispatch::order::{
     ListedRun, OrderOutcome, RenewOrder, RenewOutcome, RunCompletion, RunOutcome, StartOrder,
-    StopOrder,
+    StopOrder, Target,
 };
 use trefoil_core::dispatch::owner::{Command, OrderResult, Owner};
 use trefoil_schema::dispatch::Outcome;
@@ -52,19 +52,28 @@
     out
 }
 
+pub fn order_result(
+    target: &Target,
+    task: &Arc<str>,
+    run_id: u64,
+    outcome: OrderOutcome,
+) -> OrderResult {
+    OrderResult {
+        worker: target.worker,
+        fence: target.fence,
+        task: task.clone(),
+        run_id,
+        outcome,
+    }
+}
+
 pub fn answer_start(
     owner: &mut Owner,
     now_ms: u64,
     order: &StartOrder,
     outcome: OrderOutcome,
 ) -> Vec<Command> {
-    let answer = OrderResult {
-        worker: order.target.worker,
-        fence: order.target.fence,
-        task: order.task.clone(),
-        run_id: order.run_id,
-        outcome,
-    };
+    let answer = order_result(&order.target, &order.task, order.run_id, outcome);
     let mut out = Vec::new();
     owner.on_start_result(now_ms, &answer, &mut out);
     out
@@ -76,13 +85,7 @@
     order: &StopOrder,
     outcome: OrderOutcome,
 ) -> Vec<Command> {
-    let answer = OrderResult {
-        worker: order.target.worker,
-        fence: order.target.fence,
-        task: order.task.clone(),
-        run_id: order.run_id,
-        outcome,
-    };
+    let answer = order_result(&order.target, &order.task, order.run_id, outcome);
     let mut out = Vec::new();
     owner.on_stop_result(now_ms, &answer, &mut out);
     out
