--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -353,6 +353,10 @@
         let stats = state.owners.values().map(Owner::stats);
         self.metrics.set_stats(state.entry.len(), stats.sum());
         self.metrics.set_closed(state.is_closed());
+        if let Some(confirmed_age_ms) = state.declared.confirmed_age_ms(self.now_ms()) {
+            let version = state.declared.version();
+            self.metrics.set_declarations(version, confirmed_age_ms);
+        }
         self.metrics
             .set_unreadable_entries(self.platform.unreadable_entries());
     }
--- a/crates/instance/src/instance/declared.rs
+++ b/crates/instance/src/instance/declared.rs
@@ -5,6 +5,8 @@
 
 use crate::declarations::{Declarations, DeclarationsUpdate, RouteTable};
 
+use DeclarationSource::{Peer, StoreRead};
+
 use super::*;
 
 /// How long jobs that were already running may start tasks in a failure domain that
@@ -19,6 +21,23 @@
 /// instance with a tenth of a core has read them after 100 ms.
 const FIRST_DECLARATIONS_WAIT_MS: u64 = 250;
 
+/// Where declarations were received from.
+#[derive(Clone, Copy, Debug)]
+enum DeclarationSource<'a> {
+    StoreRead,
+    Peer(&'a str),
+}
+
+impl DeclarationSource<'_> {
+    /// Name of the peer, if it was one; logged as `peer`.
+    fn peer(&self) -> Option<&str> {
+        match self {
+            StoreRead => None,
+            Peer(name) => Some(name),
+        }
+    }
+}
+
 /// The declarations in force, and how recently they were confirmed.
 #[derive(Debug, Default)]
 pub(super) struct DeclarationState {
@@ -42,6 +61,17 @@
         self.table.as_ref().map_or(0, |table| table.revision())
     }
 
+    /// Version of the declarations in force; 0 if there are none.
+    pub(super) fn version(&self) -> u64 {
+        let table = self.table.as_ref();
+        table.map_or(0, |table| table.declarations().version)
+    }
+
+    /// Time since the store last confirmed the declarations; `None` if it never did.
+    pub(super) fn confirmed_age_ms(&self, now_ms: u64) -> Option<u64> {
+        Some(now_ms.saturating_sub(self.confirmed_ms?))
+    }
+
     /// Whether a peer with declarations of this revision may have newer ones.
     pub(super) fn is_behind(&self, revision: u64) -> bool {
         revision > self.confirmed_revision.max(self.revision())
@@ -67,6 +97,12 @@
         self.state.borrow().declared.table.clone()
     }
 
+    /// Milliseconds since the store last confirmed the declarations in force; `None` if it
+    /// never did.
+    pub fn declarations_confirmed_age_ms(&self) -> Option<u64> {
+        self.state.borrow().declared.confirmed_age_ms(self.now_ms())
+    }
+
     /// Returns the declarations in force, waiting for the first ones for a limited
     /// time: after a start of all instances at once, callers connect before the
     /// store has been read.
@@ -97,7 +133,7 @@
                 return;
             }
             if let Some(declarations) = read.changed {
-                self.activate_declarations(state, declarations, now_ms, effects);
+                self.activate_declarations(state, declarations, StoreRead, now_ms, effects);
             }
             state.declared.confirmed_revision = read.confirmed_revision;
             if state.declared.table.is_some() {
@@ -106,12 +142,14 @@
         });
     }
 
-    /// Applies declarations sent by a peer.
-    pub(super) fn apply_peer_declarations(self: &Rc<Self>, declarations: Declarations) {
+    /// Applies declarations sent by a peer over a link.
+    pub(super) fn apply_peer_declarations(self: &Rc<Self>, link: u64, declarations: Declarations) {
         self.update(|state, now_ms, effects| {
             let known = state.declared.table.is_some();
             if !known || state.declared.is_behind(declarations.revision) {
-                self.activate_declarations(state, declarations, now_ms, effects);
+                let link = state.peers.links.get(&link);
+                let name = link.map_or_else(String::new, |link| link.peer.name.clone());
+                self.activate_declarations(state, declarations, Peer(&name), now_ms, effects);
             }
         });
     }
@@ -120,6 +158,7 @@
         &self,
         state: &mut State,
         declarations: Declarations,
+        source: DeclarationSource<'_>,
         now_ms: u64,
         effects: &mut Effects,
     ) {
@@ -128,9 +167,9 @@
         let confirmed_ms = declared.confirmed_ms;
         info!(self.log, "declarations in force"; "version" => declarations.version,
             "revision" => declarations.revision, "before" => declared.revision(),
-            "routes" => declarations.routes.len(),
+            "peer" => source.peer(), "routes" => declarations.routes.len(),
             "closed" => ?declarations.closed_domains,
-            "confirmed_ms_ago" => confirmed_ms.map(|at_ms| now_ms - at_ms));
+            "confirmed_ms_ago" => declared.confirmed_age_ms(now_ms));
         declared.table = Some(Rc::new(RouteTable::new(declarations)));
         declared.behind_since_ms = None;
         self.declarations_changed.notify_waiters();
--- a/crates/instance/src/instance/frames.rs
+++ b/crates/instance/src/instance/frames.rs
@@ -23,7 +23,7 @@
             return;
         };
         if let Body::Config(push) = body {
-            return self.on_config_push(&push);
+            return self.on_config_push(id, &push);
         }
         self.update(|state, now_ms, effects| {
             let Some(link) = state.peers.links.get_mut(&id) else {
@@ -179,9 +179,9 @@
         }
     }
 
-    fn on_config_push(self: &Rc<Self>, push: &ConfigPush) {
+    fn on_config_push(self: &Rc<Self>, id: u64, push: &ConfigPush) {
         match serde_json::from_slice(&push.body) {
-            Ok(declarations) => self.apply_peer_declarations(declarations),
+            Ok(declarations) => self.apply_peer_declarations(id, declarations),
             Err(error) => warn!(self.log, "cannot decode a peer's declarations";
                 "revision" => push.revision, "error" => %error),
         }
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -51,6 +51,8 @@
     waits_for_rack: IntGauge,
     kinds_ignored: IntGauge,
     closed: IntGauge,
+    declarations_version: IntGauge,
+    declarations_confirmed_age_ms: IntGauge,
     unreadable: IntGauge,
 }
 
@@ -134,6 +136,16 @@
                 "trefoil_failure_domain_closed",
                 "Whether this failure domain takes no new tasks.",
             )?,
+            declarations_version: gauge(
+                &registry,
+                "trefoil_declarations_version",
+                "Version of the declarations in force.",
+            )?,
+            declarations_confirmed_age_ms: gauge(
+                &registry,
+                "trefoil_declarations_confirmed_age_ms",
+                "Milliseconds since the store last confirmed the declarations in force.",
+            )?,
             unreadable: gauge(
                 &registry,
                 "trefoil_store_entries_unreadable",
@@ -148,6 +160,13 @@
         self.closed.set(i64::from(is_closed));
     }
 
+    /// Sets the version of the declarations in force, and the age of their confirmation.
+    pub(crate) fn set_declarations(&self, version: u64, confirmed_age_ms: u64) {
+        self.declarations_version.set(version as i64);
+        self.declarations_confirmed_age_ms
+            .set(confirmed_age_ms as i64);
+    }
+
     /// Sets the number of store entries that cannot be decoded.
     pub(crate) fn set_unreadable_entries(&self, entries: usize) {
         self.unreadable.set(entries as i64);
--- a/crates/instance/src/store_polling.rs
+++ b/crates/instance/src/store_polling.rs
@@ -72,6 +72,7 @@
     let mut health = StoreHealth::default();
     let mut worker_count = WorkerCount::default();
     let mut next_read = NextRead::Everything;
+    let mut reader = Reader::AwaitingSuccessor;
     loop {
         let read_requested = instance.store_read_requested.notified();
         let result = match next_read {
@@ -82,12 +83,36 @@
         health.log_change(&instance, "reads", result);
         health.failed = failed;
         next_read = tokio::select! {
-            next_read = wait_until_due(&instance, failed) => next_read,
+            next_read = wait_until_due(&instance, failed, &mut reader) => next_read,
             () = read_requested => NextRead::Everything,
         };
     }
 }
 
+/// Who reads the store often.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reader {
+    /// This instance, because it owns pools.
+    Owner,
+    /// This instance, in order to find the successor of a lost owner.
+    AwaitingSuccessor,
+    /// This instance, because no linked owner does.
+    Standby,
+    /// A linked owner.
+    LinkedOwner,
+    /// Standby readers of this failure domain, since no linked owner does.
+    OtherStandby,
+}
+
+impl Reader {
+    fn is_this_instance(self) -> bool {
+        match self {
+            Self::Owner | Self::AwaitingSuccessor | Self::Standby => true,
+            Self::LinkedOwner | Self::OtherStandby => false,
+        }
+    }
+}
+
 /// What the next read of the store reads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum NextRead {
@@ -102,13 +127,17 @@
 async fn wait_until_due<P: Store + WorkerClient + 'static>(
     instance: &Instance<P>,
     failed: bool,
+    reader: &mut Reader,
 ) -> NextRead {
     let began = Instant::now();
     let mut was_left_to_owners = false;
     loop {
-        let left_to_owners = !instance.owns_pools()
-            && (instance.owner_reads_store() || !instance.is_standby_reader())
-            && !instance.is_awaiting_successor();
+        let current = current_reader(instance);
+        if std::mem::replace(reader, current) != current {
+            info!(instance.log, "reader of the store changed"; "reader" => ?current,
+                "confirmed_ms_ago" => instance.declarations_confirmed_age_ms());
+        }
+        let left_to_owners = !current.is_this_instance();
         let interval = match (failed, left_to_owners) {
             (true, _) => RETRY_DELAY,
             (false, true) => FOLLOWER_READ_INTERVAL,
@@ -127,6 +156,20 @@
     }
 }
 
+fn current_reader<P: Store + WorkerClient + 'static>(instance: &Instance<P>) -> Reader {
+    if instance.owns_pools() {
+        Reader::Owner
+    } else if instance.is_awaiting_successor() {
+        Reader::AwaitingSuccessor
+    } else if instance.owner_reads_store() {
+        Reader::LinkedOwner
+    } else if instance.is_standby_reader() {
+        Reader::Standby
+    } else {
+        Reader::OtherStandby
+    }
+}
+
 async fn read_once<P: Store + WorkerClient + 'static>(
     instance: &Rc<Instance<P>>,
     worker_count: &mut WorkerCount,
