instance: declarations are confirmed by heartbeats, and read when nobody confirms them

Cause: an instance without pools read the store every 4 s, because owners, or two standby readers a failure domain, read it often and announce newer declarations. The store refused all of these and served others; a peer without newer declarations and a peer that knows nothing send the same heartbeat.

Heartbeats now carry the age of the confirmation: how long ago a read of the store, by whomever, found the declarations to be the newest. An instance whose confirmation is older than 1.2 to 1.6 s reads them itself, so that the bound no longer depends on which others are served. The age is counted from the echoed clock of the receiver, so that a delayed heartbeat confirms nothing. Owners that read keep everybody confirmed: a calm deployment makes no further calls. Standby readers and their flag are gone; without the new field an older peer confirms nothing, which costs reads only.

The test of the former incident keeps its demands, with heartbeats in the new form.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -14,6 +14,7 @@
 //! * [`worker`]: an owner's state of one worker.
 //! * [`job`]: a job's tasks and phases.
 //! * [`order`]: orders to workers and their outcomes.
+//! * [`store_reads`]: when an instance reads the store.
 //! * [`limits`]: timeouts and other limits.
 //!
 //! The modules do no I/O and read no clock: methods take the current time, in
@@ -28,4 +29,5 @@
 pub mod ownership;
 pub mod pool;
 pub mod retirement;
+pub mod store_reads;
 pub mod worker;
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -41,6 +41,7 @@
 };
 use trefoil_core::dispatch::owner::{self, Owner};
 use trefoil_core::dispatch::ownership::{self, Ownership};
+use trefoil_core::dispatch::store_reads::ReadDemand;
 use trefoil_core::dispatch::worker::WorkerRecord;
 use trefoil_schema::dispatch::{Claim, Delegate, Job as JobSpec, Node, Outcome};
 
@@ -55,8 +56,6 @@
 
 /// Interval of the instance's timer, which drives retries and timeouts.
 const TICK_MS: u64 = 25;
-/// Instances of a failure domain that read the store when no linked owner does.
-const STANDBY_READERS: usize = 2;
 /// A tick that is this late counts as a stall of the process: peers have closed its
 /// links, and its leases may have expired. Peers run its jobs again only after
 /// [`LINK_TIMEOUT_MS`] plus [`REDELEGATION_DELAY_MS`].
@@ -321,7 +320,7 @@
 
     /// Whether a lost owner may have a successor that is known only from the store.
     /// Returns `false` after [`SUCCESSOR_WAIT_MAX_MS`], since there may be none.
-    pub(crate) fn is_awaiting_successor(&self) -> bool {
+    fn is_awaiting_successor(&self) -> bool {
         let mut state = self.state.borrow_mut();
         if state.ownership.is_linked_to_owners() {
             state.awaiting_successor_since_ms = None;
@@ -332,15 +331,12 @@
         now_ms < since_ms + SUCCESSOR_WAIT_MAX_MS
     }
 
-    /// Whether this instance reads the store for others of its failure domain when no
-    /// owner does. If all did, a slow store would get more calls the slower it is.
-    pub(crate) fn is_standby_reader(&self) -> bool {
-        self.state.borrow().ownership.rank_in_domain() < STANDBY_READERS
-    }
-
-    /// Whether a linked owner has reported a recent read of the store.
-    pub(crate) fn owner_reads_store(&self) -> bool {
-        self.state.borrow().peers.any_peer_reads_store()
+    /// What the schedule of reads of the store depends on.
+    pub(crate) fn read_demand(&self) -> ReadDemand {
+        ReadDemand {
+            reads_often: self.owns_pools() || self.is_awaiting_successor(),
+            confirmed_ms: self.state.borrow().declared.confirmed_ms(),
+        }
     }
 
     fn update_metrics(&self) {
@@ -357,6 +353,7 @@
             let version = state.declared.version();
             self.metrics.set_declarations(version, confirmed_age_ms);
         }
+        self.log_unconfirmed_declarations(&mut state);
         self.metrics
             .set_unreadable_entries(self.platform.unreadable_entries());
     }
--- a/crates/instance/src/instance/declared.rs
+++ b/crates/instance/src/instance/declared.rs
@@ -38,14 +38,21 @@
     }
 }
 
+/// Age of the confirmation from which newer declarations may be late, since they must be in
+/// force within this time.
+const UNCONFIRMED_AGE_MS: u64 = 2000;
+
 /// The declarations in force, and how recently they were confirmed.
 #[derive(Debug, Default)]
 pub(super) struct DeclarationState {
     table: Option<Rc<RouteTable>>,
     /// Store revision up to which `table` is known to be current.
     confirmed_revision: u64,
-    /// Start of the last read of the store that confirmed `table`.
+    /// As of when `table` is known to have been current: the start of a read of the store, by
+    /// this instance or by a peer that has no newer declarations.
     confirmed_ms: Option<u64>,
+    /// Whether the confirmation was too old at the last check.
+    is_unconfirmed: bool,
     /// Since when a peer has had newer declarations.
     pub(super) behind_since_ms: Option<u64>,
 }
@@ -67,6 +74,18 @@
         table.map_or(0, |table| table.declarations().version)
     }
 
+    /// As of when the declarations in force are known to have been current.
+    pub(super) fn confirmed_ms(&self) -> Option<u64> {
+        self.confirmed_ms
+    }
+
+    /// Records that the declarations were current at a time, if it is later than known.
+    pub(super) fn on_confirmed(&mut self, confirmed_ms: Option<u64>) {
+        if self.table.is_some() {
+            self.confirmed_ms = self.confirmed_ms.max(confirmed_ms);
+        }
+    }
+
     /// Time since the store last confirmed the declarations; `None` if it never did.
     pub(super) fn confirmed_age_ms(&self, now_ms: u64) -> Option<u64> {
         Some(now_ms.saturating_sub(self.confirmed_ms?))
@@ -136,12 +155,28 @@
                 self.activate_declarations(state, declarations, StoreRead, now_ms, effects);
             }
             state.declared.confirmed_revision = read.confirmed_revision;
-            if state.declared.table.is_some() {
-                state.declared.confirmed_ms = Some(began_ms);
-            }
+            state.declared.on_confirmed(Some(began_ms));
         });
     }
 
+    /// Logs when the confirmation of the declarations becomes too old, and when it is renewed.
+    pub(super) fn log_unconfirmed_declarations(&self, state: &mut State) {
+        let Some(age_ms) = state.declared.confirmed_age_ms(self.now_ms()) else {
+            return;
+        };
+        let is_unconfirmed = age_ms > UNCONFIRMED_AGE_MS;
+        if std::mem::replace(&mut state.declared.is_unconfirmed, is_unconfirmed) == is_unconfirmed {
+            return;
+        }
+        let version = state.declared.version();
+        match is_unconfirmed {
+            true => warn!(self.log, "declarations unconfirmed"; "version" => version,
+                "confirmed_ms_ago" => age_ms, "links" => state.peers.links.len()),
+            false => info!(self.log, "declarations confirmed again"; "version" => version,
+                "confirmed_ms_ago" => age_ms),
+        }
+    }
+
     /// Applies declarations sent by a peer over a link.
     pub(super) fn apply_peer_declarations(self: &Rc<Self>, link: u64, declarations: Declarations) {
         self.update(|state, now_ms, effects| {
--- a/crates/instance/src/instance/frames.rs
+++ b/crates/instance/src/instance/frames.rs
@@ -102,7 +102,6 @@
         let name = link.peer.name.clone();
         link.owns_pools = !heartbeat.owned.is_empty();
         link.peer_sent_ms = link.peer_sent_ms.max(heartbeat.sent_ms);
-        link.store_fresh = heartbeat.store_fresh;
         // `echo_ms` is the time of the last heartbeat that the peer got over this link.
         if heartbeat.echo_ms > 0 {
             for owner in state.owners.values_mut() {
@@ -128,6 +127,11 @@
         }
         if state.declared.is_behind(heartbeat.declarations_revision) {
             self.fetch_declarations(state, id, now_ms);
+        } else if let Some(age_ms) = heartbeat.declarations_confirmed_age_ms {
+            // The age was determined after the peer had received the heartbeat of `echo_ms`, so
+            // that this is not too late, however long the peer's heartbeat was under way.
+            let confirmed_ms = heartbeat.echo_ms.checked_sub(age_ms);
+            state.declared.on_confirmed(confirmed_ms);
         }
     }
 
--- a/crates/instance/src/instance/heartbeats.rs
+++ b/crates/instance/src/instance/heartbeats.rs
@@ -4,7 +4,7 @@
 use trefoil_schema::dispatch::frame::Body;
 use trefoil_schema::dispatch::{Beat, OwnedPool};
 
-use super::peers::{Link, LinkDownCause, STORE_FRESH_MS, encode};
+use super::peers::{Link, LinkDownCause, encode};
 use super::*;
 
 impl Link {
@@ -28,15 +28,13 @@
             load: load_of(&claim.pool),
             yielded,
         });
-        let read_ms = state.store_read_ms;
-        let is_fresh = read_ms.is_some_and(|read_ms| read_ms + STORE_FRESH_MS > now_ms);
         Beat {
             owned: owned.collect(),
             declarations_revision: state.declared.revision(),
             leaving: state.leaving,
-            store_fresh: !state.owners.is_empty() && is_fresh,
             sent_ms: now_ms,
             echo_ms: 0,
+            declarations_confirmed_age_ms: state.declared.confirmed_age_ms(now_ms),
         }
     }
 
--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -57,8 +57,6 @@
     pub(super) last_heard_ms: u64,
     /// When declarations were last requested from the peer.
     pub(super) config_requested_ms: Option<u64>,
-    /// Whether the peer owns a pool and reads the store, by its last heartbeat.
-    pub(super) store_fresh: bool,
     /// Whether the peer owns a pool, which shortens the link's timeout.
     pub(super) owns_pools: bool,
     /// Latest time of the peer's clock received in its heartbeats.
@@ -66,11 +64,6 @@
     _guard: LinkGuard,
 }
 
-/// Maximum age of a read of the store that is reported as fresh: longer than an owner's
-/// interval between reads, and short enough for others to read new declarations within the
-/// two seconds in which they must be in force.
-pub(super) const STORE_FRESH_MS: u64 = 1500;
-
 /// All links, and the state of dialing.
 #[derive(Default)]
 pub(crate) struct Peers {
@@ -117,11 +110,6 @@
             link.last_heard_ms += stall_ms;
         }
     }
-
-    /// Whether any peer has recently reported a fresh read of the store.
-    pub(super) fn any_peer_reads_store(&self) -> bool {
-        self.links.values().any(|link| link.store_fresh)
-    }
 }
 
 impl<P: Store + WorkerClient + 'static> Instance<P> {
@@ -215,7 +203,6 @@
                 sender,
                 last_heard_ms: now_ms,
                 config_requested_ms: None,
-                store_fresh: false,
                 owns_pools: false,
                 peer_sent_ms: 0,
                 _guard: guard,
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -33,6 +33,8 @@
     pub(crate) lease_renewals: IntCounter,
     /// Results of earlier delegations of a job, which are ignored.
     pub(crate) stale_results: IntCounter,
+    /// Reads of the declarations because no peer confirmed them.
+    pub(crate) unconfirmed_reads: IntCounter,
     /// Requests that are malformed, match no route or come before the declarations.
     pub bad_requests: IntCounter,
     jobs_awaited: IntGauge,
@@ -84,6 +86,11 @@
                 "trefoil_stale_results_total",
                 "Results of earlier delegations.",
             )?,
+            unconfirmed_reads: counter(
+                &registry,
+                "trefoil_unconfirmed_reads_total",
+                "Reads of the declarations because no peer confirmed them.",
+            )?,
             bad_requests: counter(
                 &registry,
                 "trefoil_bad_requests_total",
--- a/crates/instance/src/store_polling.rs
+++ b/crates/instance/src/store_polling.rs
@@ -1,33 +1,28 @@
 //! Periodic reads of the store, and registration of the instance.
 //!
 //! The store is polled instead of watched, so that a compacted history needs no
-//! special case. Owners of pools read often. Other instances receive newer
-//! declarations from the owners that they are linked with and read rarely, since
-//! each call to the store has a cost.
+//! special case. [`store_reads`] decides when, since each call to the store has a cost.
+//!
+//! [`store_reads`]: trefoil_core::dispatch::store_reads
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use slog::{info, warn};
-use tokio::time::Instant;
 use trefoil_core::dispatch::pool;
+use trefoil_core::dispatch::store_reads::{ReadSchedule, ScheduledRead, StoreRead};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::instance::Instance;
 use crate::platform::{Store, StoreError, WorkerClient};
 
-/// Interval between an owner's reads. Two fit into the two seconds within which new
-/// declarations must be in force and draining workers get no new tasks.
-const OWNER_READ_INTERVAL: Duration = Duration::from_millis(700);
-/// Interval between reads while a linked owner reports that it reads the store.
-const FOLLOWER_READ_INTERVAL: Duration = Duration::from_millis(4000);
-/// Interval of checks whether linked owners still read the store; their heartbeats come as
-/// often.
+/// Interval at which the time of the next read is determined again; heartbeats, which confirm
+/// declarations, come as often.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Delay after a failed read.
-const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Interval between renewals of the registration; a third of its TTL.
 const REGISTRATION_INTERVAL: Duration = Duration::from_millis(1500);
+/// Delay after a failed registration.
+const RETRY_DELAY: Duration = Duration::from_millis(250);
 
 /// Maximum number of doublings of [`RETRY_DELAY`] after failed registrations, which
 /// keeps the delay well below the registration's TTL.
@@ -71,106 +66,46 @@
 async fn poll_store<P: Store + WorkerClient + 'static>(instance: Rc<Instance<P>>) {
     let mut health = StoreHealth::default();
     let mut worker_count = WorkerCount::default();
-    let mut next_read = NextRead::Everything;
-    let mut reader = Reader::AwaitingSuccessor;
+    let mut schedule = ReadSchedule::new(&instance.node.name);
+    let mut read = StoreRead::Everything;
     loop {
         let read_requested = instance.store_read_requested.notified();
-        let result = match next_read {
-            NextRead::Everything => read_once(&instance, &mut worker_count).await,
-            NextRead::Declarations => read_declarations(&instance).await,
+        let result = match read {
+            StoreRead::Everything => read_everything(&instance, &mut worker_count).await,
+            StoreRead::Declarations => {
+                instance.metrics.unconfirmed_reads.inc();
+                read_declarations(&instance).await
+            }
         };
         let failed = result.is_err();
+        schedule.on_read_ended(instance.now_ms(), read, !failed);
         health.log_change(&instance, "reads", result);
         health.failed = failed;
-        next_read = tokio::select! {
-            next_read = wait_until_due(&instance, failed, &mut reader) => next_read,
-            () = read_requested => NextRead::Everything,
+        read = tokio::select! {
+            read = wait_until_due(&instance, &schedule) => read,
+            () = read_requested => StoreRead::Everything,
         };
     }
 }
 
-/// Who reads the store often.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Reader {
-    /// This instance, because it owns pools.
-    Owner,
-    /// This instance, in order to find the successor of a lost owner.
-    AwaitingSuccessor,
-    /// This instance, because no linked owner does.
-    Standby,
-    /// A linked owner.
-    LinkedOwner,
-    /// Standby readers of this failure domain, since no linked owner does.
-    OtherStandby,
-}
-
-impl Reader {
-    fn is_this_instance(self) -> bool {
-        match self {
-            Self::Owner | Self::AwaitingSuccessor | Self::Standby => true,
-            Self::LinkedOwner | Self::OtherStandby => false,
-        }
-    }
-}
-
-/// What the next read of the store reads.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum NextRead {
-    Everything,
-    Declarations,
-}
-
-/// Waits until the next read is due. The interval is chosen again at each check, since the
-/// owners that reads are left to may lose the store meanwhile. Then the first read is of
-/// the declarations alone: only they must be in force in time, and the store may be
-/// overloaded.
+/// Waits until the next read is due. A peer's heartbeat may put it off, and becoming an owner
+/// may advance it.
 async fn wait_until_due<P: Store + WorkerClient + 'static>(
     instance: &Instance<P>,
-    failed: bool,
-    reader: &mut Reader,
-) -> NextRead {
-    let began = Instant::now();
-    let mut was_left_to_owners = false;
+    schedule: &ReadSchedule,
+) -> StoreRead {
     loop {
-        let current = current_reader(instance);
-        if std::mem::replace(reader, current) != current {
-            info!(instance.log, "reader of the store changed"; "reader" => ?current,
-                "confirmed_ms_ago" => instance.declarations_confirmed_age_ms());
+        let ScheduledRead { read, due_ms } = schedule.next_read(instance.read_demand());
+        let remaining_ms = due_ms.saturating_sub(instance.now_ms());
+        if remaining_ms == 0 {
+            return read;
         }
-        let left_to_owners = !current.is_this_instance();
-        let interval = match (failed, left_to_owners) {
-            (true, _) => RETRY_DELAY,
-            (false, true) => FOLLOWER_READ_INTERVAL,
-            (false, false) => OWNER_READ_INTERVAL,
-        };
-        let remaining = interval.saturating_sub(began.elapsed());
-        if remaining.is_zero() {
-            let is_early = was_left_to_owners && began.elapsed() < FOLLOWER_READ_INTERVAL;
-            return match is_early {
-                true => NextRead::Declarations,
-                false => NextRead::Everything,
-            };
-        }
-        was_left_to_owners |= left_to_owners;
+        let remaining = Duration::from_millis(remaining_ms);
         tokio::time::sleep(remaining.min(CHECK_INTERVAL)).await;
     }
 }
 
-fn current_reader<P: Store + WorkerClient + 'static>(instance: &Instance<P>) -> Reader {
-    if instance.owns_pools() {
-        Reader::Owner
-    } else if instance.is_awaiting_successor() {
-        Reader::AwaitingSuccessor
-    } else if instance.owner_reads_store() {
-        Reader::LinkedOwner
-    } else if instance.is_standby_reader() {
-        Reader::Standby
-    } else {
-        Reader::OtherStandby
-    }
-}
-
-async fn read_once<P: Store + WorkerClient + 'static>(
+async fn read_everything<P: Store + WorkerClient + 'static>(
     instance: &Rc<Instance<P>>,
     worker_count: &mut WorkerCount,
 ) -> Result<(), StoreError> {
--- a/crates/instance/tests/instance/store_reads.rs
+++ b/crates/instance/tests/instance/store_reads.rs
@@ -21,8 +21,11 @@
 /// In which new declarations must be in force.
 const IN_FORCE: Duration = Duration::from_millis(2000);
 
+/// Age of a peer's confirmation of the declarations, as an owner that reads the store has it.
+const OWNER_AGE_MS: Option<u64> = Some(700);
+
 /// A heartbeat of the peer "b", which owns a pool.
-fn heartbeat(store_fresh: bool) -> Body {
+fn heartbeat(echo_ms: u64, declarations_confirmed_age_ms: Option<u64>) -> Body {
     let owner = Node {
         name: "b".to_owned(),
         incarnation: 1,
@@ -41,29 +44,24 @@
     };
     Body::Beat(Beat {
         owned: vec![owned],
-        store_fresh,
+        echo_ms,
+        declarations_confirmed_age_ms,
         ..Beat::default()
     })
 }
 
-/// Sends heartbeats for a time, or until the store has been read `until_reads` times.
-async fn send_heartbeats(
-    link: &mut Link,
-    store_fresh: bool,
-    limit: Duration,
-    reads: &Cell<u64>,
-    until_reads: u64,
-) {
-    let began = Instant::now();
-    while began.elapsed() < limit && reads.get() < until_reads {
-        link.send(heartbeat(store_fresh)).await;
-        sleep(HEARTBEAT).await;
-    }
+/// An instance "a" that polls the store, and its link to the peer "b".
+struct Fixture {
+    link: Link,
+    /// Number of reads of the declarations.
+    reads: Rc<Cell<u64>>,
+    /// Clock of the instance when the link was opened, and when that was.
+    clock_ms: u64,
+    opened: Instant,
 }
 
-#[test]
-fn an_instance_reads_the_store_itself_once_no_linked_owner_does() {
-    run(async {
+impl Fixture {
+    async fn start() -> Self {
         let log = slog::Logger::root(slog::Discard, slog::o!());
         let metrics = Metrics::new().unwrap();
         let platform = FakePlatform {
@@ -76,13 +74,64 @@
         let address = listener.local_addr().unwrap();
         spawn_local(Rc::clone(&instance).accept_links(listener));
         let mut link = Link::open(address, 1).await;
-        link.send(heartbeat(true)).await;
-        link.read_heartbeat().await;
+        let clock_ms = link.read_heartbeat().await.sent_ms;
         store_polling::start(&instance);
-        send_heartbeats(&mut link, true, IN_FORCE, &reads, u64::MAX).await;
-        let before = reads.get();
+        Self {
+            link,
+            reads,
+            clock_ms,
+            opened: Instant::now(),
+        }
+    }
+
+    /// The clock of the instance now.
+    fn now_ms(&self) -> u64 {
+        self.clock_ms + self.opened.elapsed().as_millis() as u64
+    }
+
+    /// Sends heartbeats for a time, or until the store has been read `until_reads` times.
+    async fn send_heartbeats(
+        &mut self,
+        confirmed_age_ms: Option<u64>,
+        limit: Duration,
+        until_reads: u64,
+    ) {
+        let began = Instant::now();
+        while began.elapsed() < limit && self.reads.get() < until_reads {
+            let heartbeat = heartbeat(self.now_ms(), confirmed_age_ms);
+            self.link.send(heartbeat).await;
+            sleep(HEARTBEAT).await;
+        }
+    }
+}
+
+#[test]
+fn an_instance_reads_the_store_itself_once_no_linked_owner_does() {
+    run(async {
+        let mut fixture = Fixture::start().await;
+        fixture
+            .send_heartbeats(OWNER_AGE_MS, IN_FORCE, u64::MAX)
+            .await;
+        let before = fixture.reads.get();
         assert!(before <= 2, "{before} reads are not left to the owner");
-        send_heartbeats(&mut link, false, IN_FORCE / 2, &reads, before + 1).await;
-        assert!(reads.get() > before, "declarations come late");
+        fixture
+            .send_heartbeats(None, IN_FORCE / 2, before + 1)
+            .await;
+        assert!(fixture.reads.get() > before, "declarations come late");
+    });
+}
+
+/// A heartbeat that was held up on its way says what was true when it was sent.
+#[test]
+fn delayed_heartbeats_do_not_confirm_declarations() {
+    run(async {
+        let mut fixture = Fixture::start().await;
+        let sent_ms = fixture.now_ms();
+        let began = Instant::now();
+        while began.elapsed() < IN_FORCE {
+            fixture.link.send(heartbeat(sent_ms, Some(0))).await;
+            sleep(HEARTBEAT).await;
+        }
+        assert!(fixture.reads.get() >= 2, "an old confirmation is renewed");
     });
 }
--- a/crates/instance/tests/instance/support/link.rs
+++ b/crates/instance/tests/instance/support/link.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use trefoil_schema::dispatch::frame::Body;
-use trefoil_schema::dispatch::{Frame, Hello, Node};
+use trefoil_schema::dispatch::{Beat, Frame, Hello, Node};
 
 use super::DOMAIN;
 
@@ -51,8 +51,12 @@
     }
 
     /// Reads until the first heartbeat, which shows that the link is up.
-    pub async fn read_heartbeat(&mut self) {
-        while !matches!(self.next().await.unwrap(), Body::Beat(_)) {}
+    pub async fn read_heartbeat(&mut self) -> Beat {
+        loop {
+            if let Body::Beat(heartbeat) = self.next().await.unwrap() {
+                return heartbeat;
+            }
+        }
     }
 
     /// Reads until the link is closed; returns the heartbeats.
