--- a/tests/testsuite/faults_store.rs
+++ b/tests/testsuite/faults_store.rs
@@ -6,11 +6,14 @@
 use serde_json::{Value, json};
 use tokio::time::sleep;
 use trefoil_fakes::platform::faults::FaultUpdate;
+use trefoil_fakes::relay::{self, LinkState};
 
 use crate::support::callers::Callers;
 use crate::support::deployment::{Deployment, DeploymentOptions, wait_until};
 
 const PERIOD_MS: u64 = 40;
+/// Within which accepted declarations must be in force.
+const IN_FORCE: Duration = Duration::from_secs(5);
 
 fn down(down: bool) -> FaultUpdate {
     FaultUpdate {
@@ -199,3 +202,36 @@
     }
     assert!(deployment.wait_for_common_revision(after).await >= after);
 }
+
+/// Instances that the store serves must not wait for those that it refuses.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn declarations_are_in_force_in_time_while_the_store_refuses_the_watchers() {
+    let options = DeploymentOptions {
+        instances_per_domain: 4,
+        ..DeploymentOptions::default()
+    };
+    let mut deployment = Deployment::start(options).await;
+    let mut store_links = Vec::new();
+    for watcher in 0..2 {
+        let any = "127.0.0.1:0".parse().unwrap();
+        let relay = relay::start(any, deployment.platform.address, None);
+        let relay = relay.await.unwrap();
+        let instance = &mut deployment.instances[watcher];
+        instance.options.platform = relay.address;
+        instance.restart();
+        store_links.push(relay);
+    }
+    deployment.publish_instance_list().await;
+    deployment.wait_until_serving().await;
+    let before = deployment.wait_for_common_revision(1).await;
+    for link in &store_links {
+        link.set_state(LinkState::Paused);
+    }
+    assert_eq!(deployment.try_create(2, &team("late")).await, 200);
+    sleep(IN_FORCE).await;
+    for entry in 0..4 {
+        let status = deployment.status(entry).await.unwrap();
+        let revision = status["config_revision"].as_u64().unwrap();
+        assert!(revision > before, "instance {entry}: {revision}");
+    }
+}
