trefoild: an instance watches the store unless two before it by name reach it

While the store refused the first two instances of a failure domain, declarations that it accepted through other instances came into force nowhere, until it served the two again.

Heartbeats now carry how long ago the store confirmed the sender's declarations to the sender itself, and an instance watches unless two running instances that come before it by name are confirmed within 4 s. A healthy watcher is confirmed every 3 s, so that a calm failure domain has two watchers as before.

In virtual time: the_first_two_instances_that_reach_the_store_watch_it.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -6,6 +6,7 @@
 //! [`crate::view`]) when instances join, leave or fail. The protocol is described
 //! in `docs/design/at-most-once.md`.
 
+mod config_watchers;
 mod heartbeat;
 mod proposer;
 mod roster;
@@ -51,6 +52,7 @@
     leaving: bool,
     exiting: bool,
     config_revision: u64,
+    config_confirmed_age_ms: Option<u64>,
     queued_tasks: u32,
     running_tasks: u32,
     now: Now,
@@ -83,6 +85,7 @@
             leaving: false,
             exiting: false,
             config_revision: 0,
+            config_confirmed_age_ms: None,
             queued_tasks: 0,
             running_tasks: 0,
             now: Now::default(),
@@ -110,7 +113,13 @@
             Event::PlatformList(list) => self.on_list(&list),
             Event::ConnectionRefused(member) => self.roster.record_refused(&member),
             Event::Leave => self.leaving = true,
-            Event::ConfigRevision(revision) => self.config_revision = revision,
+            Event::Config {
+                revision,
+                confirmed_age_ms,
+            } => {
+                self.config_revision = revision;
+                self.config_confirmed_age_ms = confirmed_age_ms;
+            }
             Event::Load { queued, running } => {
                 self.queued_tasks = queued;
                 self.running_tasks = running;
--- a/crates/core/src/membership/heartbeat.rs
+++ b/crates/core/src/membership/heartbeat.rs
@@ -114,6 +114,7 @@
                 false => 0,
             },
             config_revision: self.config_revision,
+            config_confirmed_age_ms: self.config_confirmed_age_ms,
             queued_tasks: self.queued_tasks,
             running_tasks: self.running_tasks,
             others: entropy.map_or(Vec::new(), |entropy| {
@@ -199,7 +200,7 @@
     }
 
     /// Peers of this failure domain that sent a heartbeat lately, including leaving ones.
-    fn running_peers(&self) -> Vec<Member> {
+    pub(super) fn running_peers(&self) -> Vec<Member> {
         let suspect_ms = self.params.suspect_ms;
         self.roster
             .members()
--- a/crates/core/src/membership/roster.rs
+++ b/crates/core/src/membership/roster.rs
@@ -16,6 +16,8 @@
     pub address: String,
     pub leaving: bool,
     pub config_revision: u64,
+    /// When the store last confirmed to the instance that its configuration is the newest one.
+    pub config_confirmed_mono_ms: Option<u64>,
     /// Time of the latest information, from the instance itself or from others.
     pub updated_mono_ms: u64,
     /// Time of the last heartbeat received from the instance.
@@ -55,6 +57,8 @@
         }
         peer.leaving = heartbeat.state() != InstanceState::Serving;
         peer.config_revision = peer.config_revision.max(heartbeat.config_revision);
+        let age_ms = heartbeat.config_confirmed_age_ms;
+        peer.config_confirmed_mono_ms = age_ms.and_then(|age_ms| now.mono_ms.checked_sub(age_ms));
         peer.updated_mono_ms = now.mono_ms;
         peer.heartbeat_mono_ms = Some(now.mono_ms);
     }
@@ -128,6 +132,7 @@
             address: String::new(),
             leaving: false,
             config_revision: 0,
+            config_confirmed_mono_ms: None,
             updated_mono_ms: now.mono_ms,
             heartbeat_mono_ms: None,
         };
@@ -156,6 +161,14 @@
         newer_listed || (silent && (missing || self.refused.contains(member)))
     }
 
+    /// Whether the store has confirmed an instance's configuration to it within a time.
+    pub fn config_confirmed_within(&self, now: Now, member: &Member, age_max_ms: u64) -> bool {
+        let confirmed_ms = self
+            .get(member)
+            .and_then(|peer| peer.config_confirmed_mono_ms);
+        confirmed_ms.is_some_and(|at_ms| now.mono_ms <= at_ms + age_max_ms)
+    }
+
     /// Whether a heartbeat of the instance was received within the last `within_ms`.
     pub fn heard_within(&self, now: Now, member: &Member, within_ms: u64) -> bool {
         self.get(member)
--- a/crates/core/src/membership/types.rs
+++ b/crates/core/src/membership/types.rs
@@ -175,8 +175,14 @@
     ConnectionRefused(Member),
     /// This instance has been told to stop and must hand over its keys.
     Leave,
-    /// Revision of the configuration in force at this instance.
-    ConfigRevision(u64),
+    /// State of the configuration in force at this instance.
+    Config {
+        /// Its revision.
+        revision: u64,
+        /// Time since the store confirmed to this instance that it is the newest one, in
+        /// milliseconds; `None` if it never did.
+        confirmed_age_ms: Option<u64>,
+    },
     /// Load of this instance, for heartbeats.
     Load {
         /// Number of tasks waiting for a worker.
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -360,3 +360,59 @@
     sim.deliver(1, Event::ConnectionRefused(gone));
     assert_eq!(state(&sim), Some(PeerState::Gone));
 }
+
+/// Reports the configuration of all instances; those in `refused` last read the store
+/// `refused_ms` ago.
+fn report_config(sim: &mut Simulation, refused: &[usize], refused_ms: u64) {
+    for index in sim.alive() {
+        let confirmed_age_ms = match refused.contains(&index) {
+            true => refused_ms,
+            false => 100,
+        };
+        let event = Event::Config {
+            revision: 1,
+            confirmed_age_ms: Some(confirmed_age_ms),
+        };
+        sim.deliver(index, event);
+    }
+    sim.run(600);
+}
+
+fn config_watchers(sim: &Simulation) -> Vec<usize> {
+    let alive = sim.alive().into_iter();
+    alive
+        .filter(|&index| sim.nodes[index].membership.is_config_watcher())
+        .collect()
+}
+
+/// Otherwise declarations reach nobody while the store refuses the first two by name.
+#[test]
+fn the_first_two_instances_that_reach_the_store_watch_it() {
+    let mut sim = stable_simulation(5);
+    assert_eq!(
+        config_watchers(&sim),
+        [0, 1, 2, 3, 4],
+        "nobody is confirmed"
+    );
+    report_config(&mut sim, &[], 0);
+    assert_eq!(config_watchers(&sim), [0, 1]);
+    // The pause of a watch that is reopened after 3 s.
+    report_config(&mut sim, &[0, 1], 3_300);
+    assert_eq!(config_watchers(&sim), [0, 1]);
+    report_config(&mut sim, &[0, 1], 4_500);
+    assert_eq!(config_watchers(&sim), [0, 1, 2, 3]);
+    report_config(&mut sim, &[0, 1, 2, 3, 4], 4_500);
+    assert_eq!(config_watchers(&sim), [0, 1, 2, 3, 4]);
+    report_config(&mut sim, &[], 0);
+    assert_eq!(config_watchers(&sim), [0, 1]);
+}
+
+#[test]
+fn a_killed_watcher_of_the_store_is_replaced() {
+    let mut sim = stable_simulation(4);
+    report_config(&mut sim, &[], 0);
+    sim.kill(0);
+    sim.run(6_000);
+    report_config(&mut sim, &[], 0);
+    assert_eq!(config_watchers(&sim), [1, 2]);
+}
--- a/src/peers/driver.rs
+++ b/src/peers/driver.rs
@@ -21,8 +21,6 @@
 const TICKS_PER_PROBE: u64 = 4;
 /// Connect timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Number of instances of a failure domain that watch the configuration.
-const WATCHERS: usize = 2;
 
 impl Peers {
     /// Sends ticks and changes of the instance list until the process ends.
@@ -54,12 +52,31 @@
             queued: u32::try_from(stats.tasks_queued).unwrap_or(u32::MAX),
             running: u32::try_from(stats.tasks_running).unwrap_or(u32::MAX),
         });
-        self.handle(Event::ConfigRevision(
-            self.context.config.current().revision,
-        ));
+        let config = &self.context.config;
+        let confirmed_age_ms = config.confirmed_age().map(|age| age.as_millis() as u64);
+        self.handle(Event::Config {
+            revision: config.current().revision,
+            confirmed_age_ms,
+        });
         self.handle(Event::Tick {
             entropy: rand::random(),
         });
+        self.update_watching();
+    }
+
+    /// Starts or stops watching the store for declarations.
+    fn update_watching(&self) {
+        let is_watcher = self.membership().is_config_watcher();
+        if self.watches_store.swap(is_watcher, Ordering::Relaxed) != is_watcher {
+            let age_ms = self
+                .context
+                .config
+                .confirmed_age()
+                .map(|age| age.as_millis() as u64);
+            info!(self.context.log, "watcher of the store changed"; "is_watcher" => is_watcher,
+                "confirmed_ms_ago" => age_ms);
+        }
+        self.context.config.set_watching(is_watcher);
     }
 
     /// Returns the platform's list, with the configured peers that are missing in it.
@@ -182,13 +199,6 @@
         let share = self.connections_max / u32::try_from(names.len().max(1)).unwrap_or(u32::MAX);
         runtime.workers().set_connections_max(share.max(1));
         runtime.set_domain_members(&self.local_member.name, &names);
-        let is_watcher = names
-            .iter()
-            .take(WATCHERS)
-            .any(|name| *name == self.local_member.name);
-        let watches_store = is_watcher || names.len() < WATCHERS;
-        self.watches_store.store(watches_store, Ordering::Relaxed);
-        self.context.config.set_watching(watches_store);
     }
 
     fn read_view_log(self: &Arc<Self>, domain: String) {
--- a/src/sources/config.rs
+++ b/src/sources/config.rs
@@ -1,11 +1,12 @@
 //! Keeps the current configuration up to date with the store.
 //!
-//! One or two instances of a failure domain watch the store; the others receive
+//! Two instances of a failure domain that reach the store watch it; the others receive
 //! changes from peers. [`ConfigLog`] applies both and never goes back to an earlier
 //! revision. While the store is unreachable, the last configuration stays in effect,
 //! and a new instance receives it from a peer.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use slog::Logger;
 use tokio::sync::watch;
@@ -36,6 +37,7 @@
             log: Mutex::default(),
             snapshots: watch::Sender::default(),
             watching: watch::Sender::new(true),
+            confirmed: Mutex::default(),
             store,
             prefix,
         };
@@ -56,6 +58,8 @@
     log: Mutex<ConfigLog>,
     snapshots: watch::Sender<Arc<ConfigSnapshot>>,
     watching: watch::Sender<bool>,
+    /// As of when the store confirmed to this instance that the configuration is the newest one.
+    confirmed: Mutex<Option<Instant>>,
     store: Arc<dyn PlatformStore>,
     prefix: String,
 }
@@ -104,6 +108,13 @@
         self.shared.watching.subscribe()
     }
 
+    /// Time since the store confirmed to this instance that the configuration is the newest
+    /// one; `None` if it never did. What peers know does not count.
+    pub fn confirmed_age(&self) -> Option<Duration> {
+        let confirmed = *self.shared.confirmed();
+        confirmed.map(|confirmed| confirmed.elapsed())
+    }
+
     /// Whether the last call to the store succeeded.
     pub fn store_reachable(&self) -> bool {
         self.shared.store.reachable()
@@ -146,6 +157,12 @@
         self.log.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn confirmed(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.confirmed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     // Published under the lock, so that subscribers never receive an older snapshot.
     fn update(&self, change: impl FnOnce(&mut ConfigLog) -> Applied) -> Applied {
         let mut log = self.log();
--- a/src/sources/config/sync.rs
+++ b/src/sources/config/sync.rs
@@ -1,6 +1,7 @@
 //! The task that lists and watches the resources in the store.
 
 use std::sync::{Arc, Weak};
+use std::time::Instant;
 
 use slog::{Logger, info, warn};
 use tokio::sync::watch;
@@ -92,6 +93,7 @@
     }
 
     async fn list(&mut self) -> NextStep {
+        let began = Instant::now();
         let listing = match self.store.range(&self.prefix).await {
             Ok(listing) => listing,
             Err(error) => return retry(&error),
@@ -105,6 +107,7 @@
             .filter_map(|kv| listed_change(&shared, kv))
             .collect();
         shared.update(|log| log.replace(listing.revision, &changes));
+        *shared.confirmed() = Some(began);
         drop(shared);
         self.record_connected(true, "listed");
         NextStep::Watch
@@ -114,6 +117,7 @@
         let Some(mut applied_revision) = self.revision() else {
             return NextStep::Stop;
         };
+        let mut confirmed = Instant::now();
         let mut events = self.store.watch(&self.prefix, applied_revision + 1);
         let mut opened = false;
         while let Some(event) = events.recv().await {
@@ -125,12 +129,16 @@
                     };
                     apply(&shared, applied_revision, revision, &changes);
                     applied_revision = revision;
+                    confirmed = Instant::now();
                 }
                 WatchEvent::Compacted => return NextStep::List,
                 WatchEvent::Closed { .. } if opened => return NextStep::Watch,
                 WatchEvent::Closed { reason } => return NextStep::Retry(reason),
             }
             opened = true;
+            if let Some(shared) = self.shared.upgrade() {
+                *shared.confirmed() = Some(confirmed);
+            }
             self.record_connected(true, "watching");
         }
         NextStep::Retry("the watch ended without a reason".to_owned())
