core, instance: the schedule of reads in fewer cases, one name for the time in which declarations must be in force

Read as a newcomer: no decision changes. The time was written in two places as a number, and the source of declarations was an enum where an optional peer says the same.

--- a/crates/core/src/dispatch/limits.rs
+++ b/crates/core/src/dispatch/limits.rs
@@ -33,6 +33,8 @@
 /// Maximum delay of the acknowledgement of completions on an idle worker, so that
 /// the next start can carry it. The platform counts delays from 100.
 pub const IDLE_ACK_DELAY_MS: u64 = 60;
+/// Time within which new declarations must be in force, by the platform's contract.
+pub const DECLARATIONS_IN_FORCE_MS: u64 = 2000;
 /// Period of heartbeats on a link with an owner.
 pub const HEARTBEAT_MS: u64 = 100;
 /// Period of heartbeats between two instances that own no pool.
--- a/crates/core/src/dispatch/store_reads.rs
+++ b/crates/core/src/dispatch/store_reads.rs
@@ -11,8 +11,10 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Period of an owner's reads. Two fit into the two seconds within which new declarations
-/// must be in force and draining workers get no new tasks.
+use super::limits::DECLARATIONS_IN_FORCE_MS;
+
+/// Period of an owner's reads. Two fit into the time within which new declarations must be
+/// in force and draining workers get no new tasks.
 const OWNER_PERIOD_MS: u64 = 700;
 /// Period of other instances' reads of instances and claims, which they also learn from
 /// peers.
@@ -20,14 +22,14 @@
 /// Age of a confirmation that every instance accepts. Longer than an owner's period, a read
 /// and two heartbeats, so that nobody else reads while an owner does.
 const CONFIRMATION_AGE_MIN_MS: u64 = 1200;
-/// Age of a confirmation that no instance accepts. The rest of the two seconds is for a read
-/// by an instance whose CPU is throttled.
-const CONFIRMATION_AGE_MAX_MS: u64 = 1600;
+/// Age of a confirmation that no instance accepts. The rest of the time is for a read by an
+/// instance whose CPU is throttled.
+const CONFIRMATION_AGE_MAX_MS: u64 = DECLARATIONS_IN_FORCE_MS - 400;
 /// Delay after a failed read. It doubles with each further failure of an instance that has
 /// declarations and owns no pool.
-const RETRY_DELAY_MIN_MS: u64 = 250;
-/// Maximum delay after a failed read.
-const RETRY_DELAY_MAX_MS: u64 = 1000;
+const RETRY_DELAY_MS: u64 = 250;
+/// Maximum number of doublings of [`RETRY_DELAY_MS`].
+const RETRY_DOUBLINGS_MAX: u32 = 2;
 
 /// What a read of the store reads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,51 +97,40 @@
 
     /// Returns the next read.
     pub fn next_read(&self, demand: ReadDemand) -> ScheduledRead {
-        let everything = ScheduledRead {
-            read: StoreRead::Everything,
-            due_ms: 0,
-        };
-        let Some(ended_ms) = self.ended_ms else {
-            return everything;
+        let earliest_ms = match (self.ended_ms, self.consecutive_failures) {
+            (None, _) => 0,
+            (Some(ended_ms), 0) => ended_ms + OWNER_PERIOD_MS,
+            (Some(ended_ms), _) => ended_ms + self.retry_delay_ms(demand),
         };
-        let pause_ms = match self.consecutive_failures {
-            0 => OWNER_PERIOD_MS,
-            _ => self.retry_delay_ms(demand),
+        let (everything_due_ms, declarations_due_ms) = match demand.reads_often {
+            true => (earliest_ms, earliest_ms),
+            false => (
+                due_ms(self.everything_read_ms, FOLLOWER_PERIOD_MS).max(earliest_ms),
+                due_ms(demand.confirmed_ms, self.confirmation_age_max_ms).max(earliest_ms),
+            ),
         };
-        let earliest_ms = ended_ms + pause_ms;
-        if demand.reads_often {
-            return ScheduledRead {
-                due_ms: earliest_ms,
-                ..everything
-            };
-        }
-        let everything_due_ms = self
-            .everything_read_ms
-            .map(|at_ms| at_ms + FOLLOWER_PERIOD_MS);
-        let everything_due_ms = everything_due_ms.unwrap_or(0);
-        let confirmed_ms = demand.confirmed_ms;
-        let declarations_due_ms = confirmed_ms.map(|at_ms| at_ms + self.confirmation_age_max_ms);
-        let declarations_due_ms = declarations_due_ms.unwrap_or(0);
-        if everything_due_ms <= declarations_due_ms.max(earliest_ms) {
-            return ScheduledRead {
-                due_ms: everything_due_ms.max(earliest_ms),
-                ..everything
-            };
-        }
-        ScheduledRead {
-            read: StoreRead::Declarations,
-            due_ms: declarations_due_ms.max(earliest_ms),
+        match everything_due_ms <= declarations_due_ms {
+            true => ScheduledRead {
+                read: StoreRead::Everything,
+                due_ms: everything_due_ms,
+            },
+            false => ScheduledRead {
+                read: StoreRead::Declarations,
+                due_ms: declarations_due_ms,
+            },
         }
     }
 
     fn retry_delay_ms(&self, demand: ReadDemand) -> u64 {
         if demand.reads_often || demand.confirmed_ms.is_none() {
-            return RETRY_DELAY_MIN_MS;
+            return RETRY_DELAY_MS;
         }
-        let doublings = self
-            .consecutive_failures
-            .saturating_sub(1)
-            .min(u64::BITS / 2);
-        (RETRY_DELAY_MIN_MS << doublings).min(RETRY_DELAY_MAX_MS)
+        let doublings = self.consecutive_failures.saturating_sub(1);
+        RETRY_DELAY_MS << doublings.min(RETRY_DOUBLINGS_MAX)
     }
 }
+
+/// When something is due that is due at once if it never happened.
+fn due_ms(last_ms: Option<u64>, period_ms: u64) -> u64 {
+    last_ms.map_or(0, |last_ms| last_ms + period_ms)
+}
--- a/crates/instance/src/instance/declared.rs
+++ b/crates/instance/src/instance/declared.rs
@@ -3,9 +3,9 @@
 //! They are updated from reads of the store and from peers. Both carry a store
 //! revision, so that a delayed response never replaces a newer one.
 
-use crate::declarations::{Declarations, DeclarationsUpdate, RouteTable};
+use trefoil_core::dispatch::limits::DECLARATIONS_IN_FORCE_MS;
 
-use DeclarationSource::{Peer, StoreRead};
+use crate::declarations::{Declarations, DeclarationsUpdate, RouteTable};
 
 use super::*;
 
@@ -21,27 +21,6 @@
 /// instance with a tenth of a core has read them after 100 ms.
 const FIRST_DECLARATIONS_WAIT_MS: u64 = 250;
 
-/// Where declarations were received from.
-#[derive(Clone, Copy, Debug)]
-enum DeclarationSource<'a> {
-    StoreRead,
-    Peer(&'a str),
-}
-
-impl DeclarationSource<'_> {
-    /// Name of the peer, if it was one; logged as `peer`.
-    fn peer(&self) -> Option<&str> {
-        match self {
-            StoreRead => None,
-            Peer(name) => Some(name),
-        }
-    }
-}
-
-/// Age of the confirmation from which newer declarations may be late, since they must be in
-/// force within this time.
-const UNCONFIRMED_AGE_MS: u64 = 2000;
-
 /// The declarations in force, and how recently they were confirmed.
 #[derive(Debug, Default)]
 pub(super) struct DeclarationState {
@@ -51,7 +30,7 @@
     /// As of when `table` is known to have been current: the start of a read of the store, by
     /// this instance or by a peer that has no newer declarations.
     confirmed_ms: Option<u64>,
-    /// Whether the confirmation was too old at the last check.
+    /// Whether `confirmed_ms` was too long ago at the last check.
     is_unconfirmed: bool,
     /// Since when a peer has had newer declarations.
     pub(super) behind_since_ms: Option<u64>,
@@ -152,19 +131,20 @@
                 return;
             }
             if let Some(declarations) = read.changed {
-                self.activate_declarations(state, declarations, StoreRead, now_ms, effects);
+                self.activate_declarations(state, declarations, None, now_ms, effects);
             }
             state.declared.confirmed_revision = read.confirmed_revision;
             state.declared.on_confirmed(Some(began_ms));
         });
     }
 
-    /// Logs when the confirmation of the declarations becomes too old, and when it is renewed.
+    /// Logs when newer declarations may be late, since these have not been confirmed in time,
+    /// and when they are confirmed again.
     pub(super) fn log_unconfirmed_declarations(&self, state: &mut State) {
         let Some(age_ms) = state.declared.confirmed_age_ms(self.now_ms()) else {
             return;
         };
-        let is_unconfirmed = age_ms > UNCONFIRMED_AGE_MS;
+        let is_unconfirmed = age_ms > DECLARATIONS_IN_FORCE_MS;
         if std::mem::replace(&mut state.declared.is_unconfirmed, is_unconfirmed) == is_unconfirmed {
             return;
         }
@@ -183,17 +163,18 @@
             let known = state.declared.table.is_some();
             if !known || state.declared.is_behind(declarations.revision) {
                 let link = state.peers.links.get(&link);
-                let name = link.map_or_else(String::new, |link| link.peer.name.clone());
-                self.activate_declarations(state, declarations, Peer(&name), now_ms, effects);
+                let peer = link.map(|link| link.peer.name.clone());
+                self.activate_declarations(state, declarations, peer, now_ms, effects);
             }
         });
     }
 
+    /// Puts declarations in force; `peer` sent them, unless they were read from the store.
     fn activate_declarations(
         &self,
         state: &mut State,
         declarations: Declarations,
-        source: DeclarationSource<'_>,
+        peer: Option<String>,
         now_ms: u64,
         effects: &mut Effects,
     ) {
@@ -202,7 +183,7 @@
         let confirmed_ms = declared.confirmed_ms;
         info!(self.log, "declarations in force"; "version" => declarations.version,
             "revision" => declarations.revision, "before" => declared.revision(),
-            "peer" => source.peer(), "routes" => declarations.routes.len(),
+            "peer" => peer, "routes" => declarations.routes.len(),
             "closed" => ?declarations.closed_domains,
             "confirmed_ms_ago" => declared.confirmed_age_ms(now_ms));
         declared.table = Some(Rc::new(RouteTable::new(declarations)));
