instance: log and metrics tell who was asked for declarations, and how reads of them went

New lines 'declarations requested', 'declarations sent', 'slow read of the declarations' and 'read of the declarations failed', and three counters. No decision changes.

--- a/crates/instance/src/instance/frames.rs
+++ b/crates/instance/src/instance/frames.rs
@@ -178,6 +178,9 @@
             .is_some_and(|at_ms| now_ms < at_ms + CONFIG_REQUEST_INTERVAL_MS);
         if now_ms >= since_ms + CONFIG_REQUEST_DELAY_MS && !recently_requested {
             link.config_requested_ms = Some(now_ms);
+            self.metrics.declaration_requests.inc();
+            info!(self.log, "declarations requested"; "peer" => &link.peer.name,
+                "revision" => revision, "behind_ms" => now_ms.saturating_sub(since_ms));
             link.sender
                 .send(encode(Body::ConfigRequest(ConfigRequest { revision })));
         }
@@ -200,6 +203,11 @@
         };
         match serde_json::to_vec(table.declarations()) {
             Ok(body) => {
+                self.metrics
+                    .declaration_bytes_sent
+                    .inc_by(body.len() as u64);
+                info!(self.log, "declarations sent"; "peer" => &link.peer.name,
+                    "revision" => table.revision(), "bytes" => body.len());
                 link.sender.send(encode(Body::Config(ConfigPush {
                     revision: table.revision(),
                     body: body.into(),
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -35,6 +35,12 @@
     pub(crate) stale_results: IntCounter,
     /// Reads of the declarations because no peer confirmed them.
     pub(crate) unconfirmed_reads: IntCounter,
+    /// Failed reads of the declarations.
+    pub(crate) declaration_read_failures: IntCounter,
+    /// Requests for declarations sent to peers.
+    pub(crate) declaration_requests: IntCounter,
+    /// Bytes of declarations sent to peers.
+    pub(crate) declaration_bytes_sent: IntCounter,
     /// Requests that are malformed, match no route or come before the declarations.
     pub bad_requests: IntCounter,
     jobs_awaited: IntGauge,
@@ -91,6 +97,21 @@
                 "trefoil_unconfirmed_reads_total",
                 "Reads of the declarations because no peer confirmed them.",
             )?,
+            declaration_read_failures: counter(
+                &registry,
+                "trefoil_declaration_read_failures_total",
+                "Failed reads of the declarations from the store.",
+            )?,
+            declaration_requests: counter(
+                &registry,
+                "trefoil_declaration_requests_total",
+                "Requests for declarations sent to peers.",
+            )?,
+            declaration_bytes_sent: counter(
+                &registry,
+                "trefoil_declaration_bytes_sent_total",
+                "Bytes of declarations sent to peers.",
+            )?,
             bad_requests: counter(
                 &registry,
                 "trefoil_bad_requests_total",
--- a/crates/instance/src/store_polling.rs
+++ b/crates/instance/src/store_polling.rs
@@ -19,6 +19,8 @@
 /// Interval at which the time of the next read is determined again; heartbeats, which confirm
 /// declarations, come as often.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Duration from which a read of the declarations is logged; the store answers in 4 ms.
+const SLOW_READ_MS: u64 = 250;
 /// Interval between renewals of the registration; a third of its TTL.
 const REGISTRATION_INTERVAL: Duration = Duration::from_millis(1500);
 /// Delay after a failed registration.
@@ -134,7 +136,18 @@
     instance: &Rc<Instance<P>>,
 ) -> Result<(), StoreError> {
     let began_ms = instance.now_ms();
-    instance.apply_stored_declarations(instance.platform.declarations().await?, began_ms);
+    let read = instance.platform.declarations().await;
+    let took_ms = instance.now_ms().saturating_sub(began_ms);
+    match &read {
+        Ok(_) if took_ms < SLOW_READ_MS => {}
+        Ok(_) => info!(instance.log, "slow read of the declarations"; "took_ms" => took_ms),
+        Err(error) => {
+            instance.metrics.declaration_read_failures.inc();
+            info!(instance.log, "read of the declarations failed"; "took_ms" => took_ms,
+                "error" => %error);
+        }
+    }
+    instance.apply_stored_declarations(read?, began_ms);
     Ok(())
 }
 
