tests: a large change is not in force in time over a slow link (fails)

Eight peers announce declarations of 4,200 routes to an instance that the store does not serve, over a link of 19 Mbit/s that all connections to it share.

--- /dev/null
+++ b/crates/instance/tests/instance/declaration_transfer.rs
@@ -0,0 +1,263 @@
+//! Transfer of declarations from peers, while the store serves none of them.
+
+use std::cell::Cell;
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+use trefoil_instance::declarations::{Declarations, Route};
+use trefoil_instance::instance::Instance;
+use trefoil_instance::metrics::Metrics;
+use trefoil_instance::store_polling;
+use trefoil_schema::dispatch::frame::Body;
+use trefoil_schema::dispatch::{Beat, Claim, ConfigPush, ConfigRequest, Node, OwnedPool};
+
+use crate::support::link::{Link, LinkReader, LinkWriter};
+use crate::support::{DOMAIN, FakePlatform, run, settings};
+
+const PEERS: usize = 8;
+const HEARTBEAT: Duration = Duration::from_millis(100);
+/// In which new declarations must be in force.
+const IN_FORCE: Duration = Duration::from_millis(2000);
+/// Store revision of the peers' declarations.
+const REVISION: u64 = 5;
+/// Number of routes of a large configuration: 758 KB as a peer sends it.
+const ROUTES: usize = 4200;
+/// Bandwidth of a small instance's link, in bytes per second.
+const SLOW_LINK_BYTES_PER_S: f64 = 2_400_000.0;
+/// Size of the pieces in which connections share the link.
+const SLICE_BYTES: usize = 16 * 1024;
+
+/// The link of an instance, shared by all connections to it.
+#[derive(Clone)]
+struct SharedLink {
+    free_at: Rc<Cell<Instant>>,
+    bytes: Rc<Cell<usize>>,
+}
+
+impl SharedLink {
+    fn new() -> Self {
+        Self {
+            free_at: Rc::new(Cell::new(Instant::now())),
+            bytes: Rc::default(),
+        }
+    }
+
+    /// Waits until the link has carried these bytes.
+    async fn carry(&self, bytes: usize) {
+        let duration = Duration::from_secs_f64(bytes as f64 / SLOW_LINK_BYTES_PER_S);
+        let end = self.free_at.get().max(Instant::now()) + duration;
+        self.free_at.set(end);
+        self.bytes.set(self.bytes.get() + bytes);
+        sleep_until(end).await;
+    }
+}
+
+async fn start_instance() -> (Rc<Instance<FakePlatform>>, std::net::SocketAddr) {
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let platform = FakePlatform {
+        pools: 0,
+        workers: None,
+        ..FakePlatform::default()
+    };
+    let instance = Instance::new(settings(), log, Metrics::new().unwrap(), platform);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn_local(Rc::clone(&instance).accept_links(listener));
+    spawn_local(Rc::clone(&instance).tick_forever());
+    store_polling::start(&instance);
+    (instance, address)
+}
+
+/// A heartbeat of an owner that has newer declarations.
+fn heartbeat(peer: &str, number: usize) -> Body {
+    let owner = Node {
+        name: peer.to_owned(),
+        incarnation: 1,
+        failure_domain: DOMAIN.to_owned(),
+        ..Node::default()
+    };
+    let claim = Claim {
+        pool: format!("{DOMAIN}/{number}"),
+        failure_domain: DOMAIN.to_owned(),
+        term: 1,
+        owner: Some(owner),
+    };
+    let owned = OwnedPool {
+        claim: Some(claim),
+        ..OwnedPool::default()
+    };
+    Body::Beat(Beat {
+        owned: vec![owned],
+        declarations_revision: REVISION,
+        ..Beat::default()
+    })
+}
+
+fn large_declarations() -> Bytes {
+    let routes = (0..ROUTES).map(|number| Route {
+        name: format!("r-{number}"),
+        host: "jobs.example".to_owned(),
+        path_prefix: format!("/route-{number}/"),
+        service: "register".to_owned(),
+        ..Route::default()
+    });
+    let declarations = Declarations {
+        version: 2,
+        revision: REVISION,
+        routes: routes.collect(),
+        body_bytes_max: 20_000,
+        ..Declarations::default()
+    };
+    serde_json::to_vec(&declarations).unwrap().into()
+}
+
+/// The answer of a peer to a request for its declarations.
+fn answer(_request: &ConfigRequest, declarations: &Bytes) -> Option<Body> {
+    Some(Body::Config(ConfigPush {
+        revision: REVISION,
+        body: declarations.clone(),
+    }))
+}
+
+/// Sends the frames of a peer, heartbeats included, in order over the shared link.
+async fn send_frames(
+    mut writer: LinkWriter,
+    mut frames: mpsc::UnboundedReceiver<Body>,
+    link: SharedLink,
+) {
+    while let Some(body) = frames.recv().await {
+        let frame = LinkWriter::encode(body);
+        for slice in frame.chunks(SLICE_BYTES) {
+            link.carry(slice.len()).await;
+            if writer.write(slice).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+async fn answer_requests(
+    mut reader: LinkReader,
+    frames: mpsc::UnboundedSender<Body>,
+    declarations: Bytes,
+) {
+    while let Some(body) = reader.next().await {
+        if let Body::ConfigRequest(request) = body
+            && let Some(body) = answer(&request, &declarations)
+        {
+            let _ = frames.send(body);
+        }
+    }
+}
+
+/// A peer that has newer declarations, and connects again when its link is closed.
+async fn run_peer(
+    number: usize,
+    address: std::net::SocketAddr,
+    declarations: Bytes,
+    link: SharedLink,
+) {
+    let name = format!("b-{number}");
+    for incarnation in 1.. {
+        let (reader, writer) = Link::open_as(&name, address, incarnation).await.split();
+        let (frames, queue) = mpsc::unbounded_channel();
+        let sending = spawn_local(send_frames(writer, queue, link.clone()));
+        let reading = spawn_local(answer_requests(
+            reader,
+            frames.clone(),
+            declarations.clone(),
+        ));
+        while !reading.is_finished() && !sending.is_finished() {
+            let _ = frames.send(heartbeat(&name, number));
+            sleep(HEARTBEAT).await;
+        }
+        sending.abort();
+        reading.abort();
+    }
+}
+
+/// Bodies from several peers at once would take longer than a link may be silent, and longer
+/// than new declarations may take to come into force.
+#[test]
+fn large_declarations_are_in_force_in_time_over_a_slow_link() {
+    run(async {
+        let (instance, address) = start_instance().await;
+        let declarations = large_declarations();
+        let link = SharedLink::new();
+        for number in 0..PEERS {
+            spawn_local(run_peer(
+                number,
+                address,
+                declarations.clone(),
+                link.clone(),
+            ));
+        }
+        let began = Instant::now();
+        let in_force = async { while instance.wait_for_declarations().await.is_none() {} };
+        let result = timeout(IN_FORCE, in_force).await;
+        assert!(
+            result.is_ok(),
+            "not in force {:?} after peers had them, {} bytes received of {}",
+            began.elapsed(),
+            link.bytes.get(),
+            declarations.len()
+        );
+    });
+}
+
+/// A peer that does not answer must not make the instance ask all others at once.
+#[test]
+fn declarations_are_requested_from_one_peer_at_a_time() {
+    run(async {
+        let (_instance, address) = start_instance().await;
+        let (requests, mut requested) = mpsc::unbounded_channel();
+        for number in 0..PEERS {
+            let name = format!("b-{number}");
+            let (mut reader, mut writer) = Link::open_as(&name, address, 1).await.split();
+            let requests = requests.clone();
+            spawn_local(async move {
+                while let Some(body) = reader.next().await {
+                    if matches!(body, Body::ConfigRequest(_)) {
+                        let _ = requests.send(number);
+                    }
+                }
+            });
+            spawn_local(async move {
+                let frame = || LinkWriter::encode(heartbeat(&name, number));
+                while writer.write(&frame()).await.is_ok() {
+                    sleep(HEARTBEAT).await;
+                }
+            });
+        }
+        let mut asked = HashSet::from([requested.recv().await.unwrap()]);
+        let window = sleep(IN_FORCE / 8);
+        tokio::pin!(window);
+        loop {
+            tokio::select! {
+                number = requested.recv() => asked.insert(number.unwrap()),
+                () = &mut window => break,
+            };
+        }
+        assert_eq!(
+            asked.len(),
+            1,
+            "peers {asked:?} were asked within {:?}",
+            IN_FORCE / 8
+        );
+        let next = timeout(IN_FORCE / 2, async {
+            loop {
+                let number = requested.recv().await.unwrap();
+                if !asked.contains(&number) {
+                    break;
+                }
+            }
+        });
+        assert!(next.await.is_ok(), "no other peer is asked");
+    });
+}
--- a/crates/instance/tests/instance/support/link.rs
+++ b/crates/instance/tests/instance/support/link.rs
@@ -3,12 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::timeout;
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::{Encoder, Framed, FramedRead, LengthDelimitedCodec};
 use trefoil_schema::dispatch::frame::Body;
 use trefoil_schema::dispatch::{Beat, Frame, Hello, Node};
 
@@ -22,10 +24,15 @@
 impl Link {
     /// Opens a link as an incarnation of the peer "b".
     pub async fn open(address: SocketAddr, incarnation: u64) -> Self {
+        Self::open_as("b", address, incarnation).await
+    }
+
+    /// Opens a link as an incarnation of a peer.
+    pub async fn open_as(name: &str, address: SocketAddr, incarnation: u64) -> Self {
         let stream = TcpStream::connect(address).await.unwrap();
         let framed = Framed::new(stream, LengthDelimitedCodec::new());
         let node = Node {
-            name: "b".to_owned(),
+            name: name.to_owned(),
             incarnation,
             failure_domain: DOMAIN.to_owned(),
             ..Node::default()
@@ -50,6 +57,13 @@
         Frame::decode(frame?.ok()?).unwrap().body
     }
 
+    /// Splits the link for reading and writing at the same time.
+    pub fn split(self) -> (LinkReader, LinkWriter) {
+        let (read, write) = self.0.into_inner().into_split();
+        let frames = FramedRead::new(read, LengthDelimitedCodec::new());
+        (LinkReader(frames), LinkWriter(write))
+    }
+
     /// Reads until the first heartbeat, which shows that the link is up.
     pub async fn read_heartbeat(&mut self) -> Beat {
         loop {
@@ -68,3 +82,33 @@
         heartbeats
     }
 }
+
+/// The receiving half of a link.
+pub struct LinkReader(FramedRead<OwnedReadHalf, LengthDelimitedCodec>);
+
+impl LinkReader {
+    /// The next frame; `None` once the link is closed.
+    pub async fn next(&mut self) -> Option<Body> {
+        let frame = self.0.next().await?.ok()?;
+        Frame::decode(frame).unwrap().body
+    }
+}
+
+/// The sending half of a link.
+pub struct LinkWriter(OwnedWriteHalf);
+
+impl LinkWriter {
+    /// Encodes a frame as it is sent.
+    pub fn encode(body: Body) -> Bytes {
+        let frame = Frame { body: Some(body) }.encode_to_vec();
+        let mut encoded = BytesMut::new();
+        let mut codec = LengthDelimitedCodec::new();
+        codec.encode(Bytes::from(frame), &mut encoded).unwrap();
+        encoded.freeze()
+    }
+
+    /// Sends a part of an encoded frame.
+    pub async fn write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.0.write_all(bytes).await
+    }
+}
