instance: declarations are pulled from one peer at a time, in chunks

Callers were refused with 404, or answered as an older configuration says, up to 13 s after a configuration of 4,246 routes (1 MB) was acknowledged. Twelve of 35 instances, all behind links of 19 Mbit/s, put it in force only after that or not at all; their links to peers broke and came up again for 40 s.

Cause: an instance that learns of newer declarations read the store and, 300 ms later, asked every peer that announced them. A megabyte takes 450 ms over such a link, so that the peers were asked although the read was under way. Up to 34 bodies then shared the link. Heartbeats waited behind them, links were closed as silent, what had arrived was lost and asked for again, and the read of the store ended at its timeout. The class: requests to all that can answer at once, for answers of a size that nothing bounds.

Now a receiver has one source at a time, asks for chunks of 16 KB, four of them ahead, and goes on with another peer where one fell silent. Heartbeats are sent between chunks, and the link carries a body once. A sender serves four receivers at a time and keeps a body until its receivers have it, so that frequent changes do not make them start over. Peers are asked after 600 ms, or at once while reads of the store fail. Requests and bodies of the previous release are understood.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -8,6 +8,7 @@
 //!
 //! * [`fence`]: fencing tokens, ordered by term of ownership, then by a counter.
 //! * [`ownership`]: claims on pools, and which instances to link with.
+//! * [`declaration_transfer`]: transfer of declarations between instances.
 //! * [`retirement`]: closing links that neither side needs.
 //! * [`entry`]: callers' jobs and their delegation.
 //! * [`owner`]: jobs, tasks and workers of one owner.
@@ -20,6 +21,7 @@
 //! The modules do no I/O and read no clock: methods take the current time, in
 //! milliseconds of a monotonic clock, and append commands to a vector.
 
+pub mod declaration_transfer;
 pub mod entry;
 pub mod fence;
 pub mod job;
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -8,6 +8,7 @@
 //! * [`effects`]: executes the commands of the dispatch logic.
 //! * [`calls`]: orders to workers and claim writes to the store.
 //! * [`declared`]: the declarations in force.
+//! * [`transfer`]: declarations sent to and received from peers.
 //! * [`peers`]: links to other instances.
 //! * [`retire`]: closes links that neither side needs.
 //! * [`frames`]: sends and handles frames.
@@ -23,6 +24,7 @@
 mod peers;
 mod retire;
 mod shutdown;
+mod transfer;
 mod workers;
 
 use std::cell::RefCell;
--- a/crates/instance/src/instance/declared.rs
+++ b/crates/instance/src/instance/declared.rs
@@ -3,6 +3,9 @@
 //! They are updated from reads of the store and from peers. Both carry a store
 //! revision, so that a delayed response never replaces a newer one.
 
+use trefoil_core::dispatch::declaration_transfer::{
+    DeclarationReceiver, DeclarationSender, EncodedDeclarations,
+};
 use trefoil_core::dispatch::limits::DECLARATIONS_IN_FORCE_MS;
 
 use crate::declarations::{Declarations, DeclarationsUpdate, RouteTable};
@@ -32,8 +35,10 @@
     confirmed_ms: Option<u64>,
     /// Whether `confirmed_ms` was too long ago at the last check.
     is_unconfirmed: bool,
-    /// Since when a peer has had newer declarations.
-    pub(super) behind_since_ms: Option<u64>,
+    /// `table` as it is sent to peers; `None` until the first of them asks for it.
+    encoded: Option<EncodedDeclarations>,
+    pub(super) receiver: DeclarationReceiver,
+    pub(super) sender: DeclarationSender,
 }
 
 impl DeclarationState {
@@ -75,6 +80,28 @@
         revision > self.confirmed_revision.max(self.revision())
     }
 
+    /// Returns the declarations in force as they are sent to peers, if there are any.
+    ///
+    /// # Errors
+    ///
+    /// If they cannot be encoded.
+    pub(super) fn encoded(&mut self) -> serde_json::Result<Option<EncodedDeclarations>> {
+        let Some(table) = &self.table else {
+            return Ok(None);
+        };
+        if self.encoded.is_none() {
+            let body = serde_json::to_vec(table.declarations())?;
+            self.encoded = Some(EncodedDeclarations::new(table.revision(), body.into()));
+        }
+        Ok(self.encoded.clone())
+    }
+
+    /// Ends the transfers over a link that was closed.
+    pub(super) fn on_link_closed(&mut self, link: u64) {
+        self.receiver.on_link_closed(link);
+        self.sender.on_link_closed(link);
+    }
+
     /// Replaces the routes of `declarations` if those in force have a newer version.
     fn with_newest_routes(&self, declarations: Declarations) -> Declarations {
         let known = self.table.as_ref().map(|table| table.declarations());
@@ -122,6 +149,7 @@
         began_ms: u64,
     ) {
         self.update(|state, now_ms, effects| {
+            state.declared.receiver.on_store_read(true);
             if read.confirmed_revision
                 < state
                     .declared
@@ -138,6 +166,15 @@
         });
     }
 
+    /// Records that the declarations could not be read from the store.
+    pub(crate) fn on_declarations_read_failed(&self) {
+        self.state
+            .borrow_mut()
+            .declared
+            .receiver
+            .on_store_read(false);
+    }
+
     /// Logs when newer declarations may be late, since these have not been confirmed in time,
     /// and when they are confirmed again.
     pub(super) fn log_unconfirmed_declarations(&self, state: &mut State) {
@@ -186,8 +223,9 @@
             "peer" => peer, "routes" => declarations.routes.len(),
             "closed" => ?declarations.closed_domains,
             "confirmed_ms_ago" => declared.confirmed_age_ms(now_ms));
+        declared.receiver.on_in_force(declarations.revision);
         declared.table = Some(Rc::new(RouteTable::new(declarations)));
-        declared.behind_since_ms = None;
+        declared.encoded = None;
         self.declarations_changed.notify_waiters();
         state.assign_workers(now_ms, effects);
         let running_jobs_until_ms = confirmed_ms.map_or(now_ms, |confirmed_ms| {
--- a/crates/instance/src/instance/frames.rs
+++ b/crates/instance/src/instance/frames.rs
@@ -1,9 +1,7 @@
 //! Frames exchanged with other instances over open links.
 
 use trefoil_schema::dispatch::frame::Body;
-use trefoil_schema::dispatch::{
-    Beat, Cancel, ConfigPush, ConfigRequest, Delegate, Ended, Frame, OwnedPool,
-};
+use trefoil_schema::dispatch::{Beat, Cancel, Delegate, Ended, Frame, OwnedPool};
 
 use trefoil_core::dispatch::entry::RevocationCause;
 use trefoil_core::dispatch::owner::JobResult;
@@ -11,19 +9,13 @@
 use super::peers::encode;
 use super::*;
 
-/// Time in which a read of the store may return newer declarations before a peer is
-/// asked for them.
-const CONFIG_REQUEST_DELAY_MS: u64 = 300;
-/// Minimum interval between two requests for declarations to one peer.
-const CONFIG_REQUEST_INTERVAL_MS: u64 = 1000;
-
 impl<P: Store + WorkerClient + 'static> Instance<P> {
     pub(super) fn on_frame(self: &Rc<Self>, id: u64, frame: Frame) {
         let Some(body) = frame.body else {
             return;
         };
         if let Body::Config(push) = body {
-            return self.on_config_push(id, &push);
+            return self.on_declaration_part(id, &push);
         }
         self.update(|state, now_ms, effects| {
             let Some(link) = state.peers.links.get_mut(&id) else {
@@ -54,7 +46,7 @@
                     state.entry.on_job_ended(now_ms, &from, &result, out);
                 }
                 Body::ConfigRequest(request) => {
-                    self.send_declarations(state, id, request.revision);
+                    self.on_declaration_request(state, id, &request, now_ms);
                 }
                 Body::PoolWorkers(reported) => state.on_pool_workers(now_ms, reported),
                 Body::Retire(_) => link.retirement.on_offer_received(),
@@ -126,7 +118,7 @@
                 .on_pool_lost(now_ms, &lost, RevocationCause::OwnerChanged, out);
         }
         if state.declared.is_behind(heartbeat.declarations_revision) {
-            self.fetch_declarations(state, id, now_ms);
+            self.on_newer_declarations_announced(state, id, now_ms);
         } else if let Some(age_ms) = heartbeat.declarations_confirmed_age_ms {
             // The age was determined after the peer had received the heartbeat of `echo_ms`, so
             // that this is not too late, however long the peer's heartbeat was under way.
@@ -161,62 +153,6 @@
             .learn_claim(now_ms, claim, owned.yielded, out);
     }
 
-    /// Fetches newer declarations that a peer has: from the store first, and from the
-    /// peer if that takes too long, so that not every peer sends a large
-    /// configuration.
-    fn fetch_declarations(&self, state: &mut State, id: u64, now_ms: u64) {
-        let since_ms = *state.declared.behind_since_ms.get_or_insert(now_ms);
-        if since_ms == now_ms {
-            self.store_read_requested.notify_waiters();
-        }
-        let revision = state.declared.revision();
-        let Some(link) = state.peers.links.get_mut(&id) else {
-            return;
-        };
-        let recently_requested = link
-            .config_requested_ms
-            .is_some_and(|at_ms| now_ms < at_ms + CONFIG_REQUEST_INTERVAL_MS);
-        if now_ms >= since_ms + CONFIG_REQUEST_DELAY_MS && !recently_requested {
-            link.config_requested_ms = Some(now_ms);
-            self.metrics.declaration_requests.inc();
-            info!(self.log, "declarations requested"; "peer" => &link.peer.name,
-                "revision" => revision, "behind_ms" => now_ms.saturating_sub(since_ms));
-            link.sender
-                .send(encode(Body::ConfigRequest(ConfigRequest { revision })));
-        }
-    }
-
-    fn on_config_push(self: &Rc<Self>, id: u64, push: &ConfigPush) {
-        match serde_json::from_slice(&push.body) {
-            Ok(declarations) => self.apply_peer_declarations(id, declarations),
-            Err(error) => warn!(self.log, "cannot decode a peer's declarations";
-                "revision" => push.revision, "error" => %error),
-        }
-    }
-
-    /// Sends the declarations in force to a peer if they are newer than `revision`.
-    fn send_declarations(&self, state: &State, id: u64, revision: u64) {
-        let newer = state.declared.table();
-        let newer = newer.filter(|known| known.revision() > revision);
-        let (Some(table), Some(link)) = (newer, state.peers.links.get(&id)) else {
-            return;
-        };
-        match serde_json::to_vec(table.declarations()) {
-            Ok(body) => {
-                self.metrics
-                    .declaration_bytes_sent
-                    .inc_by(body.len() as u64);
-                info!(self.log, "declarations sent"; "peer" => &link.peer.name,
-                    "revision" => table.revision(), "bytes" => body.len());
-                link.sender.send(encode(Body::Config(ConfigPush {
-                    revision: table.revision(),
-                    body: body.into(),
-                })));
-            }
-            Err(error) => warn!(self.log, "cannot encode declarations"; "error" => %error),
-        }
-    }
-
     pub(super) fn send_delegate(&self, to: &PoolOwner, delegate: Delegate, effects: &mut Effects) {
         let mut state = self.state.borrow_mut();
         let frame = encode(Body::Delegate(delegate));
--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -55,8 +55,6 @@
     pub(super) retirement: Retirement,
     pub(super) sender: LinkSender,
     pub(super) last_heard_ms: u64,
-    /// When declarations were last requested from the peer.
-    pub(super) config_requested_ms: Option<u64>,
     /// Whether the peer owns a pool, which shortens the link's timeout.
     pub(super) owns_pools: bool,
     /// Latest time of the peer's clock received in its heartbeats.
@@ -202,7 +200,6 @@
                 retirement: Retirement::new(now_ms, side),
                 sender,
                 last_heard_ms: now_ms,
-                config_requested_ms: None,
                 owns_pools: false,
                 peer_sent_ms: 0,
                 _guard: guard,
@@ -246,6 +243,7 @@
         let Some(link) = state.peers.links.remove(&id) else {
             return;
         };
+        state.declared.on_link_closed(id);
         let cause = match (cause, link.retirement.is_offered()) {
             (LinkDownCause::Broken, true) => LinkDownCause::Retired,
             _ => cause,
--- a/crates/instance/src/store_polling.rs
+++ b/crates/instance/src/store_polling.rs
@@ -143,6 +143,7 @@
         Ok(_) => info!(instance.log, "slow read of the declarations"; "took_ms" => took_ms),
         Err(error) => {
             instance.metrics.declaration_read_failures.inc();
+            instance.on_declarations_read_failed();
             info!(instance.log, "read of the declarations failed"; "took_ms" => took_ms,
                 "error" => %error);
         }
--- a/crates/instance/tests/instance/declaration_transfer.rs
+++ b/crates/instance/tests/instance/declaration_transfer.rs
@@ -5,17 +5,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
+use trefoil_core::dispatch::declaration_transfer::{DeclarationSender, EncodedDeclarations};
 use trefoil_instance::declarations::{Declarations, Route};
 use trefoil_instance::instance::Instance;
 use trefoil_instance::metrics::Metrics;
 use trefoil_instance::store_polling;
 use trefoil_schema::dispatch::frame::Body;
-use trefoil_schema::dispatch::{Beat, Claim, ConfigPush, ConfigRequest, Node, OwnedPool};
+use trefoil_schema::dispatch::{Beat, Claim, Node, OwnedPool};
 
 use crate::support::link::{Link, LinkReader, LinkWriter};
 use crate::support::{DOMAIN, FakePlatform, run, settings};
@@ -26,6 +26,8 @@
 const IN_FORCE: Duration = Duration::from_millis(2000);
 /// Store revision of the peers' declarations.
 const REVISION: u64 = 5;
+/// Identifies a peer's link to the instance at the peer.
+const LINK: u64 = 1;
 /// Number of routes of a large configuration: 758 KB as a peer sends it.
 const ROUTES: usize = 4200;
 /// Bandwidth of a small instance's link, in bytes per second.
@@ -99,7 +101,7 @@
     })
 }
 
-fn large_declarations() -> Bytes {
+fn large_declarations() -> EncodedDeclarations {
     let routes = (0..ROUTES).map(|number| Route {
         name: format!("r-{number}"),
         host: "jobs.example".to_owned(),
@@ -114,15 +116,8 @@
         body_bytes_max: 20_000,
         ..Declarations::default()
     };
-    serde_json::to_vec(&declarations).unwrap().into()
-}
-
-/// The answer of a peer to a request for its declarations.
-fn answer(_request: &ConfigRequest, declarations: &Bytes) -> Option<Body> {
-    Some(Body::Config(ConfigPush {
-        revision: REVISION,
-        body: declarations.clone(),
-    }))
+    let body = serde_json::to_vec(&declarations).unwrap();
+    EncodedDeclarations::new(REVISION, body.into())
 }
 
 /// Sends the frames of a peer, heartbeats included, in order over the shared link.
@@ -145,13 +140,14 @@
 async fn answer_requests(
     mut reader: LinkReader,
     frames: mpsc::UnboundedSender<Body>,
-    declarations: Bytes,
+    declarations: EncodedDeclarations,
 ) {
+    let mut sender = DeclarationSender::default();
     while let Some(body) = reader.next().await {
         if let Body::ConfigRequest(request) = body
-            && let Some(body) = answer(&request, &declarations)
+            && let Some(part) = sender.on_request(0, LINK, &request, &declarations)
         {
-            let _ = frames.send(body);
+            let _ = frames.send(Body::Config(part));
         }
     }
 }
@@ -160,7 +156,7 @@
 async fn run_peer(
     number: usize,
     address: std::net::SocketAddr,
-    declarations: Bytes,
+    declarations: EncodedDeclarations,
     link: SharedLink,
 ) {
     let name = format!("b-{number}");
@@ -203,10 +199,9 @@
         let result = timeout(IN_FORCE, in_force).await;
         assert!(
             result.is_ok(),
-            "not in force {:?} after peers had them, {} bytes received of {}",
+            "not in force {:?} after peers had them, {} bytes received",
             began.elapsed(),
-            link.bytes.get(),
-            declarations.len()
+            link.bytes.get()
         );
     });
 }
