trefoild: changes of the configuration are requested from one peer at a time

One request is outstanding now; another peer is asked after 300 ms or an answer.

changes_are_requested_from_one_peer_at_a_time failed before: 8 requests in one round of heartbeats of 8 peers.

--- a/src/sources/config.rs
+++ b/src/sources/config.rs
@@ -24,6 +24,9 @@
 /// Follows the configured prefix in the store's keys of resources.
 const CONFIG_PART: &str = "config/";
 
+/// Time without an answer after which changes are requested from another peer.
+const PEER_REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Starts the task that synchronizes the configuration with the store.
 #[derive(Debug)]
 pub struct ConfigSync;
@@ -38,6 +41,7 @@
             snapshots: watch::Sender::default(),
             watching: watch::Sender::new(true),
             confirmed: Mutex::default(),
+            requested: Mutex::default(),
             store,
             prefix,
         };
@@ -60,6 +64,8 @@
     watching: watch::Sender<bool>,
     /// As of when the store confirmed to this instance that the configuration is the newest one.
     confirmed: Mutex<Option<Instant>>,
+    /// When changes were requested from a peer that has not answered yet.
+    requested: Mutex<Option<Instant>>,
     store: Arc<dyn PlatformStore>,
     prefix: String,
 }
@@ -83,17 +89,32 @@
     /// Applies changes from a peer. If earlier changes are missing, returns a request
     /// to send to the peer.
     pub fn apply_from_peer(&self, changes: &ConfigChanges) -> Option<ConfigRequest> {
+        *self.shared.requested() = None;
         match self.shared.update(|log| log.apply_message(changes)) {
             Applied::Advanced | Applied::AlreadyApplied => None,
-            Applied::Gap { after_revision } => Some(ConfigRequest { after_revision }),
+            Applied::Gap { after_revision } => self.request_changes(after_revision),
         }
     }
 
     /// Returns the request to send to a peer at `peer_revision`, if this instance is
-    /// behind it.
+    /// behind it and waits for no other peer's answer: all peers announce a change within a
+    /// heartbeat, and each would send everything that is missing.
     pub fn request_if_behind(&self, peer_revision: u64) -> Option<ConfigRequest> {
         let after_revision = self.shared.log().revision();
-        (after_revision < peer_revision).then_some(ConfigRequest { after_revision })
+        match after_revision < peer_revision {
+            true => self.request_changes(after_revision),
+            false => None,
+        }
+    }
+
+    /// Returns a request for changes unless one is outstanding.
+    fn request_changes(&self, after_revision: u64) -> Option<ConfigRequest> {
+        let mut requested = self.shared.requested();
+        if requested.is_some_and(|at| at.elapsed() < PEER_REQUEST_TIMEOUT) {
+            return None;
+        }
+        *requested = Some(Instant::now());
+        Some(ConfigRequest { after_revision })
     }
 
     /// Sets whether this instance watches the store or relies on its peers.
@@ -163,6 +184,12 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn requested(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.requested
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     // Published under the lock, so that subscribers never receive an older snapshot.
     fn update(&self, change: impl FnOnce(&mut ConfigLog) -> Applied) -> Applied {
         let mut log = self.log();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod api_page;
 mod caller;
 mod conditions;
+mod config_requests;
 mod ctl;
 mod ctl_operator;
 mod ctl_rollout;
