instance: the route of a request is found by an index of path prefixes

An index by prefix looks up one prefix for each length that occurs. Of equal routes the last one counts, as before; the_route_with_the_longest_prefix_is_found compares with the former rule.

--- a/crates/instance/src/declarations.rs
+++ b/crates/instance/src/declarations.rs
@@ -59,21 +59,43 @@
     pub needs_advice: bool,
 }
 
-/// Declarations with their routes indexed by host, since every request looks up
-/// one of possibly thousands of routes.
+/// Declarations with their routes indexed by host and path prefix, since every request
+/// looks up one of possibly thousands of routes.
 #[derive(Debug, Default)]
 pub struct RouteTable {
     declarations: Declarations,
-    by_host: HashMap<String, Vec<usize>>,
+    by_host: HashMap<String, HostRoutes>,
+}
+
+/// The routes of one host, as indices into the declarations.
+#[derive(Debug, Default)]
+struct HostRoutes {
+    by_prefix: HashMap<String, usize>,
+    /// Lengths of the prefixes; there are far fewer than routes.
+    prefix_bytes: BTreeSet<usize>,
+}
+
+impl HostRoutes {
+    fn insert(&mut self, prefix: &str, index: usize) {
+        self.by_prefix.insert(prefix.to_owned(), index);
+        self.prefix_bytes.insert(prefix.len());
+    }
+
+    fn longest_match(&self, path: &str) -> Option<usize> {
+        let lengths = self.prefix_bytes.range(..=path.len()).rev();
+        let mut prefixes = lengths.filter_map(|&length| path.get(..length));
+        prefixes.find_map(|prefix| self.by_prefix.get(prefix).copied())
+    }
 }
 
 impl RouteTable {
-    /// Builds the index.
-    pub(crate) fn new(declarations: Declarations) -> Self {
-        let mut by_host: HashMap<String, Vec<usize>> = HashMap::new();
+    /// Builds the index. Of routes with the same host and prefix, the last one counts.
+    pub fn new(declarations: Declarations) -> Self {
+        let mut by_host: HashMap<String, HostRoutes> = HashMap::new();
         for (index, route) in declarations.routes.iter().enumerate() {
             let host = route.host.to_ascii_lowercase();
-            by_host.entry(host).or_default().push(index);
+            let routes = by_host.entry(host).or_default();
+            routes.insert(&route.path_prefix, index);
         }
         Self {
             declarations,
@@ -104,8 +126,7 @@
     /// Finds the matching route with the longest path prefix.
     pub fn find_route(&self, host: &str, path: &str) -> Option<&Route> {
         let routes = self.by_host.get(&host.to_ascii_lowercase())?;
-        let routes = routes.iter().map(|&index| &self.declarations.routes[index]);
-        let matching = routes.filter(|route| path.starts_with(&route.path_prefix));
-        matching.max_by_key(|route| route.path_prefix.len())
+        let index = routes.longest_match(path)?;
+        self.declarations.routes.get(index)
     }
 }
