--- a/crates/instance/tests/instance/declaration_transfer.rs
+++ b/crates/instance/tests/instance/declaration_transfer.rs
@@ -15,10 +15,10 @@
 use trefoil_instance::metrics::Metrics;
 use trefoil_instance::store_polling;
 use trefoil_schema::dispatch::frame::Body;
-use trefoil_schema::dispatch::{Beat, Claim, Node, OwnedPool};
+use trefoil_schema::dispatch::{Beat, Node};
 
 use crate::support::link::{Link, LinkReader, LinkWriter};
-use crate::support::{DOMAIN, FakePlatform, run, settings};
+use crate::support::{FakePlatform, node, owned_pool, run, settings};
 
 const PEERS: usize = 8;
 /// Number of instances of a deployment in which not all are linked with each other.
@@ -88,24 +88,8 @@
 
 /// A heartbeat of an owner that has newer declarations.
 fn heartbeat(peer: &str, number: usize) -> Body {
-    let owner = Node {
-        name: peer.to_owned(),
-        incarnation: 1,
-        failure_domain: DOMAIN.to_owned(),
-        ..Node::default()
-    };
-    let claim = Claim {
-        pool: format!("{DOMAIN}/{number}"),
-        failure_domain: DOMAIN.to_owned(),
-        term: 1,
-        owner: Some(owner),
-    };
-    let owned = OwnedPool {
-        claim: Some(claim),
-        ..OwnedPool::default()
-    };
     Body::Beat(Beat {
-        owned: vec![owned],
+        owned: vec![owned_pool(peer, number)],
         declarations_revision: REVISION,
         ..Beat::default()
     })
@@ -175,7 +159,9 @@
 impl ScriptedPeer {
     async fn run(self, address: std::net::SocketAddr) {
         let name = format!("b-{}", self.number);
-        let known: Vec<Node> = (0..self.known).map(other_instance).collect();
+        let known: Vec<Node> = (0..self.known)
+            .map(|number| node(&format!("c-{number}")))
+            .collect();
         for incarnation in 1.. {
             let link = Link::open_and_introduce(&name, address, incarnation, known.clone());
             let (reader, writer) = link.await.split();
@@ -193,15 +179,6 @@
     }
 }
 
-fn other_instance(number: usize) -> Node {
-    Node {
-        name: format!("c-{number}"),
-        incarnation: 1,
-        failure_domain: DOMAIN.to_owned(),
-        ..Node::default()
-    }
-}
-
 /// Bodies from several peers at once would take longer than a link may be silent, and longer
 /// than new declarations may take to come into force.
 #[test]
--- a/crates/instance/tests/instance/store_reads.rs
+++ b/crates/instance/tests/instance/store_reads.rs
@@ -10,11 +10,11 @@
 use trefoil_instance::instance::Instance;
 use trefoil_instance::metrics::Metrics;
 use trefoil_instance::store_polling;
+use trefoil_schema::dispatch::Beat;
 use trefoil_schema::dispatch::frame::Body;
-use trefoil_schema::dispatch::{Beat, Claim, Node, OwnedPool};
 
 use crate::support::link::Link;
-use crate::support::{DOMAIN, FakePlatform, run, settings};
+use crate::support::{FakePlatform, owned_pool, run, settings};
 
 /// Interval of an owner's heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(100);
@@ -26,24 +26,8 @@
 
 /// A heartbeat of the peer "b", which owns a pool.
 fn heartbeat(echo_ms: u64, declarations_confirmed_age_ms: Option<u64>) -> Body {
-    let owner = Node {
-        name: "b".to_owned(),
-        incarnation: 1,
-        failure_domain: DOMAIN.to_owned(),
-        ..Node::default()
-    };
-    let claim = Claim {
-        pool: format!("{DOMAIN}/0"),
-        failure_domain: DOMAIN.to_owned(),
-        term: 1,
-        owner: Some(owner),
-    };
-    let owned = OwnedPool {
-        claim: Some(claim),
-        ..OwnedPool::default()
-    };
     Body::Beat(Beat {
-        owned: vec![owned],
+        owned: vec![owned_pool("b", 0)],
         echo_ms,
         declarations_confirmed_age_ms,
         ..Beat::default()
--- a/crates/instance/tests/instance/support/mod.rs
+++ b/crates/instance/tests/instance/support/mod.rs
@@ -15,7 +15,7 @@
 use trefoil_instance::declarations::{Declarations, DeclarationsUpdate};
 use trefoil_instance::platform::{DeploymentState, Store, StoreError, WorkerClient};
 use trefoil_instance::settings::InstanceSettings;
-use trefoil_schema::dispatch::Node;
+use trefoil_schema::dispatch::{Claim, Node, OwnedPool};
 
 pub const DOMAIN: &str = "forde";
 
@@ -108,6 +108,30 @@
     }
 }
 
+/// An instance of the failure domain.
+pub fn node(name: &str) -> Node {
+    Node {
+        name: name.to_owned(),
+        incarnation: 1,
+        failure_domain: DOMAIN.to_owned(),
+        ..Node::default()
+    }
+}
+
+/// A pool of the failure domain, as its owner announces it.
+pub fn owned_pool(owner: &str, number: usize) -> OwnedPool {
+    let claim = Claim {
+        pool: format!("{DOMAIN}/{number}"),
+        failure_domain: DOMAIN.to_owned(),
+        term: 1,
+        owner: Some(node(owner)),
+    };
+    OwnedPool {
+        claim: Some(claim),
+        ..OwnedPool::default()
+    }
+}
+
 pub fn settings() -> InstanceSettings {
     let any_port = "127.0.0.1:0".parse().unwrap();
     InstanceSettings {
