review: case 3 counts only starts that the rule counts

Now the store turns the owner away for 9 s meanwhile, as the site's `platform_down` may, each instance has an address of the store of its own for that, and only starts later than 5.5 s after the worker's start count.

--- a/review/stand-ins/src/bin/same-id-smaller.rs
+++ b/review/stand-ins/src/bin/same-id-smaller.rs
@@ -1,4 +1,5 @@
-//! A worker starts again under its id, as one of a smaller kind.
+//! The store turns the owner of a zone's workers away; meanwhile a worker starts again under its id,
+//! as one of a smaller kind.
 
 use std::process::ExitCode;
 use std::thread::sleep;
@@ -34,26 +35,46 @@
 
 /// How long a worker is down.
 const DOWN: Duration = Duration::from_millis(300);
-/// Workers that start again, one after the other.
-const RESTARTS: usize = 3;
+/// How long the store turns the owner away.
+const REFUSED: Duration = Duration::from_millis(8500);
+/// Time between two zones.
+const PAUSE: Duration = Duration::from_secs(4);
 
 fn play(case: &Case, deployment: &Deployment) -> Clients {
-    let mut clients = Clients::start(HOST, &[KIND], &deployment.callers(), &deployment.ledger);
-    for zone in 0..RESTARTS {
-        sleep(Duration::from_secs(5));
+    let clients = Clients::start(HOST, &[KIND], &deployment.callers(), &deployment.ledger);
+    let mut clients = clients;
+    sleep(Duration::from_secs(4));
+    for (number, (zone, _)) in PLAN.zones.iter().enumerate() {
+        let owner = deployment.owner_index(zone);
+        let owner = owner.filter(|_| case.wants("refuse"));
+        set_refused(deployment, owner, true);
+        sleep(Duration::from_millis(200));
         if case.wants("restart") {
-            let worker = &deployment.workers[zone * PLAN.workers_per_zone];
+            let worker = &deployment.workers[number * PLAN.workers_per_zone];
             worker.crash();
             sleep(DOWN);
             worker.restart(SMALLER_CPU);
         }
+        sleep(REFUSED);
+        set_refused(deployment, owner, false);
+        sleep(PAUSE);
     }
-    sleep(Duration::from_secs(4));
     clients.stop();
     sleep(Duration::from_secs(4));
     clients
 }
 
+fn set_refused(deployment: &Deployment, owner: Option<usize>, is_refused: bool) {
+    let Some(owner) = owner else {
+        return;
+    };
+    deployment.gates[owner].set_refused(is_refused);
+    let name = &deployment.entries[owner].name;
+    let verb = if is_refused { "turns away" } else { "serves" };
+    let event = format!("TROUBLE: the store {verb} {name}, the owner of its zone's workers");
+    deployment.ledger.note(event);
+}
+
 fn main() -> ExitCode {
     run("LIMIT", &PLAN, play, Ledger::limit_breaks)
 }
--- a/review/stand-ins/src/deployment.rs
+++ b/review/stand-ins/src/deployment.rs
@@ -15,7 +15,7 @@
 use crate::json::{Value, object};
 use crate::ledger::Ledger;
 use crate::relay::Relay;
-use crate::store::Store;
+use crate::store::{Gate, Store};
 use crate::worker::{Worker, WorkerSettings};
 
 /// Host of all routes.
@@ -50,6 +50,8 @@
     pub entries: Vec<Entry>,
     /// In front of the link address of each instance.
     pub relays: Vec<Relay>,
+    /// The store's address for each instance.
+    pub gates: Vec<Gate>,
     pub ledger: Ledger,
     directory: PathBuf,
 }
@@ -58,7 +60,7 @@
 /// ports meanwhile.
 fn listener(group: u8, number: usize) -> io::Result<TcpListener> {
     let [_, _, high, low] = std::process::id().to_be_bytes();
-    let ip = Ipv4Addr::new(127, 64 | (high & 0x1f) | group << 5, low, number as u8 + 1);
+    let ip = Ipv4Addr::new(127, 1 + group * 0x20 + (high & 0x1f), low, number as u8 + 1);
     TcpListener::bind((ip, 0))
 }
 
@@ -72,7 +74,7 @@
         let ledger = Ledger::default();
         let directory = env::temp_dir().join(format!("trefoil-review-{}", std::process::id()));
         fs::create_dir_all(&directory)?;
-        let store = Store::start(listener(0, 0)?);
+        let store = Store::start();
         store.put("op/config", &config(plan));
         let mut workers = Vec::new();
         for (zone, _) in plan.zones {
@@ -93,6 +95,7 @@
             workers,
             entries: Vec::new(),
             relays: Vec::new(),
+            gates: Vec::new(),
             ledger,
             directory,
         };
@@ -118,16 +121,19 @@
                 ports.iter().map(TcpListener::local_addr).collect();
             let addresses = addresses?;
             let relay = Relay::start(listener(0, 200 + index)?, addresses[2]);
-            taken.push((name, zone, addresses, relay.address, ports));
+            let gate = self.store.open_gate(listener(2, index)?);
+            let inside = (relay.address, gate.address);
+            taken.push((name, zone, addresses, inside, ports));
             self.relays.push(relay);
+            self.gates.push(gate);
         }
         let seeds: Vec<Value> = taken
             .iter()
             .take(3)
-            .map(|entry| entry.3.to_string().into())
+            .map(|entry| entry.3.0.to_string().into())
             .collect();
         let mut prepared = Vec::new();
-        for (name, zone, addresses, relay, ports) in taken {
+        for (name, zone, addresses, (relay, store), ports) in taken {
             drop(ports);
             let text = |index: usize| Value::from(addresses[index].to_string());
             let mut settings = vec![
@@ -138,7 +144,7 @@
                 ("links_address", text(2)),
                 ("links_advertised_address", relay.to_string().into()),
                 ("metrics_address", text(3)),
-                ("store_address", self.store.address.to_string().into()),
+                ("store_address", store.to_string().into()),
                 ("seeds", seeds.clone().into()),
                 ("cpu_share", Value::Number(CPU_SHARE)),
                 ("cores", 1.into()),
--- a/review/stand-ins/src/store.rs
+++ b/review/stand-ins/src/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -33,24 +34,31 @@
     leases: BTreeMap<u64, (Instant, Duration)>,
 }
 
+/// Address of the store for one instance, which the store may turn away.
+#[derive(Clone)]
+pub struct Gate {
+    pub address: SocketAddr,
+    is_refused: Arc<AtomicBool>,
+}
+
+impl Gate {
+    /// Answers all calls of the instance with 429, or serves it again.
+    pub fn set_refused(&self, is_refused: bool) {
+        self.is_refused.store(is_refused, Ordering::Relaxed);
+    }
+}
+
 /// Handle to the store.
 #[derive(Clone)]
 pub struct Store {
     state: Arc<Mutex<State>>,
-    pub address: SocketAddr,
 }
 
 impl Store {
-    pub fn start(listener: TcpListener) -> Self {
+    pub fn start() -> Self {
         let store = Self {
-            address: listener.local_addr().expect("a bound listener"),
             state: Arc::default(),
         };
-        let server = store.clone();
-        http::serve(listener, move |_| {
-            let server = server.clone();
-            move |request| server.handle(&request)
-        });
         let leases = store.clone();
         thread::spawn(move || {
             loop {
@@ -61,6 +69,23 @@
         store
     }
 
+    /// Serves one instance at an address of its own.
+    pub fn open_gate(&self, listener: TcpListener) -> Gate {
+        let gate = Gate {
+            address: listener.local_addr().expect("a bound listener"),
+            is_refused: Arc::default(),
+        };
+        let (store, is_refused) = (self.clone(), Arc::clone(&gate.is_refused));
+        http::serve(listener, move |_| {
+            let (store, is_refused) = (store.clone(), Arc::clone(&is_refused));
+            move |request| match is_refused.load(Ordering::Relaxed) {
+                true => Reply::Send(429, Value::Null),
+                false => store.handle(&request),
+            }
+        });
+        gate
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no thread panics with the lock")
     }
--- a/review/stand-ins/src/worker.rs
+++ b/review/stand-ins/src/worker.rs
@@ -21,6 +21,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(1500);
 /// Silence after which the platform removes a worker's entry.
 const ENTRY_TIMEOUT: Duration = Duration::from_millis(4500);
+/// "A room that has shrunk counts `contact_ms` and one beat later": 4,000 and 1,500 ms.
+const SHRUNK_GRACE: Duration = Duration::from_millis(5500);
 /// Resolution of ends and of waits for them.
 const STEP: Duration = Duration::from_millis(2);
 /// Longest wait of a hold.
@@ -403,7 +405,12 @@
             record: self.ledger.start(task, run_id, &worker, life.fence),
         });
         let used: u64 = life.runs.iter().map(|run| run.cpu).sum();
-        if used > life.cpu {
+        if used > life.cpu && life.number > 1 && life.started.elapsed() < SHRUNK_GRACE {
+            self.ledger.note(format!(
+                "over capacity, which does not count yet: {worker} at {used} of {} millicores",
+                life.cpu
+            ));
+        } else if used > life.cpu {
             self.ledger.over_capacity(format!(
                 "the start of {task} run {run_id} brings {worker} to {used} of {} millicores",
                 life.cpu
