--- a/review/stand-ins/src/worker.rs
+++ b/review/stand-ins/src/worker.rs
@@ -47,7 +47,10 @@
 
 /// What a worker knows in one life; nothing of it survives a crash.
 struct Life {
+    id: String,
     number: u64,
+    /// When it goes, once it has been told that it is taken away.
+    leaves_at: Option<Instant>,
     /// Unix time of its start in milliseconds.
     born_ms: u64,
     started: Instant,
@@ -67,10 +70,12 @@
 }
 
 impl Life {
-    fn new(number: u64, cpu: u64, clock_start_ms: u64) -> Self {
+    fn new(id: String, number: u64, cpu: u64, clock_start_ms: u64) -> Self {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
         Self {
+            id,
             number,
+            leaves_at: None,
             born_ms: since_epoch.map_or(0, |time| time.as_millis() as u64),
             started: Instant::now(),
             clock_start_ms,
@@ -144,7 +149,6 @@
 /// Handle to a worker.
 #[derive(Clone)]
 pub struct Worker {
-    pub id: String,
     pub zone: String,
     service: String,
     address: SocketAddr,
@@ -172,14 +176,13 @@
         ledger: &Ledger,
     ) -> Self {
         let state = State {
-            life: Life::new(1, settings.cpu, settings.uptime_ms),
+            life: Life::new(settings.id, 1, settings.cpu, settings.uptime_ms),
             is_up: true,
             is_cut: false,
             silent_since: None,
             connections: Vec::new(),
         };
         let worker = Self {
-            id: settings.id,
             zone: settings.zone,
             service: settings.service,
             address: listener.local_addr().expect("a bound listener"),
@@ -218,7 +221,7 @@
             } else {
                 let since = *state.silent_since.get_or_insert_with(Instant::now);
                 if since.elapsed() >= ENTRY_TIMEOUT {
-                    self.store.remove(&self.key());
+                    self.store.remove(&Self::key(&state.life));
                 }
             }
             drop(state);
@@ -226,8 +229,8 @@
         }
     }
 
-    fn key(&self) -> String {
-        format!("servers/{}", self.id)
+    fn key(life: &Life) -> String {
+        format!("servers/{}", life.id)
     }
 
     fn report(&self, life: &mut Life) {
@@ -237,13 +240,25 @@
             ("mem_mb", 32_768.into()),
             ("gpus", 0.into()),
         ]);
-        let entry = object([
+        let remaining = life
+            .leaves_at
+            .map(|at| at.saturating_duration_since(Instant::now()));
+        let remaining_ms = remaining.map_or(Value::Null, |left| (left.as_millis() as u64).into());
+        let mut entry = object([
             ("backend", self.service.as_str().into()),
             ("address", self.address.to_string().into()),
             ("zone", self.zone.as_str().into()),
             ("version", "v1".into()),
             ("slots", 8.into()),
-            ("state", "ready".into()),
+            (
+                "state",
+                if life.leaves_at.is_some() {
+                    "draining"
+                } else {
+                    "ready"
+                }
+                .into(),
+            ),
             ("cold_ms", 0.into()),
             ("capacity", capacity),
             ("labels", vec!["a".into(), "r1".into()].into()),
@@ -251,14 +266,21 @@
             ("sequence", life.sequence.into()),
             ("born", life.born_ms.into()),
         ]);
-        self.store.put(&self.key(), &entry);
+        if let (Value::Object(members), Some(_)) = (&mut entry, life.leaves_at) {
+            members.insert("remaining_ms".to_owned(), remaining_ms);
+        }
+        self.store.put(&Self::key(life), &entry);
     }
 
     /// Crashes: all that runs there ends, and connections break.
     pub fn crash(&self) {
+        self.end_life("crashes");
+    }
+
+    fn end_life(&self, event: &str) {
         let mut state = self.state();
         self.ledger
-            .note(format!("TROUBLE: worker {} crashes", self.id));
+            .note(format!("TROUBLE: worker {} {event}", state.life.id));
         state.life.advance(&self.ledger);
         let now = Instant::now();
         for run in std::mem::take(&mut state.life.runs) {
@@ -275,14 +297,36 @@
     pub fn restart(&self, cpu: u64) {
         let mut state = self.state();
         let number = state.life.number + 1;
-        state.life = Life::new(number, cpu, 0);
+        let id = state.life.id.clone();
+        state.life = Life::new(id.clone(), number, cpu, 0);
         state.is_up = true;
-        let id = &self.id;
         self.ledger.note(format!(
             "TROUBLE: worker {id} starts again under its id, cpu {cpu}, life {number}"
         ));
     }
 
+    /// Tells it that it is taken away after this time, which it reports at once.
+    pub fn reclaim(&self, after: Duration) {
+        let mut state = self.state();
+        state.life.leaves_at = Some(Instant::now() + after);
+        self.report(&mut state.life);
+    }
+
+    /// Takes it away: its entry goes, and all that runs there ends.
+    pub fn take_away(&self) {
+        self.end_life("is taken away");
+        self.store.remove(&Self::key(&self.state().life));
+    }
+
+    /// Another worker comes in its place, under an id of its own.
+    pub fn replace(&self, cpu: u64) {
+        let mut state = self.state();
+        let number = state.life.number + 1;
+        let id = format!("{}-new", state.life.id);
+        state.life = Life::new(id, number, cpu, 0);
+        state.is_up = true;
+    }
+
     /// Cuts it off, or ends the cut. It runs on meanwhile; what was sent to it or by it is lost.
     pub fn set_cut(&self, is_cut: bool) {
         let mut state = self.state();
@@ -293,7 +337,7 @@
             "is reachable again"
         };
         let running = state.life.runs.len();
-        let id = &self.id;
+        let id = &state.life.id;
         self.ledger.note(format!(
             "TROUBLE: worker {id} {event}, {running} runs there"
         ));
@@ -332,7 +376,7 @@
         }
         let is_alive = |state: &State| state.is_up && state.life.number == life;
         let expected = request.headers.get("x-trefoilbay-expect-instance");
-        if expected.is_some_and(|expected| *expected != self.id) {
+        if expected.is_some_and(|expected| *expected != self.state().life.id) {
             return Reply::Send(421, Value::Null);
         }
         let reply = match request.path.as_str() {
@@ -396,7 +440,7 @@
         {
             return conflict(life, "old");
         }
-        let worker = format!("{} (life {})", self.id, life.number);
+        let worker = format!("{} (life {})", life.id, life.number);
         life.runs.push(Run {
             task: task.to_owned(),
             run_id,
@@ -460,7 +504,7 @@
             if !state.life.ends.is_empty() || Instant::now() >= until {
                 let life = &mut state.life;
                 if !std::mem::replace(&mut life.has_listed, true) {
-                    let (id, number, born_ms) = (&self.id, life.number, life.born_ms);
+                    let (id, number, born_ms) = (&life.id, life.number, life.born_ms);
                     self.ledger.note(format!(
                         "first list of runs of {id} (life {number}), born {born_ms}"
                     ));
