logs: the link of a delegation, and the jobs that a lost link pauses

Cause: the records of a link's end and of a delegation could not be joined. Neither end logged which of two links to a peer carried a job, so that a job revoked from an owner that never lost it looked like any other.

Change: links are logged with their number (`link up`, `link down`, `delegated`), `link down` with the number of other links to the peer; an owner logs how many jobs a lost link pauses (`origin disconnected`), and `origin lost` names the link.

--- a/crates/core/src/dispatch/owner/origins.rs
+++ b/crates/core/src/dispatch/owner/origins.rs
@@ -43,8 +43,15 @@
             return self.stop_jobs_of_origin(now_ms, origin, out);
         }
         self.lost_origins.push_back((now_ms, origin));
-        for (_, job) in &mut self.jobs {
-            job.paused |= job.origin == Some(origin);
+        let jobs = self.jobs.values_mut();
+        let mut paused = 0;
+        for job in jobs.filter(|job| job.origin == Some(origin)) {
+            job.paused = true;
+            paused += 1;
+        }
+        if paused > 0 {
+            let detail = format!("{origin:?} jobs {paused}");
+            out.push(Command::Log(LogEvent::pool("origin disconnected", detail)));
         }
         self.queue.invalidate();
     }
@@ -64,7 +71,9 @@
         let keys: Vec<JobKey> = self.jobs.iter().filter_map(of_origin).collect();
         for key in keys {
             let id = self.jobs[key].spec.id.clone();
-            out.push(Command::Log(LogEvent::job("origin lost", &id)));
+            let mut event = LogEvent::job("origin lost", &id);
+            event.detail = format!("{origin:?}");
+            out.push(Command::Log(event));
             self.stop_job(now_ms, key, out);
         }
         self.origin_heartbeats.remove(&origin);
--- a/crates/instance/src/instance/effects.rs
+++ b/crates/instance/src/instance/effects.rs
@@ -57,8 +57,9 @@
                 unsafe_for_ms,
                 unsafe_holder,
             } => {
+                let link = self.state.borrow().peers.link_to(&to.owner);
                 info!(self.log, #WORK_TAG, "delegated"; "job" => &spec.id, "pool" => &to.pool,
-                    "owner" => &to.owner, "age_ms" => spec.age_ms,
+                    "owner" => &to.owner, "link" => link, "age_ms" => spec.age_ms,
                     "last_heard_ms" => last_heard_ms, "unsafe_for_ms" => unsafe_for_ms);
                 let delegate = Delegate {
                     job: Some(spec),
@@ -67,7 +68,7 @@
                     pool: to.pool.clone(),
                 };
                 if to.owner != self.node.name {
-                    self.send_delegate(&to, delegate, &mut effects);
+                    self.send_delegate(&to, link, delegate, &mut effects);
                     return effects;
                 }
                 let mut state = self.state.borrow_mut();
--- a/crates/instance/src/instance/frames.rs
+++ b/crates/instance/src/instance/frames.rs
@@ -153,10 +153,16 @@
             .learn_claim(now_ms, claim, owned.yielded, out);
     }
 
-    pub(super) fn send_delegate(&self, to: &PoolOwner, delegate: Delegate, effects: &mut Effects) {
+    pub(super) fn send_delegate(
+        &self,
+        to: &PoolOwner,
+        link: Option<u64>,
+        delegate: Delegate,
+        effects: &mut Effects,
+    ) {
         let mut state = self.state.borrow_mut();
         let frame = encode(Body::Delegate(delegate));
-        let link = state.peers.link_to(&to.owner);
+        let link = link.and_then(|id| state.peers.links.get(&id));
         let sent = link.is_some_and(|link| link.sender.send(frame));
         if !sent {
             let out = &mut effects.entry;
--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -95,10 +95,11 @@
         links.any(|link| link.peer.incarnation > node.incarnation)
     }
 
-    /// Returns a link to a peer over which jobs may be delegated.
-    pub(super) fn link_to(&self, name: &str) -> Option<&Link> {
-        self.links_to(name)
-            .find(|link| !link.retirement.is_draining())
+    /// Returns the key of a link to a peer over which jobs may be delegated.
+    pub(super) fn link_to(&self, name: &str) -> Option<u64> {
+        let mut links = self.links.iter();
+        let is_usable = |link: &Link| link.peer.name == name && !link.retirement.is_draining();
+        links.find(|(_, link)| is_usable(link)).map(|(&id, _)| id)
     }
 
     /// Extends the timeouts of all links by a time during which this process did not
@@ -188,8 +189,8 @@
         sender: LinkSender,
         guard: LinkGuard,
     ) {
-        info!(self.log, "link up"; "peer" => &node.name, "incarnation" => node.incarnation,
-            "side" => ?side);
+        info!(self.log, "link up"; "link" => id, "peer" => &node.name,
+            "incarnation" => node.incarnation, "side" => ?side);
         self.update(|state, now_ms, effects| {
             for earlier in state.peers.links_to_earlier_incarnations(&node) {
                 self.close_link(state, earlier, LinkDownCause::Superseded, now_ms, effects);
@@ -249,7 +250,8 @@
             _ => cause,
         };
         let name = link.peer.name.clone();
-        info!(self.log, "link down"; "peer" => &name, "cause" => ?cause, "side" => ?link.retirement.side(),
+        info!(self.log, "link down"; "link" => id, "peer" => &name, "cause" => ?cause,
+            "side" => ?link.retirement.side(), "other_links" => state.peers.links_to(&name).count(),
             "last_heard_ms" => now_ms.saturating_sub(link.last_heard_ms));
         state.for_each_owner(effects, |owner, out| {
             owner.on_origin_lost(now_ms, Origin::Link(id), out);
