entry: jobs at an owner whose pools are not known are revoked with its link

The caller of a job on a link that breaks while it is being drained waited until the deadline.

Cause: a draining link's owner is no longer among the pools that jobs are delegated to, and the loss of an owner revoked the jobs of the pools that it was known to own. Jobs that it still had were not among them.

Evidence: jobs_of_a_draining_link_are_revoked_when_it_breaks fails on the code before (nothing is delegated after the delay), and passes with the fix.

Fix: jobs are revoked by the owner that they were delegated to.

--- a/crates/core/src/dispatch/entry/revocation.rs
+++ b/crates/core/src/dispatch/entry/revocation.rs
@@ -44,9 +44,11 @@
 
     /// Revokes the jobs of an owner whose link is down.
     pub fn on_owner_lost(&mut self, now_ms: u64, owner: &str, out: &mut Vec<Command>) {
-        for pool_owner in self.pools_owned_by(owner) {
-            self.on_pool_lost(now_ms, &pool_owner, RevocationCause::LinkLost, out);
-        }
+        // The owner may have jobs although its pools are not known any more.
+        self.stop_delegating_to(owner);
+        let is_at_owner =
+            |job: &EntryJob| matches!(&job.state, JobState::Delegated(to) if to.owner == owner);
+        self.revoke_all(now_ms, RevocationCause::LinkLost, is_at_owner, out);
     }
 
     /// Revokes the jobs of an owner that no longer owns a pool.
@@ -57,16 +59,27 @@
         cause: RevocationCause,
         out: &mut Vec<Command>,
     ) {
-        let state = JobState::Delegated(pool_owner.clone());
-        let delegated = self.jobs.iter().filter(|(_, job)| job.state == state);
-        let ids: Vec<String> = delegated.map(|(id, _)| id.clone()).collect();
-        for id in &ids {
-            self.revoke(now_ms, id, true, cause, out);
-        }
         let known = self.pools.get(&pool_owner.pool);
         if known.is_some_and(|view| view.holder.owner == pool_owner.owner) {
             self.pools.remove(&pool_owner.pool);
         }
+        let state = JobState::Delegated(pool_owner.clone());
+        self.revoke_all(now_ms, cause, |job| job.state == state, out);
+    }
+
+    /// Revokes all jobs that match, then delegates those that may be delegated now.
+    fn revoke_all(
+        &mut self,
+        now_ms: u64,
+        cause: RevocationCause,
+        matches: impl Fn(&EntryJob) -> bool,
+        out: &mut Vec<Command>,
+    ) {
+        let jobs = self.jobs.iter().filter(|(_, job)| matches(job));
+        let ids: Vec<String> = jobs.map(|(id, _)| id.clone()).collect();
+        for id in &ids {
+            self.revoke(now_ms, id, true, cause, out);
+        }
         for id in &ids {
             self.try_delegate(now_ms, id, out);
         }
--- a/crates/core/tests/dispatch_entry.rs
+++ b/crates/core/tests/dispatch_entry.rs
@@ -205,6 +205,21 @@
     assert!(entry.awaited_pools(151).is_empty());
 }
 
+/// Guards against callers that wait until their deadline: jobs at an owner whose link was being
+/// drained were not revoked when that link broke.
+#[test]
+fn jobs_of_a_draining_link_are_revoked_when_it_breaks() {
+    let mut entry = Entry::new("forde");
+    update_pool(&mut entry, 0, "forde/0", "a", 0);
+    submit(&mut entry, 1, 1, "x");
+    entry.stop_delegating_to("a");
+    update_pool(&mut entry, 2, "forde/1", "b", 0);
+    entry.on_owner_lost(3, "a", &mut Vec::new());
+    let mut out = Vec::new();
+    entry.tick(3 + REDELEGATION_DELAY_MS, &mut out);
+    assert_eq!(delegated(&out)[0].0, pool_owner("forde/1", "b"));
+}
+
 #[test]
 fn the_result_of_an_earlier_delegation_is_ignored() {
     // The owner returns a job over one link after it was revoked and delegated to the same
