entry: a delegation is revoked with the link that it was sent over

Cause: the two sides of a delegation disagreed on what ends it. An entry revoked all jobs at an owner when any of its links to the owner ended; the owner paused and stopped only the jobs that had come over that link, as the protocol says ("A delegation lasts only as long as its link"). Two instances have two links where both dialed at once. A job of the other link went on, with leases renewed, while the entry waited for REDELEGATION_DELAY_MS and gave it to another pool. Where the pool still takes jobs, the entry gave it back to the same owner within a heartbeat, which hid the fault.

Fix: the entry keeps the link of each delegation, and revokes, cancels and drains by it. A job whose link ended is delegated at once to the same owner over another link while the owner keeps it, also if its pool takes no other jobs, so that no work is lost. A delegation that cannot be sent returns only its own job. No path revokes by peer any more, whatever ended the link.

`Entry::on_owner_lost` is gone; the tests that called it end the owner's only link instead.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -8,6 +8,7 @@
 //!
 //! * [`fence`]: fencing tokens, ordered by term of ownership, then by a counter.
 //! * [`ownership`]: claims on pools, and which instances to link with.
+//! * [`link`]: what belongs to a link, and what to a peer.
 //! * [`declaration_transfer`]: transfer of declarations between instances.
 //! * [`retirement`]: closing links that neither side needs.
 //! * [`entry`]: callers' jobs and their delegation.
@@ -26,6 +27,7 @@
 pub mod fence;
 pub mod job;
 pub mod limits;
+pub mod link;
 pub mod order;
 pub mod owner;
 pub mod ownership;
--- a/crates/core/src/dispatch/declaration_transfer.rs
+++ b/crates/core/src/dispatch/declaration_transfer.rs
@@ -17,6 +17,8 @@
 use trefoil_schema::dispatch::{ConfigPush, ConfigRequest};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::link::LinkId;
+
 /// Size of a chunk, which takes 7 ms over a link of 19 Mbit/s. Heartbeats are sent between
 /// chunks.
 pub const CHUNK_BYTES: u64 = 16 * 1024;
@@ -32,9 +34,6 @@
 /// windows delay a heartbeat by 220 ms, half of a link's timeout.
 pub const RECEIVERS_MAX: usize = 8;
 
-/// Identifies a link to a peer.
-pub type LinkId = u64;
-
 /// Where newer declarations are requested first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FirstSource {
--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -1,9 +1,10 @@
 //! Callers' jobs at the instance that they were submitted to.
 //!
-//! An entry keeps a job until it is answered and delegates it to one owner at a time.
-//! When that owner is lost, the job is delegated again: at once to the next owner of
-//! the same pool, which sees what runs on its workers, but to an owner of another pool
-//! only after all runs of the job must have ended.
+//! An entry keeps a job until it is answered and delegates it to one owner at a time,
+//! over one link. When that link is lost, the job is delegated again: at once to the
+//! same owner, if another link leads to it, or to the next owner of the same pool, which
+//! sees what runs on its workers, but to an owner of another pool only after all runs of
+//! the job must have ended.
 //!
 //! * [`command`]: commands and answers.
 //! * [`pool_selection`]: selects the pool for a job.
@@ -19,7 +20,8 @@
 
 use trefoil_schema::dispatch::{Claim, Holder, Job as JobSpec, Load, Outcome};
 
-use super::limits::{PLACEMENT_TIMEOUT_MS, REDELEGATION_DELAY_MS};
+use super::limits::{ORIGIN_RECONNECT_GRACE_MS, PLACEMENT_TIMEOUT_MS, REDELEGATION_DELAY_MS};
+use super::link::LinkId;
 use super::owner::JobResult;
 use super::ownership::holder_of;
 
@@ -52,6 +54,11 @@
     holder: Option<Holder>,
     /// Number of the current or last delegation; 0 before the first.
     delegation: u64,
+    /// The link that this delegation was sent over; `None` if it was not sent over any.
+    link: Option<LinkId>,
+    /// Whether this delegation was revoked because its link was lost, so that the owner may
+    /// still have the job.
+    is_detached: bool,
     /// Whether an owner that may have started tasks was lost.
     may_have_run: bool,
     /// Pools whose owners have refused it.
@@ -60,6 +67,12 @@
     refusal: Option<Refusal>,
 }
 
+impl EntryJob {
+    fn is_delegated_over(&self, link: LinkId) -> bool {
+        matches!(self.state, JobState::Delegated(_)) && self.link == Some(link)
+    }
+}
+
 /// The unanswered jobs of this instance's callers.
 #[derive(Debug, Default)]
 pub struct Entry {
@@ -120,6 +133,8 @@
             unsafe_holder: None,
             holder: None,
             delegation: 0,
+            link: None,
+            is_detached: false,
             may_have_run: false,
             refused_by: Vec::new(),
             refusal: None,
@@ -148,8 +163,8 @@
             return;
         };
         if let JobState::Delegated(to) = job.state {
-            let job_id = id.to_owned();
-            out.push(Command::Cancel { to, job_id });
+            let (job_id, link) = (id.to_owned(), job.link);
+            out.push(Command::Cancel { to, link, job_id });
         }
     }
 
@@ -211,6 +226,7 @@
             self.on_pool_lost(now_ms, &previous, RevocationCause::OwnerChanged, out);
         }
         let known = self.pools.get(&claim.pool);
+        let was_known = known.is_some();
         let was_serving = known.is_some_and(|view| view.load.serving);
         let is_serving = load.serving;
         let view = PoolView {
@@ -222,7 +238,7 @@
             delegated_millicores: 0,
         };
         self.pools.insert(claim.pool.clone(), view);
-        if is_serving && !was_serving {
+        if !was_known || (is_serving && !was_serving) {
             self.delegate_waiting(now_ms, out);
         }
     }
@@ -289,6 +305,9 @@
     /// Selects a pool to which a waiting job may be delegated now. Pools with a recent
     /// heartbeat are preferred.
     fn find_pool(&self, now_ms: u64, job: &EntryJob) -> Option<String> {
+        if self.can_reattach(now_ms, job) {
+            return Some(job.unsafe_pool.clone());
+        }
         let is_safe = now_ms >= job.unsafe_until_ms;
         let serving = self.pools.iter().filter(|(_, view)| view.load.serving);
         let allowed = serving.filter(|(pool, _)| {
@@ -329,6 +348,8 @@
         };
         job.state = JobState::Delegated(to.clone());
         job.holder = Some(view.holder.clone());
+        job.link = None;
+        job.is_detached = false;
         job.refusal = None;
         self.last_delegation += 1;
         job.delegation = self.last_delegation;
--- a/crates/core/src/dispatch/entry/command.rs
+++ b/crates/core/src/dispatch/entry/command.rs
@@ -2,6 +2,7 @@
 
 use trefoil_schema::dispatch::{Holder, Job as JobSpec, Outcome};
 
+use super::super::link::LinkId;
 use super::super::owner::JobResult;
 
 /// Identifies a caller's request within the process.
@@ -29,6 +30,8 @@
         job_id: String,
         /// The pool and its owner.
         from: PoolOwner,
+        /// The link that it was delegated over.
+        link: Option<LinkId>,
         /// Why it was revoked.
         cause: RevocationCause,
     },
@@ -45,6 +48,8 @@
     Cancel {
         /// The pool and its owner.
         to: PoolOwner,
+        /// The link that it was delegated over; `None` if this instance is the owner.
+        link: Option<LinkId>,
         /// Id of the job.
         job_id: String,
     },
@@ -60,7 +65,7 @@
 /// Why a job is revoked from an owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RevocationCause {
-    /// The link to the owner is down.
+    /// The link that it was delegated over is down.
     LinkLost,
     /// The pool has another owner, or none.
     OwnerChanged,
--- a/crates/core/src/dispatch/entry/refusal.rs
+++ b/crates/core/src/dispatch/entry/refusal.rs
@@ -92,8 +92,8 @@
             JobState::Delegated(_) => Answer::MayHaveRun { reason },
         };
         if let JobState::Delegated(to) = job.state.clone() {
-            let job_id = id.to_owned();
-            out.push(Command::Cancel { to, job_id });
+            let (job_id, link) = (id.to_owned(), job.link);
+            out.push(Command::Cancel { to, link, job_id });
         }
         self.answer(id, answer, out);
     }
--- a/crates/core/src/dispatch/entry/revocation.rs
+++ b/crates/core/src/dispatch/entry/revocation.rs
@@ -1,5 +1,10 @@
 //! Revocation of jobs from an owner that is lost or returns them.
 //!
+//! A delegation belongs to the link that it was sent over, on both sides: when the link
+//! is lost, the entry revokes exactly the jobs that the owner pauses. The owner keeps them
+//! for [`ORIGIN_RECONNECT_GRACE_MS`], so that they go on if they are delegated to it again
+//! over another link, even if its pool takes no other jobs by then.
+//!
 //! Runs that the owner started may continue until their leases have expired. Its
 //! successor can be given the job sooner, because it sees the runs on the pool's
 //! workers. The job carries the ownership that it was under, so that only the direct
@@ -31,10 +36,30 @@
         waiting.map(|job| job.unsafe_pool.clone()).collect()
     }
 
-    /// Whether jobs are delegated to an owner.
-    pub fn has_jobs_at(&self, owner: &str) -> bool {
-        let mut jobs = self.jobs.values();
-        jobs.any(|job| matches!(&job.state, JobState::Delegated(to) if to.owner == owner))
+    /// Whether delegations over a link are in progress.
+    pub fn has_jobs_over(&self, link: LinkId) -> bool {
+        self.jobs.values().any(|job| job.is_delegated_over(link))
+    }
+
+    /// Records the link that a delegation was sent over.
+    pub fn on_delegation_sent(&mut self, job_id: &str, delegation: u64, link: LinkId) {
+        let job = self.jobs.get_mut(job_id);
+        if let Some(job) = job.filter(|job| job.delegation == delegation) {
+            job.link = Some(link);
+        }
+    }
+
+    /// Handles a delegation that could not be sent, so that the owner does not have it.
+    pub fn on_delegation_not_sent(
+        &mut self,
+        now_ms: u64,
+        job_id: &str,
+        to: &PoolOwner,
+        out: &mut Vec<Command>,
+    ) {
+        self.stop_delegating_to(&to.owner);
+        self.revoke(now_ms, job_id, false, RevocationCause::LinkLost, out);
+        self.try_delegate(now_ms, job_id, out);
     }
 
     /// Stops the delegation of further jobs to an owner; it keeps those that it has.
@@ -42,13 +67,30 @@
         self.pools.retain(|_, view| view.holder.owner != owner);
     }
 
-    /// Revokes the jobs of an owner whose link is down.
-    pub fn on_owner_lost(&mut self, now_ms: u64, owner: &str, out: &mut Vec<Command>) {
-        // The owner may have jobs although its pools are not known any more.
-        self.stop_delegating_to(owner);
-        let is_at_owner =
-            |job: &EntryJob| matches!(&job.state, JobState::Delegated(to) if to.owner == owner);
-        self.revoke_all(now_ms, RevocationCause::LinkLost, is_at_owner, out);
+    /// Revokes the jobs that were delegated over a link that is down. `other_link` is one
+    /// over which jobs can still be delegated to the same `owner`.
+    pub fn on_link_lost(
+        &mut self,
+        now_ms: u64,
+        link: LinkId,
+        owner: &str,
+        other_link: Option<LinkId>,
+        out: &mut Vec<Command>,
+    ) {
+        if other_link.is_none() {
+            self.stop_delegating_to(owner);
+        }
+        let is_affected = |job: &EntryJob| job.is_delegated_over(link);
+        self.revoke_all(now_ms, RevocationCause::LinkLost, is_affected, out);
+    }
+
+    /// Whether the owner that a job was last delegated to can be reached again and still
+    /// keeps the job.
+    pub(super) fn can_reattach(&self, now_ms: u64, job: &EntryJob) -> bool {
+        let view = self.pools.get(&job.unsafe_pool);
+        job.is_detached
+            && now_ms < job.waiting_since_ms + ORIGIN_RECONNECT_GRACE_MS
+            && view.is_some_and(|view| Some(&view.holder) == job.holder.as_ref())
     }
 
     /// Revokes the jobs of an owner that no longer owns a pool.
@@ -100,9 +142,11 @@
             return;
         };
         job.waiting_since_ms = now_ms;
+        job.is_detached = may_run && cause == RevocationCause::LinkLost;
         out.push(Command::Revoked {
             job_id: id.to_owned(),
             from: from.clone(),
+            link: job.link,
             cause,
         });
         if !may_run {
--- a/crates/core/src/dispatch/job.rs
+++ b/crates/core/src/dispatch/job.rs
@@ -5,6 +5,7 @@
 
 use trefoil_schema::dispatch::{Job as JobSpec, Phase};
 
+use super::link::LinkId;
 use super::order::WorkerKey;
 use super::owner::StartBarrier;
 use super::worker::WorkerRecord;
@@ -21,7 +22,7 @@
     /// The entry of this instance.
     Local,
     /// A link from another instance.
-    Link(u64),
+    Link(LinkId),
 }
 
 /// State of a task.
--- a/crates/core/tests/dispatch_declaration_transfer.rs
+++ b/crates/core/tests/dispatch_declaration_transfer.rs
@@ -6,8 +6,9 @@
 use bytes::Bytes;
 use trefoil_core::dispatch::declaration_transfer::{
     CHUNK_BYTES, DeclarationReceiver, DeclarationSender, EncodedDeclarations,
-    FIRST_SOURCE_PATIENCE_MS, FirstSource, LinkId, RECEIVERS_MAX, ReceivedPart, STALL_TIMEOUT_MS,
+    FIRST_SOURCE_PATIENCE_MS, FirstSource, RECEIVERS_MAX, ReceivedPart, STALL_TIMEOUT_MS,
 };
+use trefoil_core::dispatch::link::LinkId;
 use trefoil_schema::dispatch::{ConfigPush, ConfigRequest};
 
 /// Revision of the receiver's declarations.
--- a/crates/core/tests/dispatch_entry.rs
+++ b/crates/core/tests/dispatch_entry.rs
@@ -7,6 +7,7 @@
 use trefoil_core::dispatch::limits::{
     HEARTBEAT_MS, LINK_TIMEOUT_MS, PLACEMENT_TIMEOUT_MS, REDELEGATION_DELAY_MS, VACANT_POOL_WAIT_MS,
 };
+use trefoil_core::dispatch::link::LinkId;
 use trefoil_core::dispatch::owner::JobResult;
 use trefoil_schema::dispatch::{Claim, Load, Node, Outcome};
 
@@ -54,6 +55,26 @@
     }
 }
 
+/// The only link to an owner.
+fn link_to(owner: &str) -> LinkId {
+    LinkId::from(owner.as_bytes()[0])
+}
+
+/// Sends delegations over the links to their owners.
+fn send(entry: &mut Entry, out: &[Command]) {
+    for command in out {
+        if let Command::Delegate { to, spec, .. } = command {
+            entry.on_delegation_sent(&spec.id, spec.delegation, link_to(&to.owner));
+        }
+    }
+}
+
+/// Ends the only link to an owner.
+fn lose_owner(entry: &mut Entry, now_ms: u64, owner: &str, out: &mut Vec<Command>) {
+    entry.on_link_lost(now_ms, link_to(owner), owner, None, out);
+    send(entry, out);
+}
+
 fn update_pool(
     entry: &mut Entry,
     now_ms: u64,
@@ -63,6 +84,7 @@
 ) -> Vec<Command> {
     let mut out = Vec::new();
     entry.update_pool(now_ms, &claim(pool, owner), load(backlog), &mut out);
+    send(entry, &out);
     out
 }
 
@@ -79,6 +101,7 @@
 fn submit(entry: &mut Entry, now_ms: u64, request_id: u64, id: &str) -> Vec<Command> {
     let mut out = Vec::new();
     entry.submit(now_ms, request_id, job(id, 1, 100), FAR_MS, &mut out);
+    send(entry, &out);
     out
 }
 
@@ -135,7 +158,7 @@
     update_pool(&mut entry, 0, "forde/0", "a", 0);
     submit(&mut entry, 1, 1, "x");
     let mut out = Vec::new();
-    entry.on_owner_lost(100, "a", &mut out);
+    lose_owner(&mut entry, 100, "a", &mut out);
     assert!(delegated(&update_pool(&mut entry, 110, "bergen/0", "b", 0)).is_empty());
     let out = update_pool(&mut entry, 120, "forde/0", "c", 0);
     let expected = (
@@ -144,11 +167,11 @@
         Some("a".to_owned()),
     );
     assert_eq!(delegated(&out), [expected]);
-    entry.on_owner_lost(200, "c", &mut Vec::new());
+    lose_owner(&mut entry, 200, "c", &mut Vec::new());
     // Runs of two owners may continue: no successor knows all of them.
     let out = update_pool(&mut entry, 210, "forde/0", "d", 0);
     assert_eq!(delegated(&out)[0].2, None);
-    entry.on_owner_lost(200, "d", &mut Vec::new());
+    lose_owner(&mut entry, 200, "d", &mut Vec::new());
     let mut out = Vec::new();
     entry.tick(200 + REDELEGATION_DELAY_MS, &mut out);
     assert_eq!(delegated(&out)[0].0, pool_owner("bergen/0", "b"));
@@ -167,7 +190,7 @@
             &result("x", outcome),
             &mut out,
         );
-        entry.on_owner_lost(3, "a", &mut out);
+        lose_owner(&mut entry, 3, "a", &mut out);
         entry.tick(3 + PLACEMENT_TIMEOUT_MS, &mut out);
         let (_, answer) = answers(&out)[0];
         assert_eq!(matches!(answer, Answer::MayHaveRun { .. }), may_have_run);
@@ -214,7 +237,7 @@
     submit(&mut entry, 1, 1, "x");
     entry.stop_delegating_to("a");
     update_pool(&mut entry, 2, "forde/1", "b", 0);
-    entry.on_owner_lost(3, "a", &mut Vec::new());
+    lose_owner(&mut entry, 3, "a", &mut Vec::new());
     let mut out = Vec::new();
     entry.tick(3 + REDELEGATION_DELAY_MS, &mut out);
     assert_eq!(delegated(&out)[0].0, pool_owner("forde/1", "b"));
--- a/crates/instance/src/instance/effects.rs
+++ b/crates/instance/src/instance/effects.rs
@@ -82,10 +82,11 @@
             entry::Command::Revoked {
                 job_id,
                 from,
+                link,
                 cause,
             } => {
-                info!(self.log, #WORK_TAG, "delegation revoked"; "job" => job_id, "pool" => from.pool,
-                "owner" => from.owner, "cause" => ?cause);
+                info!(self.log, #WORK_TAG, "delegation revoked"; "job" => job_id,
+                    "pool" => from.pool, "owner" => from.owner, "link" => link, "cause" => ?cause);
                 // Unless the owner is out of reach, the next one has written its claim by
                 // now, and may not be linked.
                 let is_handed_over = cause != RevocationCause::LinkLost;
@@ -104,9 +105,9 @@
                     "outcome" => ?result.outcome, "delegation" => result.delegation,
                     "current_delegation" => delegation);
             }
-            entry::Command::Cancel { to, job_id } => {
+            entry::Command::Cancel { to, link, job_id } => {
                 if to.owner != self.node.name {
-                    self.send_cancel(&to, job_id);
+                    self.send_cancel(to.pool, link, job_id);
                     return effects;
                 }
                 let mut state = self.state.borrow_mut();
--- a/crates/instance/src/instance/frames.rs
+++ b/crates/instance/src/instance/frames.rs
@@ -4,6 +4,7 @@
 use trefoil_schema::dispatch::{Beat, Cancel, Delegate, Ended, Frame, OwnedPool};
 
 use trefoil_core::dispatch::entry::RevocationCause;
+use trefoil_core::dispatch::link::LinkId;
 use trefoil_core::dispatch::owner::JobResult;
 
 use super::peers::encode;
@@ -153,40 +154,49 @@
             .learn_claim(now_ms, claim, owned.yielded, out);
     }
 
+    /// Sends a delegation over a link to the owner, or returns the job to the entry if there
+    /// is no link that takes it.
     pub(super) fn send_delegate(
         &self,
         to: &PoolOwner,
-        link: Option<u64>,
+        link: Option<LinkId>,
         delegate: Delegate,
         effects: &mut Effects,
     ) {
-        let mut state = self.state.borrow_mut();
+        let Some(job) = &delegate.job else {
+            return;
+        };
+        let (job_id, delegation) = (job.id.clone(), job.delegation);
         let frame = encode(Body::Delegate(delegate));
-        let link = link.and_then(|id| state.peers.links.get(&id));
-        let sent = link.is_some_and(|link| link.sender.send(frame));
-        if !sent {
-            let out = &mut effects.entry;
-            state
-                .entry
-                .on_pool_lost(self.now_ms(), to, RevocationCause::LinkLost, out);
+        let mut state = self.state.borrow_mut();
+        let State { peers, entry, .. } = &mut *state;
+        let sent = link.filter(|id| {
+            let link = peers.links.get(id);
+            link.is_some_and(|link| link.sender.send(frame))
+        });
+        match sent {
+            Some(link) => entry.on_delegation_sent(&job_id, delegation, link),
+            None => {
+                let out = &mut effects.entry;
+                entry.on_delegation_not_sent(self.now_ms(), &job_id, to, out);
+            }
         }
     }
 
-    pub(super) fn send_cancel(&self, to: &PoolOwner, job_id: String) {
+    /// Cancels a job over the link that it was delegated over. If that link is down, the
+    /// owner stops the job anyway.
+    pub(super) fn send_cancel(&self, pool: String, link: Option<LinkId>, job_id: String) {
         let state = self.state.borrow();
-        let pool = to.pool.clone();
-        let cancel = encode(Body::Cancel(Cancel { job_id, pool }));
-        // The owner ignores the cancellation except over the job's own link. If that
-        // link is down, the owner cancels the job anyway.
-        for link in state.peers.links_to(&to.owner) {
-            link.sender.send(cancel.clone());
+        if let Some(link) = link.and_then(|id| state.peers.links.get(&id)) {
+            link.sender
+                .send(encode(Body::Cancel(Cancel { job_id, pool })));
         }
     }
 
     pub(super) fn send_ended(&self, link: u64, pool: String, result: JobResult, reason: &str) {
         let state = self.state.borrow();
         if let Some(link) = state.peers.links.get(&link) {
-            // If the link is down, the peer takes its jobs back anyway.
+            // If the link is down, the peer revokes the job anyway.
             link.sender.send(encode(Body::Ended(Ended {
                 job_id: result.job_id,
                 outcome: result.outcome.into(),
--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use tokio::net::{TcpListener, TcpStream};
 use trefoil_core::dispatch::limits::LINK_TIMEOUT_MS;
+use trefoil_core::dispatch::link::LinkId;
 use trefoil_core::dispatch::retirement::{Retirement, Side};
 use trefoil_schema::dispatch::frame::Body;
 use trefoil_schema::dispatch::{Frame, Hello};
@@ -65,8 +66,8 @@
 /// All links, and the state of dialing.
 #[derive(Default)]
 pub(crate) struct Peers {
-    pub(super) links: HashMap<u64, Link>,
-    next_link: u64,
+    pub(super) links: HashMap<LinkId, Link>,
+    next_link: LinkId,
     dialing: HashSet<String>,
     dialed_ms: HashMap<String, u64>,
     seeds_dialed_ms: Option<u64>,
@@ -96,7 +97,7 @@
     }
 
     /// Returns the key of a link to a peer over which jobs may be delegated.
-    pub(super) fn link_to(&self, name: &str) -> Option<u64> {
+    pub(super) fn link_to(&self, name: &str) -> Option<LinkId> {
         let mut links = self.links.iter();
         let is_usable = |link: &Link| link.peer.name == name && !link.retirement.is_draining();
         links.find(|(_, link)| is_usable(link)).map(|(&id, _)| id)
@@ -231,8 +232,8 @@
         });
     }
 
-    /// Removes a closed link: jobs that the peer delegated are stopped, and jobs that
-    /// were delegated to it are taken back.
+    /// Removes a closed link: jobs that were delegated over it are paused by an owner here,
+    /// and revoked by the entry here. Other links to the same peer are not affected.
     pub(super) fn close_link(
         &self,
         state: &mut State,
@@ -256,22 +257,24 @@
         state.for_each_owner(effects, |owner, out| {
             owner.on_origin_lost(now_ms, Origin::Link(id), out);
         });
-        let is_last = state.peers.links_to(&name).next().is_none();
-        if cause == LinkDownCause::Retired {
-            if is_last {
-                state.ownership.on_link_closed(now_ms, &name);
-            }
+        let other_link = match cause {
+            // The other links of the same incarnation are about to be closed as well.
+            LinkDownCause::Superseded | LinkDownCause::Stalled => None,
+            _ => state.peers.link_to(&name),
+        };
+        let out = &mut effects.entry;
+        state.entry.on_link_lost(now_ms, id, &name, other_link, out);
+        if state.peers.links_to(&name).next().is_some() {
             return;
         }
-        if is_last {
-            state.ownership.on_link_down(now_ms, &name);
-            if *name < *self.node.name {
-                // The peer has the smaller name and redials first.
-                state.peers.dialed_ms.insert(name.clone(), now_ms);
-            }
+        if cause == LinkDownCause::Retired {
+            return state.ownership.on_link_closed(now_ms, &name);
+        }
+        state.ownership.on_link_down(now_ms, &name);
+        if *name < *self.node.name {
+            // The peer has the smaller name and redials first.
+            state.peers.dialed_ms.insert(name, now_ms);
         }
-        let out = &mut effects.entry;
-        state.entry.on_owner_lost(now_ms, &name, out);
     }
 
     /// Closes all links after a stall of this process.
--- a/crates/instance/src/instance/retire.rs
+++ b/crates/instance/src/instance/retire.rs
@@ -22,7 +22,7 @@
         let mut steps = Vec::new();
         for (&id, link) in &state.peers.links {
             let retirement = &link.retirement;
-            let has_jobs = retirement.is_draining() && state.entry.has_jobs_at(&link.peer.name);
+            let has_jobs = retirement.is_draining() && state.entry.has_jobs_over(id);
             steps.extend(retirement.next_step(has_jobs).map(|step| (id, step)));
         }
         for (id, step) in steps {
--- a/crates/instance/tests/instance/main.rs
+++ b/crates/instance/tests/instance/main.rs
@@ -6,3 +6,4 @@
 mod store_reads;
 mod support;
 mod suspension;
+mod two_links;
--- a/crates/instance/tests/instance/support/mod.rs
+++ b/crates/instance/tests/instance/support/mod.rs
@@ -1,6 +1,7 @@
 //! A fake platform, and the settings of an instance on it.
 
 pub mod link;
+pub mod peer;
 
 use std::cell::Cell;
 use std::collections::HashMap;
--- /dev/null
+++ b/crates/instance/tests/instance/two_links.rs
@@ -0,0 +1,125 @@
+//! Delegations over one of several links to the same owner.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::task::{JoinHandle, spawn_local};
+use trefoil_core::dispatch::entry::Answer;
+use trefoil_core::dispatch::limits::REDELEGATION_DELAY_MS;
+use trefoil_instance::instance::Instance;
+use trefoil_instance::metrics::Metrics;
+use trefoil_schema::dispatch::{Job, Outcome, Phase};
+
+use crate::support::peer::{Peer, PeerLink, wait_until};
+use crate::support::{FakePlatform, run, settings};
+
+/// Longer than a job waits before another pool can have it.
+const LONGER_THAN_REDELEGATION: Duration = Duration::from_millis(REDELEGATION_DELAY_MS + 300);
+
+/// An instance that knows pools from its links only.
+async fn start() -> (Rc<Instance<FakePlatform>>, SocketAddr) {
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let metrics = Metrics::new().unwrap();
+    let instance = Instance::new(settings(), log, metrics, FakePlatform::default());
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn_local(Rc::clone(&instance).accept_links(listener));
+    spawn_local(Rc::clone(&instance).tick_forever());
+    (instance, address)
+}
+
+fn submit(instance: &Rc<Instance<FakePlatform>>) -> JoinHandle<Answer> {
+    let spec = Job {
+        id: "x".to_owned(),
+        attempts_max: 3,
+        phases: vec![Phase {
+            count: 1,
+            cpu_millicores: 1000,
+            estimate_ms: 3400,
+            ..Phase::default()
+        }],
+        ..Job::default()
+    };
+    let instance = Rc::clone(instance);
+    spawn_local(async move { instance.submit(spec, 8000).await })
+}
+
+/// Opens links of an owner and submits a job, which is delegated over one of them. Then the
+/// owner takes no further jobs, and the other pool does. Returns the link that carried the
+/// job, and the others.
+async fn delegate_over_one_of(
+    count: usize,
+    instance: &Rc<Instance<FakePlatform>>,
+    address: SocketAddr,
+    owner: &Peer,
+    other: &Peer,
+) -> (PeerLink, Vec<PeerLink>, JoinHandle<Answer>) {
+    let mut links = Vec::new();
+    for _ in 0..count {
+        links.push(owner.open(address).await);
+    }
+    let answer = submit(instance);
+    let carriers = |links: &[PeerLink]| {
+        let carries = |link: &PeerLink| !link.delegations().is_empty();
+        links.iter().position(carries)
+    };
+    wait_until("the job is delegated", || carriers(&links).is_some()).await;
+    let carrier = links.remove(carriers(&links).unwrap());
+    owner.set_serving(false);
+    other.set_serving(true);
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    (carrier, links, answer)
+}
+
+/// Guards against a task that runs in two pools: the break of one link to an owner revoked
+/// the jobs that the owner had from another link and went on with.
+#[test]
+fn a_job_stays_with_its_owner_when_another_link_to_it_breaks() {
+    run(async {
+        for count in [2, 3] {
+            let (instance, address) = start().await;
+            let owner = Peer::new("b", 0, true);
+            let other = Peer::new("c", 1, false);
+            let other_link = other.open(address).await;
+            let (carrier, others, answer) =
+                delegate_over_one_of(count, &instance, address, &owner, &other).await;
+            drop(others);
+            tokio::time::sleep(LONGER_THAN_REDELEGATION).await;
+            assert!(other_link.delegations().is_empty(), "the job runs twice");
+            let [delegate] = &carrier.delegations()[..] else {
+                panic!("delegated again: {:?}", carrier.delegations());
+            };
+            carrier.end(delegate, Outcome::Completed).await;
+            assert_eq!(answer.await.unwrap(), Answer::Completed);
+        }
+    });
+}
+
+/// Guards against lost work: the owner keeps a job for a moment after the loss of its link,
+/// also in a pool that takes no other jobs.
+#[test]
+fn a_job_whose_link_breaks_is_delegated_to_its_owner_over_another_link() {
+    run(async {
+        let (instance, address) = start().await;
+        let owner = Peer::new("b", 0, true);
+        let other = Peer::new("c", 1, false);
+        let other_link = other.open(address).await;
+        let (carrier, others, answer) =
+            delegate_over_one_of(2, &instance, address, &owner, &other).await;
+        drop(carrier);
+        let [remaining] = &others[..] else {
+            panic!("two links were opened");
+        };
+        wait_until("the job is delegated again", || {
+            !remaining.delegations().is_empty()
+        })
+        .await;
+        tokio::time::sleep(LONGER_THAN_REDELEGATION).await;
+        assert!(other_link.delegations().is_empty(), "the job runs twice");
+        let delegations = remaining.delegations();
+        remaining.end(&delegations[0], Outcome::Completed).await;
+        assert_eq!(answer.await.unwrap(), Answer::Completed);
+    });
+}
--- a/crates/replay/src/simulation/commands.rs
+++ b/crates/replay/src/simulation/commands.rs
@@ -41,7 +41,7 @@
                     },
                 );
             }
-            entry::Command::Cancel { to, job_id } => {
+            entry::Command::Cancel { to, job_id, .. } => {
                 let pool = self.pool_positions[&to.pool];
                 self.schedule_after(
                     ONE_WAY_MS,
