owner: an earlier delegation does not replace a later one of the same entry

The caller of a job was not answered until its deadline.

Cause: two links between the same instances do not keep an order between them. When an entry's link breaks, it delegates the job again over another one. If the first delegation was still under way on the old link, it arrived after the second; the owner then counted the job to the old link, saw that link end, and stopped the job without a word, as a lost origin's. The entry waited for it.

Fix: a delegation names the incarnation of its entry (`Job.delegator`), within which numbers rise; an owner ignores one that is older than what it has, and logs it. Entries that do not send it are treated as before.

--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -77,6 +77,8 @@
 #[derive(Debug, Default)]
 pub struct Entry {
     local_domain: String,
+    /// Identifies this entry's numbering of delegations; 0 if it has no identity.
+    identity: u64,
     jobs: HashMap<String, EntryJob>,
     requests: HashMap<RequestId, String>,
     /// Number of the last delegation of any job.
@@ -97,6 +99,14 @@
         }
     }
 
+    /// Sets the identity by which owners tell this entry's delegations from those of others
+    /// and of earlier incarnations.
+    #[must_use]
+    pub fn with_identity(mut self, identity: u64) -> Self {
+        self.identity = identity;
+        self
+    }
+
     /// Sets the failure domains that have pools.
     pub fn set_failure_domains(&mut self, names: impl Iterator<Item = String>) {
         self.failure_domains = names.collect();
@@ -355,6 +365,7 @@
         job.delegation = self.last_delegation;
         let mut spec = job.spec.clone();
         spec.delegation = job.delegation;
+        spec.delegator = self.identity;
         spec.age_ms = now_ms.saturating_sub(job.arrived_ms);
         out.push(Command::Delegate {
             to,
--- a/crates/core/src/dispatch/job.rs
+++ b/crates/core/src/dispatch/job.rs
@@ -152,6 +152,13 @@
         }
     }
 
+    /// Whether the same entry delegated it as `spec` before it delegated it as it is here.
+    /// Frames of one link can be overtaken by those of another.
+    pub fn is_earlier_delegation(&self, spec: &JobSpec) -> bool {
+        let is_same_entry = spec.delegator != 0 && spec.delegator == self.spec.delegator;
+        is_same_entry && spec.delegation < self.spec.delegation
+    }
+
     /// Whether no order of an earlier owner can start a task of it any more.
     /// `predecessor_fenced` is whether all workers of the predecessor's roster are
     /// fenced.
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -267,9 +267,16 @@
         let known = self.job_ids.get(&spec.id).copied();
         if let Some(key) = known {
             let job = &mut self.jobs[key];
+            if job.is_earlier_delegation(&spec) {
+                let mut event = LogEvent::job("earlier delegation ignored", &spec.id);
+                let (earlier, current) = (spec.delegation, job.spec.delegation);
+                event.detail = format!("{origin:?} delegation {earlier} current {current}");
+                return out.push(Command::Log(event));
+            }
             if !job.stopping {
                 job.origin = Some(origin);
                 job.spec.delegation = spec.delegation;
+                job.spec.delegator = spec.delegator;
                 job.paused = false;
                 self.queue.invalidate();
                 return self.schedule(now_ms, out);
--- a/crates/core/tests/dispatch_origin.rs
+++ b/crates/core/tests/dispatch_origin.rs
@@ -11,7 +11,8 @@
     LEASE_MS, LINK_TIMEOUT_MS, ORIGIN_RECONNECT_GRACE_MS, START_LEASE_MS,
 };
 use trefoil_core::dispatch::order::{ListedRun, OrderOutcome, Rejection, RunOutcome};
-use trefoil_schema::dispatch::Outcome;
+use trefoil_core::dispatch::owner::Command;
+use trefoil_schema::dispatch::{Job, Outcome};
 
 /// Another link of the same instance.
 const NEXT_LINK: Origin = Origin::Link(8);
@@ -93,6 +94,40 @@
     assert_eq!(job_outcomes(&out), [("a".to_owned(), Outcome::Completed)]);
 }
 
+/// Guards against a job that is stopped while its caller waits for it: a delegation that was
+/// delayed on a link that is about to end arrived after the one that replaced it.
+#[test]
+fn an_earlier_delegation_does_not_replace_a_later_one() {
+    let mut owner = fenced_owner(1, &["w1"]);
+    owner.on_origin_heartbeat(LINK, 9);
+    owner.on_origin_heartbeat(NEXT_LINK, 9);
+    let delegation = |number| Job {
+        delegation: number,
+        delegator: 5,
+        ..job("a", 1, 100)
+    };
+    let mut out = Vec::new();
+    owner.delegate(10, NEXT_LINK, delegation(2), 0, None, &mut out);
+    owner.delegate(11, LINK, delegation(1), 0, None, &mut out);
+    let started = starts(&out);
+    let clock_ms = 50_010;
+    let out = answer_start(&mut owner, 12, &started[0], OrderOutcome::Done { clock_ms });
+    let renewal = &renewals(&out)[0];
+    let mut out = Vec::new();
+    owner.on_origin_lost(13, LINK, &mut out);
+    owner.on_origin_heartbeat(NEXT_LINK, 13 + ORIGIN_RECONNECT_GRACE_MS);
+    owner.tick(13 + ORIGIN_RECONNECT_GRACE_MS, &mut out);
+    assert!(stops(&out).is_empty());
+    let now_ms = 14 + ORIGIN_RECONNECT_GRACE_MS;
+    let completions = vec![completion(1, &started[0])];
+    let out = answer_renewal(&mut owner, now_ms, renewal, renewed(vec![], completions));
+    let ended = out.iter().find_map(|command| match command {
+        Command::JobEnded { origin, result, .. } => Some((*origin, result.delegation)),
+        _ => None,
+    });
+    assert_eq!(ended, Some((NEXT_LINK, 2)));
+}
+
 #[test]
 fn jobs_of_a_disconnected_origin_start_nothing_and_are_stopped_in_time() {
     let mut owner = fenced_owner(1, &["w1"]);
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -46,6 +46,7 @@
 use trefoil_core::dispatch::store_reads::ReadDemand;
 use trefoil_core::dispatch::worker::WorkerRecord;
 use trefoil_schema::dispatch::{Claim, Delegate, Job as JobSpec, Node, Outcome};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Clock;
 use crate::log::{WORK_TAG, unix_ms};
@@ -135,7 +136,7 @@
         let state = State {
             ownership: Ownership::new(0, node.clone()),
             owners: BTreeMap::new(),
-            entry: Entry::new(&settings.failure_domain),
+            entry: Entry::new(&settings.failure_domain).with_identity(identity_of(&node)),
             peers: Peers::default(),
             declared: declared::DeclarationState::default(),
             worker_records: Vec::new(),
@@ -410,6 +411,11 @@
     }
 }
 
+/// Identifies an incarnation of an instance in the delegations of its entry; never 0.
+fn identity_of(node: &Node) -> u64 {
+    xxh3_64_with_seed(node.name.as_bytes(), node.incarnation).max(1)
+}
+
 /// Removes a caller's request when its future is dropped.
 struct RequestGuard<P: Store + WorkerClient + 'static> {
     instance: Rc<Instance<P>>,
