instance: a delayed heartbeat of another link tells no peer's state

What callers saw: found by looking at what else one side tells by peer and the other learns by link. A task could run in two pools.

Cause: an instance sends its heartbeats over all of its links to a peer, and links keep no order between them. A heartbeat from before the sender acquired a pool, late on one link, took the pool away again after a newer one on another link had announced it: the entry revoked the jobs that the owner went on with. So did `leaving`, a pool's load and whether it is yielded regress.

Evidence: a_delayed_heartbeat_of_another_link_revokes_nothing, with the number in the message and no check of it: "the job runs twice". It passes with the check.

Fix: heartbeats are numbered by their sender (`Beat.number`), and only the latest of all links tells the peer's pools, load and declarations. What concerns the link itself, that it is alive and its echo, is taken from every heartbeat.

--- a/crates/core/tests/dispatch_links/simulation.rs
+++ b/crates/core/tests/dispatch_links/simulation.rs
@@ -8,10 +8,10 @@
 use trefoil_core::dispatch::fence::Fence;
 use trefoil_core::dispatch::job::Origin;
 use trefoil_core::dispatch::limits::{HEARTBEAT_MS, LINK_TIMEOUT_MS};
-use trefoil_core::dispatch::link::LinkId;
+use trefoil_core::dispatch::link::{HeartbeatOrder, LinkId};
 use trefoil_core::dispatch::order::{OrderOutcome, RenewOutcome};
 use trefoil_core::dispatch::owner::{self, Owner};
-use trefoil_schema::dispatch::{Claim, Node};
+use trefoil_schema::dispatch::{Claim, Holder, Load, Node};
 
 use crate::dispatch_support::orders::{Order, order_result};
 use crate::dispatch_support::{SimWorker, job};
@@ -69,6 +69,7 @@
     workers: [SimWorker; 2],
     links: Vec<Link>,
     heartbeats: u64,
+    heartbeat_order: HeartbeatOrder,
     answers: BTreeMap<u64, Answer>,
     submitted: u64,
 }
@@ -93,7 +94,7 @@
     pub fn new(choices: &'a mut Unstructured<'b>) -> Self {
         let new_owner = |owner: usize| {
             let fence = Fence::new(1, OWNER_NAMES[owner]);
-            let holder = trefoil_schema::dispatch::Holder {
+            let holder = Holder {
                 term: 1,
                 owner: OWNER_NAMES[owner].to_owned(),
                 incarnation: 0,
@@ -112,6 +113,7 @@
             workers: [worker("w0"), worker("w1")],
             links: Vec::new(),
             heartbeats: 0,
+            heartbeat_order: HeartbeatOrder::default(),
             answers: BTreeMap::new(),
             submitted: 0,
         };
@@ -314,11 +316,15 @@
         &mut self,
         now_ms: u64,
         owner: usize,
-        _number: u64,
-        load: trefoil_schema::dispatch::Load,
+        number: u64,
+        load: Load,
         out: &mut Vec<Command>,
     ) {
-        self.entry.update_pool(now_ms, &claim(owner), load, out);
+        let claim = claim(owner);
+        let peer = claim.owner.as_ref().expect("claims have owners");
+        if self.heartbeat_order.observe(peer, number) {
+            self.entry.update_pool(now_ms, &claim, load, out);
+        }
     }
 
     fn tick(&mut self) -> arbitrary::Result<()> {
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -27,7 +27,7 @@
 mod transfer;
 mod workers;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
@@ -85,6 +85,8 @@
     /// Notifies that new declarations are in force.
     declarations_changed: Notify,
     clock: Clock,
+    /// Number of the last heartbeat.
+    heartbeats_built: Cell<u64>,
     state: RefCell<State>,
 }
 
@@ -161,6 +163,7 @@
             store_read_requested: Notify::new(),
             declarations_changed: Notify::new(),
             clock,
+            heartbeats_built: Cell::new(0),
             state: RefCell::new(state),
         })
     }
--- a/crates/instance/src/instance/frames.rs
+++ b/crates/instance/src/instance/frames.rs
@@ -89,10 +89,16 @@
         now_ms: u64,
         effects: &mut Effects,
     ) {
-        let Some(link) = state.peers.links.get_mut(&id) else {
+        let Peers {
+            links,
+            heartbeat_order,
+            ..
+        } = &mut state.peers;
+        let Some(link) = links.get_mut(&id) else {
             return;
         };
         let name = link.peer.name.clone();
+        let is_latest = heartbeat_order.observe(&link.peer, heartbeat.number);
         link.owns_pools = !heartbeat.owned.is_empty();
         link.peer_sent_ms = link.peer_sent_ms.max(heartbeat.sent_ms);
         // `echo_ms` is the time of the last heartbeat that the peer got over this link.
@@ -101,6 +107,9 @@
                 owner.on_origin_heartbeat(Origin::Link(id), heartbeat.echo_ms);
             }
         }
+        if !is_latest {
+            return;
+        }
         state.ownership.set_peer_leaving(&name, heartbeat.leaving);
         let mut lost_pools = state.entry.pools_owned_by(&name);
         for owned in heartbeat.owned {
--- a/crates/instance/src/instance/heartbeats.rs
+++ b/crates/instance/src/instance/heartbeats.rs
@@ -28,7 +28,10 @@
             load: load_of(&claim.pool),
             yielded,
         });
+        let number = self.heartbeats_built.get() + 1;
+        self.heartbeats_built.set(number);
         Beat {
+            number,
             owned: owned.collect(),
             declarations_revision: state.declared.revision(),
             leaving: state.leaving,
--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use tokio::net::{TcpListener, TcpStream};
 use trefoil_core::dispatch::limits::LINK_TIMEOUT_MS;
-use trefoil_core::dispatch::link::LinkId;
+use trefoil_core::dispatch::link::{HeartbeatOrder, LinkId};
 use trefoil_core::dispatch::retirement::{Retirement, Side};
 use trefoil_schema::dispatch::frame::Body;
 use trefoil_schema::dispatch::{Frame, Hello};
@@ -67,6 +67,7 @@
 #[derive(Default)]
 pub(crate) struct Peers {
     pub(super) links: HashMap<LinkId, Link>,
+    pub(super) heartbeat_order: HeartbeatOrder,
     next_link: LinkId,
     dialing: HashSet<String>,
     dialed_ms: HashMap<String, u64>,
@@ -267,6 +268,7 @@
         if state.peers.links_to(&name).next().is_some() {
             return;
         }
+        state.peers.heartbeat_order.forget(&name);
         if cause == LinkDownCause::Retired {
             return state.ownership.on_link_closed(now_ms, &name);
         }
--- a/crates/instance/tests/instance/support/peer.rs
+++ b/crates/instance/tests/instance/support/peer.rs
@@ -23,6 +23,8 @@
     pool: usize,
     /// Whether its pool takes new jobs, as its heartbeats report.
     is_serving: Rc<Cell<bool>>,
+    /// Number of its last heartbeat.
+    heartbeats: Rc<Cell<u64>>,
 }
 
 impl Peer {
@@ -32,6 +34,7 @@
             name,
             pool,
             is_serving,
+            heartbeats: Rc::default(),
         }
     }
 
@@ -50,6 +53,7 @@
         let beating = spawn_local(send_heartbeats(
             Rc::clone(&writer),
             Rc::clone(&self.is_serving),
+            Rc::clone(&self.heartbeats),
             owned_pool(self.name, self.pool),
         ));
         PeerLink {
@@ -69,9 +73,11 @@
 async fn send_heartbeats(
     writer: Rc<tokio::sync::Mutex<LinkWriter>>,
     is_serving: Rc<Cell<bool>>,
+    heartbeats: Rc<Cell<u64>>,
     owned: OwnedPool,
 ) {
     loop {
+        heartbeats.set(heartbeats.get() + 1);
         let load = Load {
             serving: is_serving.get(),
             capacity_millicores: 16_000,
@@ -83,6 +89,7 @@
                 load: Some(load),
                 ..owned.clone()
             }],
+            number: heartbeats.get(),
             ..Beat::default()
         });
         let encoded = LinkWriter::encode(heartbeat);
--- a/crates/instance/tests/instance/two_links.rs
+++ b/crates/instance/tests/instance/two_links.rs
@@ -10,7 +10,8 @@
 use trefoil_core::dispatch::limits::REDELEGATION_DELAY_MS;
 use trefoil_instance::instance::Instance;
 use trefoil_instance::metrics::Metrics;
-use trefoil_schema::dispatch::{Job, Outcome, Phase};
+use trefoil_schema::dispatch::frame::Body;
+use trefoil_schema::dispatch::{Beat, Job, Outcome, Phase};
 
 use crate::support::peer::{Peer, PeerLink, wait_until};
 use crate::support::{FakePlatform, run, settings};
@@ -123,3 +124,28 @@
         assert_eq!(answer.await.unwrap(), Answer::Completed);
     });
 }
+
+/// Guards against jobs that are revoked from an owner that goes on with them: a heartbeat from
+/// before the owner acquired the pool arrived late over another link.
+#[test]
+fn a_delayed_heartbeat_of_another_link_revokes_nothing() {
+    run(async {
+        let (instance, address) = start().await;
+        let owner = Peer::new("b", 0, true);
+        let other = Peer::new("c", 1, false);
+        let other_link = other.open(address).await;
+        let (carrier, others, answer) =
+            delegate_over_one_of(2, &instance, address, &owner, &other).await;
+        let delayed = Beat {
+            number: 1,
+            ..Beat::default()
+        };
+        others[0].send(Body::Beat(delayed)).await;
+        tokio::time::sleep(LONGER_THAN_REDELEGATION).await;
+        assert!(other_link.delegations().is_empty(), "the job runs twice");
+        let delegations = carrier.delegations();
+        assert_eq!(delegations.len(), 1);
+        carrier.end(&delegations[0], Outcome::Completed).await;
+        assert_eq!(answer.await.unwrap(), Answer::Completed);
+    });
+}
