instance: jobs are delegated over the link that was heard last

What callers saw: found by looking at links that end or are replaced. A job that came just after one of two links had fallen silent was delegated over it, and waited for that link's timeout of 450 ms although the owner could be reached.

Cause: of several links to a peer, any was taken.

Evidence: jobs_are_delegated_over_the_link_that_was_heard_last fails on the code before (the silent link gets the job in one of 8 instances), and passes.

Fix: of the links that are not draining, the one that was heard last is taken. It also is the successor of a link whose end this side has not noticed yet.

--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -5,6 +5,7 @@
 //! the other side at longer ones. In a larger deployment each instance dials its
 //! desired peers, and [`retire`] closes links that are no longer needed.
 
+use std::cmp::Reverse;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
@@ -97,11 +98,14 @@
         links.any(|link| link.peer.incarnation > node.incarnation)
     }
 
-    /// Returns the key of a link to a peer over which jobs may be delegated.
+    /// Returns the link over which jobs are delegated to a peer: of those that are not
+    /// draining, the one that was heard last, since another one may be broken.
     pub(super) fn link_to(&self, name: &str) -> Option<LinkId> {
-        let mut links = self.links.iter();
-        let is_usable = |link: &Link| link.peer.name == name && !link.retirement.is_draining();
-        links.find(|(_, link)| is_usable(link)).map(|(&id, _)| id)
+        let links = self.links.iter();
+        let usable =
+            links.filter(|(_, link)| link.peer.name == name && !link.retirement.is_draining());
+        let latest = usable.max_by_key(|(id, link)| (link.last_heard_ms, Reverse(**id)));
+        latest.map(|(&id, _)| id)
     }
 
     /// Extends the timeouts of all links by a time during which this process did not
--- a/crates/instance/tests/instance/support/peer.rs
+++ b/crates/instance/tests/instance/support/peer.rs
@@ -59,7 +59,8 @@
         PeerLink {
             writer,
             received,
-            tasks: vec![reading, beating],
+            reading,
+            beating,
         }
     }
 }
@@ -104,10 +105,16 @@
 pub struct PeerLink {
     writer: Rc<tokio::sync::Mutex<LinkWriter>>,
     received: Rc<RefCell<Vec<Body>>>,
-    tasks: Vec<JoinHandle<()>>,
+    reading: JoinHandle<()>,
+    beating: JoinHandle<()>,
 }
 
 impl PeerLink {
+    /// Sends no further heartbeats; the link stays open.
+    pub fn fall_silent(&self) {
+        self.beating.abort();
+    }
+
     pub async fn send(&self, body: Body) {
         let encoded = LinkWriter::encode(body);
         self.writer.lock().await.write(&encoded).await.unwrap();
@@ -139,9 +146,8 @@
 
 impl Drop for PeerLink {
     fn drop(&mut self) {
-        for task in &self.tasks {
-            task.abort();
-        }
+        self.reading.abort();
+        self.beating.abort();
     }
 }
 
--- a/crates/instance/tests/instance/two_links.rs
+++ b/crates/instance/tests/instance/two_links.rs
@@ -19,6 +19,9 @@
 /// Longer than a job waits before another pool can have it.
 const LONGER_THAN_REDELEGATION: Duration = Duration::from_millis(REDELEGATION_DELAY_MS + 300);
 
+/// Longer than a heartbeat period, and shorter than the time after which a link is closed.
+const SILENCE: Duration = Duration::from_millis(200);
+
 /// An instance that knows pools from its links only.
 async fn start() -> (Rc<Instance<FakePlatform>>, SocketAddr) {
     let log = slog::Logger::root(slog::Discard, slog::o!());
@@ -149,3 +152,25 @@
         assert_eq!(answer.await.unwrap(), Answer::Completed);
     });
 }
+
+/// Guards against late jobs: one was delegated over a link that had fallen silent, although
+/// another link to its owner was alive.
+#[test]
+fn jobs_are_delegated_over_the_link_that_was_heard_last() {
+    run(async {
+        for _ in 0..8 {
+            let (instance, address) = start().await;
+            let owner = Peer::new("b", 0, true);
+            let silent = owner.open(address).await;
+            let alive = owner.open(address).await;
+            silent.fall_silent();
+            tokio::time::sleep(SILENCE).await;
+            let _answer = submit(&instance);
+            wait_until("the job is delegated", || {
+                !silent.delegations().is_empty() || !alive.delegations().is_empty()
+            })
+            .await;
+            assert!(silent.delegations().is_empty());
+        }
+    });
+}
