entry: a refusal of a job that has just been answered is ignored

A panic would have ended the task that reads the link, and left the job's callers without an answer.

Cause: a refused job is tried elsewhere at once. If all failure domains are closed by then, that attempt answers and removes it, and the refusal went on to read its state. Two links to the owner are enough: the closure arrives over one, the refusal behind it over the other.

Evidence: a_refusal_after_all_failure_domains_were_closed_is_answered panics on the code before ("no entry found for key"), and passes with the fix.

Fix: whether the job still waits is looked up; one that is gone is left alone.

--- a/crates/core/src/dispatch/entry/refusal.rs
+++ b/crates/core/src/dispatch/entry/refusal.rs
@@ -61,9 +61,11 @@
         if may_retry {
             self.try_delegate(now_ms, id, out);
         }
-        let is_delegated = self.jobs[id].state != JobState::Waiting;
-        let waits = may_retry && now_ms < until_ms && self.has_vacant_pool();
-        if !is_delegated && !waits {
+        // The job is gone if it was answered because all failure domains are closed.
+        let job = self.jobs.get(id);
+        let is_waiting = job.is_some_and(|job| job.state == JobState::Waiting);
+        let may_wait = may_retry && now_ms < until_ms && self.has_vacant_pool();
+        if is_waiting && !may_wait {
             self.abandon(id, NO_CAPACITY, out);
         }
     }
--- a/crates/core/tests/dispatch_entry.rs
+++ b/crates/core/tests/dispatch_entry.rs
@@ -394,3 +394,27 @@
     let out = submit(&mut entry, LINK_TIMEOUT_MS, 1, "j");
     assert!(matches!(&out[..], [Command::Delegate { to, .. }] if to.owner == "a"));
 }
+
+/// Guards against a panic that left callers without answers: a refusal over one of two links
+/// arrived behind the news, over the other one, that all failure domains are closed.
+#[test]
+fn a_refusal_after_all_failure_domains_were_closed_is_answered() {
+    let mut entry = Entry::new("forde");
+    entry.set_failure_domains(std::iter::once("forde".to_owned()));
+    update_pool(&mut entry, 0, "forde/0", "a", 0);
+    submit(&mut entry, 1, 1, "x");
+    let closed = Load {
+        serving: false,
+        closed: true,
+        ..load(0)
+    };
+    entry.update_pool(2, &claim("forde/0", "a"), closed, &mut Vec::new());
+    let mut out = Vec::new();
+    let refusal = result("x", Outcome::NotRun);
+    entry.on_job_ended(3, &pool_owner("forde/0", "a"), &refusal, &mut out);
+    assert!(
+        matches!(answers(&out)[..], [(1, Answer::NotRun { .. })]),
+        "{out:?}"
+    );
+    assert!(entry.is_empty());
+}
