links: a link that has dropped a frame is closed

A result or a cancellation was lost, and its job waited until the deadline.

Cause: a frame for which the send queue had no room was dropped, and the link was closed only if the queue still was full at the next heartbeat. Both sides count on every frame of an open link: an owner does not send a result again.

Evidence: a_link_that_has_dropped_a_frame_is_closed fails on the code before ("the link is still open": 6,000 delegations to a peer that reads again before the next heartbeat), and passes with the fix.

Fix: after the first frame that it could not queue, a link sends none, so that the next heartbeat closes it as congested and both sides take their jobs back.

--- a/crates/instance/src/links.rs
+++ b/crates/instance/src/links.rs
@@ -4,8 +4,10 @@
 //! frames in both directions. Dead peers are detected by missing heartbeats (see
 //! [`instance`](crate::instance)), which is faster than the kernel's timeouts.
 
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -32,13 +34,28 @@
 const READ_BUFFER_BYTES: usize = 4096;
 
 /// Sends frames to one peer; the writer ends when the last clone is dropped.
+///
+/// Both sides rely on every frame of an open link. After the first frame that it could not
+/// queue, a sender queues none, so that the next heartbeat closes the link.
 #[derive(Clone, Debug)]
-pub struct LinkSender(mpsc::Sender<Bytes>);
+pub struct LinkSender {
+    frames: mpsc::Sender<Bytes>,
+    has_dropped: Rc<Cell<bool>>,
+}
 
 impl LinkSender {
-    /// Queues a frame; returns `false` if the queue is full or the link is down.
+    fn new(frames: mpsc::Sender<Bytes>) -> Self {
+        Self {
+            frames,
+            has_dropped: Rc::default(),
+        }
+    }
+
+    /// Queues a frame; returns `false` if the queue is or was full, or the link is down.
     pub fn send(&self, frame: Bytes) -> bool {
-        self.0.try_send(frame).is_ok()
+        let is_queued = !self.has_dropped.get() && self.frames.try_send(frame).is_ok();
+        self.has_dropped.set(!is_queued);
+        is_queued
     }
 }
 
@@ -80,7 +97,7 @@
     let (sender, frames) = mpsc::channel(SEND_QUEUE_FRAMES);
     let writer = tokio::task::spawn_local(write_frames(write, frames));
     Ok(OpenLink {
-        sender: LinkSender(sender),
+        sender: LinkSender::new(sender),
         reader: FrameReader(FramedRead::with_capacity(read, codec(), READ_BUFFER_BYTES)),
         writer,
     })
--- a/crates/instance/tests/instance/main.rs
+++ b/crates/instance/tests/instance/main.rs
@@ -1,5 +1,6 @@
 //! Tests of an instance on a fake platform.
 
+mod congested_link;
 mod declaration_transfer;
 mod pool_workers;
 mod restarted_peer;
