instance: an earlier report of a pool's workers does not replace a later one

A successor that cannot read the registry would start with an outdated list of workers.

Cause: an owner sends the workers of its pool over all links to a peer, which keep no order between them.

Evidence: an_earlier_report_of_another_link_is_ignored fails with the check switched off ("the worker is not known"), and passes with it.

Fix: reports are numbered by their owner; one that is older than the known report of the same incarnation is ignored.

--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -100,6 +100,8 @@
     worker_records: Vec<WorkerRecord>,
     /// Workers of the own failure domain's pools, as last reported by their owners.
     pool_workers: HashMap<String, workers::ReportedWorkers>,
+    /// Number of the last report of a pool's workers.
+    last_report: u64,
     pool_count: u32,
     pending_requests: HashMap<RequestId, oneshot::Sender<Answer>>,
     next_request_id: RequestId,
@@ -143,6 +145,7 @@
             declared: declared::DeclarationState::default(),
             worker_records: Vec::new(),
             pool_workers: HashMap::new(),
+            last_report: 0,
             pool_count: 0,
             pending_requests: HashMap::new(),
             next_request_id: 0,
--- a/crates/instance/src/instance/frames.rs
+++ b/crates/instance/src/instance/frames.rs
@@ -49,7 +49,10 @@
                 Body::ConfigRequest(request) => {
                     self.on_declaration_request(state, id, &request, now_ms);
                 }
-                Body::PoolWorkers(reported) => state.on_pool_workers(now_ms, reported),
+                Body::PoolWorkers(reported) => {
+                    let owner = link.peer.clone();
+                    state.on_pool_workers(now_ms, &owner, reported);
+                }
                 Body::Retire(_) => link.retirement.on_offer_received(),
                 Body::Config(_) | Body::Hello(_) => {}
             }
--- a/crates/instance/src/instance/workers.rs
+++ b/crates/instance/src/instance/workers.rs
@@ -58,7 +58,10 @@
         now_ms: u64,
         effects: &mut Effects,
     ) {
+        self.last_report += 1;
         let reported = ReportedWorkers {
+            reporter: None,
+            number: self.last_report,
             received_ms: now_ms,
             records: records.clone(),
         };
@@ -91,6 +94,7 @@
     fn send_workers_of_pool(&self, now_ms: u64, link: &Link, pool: &str) {
         let reported = self.pool_workers.get(pool);
         let records = reported.map_or(&[][..], |reported| &reported.records);
+        let number = reported.map_or(0, |reported| reported.number);
         let owner = self.owners.get(pool);
         let encode_worker = |record: &WorkerRecord| {
             let remaining_ms = owner.and_then(|owner| owner.remaining_ms(now_ms, &record.id));
@@ -100,17 +104,25 @@
         link.sender.send(encode(Body::PoolWorkers(PoolWorkers {
             pool: pool.to_owned(),
             workers: records.iter().map(encode_worker).collect(),
+            number,
         })));
     }
 
-    /// Stores the workers reported by the owner of a pool.
-    pub(super) fn on_pool_workers(&mut self, now_ms: u64, reported: PoolWorkers) {
-        if self.owners.contains_key(&reported.pool) {
+    /// Stores the workers reported by the owner of a pool, unless a later report of it came
+    /// before over another link.
+    pub(super) fn on_pool_workers(&mut self, now_ms: u64, owner: &Node, reported: PoolWorkers) {
+        let reporter = Some((owner.name.clone(), owner.incarnation));
+        let known = self.pool_workers.get(&reported.pool);
+        let is_outdated =
+            known.is_some_and(|known| known.reporter == reporter && known.number > reported.number);
+        if self.owners.contains_key(&reported.pool) || is_outdated {
             return;
         }
         let records = reported.workers.into_iter();
         let records = records.map(|worker| decode_worker(worker, &self.failure_domain));
         let workers = ReportedWorkers {
+            reporter,
+            number: reported.number,
             received_ms: now_ms,
             records: records.collect(),
         };
@@ -121,6 +133,10 @@
 /// Workers of a pool, as its owner read or reported them.
 #[derive(Clone, Debug)]
 pub(super) struct ReportedWorkers {
+    /// Name and incarnation of the owner; `None` if it is this instance.
+    reporter: Option<(String, u64)>,
+    /// Number of the report, which increases at each owner.
+    number: u64,
     /// When they were read, or received from the owner.
     received_ms: u64,
     records: Vec<WorkerRecord>,
--- a/crates/instance/tests/instance/pool_workers.rs
+++ b/crates/instance/tests/instance/pool_workers.rs
@@ -6,6 +6,7 @@
 
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
+use tokio::time::timeout;
 use trefoil_core::dispatch::worker::{Departure, Resources, WorkerRecord};
 use trefoil_instance::instance::Instance;
 use trefoil_instance::metrics::Metrics;
@@ -17,6 +18,8 @@
 use crate::support::{DOMAIN, FakePlatform, run, settings};
 
 const REMAINING_MS: u64 = 5000;
+/// Longer than an instance takes to acquire a vacant pool and to report its workers.
+const TIMEOUT: Duration = Duration::from_secs(3);
 
 fn draining_record() -> WorkerRecord {
     WorkerRecord {
@@ -104,6 +107,7 @@
         let reported = PoolWorkers {
             pool: format!("{DOMAIN}/0"),
             workers: vec![worker],
+            ..PoolWorkers::default()
         };
         link.send(Body::PoolWorkers(reported)).await;
         let waited = Duration::from_millis(300);
@@ -113,3 +117,40 @@
         assert!((1..=passed_ms).contains(&remaining_ms), "{remaining_ms}");
     });
 }
+
+/// Guards against a successor that uses an outdated list of workers: it arrived late over one of
+/// two links to the owner.
+#[test]
+fn an_earlier_report_of_another_link_is_ignored() {
+    run(async {
+        let platform = FakePlatform {
+            workers: None,
+            ..FakePlatform::default()
+        };
+        let (instance, address) = start(platform).await;
+        let mut links = [Link::open(address, 1).await, Link::open(address, 1).await];
+        for link in &mut links {
+            link.read_heartbeat().await;
+        }
+        let worker = Worker {
+            id: "w1".to_owned(),
+            address: "w1:80".to_owned(),
+            service: "register".to_owned(),
+            draining: true,
+            remaining_ms: REMAINING_MS,
+            ..Worker::default()
+        };
+        let [first, second] = &mut links;
+        for (link, number, workers) in [(first, 2, vec![worker]), (second, 1, vec![])] {
+            let reported = PoolWorkers {
+                pool: format!("{DOMAIN}/0"),
+                workers,
+                number,
+            };
+            link.send(Body::PoolWorkers(reported)).await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let remaining_ms = timeout(TIMEOUT, reported_remaining_ms(&instance, address)).await;
+        assert!(remaining_ms.is_ok(), "the worker is not known");
+    });
+}
