--- a/crates/core/tests/dispatch_links/main.rs
+++ b/crates/core/tests/dispatch_links/main.rs
@@ -7,6 +7,7 @@
 mod dispatch_support;
 mod network;
 mod simulation;
+mod workers;
 
 use arbtest::arbitrary::{self, Unstructured};
 use rand::{RngCore, SeedableRng};
--- a/crates/core/tests/dispatch_links/simulation.rs
+++ b/crates/core/tests/dispatch_links/simulation.rs
@@ -13,7 +13,7 @@
 use trefoil_core::dispatch::owner::{self, Owner};
 use trefoil_schema::dispatch::{Claim, Holder, Load, Node};
 
-use crate::dispatch_support::orders::{Order, order_result};
+use crate::dispatch_support::orders::Order;
 use crate::dispatch_support::{SimWorker, job};
 use crate::network::{Frame, Link, Side};
 
@@ -63,13 +63,13 @@
 
 pub struct Simulation<'a, 'b> {
     pub choices: &'a mut Unstructured<'b>,
-    now_ms: u64,
+    pub now_ms: u64,
     queue: BinaryHeap<Reverse<(u64, usize)>>,
     events: HashMap<usize, Event>,
     next_event: usize,
     entry: Entry,
-    owners: [Owner; 2],
-    workers: [SimWorker; 2],
+    pub owners: [Owner; 2],
+    pub workers: [SimWorker; 2],
     links: Vec<Link>,
     heartbeats: u64,
     heartbeat_order: HeartbeatOrder,
@@ -131,7 +131,7 @@
         self.next_event += 1;
     }
 
-    fn latency_ms(&mut self) -> arbitrary::Result<u64> {
+    pub fn latency_ms(&mut self) -> arbitrary::Result<u64> {
         self.choices.int_in_range(1..=3)
     }
 
@@ -188,7 +188,7 @@
         }
     }
 
-    fn with_owner(
+    pub fn with_owner(
         &mut self,
         owner: usize,
         event: impl FnOnce(&mut Owner, u64, &mut Vec<owner::Command>),
@@ -379,14 +379,6 @@
         Ok(())
     }
 
-    fn set_draining(&mut self, owner: usize, draining: bool) -> arbitrary::Result<()> {
-        self.workers[owner].record.draining = draining;
-        let record = self.workers[owner].record.clone();
-        self.with_owner(owner, |owner, now_ms, out| {
-            owner.set_workers(now_ms, vec![record], out);
-        })
-    }
-
     fn fault(&mut self) -> arbitrary::Result<()> {
         let now_ms = self.now_ms;
         let link = self.choices.choose_index(self.links.len())?;
@@ -468,54 +460,6 @@
         }
     }
 
-    fn on_order(&mut self, owner: usize, order: Order) -> arbitrary::Result<()> {
-        let now_ms = self.now_ms;
-        let worker = &mut self.workers[owner];
-        let (outcome, renewed, wait_ms) = match &order {
-            Order::Start(start) => (Some(worker.start(now_ms, start)), None, 0),
-            Order::Stop(stop) => (Some(worker.stop(now_ms, stop)), None, 0),
-            Order::Renew(renewal) => {
-                let wait_ms = renewal.wait_ms.min(40);
-                (None, Some(worker.renew(now_ms, renewal)), wait_ms)
-            }
-        };
-        let result = Event::OrderResult {
-            owner,
-            order,
-            outcome,
-            renewed,
-        };
-        let at_ms = now_ms + wait_ms + self.latency_ms()?;
-        self.schedule(at_ms, result);
-        Ok(())
-    }
-
-    fn on_order_result(
-        &mut self,
-        owner: usize,
-        order: &Order,
-        outcome: Option<OrderOutcome>,
-        renewed: Option<RenewOutcome>,
-    ) -> arbitrary::Result<()> {
-        self.with_owner(owner, |owner, now_ms, out| {
-            match (order, outcome, renewed) {
-                (Order::Start(start), Some(outcome), _) => {
-                    let result = order_result(&start.target, &start.task, start.run_id, outcome);
-                    owner.on_start_result(now_ms, &result, out);
-                }
-                (Order::Stop(stop), Some(outcome), _) => {
-                    let result = order_result(&stop.target, &stop.task, stop.run_id, outcome);
-                    owner.on_stop_result(now_ms, &result, out);
-                }
-                (Order::Renew(renewal), _, Some(renewed)) => {
-                    let (worker, fence) = (renewal.target.worker, renewal.target.fence);
-                    owner.on_renew_result(now_ms, worker, fence, renewal.number, renewed, out);
-                }
-                _ => unreachable!("each order has a result"),
-            }
-        })
-    }
-
     fn check(&mut self) {
         let mut running = BTreeMap::new();
         for worker in &mut self.workers {
--- a/crates/instance/tests/instance/congested_link.rs
+++ b/crates/instance/tests/instance/congested_link.rs
@@ -3,16 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
-use trefoil_instance::instance::Instance;
-use trefoil_instance::metrics::Metrics;
 use trefoil_schema::dispatch::frame::Body;
 use trefoil_schema::dispatch::{Beat, Job, Load, OwnedPool, Phase};
 
 use crate::support::link::Link;
-use crate::support::{FakePlatform, owned_pool, run, settings};
+use crate::support::{FakePlatform, owned_pool, run, start_instance};
 
 /// More frames than a link queues, with more bytes than the kernel buffers.
 const JOBS: usize = 6000;
@@ -54,12 +51,7 @@
 #[test]
 fn a_link_that_has_dropped_a_frame_is_closed() {
     run(async {
-        let log = slog::Logger::root(slog::Discard, slog::o!());
-        let metrics = Metrics::new().unwrap();
-        let instance = Instance::new(settings(), log, metrics, FakePlatform::default());
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        spawn_local(Rc::clone(&instance).accept_links(listener));
+        let (instance, address) = start_instance(FakePlatform::default()).await;
         let mut link = Link::open(address, 1).await;
         link.read_heartbeat().await;
         link.send(heartbeat()).await;
--- a/crates/instance/tests/instance/pool_workers.rs
+++ b/crates/instance/tests/instance/pool_workers.rs
@@ -4,18 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 use trefoil_core::dispatch::worker::{Departure, Resources, WorkerRecord};
 use trefoil_instance::instance::Instance;
-use trefoil_instance::metrics::Metrics;
 use trefoil_instance::store_polling;
 use trefoil_schema::dispatch::frame::Body;
 use trefoil_schema::dispatch::{PoolWorkers, Worker};
 
 use crate::support::link::Link;
-use crate::support::{DOMAIN, FakePlatform, run, settings};
+use crate::support::{DOMAIN, FakePlatform, run, start_instance};
 
 const REMAINING_MS: u64 = 5000;
 /// Longer than an instance takes to acquire a vacant pool and to report its workers.
@@ -37,16 +35,6 @@
     }
 }
 
-/// An instance on the platform, without ticks.
-async fn start(platform: FakePlatform) -> (Rc<Instance<FakePlatform>>, std::net::SocketAddr) {
-    let log = slog::Logger::root(slog::Discard, slog::o!());
-    let instance = Instance::new(settings(), log, Metrics::new().unwrap(), platform);
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    spawn_local(Rc::clone(&instance).accept_links(listener));
-    (instance, address)
-}
-
 /// Lets the instance own the pool; returns the time until the exit of its worker that it then
 /// reports.
 async fn reported_remaining_ms(
@@ -77,7 +65,7 @@
             workers: Some(vec![draining_record()]),
             ..FakePlatform::default()
         };
-        let (instance, address) = start(platform).await;
+        let (instance, address) = start_instance(platform).await;
         let remaining_ms = reported_remaining_ms(&instance, address).await;
         // The age of the report is not known.
         assert!((1..REMAINING_MS).contains(&remaining_ms), "{remaining_ms}");
@@ -93,7 +81,7 @@
             workers: None,
             ..FakePlatform::default()
         };
-        let (instance, address) = start(platform).await;
+        let (instance, address) = start_instance(platform).await;
         let mut link = Link::open(address, 1).await;
         link.read_heartbeat().await;
         let worker = Worker {
@@ -127,7 +115,7 @@
             workers: None,
             ..FakePlatform::default()
         };
-        let (instance, address) = start(platform).await;
+        let (instance, address) = start_instance(platform).await;
         let mut links = [Link::open(address, 1).await, Link::open(address, 1).await];
         for link in &mut links {
             link.read_heartbeat().await;
--- a/crates/instance/tests/instance/support/mod.rs
+++ b/crates/instance/tests/instance/support/mod.rs
@@ -5,15 +5,19 @@
 
 use std::cell::Cell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
-use tokio::task::LocalSet;
+use tokio::net::TcpListener;
+use tokio::task::{LocalSet, spawn_local};
 use trefoil_core::dispatch::order::{
     OrderOutcome, RenewOrder, RenewOutcome, StartOrder, StopOrder,
 };
 use trefoil_core::dispatch::ownership::{ClaimRecord, ClaimWriteOutcome};
 use trefoil_core::dispatch::worker::WorkerRecord;
 use trefoil_instance::declarations::{Declarations, DeclarationsUpdate};
+use trefoil_instance::instance::Instance;
+use trefoil_instance::metrics::Metrics;
 use trefoil_instance::platform::{DeploymentState, Store, StoreError, WorkerClient};
 use trefoil_instance::settings::InstanceSettings;
 use trefoil_schema::dispatch::{Claim, Node, OwnedPool};
@@ -153,6 +157,16 @@
     }
 }
 
+/// Starts an instance that accepts links at the returned address. It has no timer.
+pub async fn start_instance(platform: FakePlatform) -> (Rc<Instance<FakePlatform>>, SocketAddr) {
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let instance = Instance::new(settings(), log, Metrics::new().unwrap(), platform);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn_local(Rc::clone(&instance).accept_links(listener));
+    (instance, address)
+}
+
 /// Runs a test on a single-threaded runtime.
 pub fn run(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/crates/instance/tests/instance/two_links.rs
+++ b/crates/instance/tests/instance/two_links.rs
@@ -4,17 +4,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::TcpListener;
 use tokio::task::{JoinHandle, spawn_local};
 use trefoil_core::dispatch::entry::Answer;
 use trefoil_core::dispatch::limits::REDELEGATION_DELAY_MS;
 use trefoil_instance::instance::Instance;
-use trefoil_instance::metrics::Metrics;
 use trefoil_schema::dispatch::frame::Body;
 use trefoil_schema::dispatch::{Beat, Job, Outcome, Phase};
 
 use crate::support::peer::{Peer, PeerLink, wait_until};
-use crate::support::{FakePlatform, run, settings};
+use crate::support::{FakePlatform, run, start_instance};
 
 /// Longer than a job waits before another pool can have it.
 const LONGER_THAN_REDELEGATION: Duration = Duration::from_millis(REDELEGATION_DELAY_MS + 300);
@@ -24,12 +22,7 @@
 
 /// An instance that knows pools from its links only.
 async fn start() -> (Rc<Instance<FakePlatform>>, SocketAddr) {
-    let log = slog::Logger::root(slog::Discard, slog::o!());
-    let metrics = Metrics::new().unwrap();
-    let instance = Instance::new(settings(), log, metrics, FakePlatform::default());
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    spawn_local(Rc::clone(&instance).accept_links(listener));
+    let (instance, address) = start_instance(FakePlatform::default()).await;
     spawn_local(Rc::clone(&instance).tick_forever());
     (instance, address)
 }
