logs: whether a lost run had begun, and the lease that its worker had confirmed

'worker lost under task' now says whether the run's start was answered or the run was listed, and for how long the worker still held a lease that it had confirmed: its deadline against an upper bound of the worker's clock. 'worker loss explained' names the worker and the explanation. 'start unanswered' is also logged for a start that a newer fence has replaced. No decision changes.

They tell apart a start that never arrived, a crash after the lease had expired, and a crash under a run, which the records of LOST could not.

--- a/crates/core/src/dispatch/owner/order_results.rs
+++ b/crates/core/src/dispatch/owner/order_results.rs
@@ -21,8 +21,10 @@
             OrderOutcome::Done { clock_ms } => {
                 worker.observe_clock(now_ms, clock_ms);
                 if let Some(position) = position {
-                    let ordered_ms = worker.runs[position].ordered_ms;
+                    let run = &worker.runs[position];
+                    let (ordered_ms, deadline_ms) = (run.ordered_ms, run.lease_deadline_ms);
                     self.answer_timeout.record_answer(now_ms - ordered_ms);
+                    worker.confirm_lease(ordered_ms, deadline_ms, clock_ms);
                     let run = &mut worker.runs[position];
                     if matches!(run.state, RunState::Starting(_)) {
                         run.state = RunState::Running;
@@ -30,16 +32,17 @@
                     }
                 }
             }
-            OrderOutcome::NoAnswer if is_newest => {
+            OrderOutcome::NoAnswer => {
                 self.answer_timeout.record_unanswered();
-                worker.raise_fence();
+                if is_newest {
+                    worker.raise_fence();
+                }
                 out.push(Command::Log(LogEvent::run(
                     "start unanswered",
                     worker,
                     result,
                 )));
             }
-            OrderOutcome::NoAnswer => self.answer_timeout.record_unanswered(),
             OrderOutcome::Fenced if is_newest => self.on_superseded(now_ms, result.worker, out),
             OrderOutcome::WrongIncarnation => self.on_incarnation_ended(now_ms, result.worker, out),
             OrderOutcome::Fenced | OrderOutcome::Rejected(_) => {
--- a/crates/core/src/dispatch/owner/poison_tasks.rs
+++ b/crates/core/src/dispatch/owner/poison_tasks.rs
@@ -72,13 +72,14 @@
         }
         let suspects_tasks = !self.worker_losses.are_correlated();
         for (key, runs) in lost {
-            let record = &self.workers[key].record;
-            let loss = WorkerLoss::new(record, false);
-            let suspects_tasks = suspects_tasks && !record.draining;
+            let worker = &self.workers[key];
+            let loss = WorkerLoss::new(&worker.record, false);
+            let suspects_tasks = suspects_tasks && !worker.record.draining;
+            let lease_ms = confirmed_lease_ms(now_ms, worker);
             for run in runs {
                 self.requeue(now_ms, &run.owner, 0);
                 if suspects_tasks {
-                    self.record_worker_loss(now_ms, loss.clone(), run.owner, out);
+                    self.record_worker_loss(now_ms, loss.clone(), &run, lease_ms, out);
                 }
             }
         }
@@ -94,6 +95,7 @@
     ) {
         self.worker_losses.record(now_ms, &worker.record.id);
         let loss = WorkerLoss::new(&worker.record, true);
+        let lease_ms = confirmed_lease_ms(now_ms, &worker);
         for run in worker.runs {
             self.requeue(now_ms, &run.owner, 0);
             // A start that is not answered yet is rejected by the later incarnation.
@@ -103,7 +105,7 @@
             };
             let is_planned = worker.record.draining;
             if may_have_run && !is_planned && !self.worker_losses.are_correlated() {
-                self.record_worker_loss(now_ms, loss.clone(), run.owner, out);
+                self.record_worker_loss(now_ms, loss.clone(), &run, lease_ms, out);
             }
         }
         self.confirm_crash(now_ms, &worker.record, out);
@@ -113,10 +115,11 @@
         &mut self,
         now_ms: u64,
         loss: WorkerLoss,
-        owner: RunOwner,
+        run: &Run,
+        confirmed_lease_ms: i64,
         out: &mut Vec<Command>,
     ) {
-        let RunOwner::Task(key, index) = owner else {
+        let RunOwner::Task(key, index) = run.owner else {
             return;
         };
         let Some(job) = self.jobs.get_mut(key) else {
@@ -126,7 +129,13 @@
         let mut event = LogEvent::job("worker lost under task", &task.name);
         event.worker = loss.worker_id.to_string();
         task.losses.push(loss);
-        event.detail = losses_detail(task);
+        let state = match run.state {
+            RunState::Starting(_) => "unanswered",
+            RunState::Running => "begun",
+            RunState::Stopping { .. } => "stopping",
+        };
+        let losses = losses_detail(task);
+        event.detail = format!("{state} confirmed_lease_ms {confirmed_lease_ms} {losses}");
         out.push(Command::Log(event));
         if task.is_waiting() && task.losses.len() >= LOSSES_MAX {
             let not_before_ms = now_ms + EXPLANATION_TIMEOUT_MS;
@@ -196,10 +205,14 @@
         let mut explained = Vec::new();
         for (key, job) in &mut self.jobs {
             for (index, task) in job.tasks.iter_mut().enumerate() {
-                if task.is_suspect() && apply_explanation(now_ms, task, &explain) {
+                let explanations = apply_explanation(now_ms, task, &explain);
+                for (worker_id, explanation) in &explanations {
                     let mut event = LogEvent::job("worker loss explained", &task.name);
-                    event.detail = losses_detail(task);
+                    event.worker = worker_id.to_string();
+                    event.detail = format!("{explanation:?} {}", losses_detail(task));
                     out.push(Command::Log(event));
+                }
+                if !explanations.is_empty() {
                     explained.push((key, index));
                 }
             }
@@ -263,28 +276,39 @@
     Crashed,
 }
 
-/// Applies explanations to the losses of a task; returns whether there were any.
+/// Applies explanations to the losses of a task; returns those that were news.
 fn apply_explanation(
     now_ms: u64,
     task: &mut Task,
     explain: impl Fn(&WorkerLoss) -> Explanation,
-) -> bool {
-    let before = task.losses.clone();
-    task.losses.retain_mut(|loss| match explain(loss) {
-        Explanation::None => true,
-        Explanation::Crashed => {
-            loss.has_crashed = true;
-            true
+) -> Vec<(Arc<str>, Explanation)> {
+    let mut explanations = Vec::new();
+    let waited = task.losses.len() >= LOSSES_MAX && task.is_waiting();
+    task.losses.retain_mut(|loss| {
+        let explanation = explain(loss);
+        let is_news = match explanation {
+            Explanation::None => false,
+            Explanation::Crashed => !loss.has_crashed,
+            Explanation::Unreachable => true,
+        };
+        if is_news {
+            explanations.push((loss.worker_id.clone(), explanation));
         }
-        Explanation::Unreachable => false,
+        loss.has_crashed |= explanation == Explanation::Crashed;
+        explanation != Explanation::Unreachable
     });
-    let waited = before.len() >= LOSSES_MAX && task.is_waiting();
     if waited && task.losses.len() < LOSSES_MAX {
         task.state = TaskState::Waiting {
             not_before_ms: now_ms,
         };
     }
-    task.losses != before
+    explanations
+}
+
+/// Time for which the runs of a worker still hold a lease that it has confirmed; negative
+/// once it may have expired.
+fn confirmed_lease_ms(now_ms: u64, worker: &Worker) -> i64 {
+    worker.leases_hold_until_ms() as i64 - now_ms as i64
 }
 
 fn losses_detail(task: &Task) -> String {
