owner: a task that has lost three runs is given up

After three lost runs, none of whose workers has answered again, the owner ends the job with the new outcome ABANDONED, once the last loss is explained or has waited 2 s. The entry answers at once that the job may have run, and does not delegate it again. The owner remembers the outcome for 8 s as it does for others.

A task also stops waiting for explanations once all of its losses have one.

--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -210,6 +210,10 @@
             Outcome::Completed => self.answer(id, Answer::Completed, out),
             Outcome::Failed => self.answer(id, Answer::Failed, out),
             Outcome::NotRun => self.on_refused(now_ms, from, result, out),
+            Outcome::Abandoned => {
+                let reason = "workers were lost under a task of it too often";
+                self.answer(id, Answer::MayHaveRun { reason }, out);
+            }
             Outcome::Returned | Outcome::Stopped | Outcome::Lost | Outcome::Unspecified => {
                 if let Some(view) = self.pools.get_mut(&from.pool) {
                     view.load.serving = false;
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -340,6 +340,7 @@
         self.queue.invalidate();
         self.expire_origins(now_ms, out);
         self.check_deadlines(now_ms, out);
+        self.abandon_suspects(now_ms, out);
         self.judge_slow_workers(now_ms, out);
         self.return_jobs(now_ms, out);
         self.refuse_expired(now_ms, out);
--- a/crates/core/src/dispatch/owner/job_results.rs
+++ b/crates/core/src/dispatch/owner/job_results.rs
@@ -94,7 +94,10 @@
             let result = JobResult::new(&job.spec, outcome);
             report(origin, result, reason, out);
         }
-        if matches!(outcome, Outcome::Completed | Outcome::Failed) {
+        if matches!(
+            outcome,
+            Outcome::Completed | Outcome::Failed | Outcome::Abandoned
+        ) {
             self.ended_jobs.push_back((now_ms, id, outcome));
         }
         if !self.released {
--- a/crates/core/src/dispatch/owner/placement.rs
+++ b/crates/core/src/dispatch/owner/placement.rs
@@ -211,7 +211,9 @@
         // Runs one task of a suspect job at a time, to see whether it can succeed.
         let is_held_back =
             job.is_suspect() && (job.probe_task() != Some(index) || job.has_assigned_tasks());
-        due && !is_held_back && job.is_phase_ready(usize::from(task.phase))
+        due && self.may_start_again(task)
+            && !is_held_back
+            && job.is_phase_ready(usize::from(task.phase))
     }
 
     /// Starts a task where it costs least. Returns false if it fits nowhere.
--- a/crates/core/src/dispatch/owner/poison_tasks.rs
+++ b/crates/core/src/dispatch/owner/poison_tasks.rs
@@ -27,6 +27,9 @@
 /// Losses under one task after which it waits until those that are unexplained are
 /// explained.
 const LOSSES_MAX: usize = 2;
+/// Lost runs of one task after which its job is given up, unless one of the workers answers
+/// again. The platform expects no three further starts after three crashes.
+const LOST_RUNS_MAX: usize = 3;
 /// Longest wait for the explanation of a loss. Together with the lease of the last run
 /// it is shorter than the 3 s in which the platform expects a job to make progress.
 const EXPLANATION_TIMEOUT_MS: u64 = 2000;
@@ -36,6 +39,9 @@
 /// lease expiries of workers that are lost at the same time.
 const CORRELATION_WINDOW_MS: u64 = 1000;
 
+/// Why a job is given up without a verdict on its task.
+const LOST_TOO_OFTEN: &str = "workers were lost under a task too often";
+
 /// Incarnations of workers that were lost recently, oldest first, and when.
 #[derive(Debug, Default)]
 pub(super) struct WorkerLosses(VecDeque<(u64, Arc<str>)>);
@@ -137,23 +143,52 @@
         let losses = losses_detail(task);
         event.detail = format!("{state} confirmed_lease_ms {confirmed_lease_ms} {losses}");
         out.push(Command::Log(event));
-        if task.is_waiting() && task.losses.len() >= LOSSES_MAX {
+        let awaits_explanation = task.losses.len() >= LOSSES_MAX && task.unexplained_losses() > 0;
+        if task.is_waiting() && awaits_explanation {
             let not_before_ms = now_ms + EXPLANATION_TIMEOUT_MS;
             task.state = TaskState::Waiting { not_before_ms };
             self.queue.invalidate();
         }
-        self.fail_if_poison(now_ms, key, index, out);
+        self.end_if_poison(now_ms, key, index, out);
     }
 
-    /// Fails a job if a task of it crashes the workers that start it.
-    fn fail_if_poison(&mut self, now_ms: u64, key: JobKey, index: usize, out: &mut Vec<Command>) {
+    /// Ends a job if a task of it crashes the workers that start it, or may do so and has
+    /// lost too many runs.
+    fn end_if_poison(&mut self, now_ms: u64, key: JobKey, index: usize, out: &mut Vec<Command>) {
         let job = &self.jobs[key];
-        if job.tasks[index].crashes() >= CRASHES_MAX && !job.stopping {
+        if job.stopping {
+            return;
+        }
+        let task = &job.tasks[index];
+        if task.crashes() >= CRASHES_MAX {
             let reason = "a task crashes the workers that start it";
             self.end_job(now_ms, key, Outcome::Failed, reason, out);
+        } else if task.losses.len() >= LOST_RUNS_MAX && task.unexplained_losses() == 0 {
+            self.end_job(now_ms, key, Outcome::Abandoned, LOST_TOO_OFTEN, out);
         }
     }
 
+    /// Gives up the jobs of tasks that have lost too many runs and have waited for an
+    /// explanation.
+    pub(super) fn abandon_suspects(&mut self, now_ms: u64, out: &mut Vec<Command>) {
+        let is_hopeless = |task: &Task| {
+            task.losses.len() >= LOST_RUNS_MAX
+                && matches!(task.state, TaskState::Waiting { not_before_ms } if not_before_ms <= now_ms)
+        };
+        let hopeless = self.jobs.iter();
+        let hopeless =
+            hopeless.filter(|(_, job)| !job.stopping && job.tasks.iter().any(is_hopeless));
+        let keys: Vec<JobKey> = hopeless.map(|(key, _)| key).collect();
+        for key in keys {
+            self.end_job(now_ms, key, Outcome::Abandoned, LOST_TOO_OFTEN, out);
+        }
+    }
+
+    /// Whether a task may start again after the runs that it has lost.
+    pub(super) fn may_start_again(&self, task: &Task) -> bool {
+        task.losses.len() < LOST_RUNS_MAX
+    }
+
     /// Records that a worker has crashed, as a later incarnation has answered.
     fn confirm_crash(&mut self, now_ms: u64, record: &WorkerRecord, out: &mut Vec<Command>) {
         self.explain_losses(now_ms, out, |loss| match loss.worker_id == record.id {
@@ -222,7 +257,7 @@
         }
         for (key, index) in explained {
             if self.jobs.contains_key(key) {
-                self.fail_if_poison(now_ms, key, index, out);
+                self.end_if_poison(now_ms, key, index, out);
             }
         }
     }
@@ -297,7 +332,7 @@
         loss.has_crashed |= explanation == Explanation::Crashed;
         explanation != Explanation::Unreachable
     });
-    if waited && task.losses.len() < LOSSES_MAX {
+    if waited && (task.losses.len() < LOSSES_MAX || task.unexplained_losses() == 0) {
         task.state = TaskState::Waiting {
             not_before_ms: now_ms,
         };
--- a/crates/core/tests/dispatch_crashes.rs
+++ b/crates/core/tests/dispatch_crashes.rs
@@ -245,6 +245,24 @@
     assert!(pool.ended.is_empty(), "{:?}", pool.ended);
 }
 
+// Guards against a task that takes down one worker after another while none of them starts
+// again.
+#[test]
+fn a_task_is_given_up_after_three_lost_runs() {
+    let mut pool = Pool::new(&["w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"]);
+    pool.restart_ms = u64::MAX / 2;
+    pool.poison.insert("bad");
+    pool.delegate("bad", 1);
+    pool.run_until(8000);
+    assert_eq!(pool.crashed.len(), 3);
+    assert_eq!(pool.ended, [("bad".to_owned(), Outcome::Abandoned)]);
+    // Submitted again, it does not start either.
+    pool.delegate("bad", 1);
+    pool.run_until(9000);
+    assert_eq!(pool.crashed.len(), 3);
+    assert_eq!(pool.ended.len(), 2);
+}
+
 #[test]
 fn a_job_whose_workers_were_cut_off_is_not_failed() {
     // Two workers become unreachable under one task, one after the other, for longer than
--- a/crates/core/tests/dispatch_entry.rs
+++ b/crates/core/tests/dispatch_entry.rs
@@ -198,6 +198,22 @@
     }
 }
 
+// Guards against a job that loses the workers of one pool after the other.
+#[test]
+fn a_job_that_its_owner_has_given_up_is_not_delegated_again() {
+    let mut entry = Entry::new("forde");
+    update_pool(&mut entry, 0, "forde/0", "a", 0);
+    update_pool(&mut entry, 0, "forde/1", "b", 0);
+    let out = submit(&mut entry, 1, 1, "x");
+    let (owner, ..) = &delegated(&out)[0];
+    let mut out = Vec::new();
+    entry.on_job_ended(2, owner, &result("x", Outcome::Abandoned), &mut out);
+    assert!(delegated(&out).is_empty());
+    let (_, answer) = answers(&out)[0];
+    assert!(matches!(answer, Answer::MayHaveRun { .. }), "{answer:?}");
+    assert!(entry.is_empty());
+}
+
 #[test]
 fn job_is_cancelled_when_its_last_caller_disconnects() {
     let mut entry = Entry::new("forde");
