owner: only a crash that is shown to have happened under a run fails its job

Cause: a later incarnation of a lost worker counted as the proof that the worker had crashed under the task. It tells that the worker started again, but not when it crashed.

A crash now counts if the run had begun, as its start was answered or it was listed, and the later incarnation answers while the run still held a lease that the worker had confirmed. Any other lost run makes its task suspect, which bounds what it can take down (three workers), and convicts nobody.

Related, found by the new test of poison tasks without proof: * Losses that coincide were not recorded at all, so that quick losses under one poison task passed for a common cause, and it took every worker (8 of 8). They now count as lost runs. * A start in flight was taken for one that never ran as soon as any other call met the later incarnation, so that a task that crashes its worker before it answers was never suspected. Only the rejection of the start itself clears it now.

--- a/crates/core/src/dispatch/job.rs
+++ b/crates/core/src/dispatch/job.rs
@@ -39,25 +39,41 @@
     Done,
 }
 
-/// A worker that was lost during a run of a task.
+/// What is known of the loss of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LossCause {
+    /// It may have crashed, or may be unreachable.
+    Unknown,
+    /// It has started again. The run may never have begun, or may have ended with its lease
+    /// before the crash.
+    Restarted,
+    /// It has crashed under the run.
+    CrashedUnderRun,
+    /// Others were lost at the same time, likely for a common cause.
+    Correlated,
+}
+
+/// A worker that was lost while a task may have run there.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerLoss {
     /// Id of the lost incarnation.
     pub worker_id: Arc<str>,
     /// Its `ip:port`.
     pub address: Arc<str>,
-    /// Whether a later incarnation has been seen at the address. Otherwise the worker
-    /// may also be unreachable.
-    pub has_crashed: bool,
+    /// Id of the run.
+    pub run_id: u64,
+    /// Why it was lost.
+    pub cause: LossCause,
 }
 
 impl WorkerLoss {
-    /// The loss of the incarnation with this entry in the registry.
-    pub fn new(record: &WorkerRecord, has_crashed: bool) -> Self {
+    /// The loss of the incarnation with this entry in the registry, and of a run there.
+    pub fn new(record: &WorkerRecord, run_id: u64, cause: LossCause) -> Self {
         Self {
             worker_id: record.id.clone(),
             address: record.address.clone(),
-            has_crashed,
+            run_id,
+            cause,
         }
     }
 }
@@ -87,19 +103,32 @@
         matches!(self.state, TaskState::Waiting { .. })
     }
 
+    /// Number of workers that it may have crashed.
+    pub fn suspect_losses(&self) -> usize {
+        self.losses.len() - self.losses_by(LossCause::Correlated)
+    }
+
     /// Whether a worker was lost during a run of it, so that it may crash others.
     pub fn is_suspect(&self) -> bool {
-        !self.losses.is_empty()
+        self.suspect_losses() > 0
+    }
+
+    /// Number of workers that were lost for a cause.
+    pub fn losses_by(&self, cause: LossCause) -> usize {
+        self.losses
+            .iter()
+            .filter(|loss| loss.cause == cause)
+            .count()
     }
 
-    /// Number of workers that crashed during a run of it.
+    /// Number of workers that crashed under a run of it.
     pub fn crashes(&self) -> usize {
-        self.losses.iter().filter(|loss| loss.has_crashed).count()
+        self.losses_by(LossCause::CrashedUnderRun)
     }
 
     /// Number of lost workers that may have crashed or may be unreachable.
     pub fn unexplained_losses(&self) -> usize {
-        self.losses.len() - self.crashes()
+        self.losses_by(LossCause::Unknown)
     }
 }
 
--- a/crates/core/src/dispatch/owner/order_results.rs
+++ b/crates/core/src/dispatch/owner/order_results.rs
@@ -12,6 +12,9 @@
         if !result.fence.same_ownership(self.fence) {
             return;
         }
+        if result.outcome == OrderOutcome::WrongIncarnation {
+            self.clear_loss_of_run(now_ms, &result.task, result.run_id);
+        }
         let Some(worker) = self.workers.get_mut(result.worker) else {
             return;
         };
@@ -44,7 +47,14 @@
                 )));
             }
             OrderOutcome::Fenced if is_newest => self.on_superseded(now_ms, result.worker, out),
-            OrderOutcome::WrongIncarnation => self.on_incarnation_ended(now_ms, result.worker, out),
+            OrderOutcome::WrongIncarnation => {
+                // It never began, so that its loss is none of its task's.
+                let rejected = position.map(|position| worker.runs.swap_remove(position));
+                self.on_incarnation_ended(now_ms, result.worker, out);
+                if let Some(run) = rejected {
+                    self.requeue(now_ms, &run.owner, 0);
+                }
+            }
             OrderOutcome::Fenced | OrderOutcome::Rejected(_) => {
                 out.push(Command::Log(LogEvent::run(
                     "start rejected",
--- a/crates/core/src/dispatch/owner/placement.rs
+++ b/crates/core/src/dispatch/owner/placement.rs
@@ -311,7 +311,7 @@
         let task = &job.tasks[index];
         candidate.free = candidate.free.minus(&resources_of(job.phase(task)));
         candidate.runs += 1;
-        candidate.suspect_losses = candidate.suspect_losses.max(task.losses.len());
+        candidate.suspect_losses = candidate.suspect_losses.max(task.suspect_losses());
     }
 
     /// Position of the candidate on which a task costs least; with `packing`, only among
--- a/crates/core/src/dispatch/owner/poison_tasks.rs
+++ b/crates/core/src/dispatch/owner/poison_tasks.rs
@@ -6,18 +6,25 @@
 //! task, which would be suspected along with it. If every worker that has room runs a
 //! suspect task, other tasks wait for its end while their jobs can still end in time.
 //!
-//! A worker has crashed if a later incarnation answers or registers at its address. The
-//! second worker that has crashed under a task fails its job. A worker that answers again
-//! in the same incarnation has not crashed; its loss is forgotten. After two losses that
-//! are not both explained the task waits for the explanation, for a limited time: a poison
-//! task would take down a third worker, but a task whose workers were cut off must not
-//! wait for as long as the cut lasts.
+//! The second worker that has crashed under a task fails its job. A worker has crashed if a
+//! later incarnation answers or registers at its address, but that does not tell when: a run
+//! that was lost may never have begun, as its start was never answered, or may have ended with
+//! its lease, behind a cut, before the worker crashed. A crash counts only if the run was
+//! known to have begun and the later incarnation answers while the run still held a lease
+//! that the worker had confirmed. So only workers that start again at once convict a task; one
+//! that lost its runs in any other way is given up after the third, without a verdict.
 //!
-//! Losses that coincide are not attributed to tasks, since their cause is a rack, a
-//! failure domain, or this instance's own network. Nor is the loss of a draining worker, which
-//! has announced that it exits.
+//! A worker that answers again in the same incarnation has not crashed; its loss is
+//! forgotten. After two losses that are not both explained the task waits for the
+//! explanation, for a limited time: a poison task would take down a third worker, but a task
+//! whose workers were cut off must not wait for as long as the cut lasts.
+//!
+//! Losses that coincide do not make tasks suspect, since their cause is a rack, a failure
+//! domain, or this instance's own network. They count as lost runs, as several poison tasks
+//! can also be the cause. The loss of a draining worker, which has announced that it exits,
+//! does not count.
 
-use super::super::job::{Task, WorkerLoss};
+use super::super::job::{LossCause, Task, WorkerLoss};
 use super::super::worker::Run;
 use super::placement::Candidate;
 use super::*;
@@ -64,8 +71,8 @@
 }
 
 impl Owner {
-    /// Requeues the tasks of workers that do not answer, after their leases have expired.
-    /// Makes the tasks suspect unless the losses are correlated.
+    /// Requeues the tasks of workers that do not answer, after their leases have expired, and
+    /// records the losses.
     pub(super) fn on_workers_lost(
         &mut self,
         now_ms: u64,
@@ -76,23 +83,27 @@
             let worker_id = &self.workers[*key].record.id;
             self.worker_losses.record(now_ms, worker_id);
         }
-        let suspects_tasks = !self.worker_losses.are_correlated();
+        let cause = match self.worker_losses.are_correlated() {
+            true => LossCause::Correlated,
+            false => LossCause::Unknown,
+        };
         for (key, runs) in lost {
             let worker = &self.workers[key];
-            let loss = WorkerLoss::new(&worker.record, false);
-            let suspects_tasks = suspects_tasks && !worker.record.draining;
+            let is_planned = worker.record.draining;
+            let record = worker.record.clone();
             let lease_ms = confirmed_lease_ms(now_ms, worker);
             for run in runs {
                 self.requeue(now_ms, &run.owner, 0);
-                if suspects_tasks {
-                    self.record_worker_loss(now_ms, loss.clone(), &run, lease_ms, out);
+                if !is_planned {
+                    let loss = WorkerLoss::new(&record, run.run_id, cause);
+                    self.record_worker_loss(now_ms, loss, &run, lease_ms, out);
                 }
             }
         }
     }
 
-    /// Requeues the tasks of a worker of which a later incarnation has answered, and makes
-    /// those that may have run there suspect unless the loss is correlated.
+    /// Requeues the tasks of a worker of which a later incarnation has answered, and records
+    /// the loss. A start that the later incarnation rejects clears its loss again.
     pub(super) fn on_worker_crashed(
         &mut self,
         now_ms: u64,
@@ -100,21 +111,21 @@
         out: &mut Vec<Command>,
     ) {
         self.worker_losses.record(now_ms, &worker.record.id);
-        let loss = WorkerLoss::new(&worker.record, true);
+        let is_planned = worker.record.draining;
         let lease_ms = confirmed_lease_ms(now_ms, &worker);
         for run in worker.runs {
             self.requeue(now_ms, &run.owner, 0);
-            // A start that is not answered yet is rejected by the later incarnation.
-            let may_have_run = match run.state {
-                RunState::Starting(fence) => fence < worker.fence,
-                RunState::Running | RunState::Stopping { .. } => true,
+            let cause = match run.state {
+                _ if self.worker_losses.are_correlated() => LossCause::Correlated,
+                RunState::Running if lease_ms > 0 => LossCause::CrashedUnderRun,
+                _ => LossCause::Restarted,
             };
-            let is_planned = worker.record.draining;
-            if may_have_run && !is_planned && !self.worker_losses.are_correlated() {
-                self.record_worker_loss(now_ms, loss.clone(), &run, lease_ms, out);
+            let loss = WorkerLoss::new(&worker.record, run.run_id, cause);
+            if !is_planned {
+                self.record_worker_loss(now_ms, loss, &run, lease_ms, out);
             }
         }
-        self.confirm_crash(now_ms, &worker.record, out);
+        self.confirm_restart(now_ms, &worker.record, out);
     }
 
     fn record_worker_loss(
@@ -143,8 +154,7 @@
         let losses = losses_detail(task);
         event.detail = format!("{state} confirmed_lease_ms {confirmed_lease_ms} {losses}");
         out.push(Command::Log(event));
-        let awaits_explanation = task.losses.len() >= LOSSES_MAX && task.unexplained_losses() > 0;
-        if task.is_waiting() && awaits_explanation {
+        if awaits_explanation(task) {
             let not_before_ms = now_ms + EXPLANATION_TIMEOUT_MS;
             task.state = TaskState::Waiting { not_before_ms };
             self.queue.invalidate();
@@ -163,7 +173,7 @@
         if task.crashes() >= CRASHES_MAX {
             let reason = "a task crashes the workers that start it";
             self.end_job(now_ms, key, Outcome::Failed, reason, out);
-        } else if task.losses.len() >= LOST_RUNS_MAX && task.unexplained_losses() == 0 {
+        } else if task.losses.len() >= LOST_RUNS_MAX && !awaits_explanation(task) {
             self.end_job(now_ms, key, Outcome::Abandoned, LOST_TOO_OFTEN, out);
         }
     }
@@ -189,15 +199,15 @@
         task.losses.len() < LOST_RUNS_MAX
     }
 
-    /// Records that a worker has crashed, as a later incarnation has answered.
-    fn confirm_crash(&mut self, now_ms: u64, record: &WorkerRecord, out: &mut Vec<Command>) {
+    /// Records that a worker has started again, as a later incarnation has answered.
+    fn confirm_restart(&mut self, now_ms: u64, record: &WorkerRecord, out: &mut Vec<Command>) {
         self.explain_losses(now_ms, out, |loss| match loss.worker_id == record.id {
-            true => Explanation::Crashed,
+            true => Explanation::Restarted,
             false => Explanation::None,
         });
     }
 
-    /// Records that a lost worker has crashed if a newly listed one has its address and it
+    /// Records that a lost worker has started again if a newly listed one has its address and it
     /// is no longer listed itself. While both are listed, the new one may be the earlier
     /// incarnation, whose entry has not expired yet.
     pub(super) fn confirm_replaced(
@@ -210,7 +220,7 @@
         self.explain_losses(now_ms, out, |loss| {
             let is_replaced = loss.address == record.address && !listed.contains(&loss.worker_id);
             match is_replaced {
-                true => Explanation::Crashed,
+                true => Explanation::Restarted,
                 false => Explanation::None,
             }
         });
@@ -229,8 +239,22 @@
         });
     }
 
+    /// Forgets the loss of a run that never began.
+    pub(super) fn clear_loss_of_run(&mut self, now_ms: u64, task: &str, run_id: u64) {
+        let Some((key, index)) = self.find_task(task) else {
+            return;
+        };
+        let task = &mut self.jobs[key].tasks[index];
+        if task.losses.iter().any(|loss| loss.run_id == run_id) {
+            let awaited = awaits_explanation(task);
+            task.losses.retain(|loss| loss.run_id != run_id);
+            end_wait_if_explained(now_ms, task, awaited);
+            self.queue.invalidate();
+        }
+    }
+
     /// Applies explanations to the losses of all tasks. A task that waited for one may
-    /// start again; a job that turns out to be poison fails.
+    /// start again, or its job is given up.
     fn explain_losses(
         &mut self,
         now_ms: u64,
@@ -290,12 +314,12 @@
         losses.max().unwrap_or(0)
     }
 
-    /// Number of losses of a run's task.
+    /// Number of workers that a run's task may have crashed.
     fn losses(&self, run: &Run) -> usize {
         match run.owner {
             RunOwner::Task(key, index) => {
                 let job = self.jobs.get(key);
-                job.map_or(0, |job| job.tasks[index].losses.len())
+                job.map_or(0, |job| job.tasks[index].suspect_losses())
             }
             RunOwner::Orphan { .. } => 0,
         }
@@ -308,7 +332,7 @@
     None,
     /// It answers again, and has run on meanwhile.
     Unreachable,
-    Crashed,
+    Restarted,
 }
 
 /// Applies explanations to the losses of a task; returns those that were news.
@@ -318,26 +342,43 @@
     explain: impl Fn(&WorkerLoss) -> Explanation,
 ) -> Vec<(Arc<str>, Explanation)> {
     let mut explanations = Vec::new();
-    let waited = task.losses.len() >= LOSSES_MAX && task.is_waiting();
+    let awaited = awaits_explanation(task);
     task.losses.retain_mut(|loss| {
         let explanation = explain(loss);
         let is_news = match explanation {
             Explanation::None => false,
-            Explanation::Crashed => !loss.has_crashed,
+            Explanation::Restarted => loss.cause == LossCause::Unknown,
             Explanation::Unreachable => true,
         };
         if is_news {
             explanations.push((loss.worker_id.clone(), explanation));
+            loss.cause = LossCause::Restarted;
         }
-        loss.has_crashed |= explanation == Explanation::Crashed;
         explanation != Explanation::Unreachable
     });
-    if waited && (task.losses.len() < LOSSES_MAX || task.unexplained_losses() == 0) {
+    end_wait_if_explained(now_ms, task, awaited);
+    explanations
+}
+
+/// Whether a task waits for the explanation of a loss before it starts again or its job is
+/// given up.
+fn awaits_explanation(task: &Task) -> bool {
+    let unexplained = match task.losses.len() {
+        0..LOSSES_MAX => 0,
+        LOSSES_MAX..LOST_RUNS_MAX => task.unexplained_losses(),
+        // These workers may be unreachable as well.
+        _ => task.unexplained_losses() + task.losses_by(LossCause::Correlated),
+    };
+    task.is_waiting() && unexplained > 0
+}
+
+/// Lets a task that has `awaited` an explanation start again if none is outstanding.
+fn end_wait_if_explained(now_ms: u64, task: &mut Task, awaited: bool) {
+    if awaited && !awaits_explanation(task) {
         task.state = TaskState::Waiting {
             not_before_ms: now_ms,
         };
     }
-    explanations
 }
 
 /// Time for which the runs of a worker still hold a lease that it has confirmed; negative
@@ -348,8 +389,10 @@
 
 fn losses_detail(task: &Task) -> String {
     format!(
-        "crashed {} unexplained {}",
+        "crashed {} restarted {} correlated {} unexplained {}",
         task.crashes(),
+        task.losses_by(LossCause::Restarted),
+        task.losses_by(LossCause::Correlated),
         task.unexplained_losses()
     )
 }
