owner: an incarnation that has ended is not used while the registry still lists it

The registry keeps the entry of a crashed worker for three heartbeat intervals.

An ended incarnation is now ignored until its entry has gone or names another address.

--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -110,6 +110,9 @@
     /// Outcomes of runs that no job here has claimed, and when they were listed.
     orphan_completions: HashMap<Arc<str>, (RunOutcome, u64)>,
     worker_losses: poison_tasks::WorkerLosses,
+    /// Incarnations that have ended and whose entries the registry still lists, with their
+    /// addresses.
+    ended_incarnations: HashMap<Arc<str>, Arc<str>>,
     /// Jobs that ended recently, oldest first.
     ended_jobs: VecDeque<(u64, String, Outcome)>,
     /// Workers whose lease renewal has to be reconsidered.
@@ -150,6 +153,7 @@
             answer_timeout: answer_timeout::AnswerTimeout::default(),
             orphan_completions: HashMap::new(),
             worker_losses: poison_tasks::WorkerLosses::default(),
+            ended_incarnations: HashMap::new(),
             ended_jobs: VecDeque::new(),
             dirty_workers: BTreeSet::new(),
             origin_heartbeats: HashMap::new(),
@@ -203,6 +207,7 @@
     /// longer listed stay in use for a grace period.
     pub fn set_workers(&mut self, now_ms: u64, records: Vec<WorkerRecord>, out: &mut Vec<Command>) {
         let listed: HashSet<Arc<str>> = records.iter().map(|record| record.id.clone()).collect();
+        self.ended_incarnations.retain(|id, _| listed.contains(id));
         for record in records {
             self.upsert_worker(now_ms, record, &listed, out);
         }
@@ -240,6 +245,9 @@
             worker.record = record;
             return;
         }
+        if self.ended_incarnations.get(&record.id) == Some(&record.address) {
+            return;
+        }
         let id = record.id.clone();
         self.confirm_replaced(now_ms, &record, listed, out);
         let mut worker = Worker::new(record, self.fence);
--- a/crates/core/src/dispatch/owner/order_results.rs
+++ b/crates/core/src/dispatch/owner/order_results.rs
@@ -126,7 +126,10 @@
         let Some(worker) = self.workers.remove(key) else {
             return;
         };
-        self.worker_ids.remove(&worker.record.id);
+        let record = &worker.record;
+        self.worker_ids.remove(&record.id);
+        self.ended_incarnations
+            .insert(record.id.clone(), record.address.clone());
         if self.predecessor.record_fenced(&worker.record.id) {
             self.queue.invalidate();
         }
--- a/crates/core/tests/dispatch_registry.rs
+++ b/crates/core/tests/dispatch_registry.rs
@@ -7,7 +7,8 @@
 };
 use dispatch_support::{holder, job, owner_after, renewals, starts, worker_record};
 use trefoil_core::dispatch::limits::{REDELEGATION_DELAY_MS, UNLISTED_GRACE_MS};
-use trefoil_core::dispatch::order::OrderOutcome;
+use trefoil_core::dispatch::order::{OrderOutcome, RenewOutcome};
+use trefoil_core::dispatch::owner::Command;
 
 #[test]
 fn a_new_owner_waits_until_all_workers_of_its_predecessor_are_fenced() {
@@ -127,3 +128,30 @@
     owner.set_workers(5000, vec![worker_record("w1")], &mut out);
     assert!(renewals(&out)[0].target.fence >= raised.target.fence);
 }
+
+// Guards against an ended incarnation that counts as lost once more each time the registry,
+// which still lists it, is read.
+#[test]
+fn an_incarnation_that_has_ended_is_not_used_while_the_registry_still_lists_it() {
+    let mut owner = fenced_owner(1, &["w1", "w2"]);
+    let mut out = delegate(&mut owner, 10, "a", 2);
+    answer_start(
+        &mut owner,
+        11,
+        &starts(&out)[0],
+        OrderOutcome::WrongIncarnation,
+    );
+    out.clear();
+    let listed = vec![worker_record("w1"), worker_record("w2")];
+    owner.set_workers(20, listed.clone(), &mut out);
+    let is_listed =
+        |command: &Command| matches!(command, Command::Log(event) if event.event == "listed");
+    assert!(!out.iter().any(is_listed), "{out:?}");
+    assert!(renewals(&out).is_empty());
+    // Once the entry has gone, the id is as good as any other.
+    owner.set_workers(30, vec![worker_record("w2")], &mut out);
+    owner.set_workers(40, listed, &mut out);
+    let renewal = &renewals(&out)[0];
+    let outcome = answer_renewal(&mut owner, 41, renewal, RenewOutcome::WrongIncarnation);
+    assert!(renewals(&outcome).is_empty());
+}
