owners do not start jobs that another owner has given up

A caller whose job was given up as ABANDONED may submit it again, and another owner would lose three more workers to it: six starts in all, where the platform allows five.

Owners report the ids of the jobs that they have given up in the last 8 s in their heartbeats, 16 at the most, and treat those of others like their own.

--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -115,6 +115,8 @@
     ended_incarnations: HashMap<Arc<str>, Arc<str>>,
     /// Jobs that ended recently, oldest first.
     ended_jobs: VecDeque<(u64, String, Outcome)>,
+    /// Jobs that this owner has given up, oldest first.
+    abandoned_jobs: VecDeque<(u64, String)>,
     /// Workers whose lease renewal has to be reconsidered.
     dirty_workers: BTreeSet<WorkerKey>,
     /// When each origin was last known to be connected.
@@ -155,6 +157,7 @@
             worker_losses: poison_tasks::WorkerLosses::default(),
             ended_incarnations: HashMap::new(),
             ended_jobs: VecDeque::new(),
+            abandoned_jobs: VecDeque::new(),
             dirty_workers: BTreeSet::new(),
             origin_heartbeats: HashMap::new(),
             lost_origins: VecDeque::new(),
@@ -200,6 +203,7 @@
     pub fn observe_pool_load(&mut self, now_ms: u64, pool: &str, load: &Load) {
         if pool != &*self.pool {
             self.peer_loads.observe(now_ms, pool, load);
+            self.observe_abandoned_jobs(now_ms, &load.abandoned_jobs);
         }
     }
 
@@ -363,6 +367,13 @@
         {
             self.ended_jobs.pop_front();
         }
+        while self
+            .abandoned_jobs
+            .front()
+            .is_some_and(|ended| is_expired(ended.0))
+        {
+            self.abandoned_jobs.pop_front();
+        }
         self.orphan_completions
             .retain(|_, end| end.1 + 4 * ADOPTION_GRACE_MS > now_ms);
     }
--- a/crates/core/src/dispatch/owner/job_results.rs
+++ b/crates/core/src/dispatch/owner/job_results.rs
@@ -3,6 +3,9 @@
 
 use super::*;
 
+/// Bound on the ids of abandoned jobs in a heartbeat.
+const ABANDONED_REPORTED_MAX: usize = 16;
+
 impl Owner {
     /// Stops a job's runs; the job is removed when they have ended.
     pub(super) fn stop_job(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Command>) {
@@ -98,13 +101,37 @@
             outcome,
             Outcome::Completed | Outcome::Failed | Outcome::Abandoned
         ) {
-            self.ended_jobs.push_back((now_ms, id, outcome));
+            self.ended_jobs.push_back((now_ms, id.clone(), outcome));
+        }
+        if outcome == Outcome::Abandoned {
+            self.abandoned_jobs.push_back((now_ms, id));
         }
         if !self.released {
             self.stop_job(now_ms, key, out);
         }
     }
 
+    /// Ids of the jobs that this owner has given up most recently, for its heartbeats.
+    pub(super) fn reported_abandoned_jobs(&self) -> Vec<String> {
+        let newest = self
+            .abandoned_jobs
+            .iter()
+            .rev()
+            .take(ABANDONED_REPORTED_MAX);
+        newest.map(|(_, id)| id.clone()).collect()
+    }
+
+    /// Records jobs that another owner has given up, so that they do not start here when their
+    /// callers submit them again.
+    pub(super) fn observe_abandoned_jobs(&mut self, now_ms: u64, ids: &[String]) {
+        for id in ids {
+            if self.ended_outcome(id).is_none() {
+                let ended = (now_ms, id.clone(), Outcome::Abandoned);
+                self.ended_jobs.push_back(ended);
+            }
+        }
+    }
+
     /// Reports to the origin that nothing of the job has run, and removes the job.
     pub(super) fn refuse(
         &mut self,
--- a/crates/core/src/dispatch/owner/stats.rs
+++ b/crates/core/src/dispatch/owner/stats.rs
@@ -75,6 +75,7 @@
         load.slow_workers = self.slow_workers();
         load.kinds = self.kind_speeds();
         load.closed = self.is_closed();
+        load.abandoned_jobs = self.reported_abandoned_jobs();
         load.serving &= !self.released && self.is_open();
         load
     }
--- a/crates/core/tests/dispatch_crashes.rs
+++ b/crates/core/tests/dispatch_crashes.rs
@@ -403,6 +403,28 @@
     assert_eq!(pool.ended.len(), 2);
 }
 
+// Guards against a resubmitted poison task that takes down as many workers of each owner.
+#[test]
+fn a_job_that_another_owner_has_given_up_does_not_start() {
+    let mut first = Pool::new(&["w1", "w2", "w3", "w4"]);
+    first.poison.insert("bad");
+    first.delegate("bad", 1);
+    first.run_until(4000);
+    assert_eq!(first.ended, [("bad".to_owned(), Outcome::Abandoned)]);
+    let mut second = Pool::new(&["v1", "v2", "v3"]);
+    second.now_ms = 4000;
+    second
+        .owner
+        .observe_pool_load(4000, "other/0", &first.owner.load(4000));
+    second.delegate("bad", 1);
+    second.delegate("good", 1);
+    second.run_until(5000);
+    assert!(second.workers_of("bad").is_empty());
+    let outcomes = BTreeMap::from_iter(second.ended);
+    assert_eq!(outcomes["bad"], Outcome::Abandoned);
+    assert_eq!(outcomes["good"], Outcome::Completed);
+}
+
 #[test]
 fn a_job_whose_workers_were_cut_off_is_not_failed() {
     // Two workers become unreachable under one task, one after the other, for longer than
