owner: no lost run convicts its task

The verdict on crashes is gone, and the leases that it rested on. * A job was given up although none of its starts had arrived: three idle workers were gone unnoticed, and five others were free. Starts that were never answered by workers that are still silent now count up to five; it completes on the fourth worker. * The losses of a job were forgotten when its caller gave up or its link broke, and a poison task that was submitted again took two workers each time, 10 after five submissions.

Also: a lost incarnation is counted once for coinciding losses however late the next one answers; a task's own earlier losses do not coincide with its next one; a coinciding loss can be explained as others.

--- a/crates/core/src/dispatch/job.rs
+++ b/crates/core/src/dispatch/job.rs
@@ -8,7 +8,6 @@
 use super::link::LinkId;
 use super::order::WorkerKey;
 use super::owner::StartBarrier;
-use super::worker::WorkerRecord;
 
 /// Up to this multiple of the latency objective, an answer is late but still useful.
 pub const LATE_FACTOR: f64 = 3.0;
@@ -39,20 +38,6 @@
     Done,
 }
 
-/// What is known of the loss of a worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LossCause {
-    /// It may have crashed, or may be unreachable.
-    Unknown,
-    /// It has started again. The run may never have begun, or may have ended with its lease
-    /// before the crash.
-    Restarted,
-    /// It has crashed under the run.
-    CrashedUnderRun,
-    /// Others were lost at the same time, likely for a common cause.
-    Correlated,
-}
-
 /// A worker that was lost while a task may have run there.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerLoss {
@@ -62,20 +47,14 @@
     pub address: Arc<str>,
     /// Id of the run.
     pub run_id: u64,
-    /// Why it was lost.
-    pub cause: LossCause,
-}
-
-impl WorkerLoss {
-    /// The loss of the incarnation with this entry in the registry, and of a run there.
-    pub fn new(record: &WorkerRecord, run_id: u64, cause: LossCause) -> Self {
-        Self {
-            worker_id: record.id.clone(),
-            address: record.address.clone(),
-            run_id,
-            cause,
-        }
-    }
+    /// Whether the run had begun: its start was answered, or the worker listed it. Otherwise
+    /// the start may never have arrived.
+    pub has_begun: bool,
+    /// Whether others were lost at the same time, likely for a common cause.
+    pub is_correlated: bool,
+    /// Whether a later incarnation has been seen, so that the worker has crashed. Otherwise it
+    /// may also be unreachable.
+    pub has_restarted: bool,
 }
 
 /// A task of a job.
@@ -105,7 +84,7 @@
 
     /// Number of workers that it may have crashed.
     pub fn suspect_losses(&self) -> usize {
-        self.losses.len() - self.losses_by(LossCause::Correlated)
+        self.count_losses(|loss| !loss.is_correlated)
     }
 
     /// Whether a worker was lost during a run of it, so that it may crash others.
@@ -113,22 +92,9 @@
         self.suspect_losses() > 0
     }
 
-    /// Number of workers that were lost for a cause.
-    pub fn losses_by(&self, cause: LossCause) -> usize {
-        self.losses
-            .iter()
-            .filter(|loss| loss.cause == cause)
-            .count()
-    }
-
-    /// Number of workers that crashed under a run of it.
-    pub fn crashes(&self) -> usize {
-        self.losses_by(LossCause::CrashedUnderRun)
-    }
-
-    /// Number of lost workers that may have crashed or may be unreachable.
-    pub fn unexplained_losses(&self) -> usize {
-        self.losses_by(LossCause::Unknown)
+    /// Number of its losses that meet a condition.
+    pub fn count_losses(&self, condition: impl Fn(&WorkerLoss) -> bool) -> usize {
+        self.losses.iter().filter(|loss| condition(loss)).count()
     }
 }
 
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -16,6 +16,7 @@
 //! * [`order_results`]: results of start and stop orders.
 //! * [`lease_renewal`]: lease renewal, and recovery of unanswered orders.
 //! * [`poison_tasks`]: tasks that crash the workers that start them.
+//! * [`lost_runs`]: lost runs of jobs that may be submitted again.
 //! * [`restart_targets`]: where runs that are stopped can start again.
 //! * [`departure`]: runs on workers that are about to exit.
 //! * [`overdue`]: polling and stopping of overdue runs.
@@ -41,6 +42,7 @@
 mod job_results;
 mod lease_renewal;
 mod log_event;
+mod lost_runs;
 mod order_results;
 mod origins;
 mod overdue;
@@ -110,6 +112,7 @@
     /// Outcomes of runs that no job here has claimed, and when they were listed.
     orphan_completions: HashMap<Arc<str>, (RunOutcome, u64)>,
     worker_losses: poison_tasks::WorkerLosses,
+    lost_runs: lost_runs::LostRuns,
     /// Incarnations that have ended and whose entries the registry still lists, with their
     /// addresses.
     ended_incarnations: HashMap<Arc<str>, Arc<str>>,
@@ -155,6 +158,7 @@
             answer_timeout: answer_timeout::AnswerTimeout::default(),
             orphan_completions: HashMap::new(),
             worker_losses: poison_tasks::WorkerLosses::default(),
+            lost_runs: lost_runs::LostRuns::default(),
             ended_incarnations: HashMap::new(),
             ended_jobs: VecDeque::new(),
             abandoned_jobs: VecDeque::new(),
@@ -314,7 +318,8 @@
         self.job_ids.insert(id, key);
         self.adopt(key);
         self.enqueue(now_ms, key);
-        if self.jobs[key].is_done() {
+        self.restore_losses(now_ms, key, out);
+        if self.jobs.get(key).is_some_and(Job::is_done) {
             self.end_job(now_ms, key, Outcome::Completed, "its tasks were done", out);
         }
         let millicore_ms = self.jobs.get(key).map_or(0, Job::waiting_millicore_ms);
@@ -352,6 +357,7 @@
         self.queue.invalidate();
         self.expire_origins(now_ms, out);
         self.check_deadlines(now_ms, out);
+        self.lost_runs.expire(now_ms);
         self.abandon_suspects(now_ms, out);
         self.judge_slow_workers(now_ms, out);
         self.return_jobs(now_ms, out);
--- a/crates/core/src/dispatch/owner/job_results.rs
+++ b/crates/core/src/dispatch/owner/job_results.rs
@@ -12,6 +12,7 @@
         let job = &mut self.jobs[key];
         job.origin = None;
         job.stopping = true;
+        self.lost_runs.keep(now_ms, job);
         self.stop_runs(now_ms, key, out);
         self.remove_if_ended(key);
     }
--- a/crates/core/src/dispatch/owner/lease_renewal.rs
+++ b/crates/core/src/dispatch/owner/lease_renewal.rs
@@ -66,7 +66,6 @@
             acked_completion: worker.last_completion,
             sent_ms: now_ms,
             wait_ms,
-            lease_deadline_ms: deadline_ms,
         });
         out.push(Command::Renew(RenewOrder {
             target: target_of(key, worker),
@@ -113,7 +112,6 @@
                 completions,
             } => {
                 worker.observe_clock(now_ms, clock_ms);
-                worker.confirm_lease(renewal.sent_ms, renewal.lease_deadline_ms, clock_ms);
                 let was_unfenced = worker.fencing == FencingState::Unfenced;
                 if was_unfenced {
                     worker.fencing = FencingState::Fenced;
@@ -272,7 +270,6 @@
             state: RunState::Running,
             resources,
             ordered_ms: now_ms,
-            lease_deadline_ms: None,
             confirmed_ms: now_ms,
             estimate_ms: expected_ms,
             expected_ms,
--- a/crates/core/src/dispatch/owner/order_results.rs
+++ b/crates/core/src/dispatch/owner/order_results.rs
@@ -24,10 +24,8 @@
             OrderOutcome::Done { clock_ms } => {
                 worker.observe_clock(now_ms, clock_ms);
                 if let Some(position) = position {
-                    let run = &worker.runs[position];
-                    let (ordered_ms, deadline_ms) = (run.ordered_ms, run.lease_deadline_ms);
+                    let ordered_ms = worker.runs[position].ordered_ms;
                     self.answer_timeout.record_answer(now_ms - ordered_ms);
-                    worker.confirm_lease(ordered_ms, deadline_ms, clock_ms);
                     let run = &mut worker.runs[position];
                     if matches!(run.state, RunState::Starting(_)) {
                         run.state = RunState::Running;
--- a/crates/core/src/dispatch/owner/placement.rs
+++ b/crates/core/src/dispatch/owner/placement.rs
@@ -211,7 +211,7 @@
         // Runs one task of a suspect job at a time, to see whether it can succeed.
         let is_held_back =
             job.is_suspect() && (job.probe_task() != Some(index) || job.has_assigned_tasks());
-        due && self.may_start_again(task)
+        due && !poison_tasks::has_lost_too_often(task)
             && !is_held_back
             && job.is_phase_ready(usize::from(task.phase))
     }
--- a/crates/core/src/dispatch/owner/placement/start.rs
+++ b/crates/core/src/dispatch/owner/placement/start.rs
@@ -73,7 +73,6 @@
             state: RunState::Starting(worker.fence),
             resources: Some(resources),
             ordered_ms: now_ms,
-            lease_deadline_ms: Some(deadline_ms),
             confirmed_ms: now_ms,
             estimate_ms,
             expected_ms,
--- a/crates/core/src/dispatch/owner/poison_tasks.rs
+++ b/crates/core/src/dispatch/owner/poison_tasks.rs
@@ -6,13 +6,12 @@
 //! task, which would be suspected along with it. If every worker that has room runs a
 //! suspect task, other tasks wait for its end while their jobs can still end in time.
 //!
-//! The second worker that has crashed under a task fails its job. A worker has crashed if a
-//! later incarnation answers or registers at its address, but that does not tell when: a run
-//! that was lost may never have begun, as its start was never answered, or may have ended with
-//! its lease, behind a cut, before the worker crashed. A crash counts only if the run was
-//! known to have begun and the later incarnation answers while the run still held a lease
-//! that the worker had confirmed. So only workers that start again at once convict a task; one
-//! that lost its runs in any other way is given up after the third, without a verdict.
+//! No loss convicts a task. A later incarnation shows that the worker has crashed, but not
+//! when: a start that was never answered may not have arrived before, and a run that had begun
+//! may have ended before, by itself or with its lease behind a cut. So after
+//! [`LOST_RUNS_MAX`] lost runs the job is given up without a verdict: its caller is told that it
+//! may have run. The price is that a job is never reported as failed for a task that does crash
+//! its workers.
 //!
 //! A worker that answers again in the same incarnation has not crashed; its loss is
 //! forgotten. After two losses that are not both explained the task waits for the
@@ -24,19 +23,20 @@
 //! can also be the cause. The loss of a draining worker, which has announced that it exits,
 //! does not count.
 
-use super::super::job::{LossCause, Task, WorkerLoss};
+use super::super::job::{Task, WorkerLoss};
 use super::super::worker::Run;
 use super::placement::Candidate;
 use super::*;
 
-/// Workers that crashed under one task after which its job fails.
-const CRASHES_MAX: usize = 2;
+/// Lost runs of one task after which its job is given up: those that had begun, and those
+/// whose workers have started again since.
+const LOST_RUNS_MAX: usize = 3;
+/// The same, counting starts that were never answered by workers that are still silent. The
+/// platform allows five starts of a task that crashes each worker.
+const LOST_STARTS_MAX: usize = 5;
 /// Losses under one task after which it waits until those that are unexplained are
 /// explained.
 const LOSSES_MAX: usize = 2;
-/// Lost runs of one task after which its job is given up, unless one of the workers answers
-/// again. The platform expects no three further starts after three crashes.
-const LOST_RUNS_MAX: usize = 3;
 /// Longest wait for the explanation of a loss. Together with the lease of the last run
 /// it is shorter than the 3 s in which the platform expects a job to make progress.
 const EXPLANATION_TIMEOUT_MS: u64 = 2000;
@@ -45,7 +45,9 @@
 /// Window in which losses are correlated: longer than the differences between the
 /// lease expiries of workers that are lost at the same time.
 const CORRELATION_WINDOW_MS: u64 = 1000;
-
+/// How long a lost incarnation is remembered, so that it is not counted again when a later
+/// one answers.
+const LOSS_RETENTION_MS: u64 = 10_000;
 /// Why a job is given up without a verdict on its task.
 const LOST_TOO_OFTEN: &str = "workers were lost under a task too often";
 
@@ -56,7 +58,7 @@
 impl WorkerLosses {
     /// Records a loss, unless it is recorded already.
     fn record(&mut self, now_ms: u64, worker_id: &Arc<str>) {
-        let is_old = |lost_ms: u64| lost_ms + CORRELATION_WINDOW_MS < now_ms;
+        let is_old = |lost_ms: u64| lost_ms + LOSS_RETENTION_MS < now_ms;
         while self.0.front().is_some_and(|loss| is_old(loss.0)) {
             self.0.pop_front();
         }
@@ -65,8 +67,13 @@
         }
     }
 
-    fn are_correlated(&self) -> bool {
-        self.0.len() >= CORRELATED_MIN
+    /// Whether losses coincide with the latest one of a task, other than its own earlier ones.
+    fn are_correlated(&self, now_ms: u64, task: &Task) -> bool {
+        let is_recent = |lost_ms: u64| lost_ms + CORRELATION_WINDOW_MS >= now_ms;
+        let is_own = |id: &Arc<str>| task.losses.iter().any(|loss| loss.worker_id == *id);
+        let losses = self.0.iter();
+        let others = losses.filter(|(lost_ms, id)| is_recent(*lost_ms) && !is_own(id));
+        others.count() >= CORRELATED_MIN
     }
 }
 
@@ -83,22 +90,9 @@
             let worker_id = &self.workers[*key].record.id;
             self.worker_losses.record(now_ms, worker_id);
         }
-        let cause = match self.worker_losses.are_correlated() {
-            true => LossCause::Correlated,
-            false => LossCause::Unknown,
-        };
         for (key, runs) in lost {
-            let worker = &self.workers[key];
-            let is_planned = worker.record.draining;
-            let record = worker.record.clone();
-            let lease_ms = confirmed_lease_ms(now_ms, worker);
-            for run in runs {
-                self.requeue(now_ms, &run.owner, 0);
-                if !is_planned {
-                    let loss = WorkerLoss::new(&record, run.run_id, cause);
-                    self.record_worker_loss(now_ms, loss, &run, lease_ms, out);
-                }
-            }
+            let record = self.workers[key].record.clone();
+            self.lose_runs(now_ms, &record, runs, false, out);
         }
     }
 
@@ -111,69 +105,94 @@
         out: &mut Vec<Command>,
     ) {
         self.worker_losses.record(now_ms, &worker.record.id);
-        let is_planned = worker.record.draining;
-        let lease_ms = confirmed_lease_ms(now_ms, &worker);
-        for run in worker.runs {
+        self.lose_runs(now_ms, &worker.record, worker.runs, true, out);
+        self.confirm_restart(now_ms, &worker.record, out);
+    }
+
+    fn lose_runs(
+        &mut self,
+        now_ms: u64,
+        record: &WorkerRecord,
+        runs: Vec<Run>,
+        has_restarted: bool,
+        out: &mut Vec<Command>,
+    ) {
+        for run in runs {
             self.requeue(now_ms, &run.owner, 0);
-            let cause = match run.state {
-                _ if self.worker_losses.are_correlated() => LossCause::Correlated,
-                RunState::Running if lease_ms > 0 => LossCause::CrashedUnderRun,
-                _ => LossCause::Restarted,
-            };
-            let loss = WorkerLoss::new(&worker.record, run.run_id, cause);
-            if !is_planned {
-                self.record_worker_loss(now_ms, loss, &run, lease_ms, out);
+            if let RunOwner::Task(key, index) = run.owner
+                && !record.draining
+            {
+                let loss = WorkerLoss {
+                    worker_id: record.id.clone(),
+                    address: record.address.clone(),
+                    run_id: run.run_id,
+                    has_begun: !matches!(run.state, RunState::Starting(_)),
+                    is_correlated: false,
+                    has_restarted,
+                };
+                self.record_worker_loss(now_ms, loss, key, index, out);
             }
         }
-        self.confirm_restart(now_ms, &worker.record, out);
     }
 
     fn record_worker_loss(
         &mut self,
         now_ms: u64,
         loss: WorkerLoss,
-        run: &Run,
-        confirmed_lease_ms: i64,
+        key: JobKey,
+        index: usize,
         out: &mut Vec<Command>,
     ) {
-        let RunOwner::Task(key, index) = run.owner else {
-            return;
-        };
         let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
         let task = &mut job.tasks[index];
         let mut event = LogEvent::job("worker lost under task", &task.name);
         event.worker = loss.worker_id.to_string();
-        task.losses.push(loss);
-        let state = match run.state {
-            RunState::Starting(_) => "unanswered",
-            RunState::Running => "begun",
-            RunState::Stopping { .. } => "stopping",
+        let state = if loss.has_begun {
+            "begun"
+        } else {
+            "unanswered"
         };
-        let losses = losses_detail(task);
-        event.detail = format!("{state} confirmed_lease_ms {confirmed_lease_ms} {losses}");
+        let is_correlated = self.worker_losses.are_correlated(now_ms, task);
+        task.losses.push(WorkerLoss {
+            is_correlated,
+            ..loss
+        });
+        event.detail = format!("{state} {}", losses_detail(task));
         out.push(Command::Log(event));
+        self.await_explanation(now_ms, key, index, out);
+    }
+
+    /// Makes a task wait for the explanation of its losses if it has too many, or gives up its
+    /// job.
+    fn await_explanation(
+        &mut self,
+        now_ms: u64,
+        key: JobKey,
+        index: usize,
+        out: &mut Vec<Command>,
+    ) {
+        let task = &mut self.jobs[key].tasks[index];
         if awaits_explanation(task) {
             let not_before_ms = now_ms + EXPLANATION_TIMEOUT_MS;
             task.state = TaskState::Waiting { not_before_ms };
             self.queue.invalidate();
         }
-        self.end_if_poison(now_ms, key, index, out);
+        self.abandon_if_hopeless(now_ms, key, index, out);
     }
 
-    /// Ends a job if a task of it crashes the workers that start it, or may do so and has
-    /// lost too many runs.
-    fn end_if_poison(&mut self, now_ms: u64, key: JobKey, index: usize, out: &mut Vec<Command>) {
+    /// Gives up a job if a task of it has lost too many runs and waits for nothing.
+    fn abandon_if_hopeless(
+        &mut self,
+        now_ms: u64,
+        key: JobKey,
+        index: usize,
+        out: &mut Vec<Command>,
+    ) {
         let job = &self.jobs[key];
-        if job.stopping {
-            return;
-        }
         let task = &job.tasks[index];
-        if task.crashes() >= CRASHES_MAX {
-            let reason = "a task crashes the workers that start it";
-            self.end_job(now_ms, key, Outcome::Failed, reason, out);
-        } else if task.losses.len() >= LOST_RUNS_MAX && !awaits_explanation(task) {
+        if has_lost_too_often(task) && !awaits_explanation(task) && !job.stopping {
             self.end_job(now_ms, key, Outcome::Abandoned, LOST_TOO_OFTEN, out);
         }
     }
@@ -182,7 +201,7 @@
     /// explanation.
     pub(super) fn abandon_suspects(&mut self, now_ms: u64, out: &mut Vec<Command>) {
         let is_hopeless = |task: &Task| {
-            task.losses.len() >= LOST_RUNS_MAX
+            has_lost_too_often(task)
                 && matches!(task.state, TaskState::Waiting { not_before_ms } if not_before_ms <= now_ms)
         };
         let hopeless = self.jobs.iter();
@@ -194,9 +213,18 @@
         }
     }
 
-    /// Whether a task may start again after the runs that it has lost.
-    pub(super) fn may_start_again(&self, task: &Task) -> bool {
-        task.losses.len() < LOST_RUNS_MAX
+    /// Restores the losses of the tasks of a job that is submitted again.
+    pub(super) fn restore_losses(&mut self, now_ms: u64, key: JobKey, out: &mut Vec<Command>) {
+        let losses = self.lost_runs.take(&self.jobs[key].spec.id);
+        for (index, losses) in losses {
+            let Some(job) = self.jobs.get_mut(key) else {
+                return;
+            };
+            if let Some(task) = job.tasks.get_mut(index) {
+                task.losses.extend(losses);
+                self.await_explanation(now_ms, key, index, out);
+            }
+        }
     }
 
     /// Records that a worker has started again, as a later incarnation has answered.
@@ -261,10 +289,12 @@
         out: &mut Vec<Command>,
         explain: impl Fn(&WorkerLoss) -> Explanation,
     ) {
+        self.lost_runs.retain(|loss| apply(loss, explain(loss)));
         let mut explained = Vec::new();
         for (key, job) in &mut self.jobs {
             for (index, task) in job.tasks.iter_mut().enumerate() {
-                let explanations = apply_explanation(now_ms, task, &explain);
+                let awaited = awaits_explanation(task);
+                let explanations = apply_explanation(task, &explain);
                 for (worker_id, explanation) in &explanations {
                     let mut event = LogEvent::job("worker loss explained", &task.name);
                     event.worker = worker_id.to_string();
@@ -272,6 +302,7 @@
                     out.push(Command::Log(event));
                 }
                 if !explanations.is_empty() {
+                    end_wait_if_explained(now_ms, task, awaited);
                     explained.push((key, index));
                 }
             }
@@ -281,7 +312,7 @@
         }
         for (key, index) in explained {
             if self.jobs.contains_key(key) {
-                self.end_if_poison(now_ms, key, index, out);
+                self.abandon_if_hopeless(now_ms, key, index, out);
             }
         }
     }
@@ -335,39 +366,49 @@
     Restarted,
 }
 
+/// Applies an explanation to a loss; returns whether the loss remains.
+fn apply(loss: &mut WorkerLoss, explanation: Explanation) -> bool {
+    loss.has_restarted |= explanation == Explanation::Restarted;
+    explanation != Explanation::Unreachable
+}
+
 /// Applies explanations to the losses of a task; returns those that were news.
 fn apply_explanation(
-    now_ms: u64,
     task: &mut Task,
     explain: impl Fn(&WorkerLoss) -> Explanation,
 ) -> Vec<(Arc<str>, Explanation)> {
     let mut explanations = Vec::new();
-    let awaited = awaits_explanation(task);
     task.losses.retain_mut(|loss| {
         let explanation = explain(loss);
         let is_news = match explanation {
             Explanation::None => false,
-            Explanation::Restarted => loss.cause == LossCause::Unknown,
+            Explanation::Restarted => !loss.has_restarted,
             Explanation::Unreachable => true,
         };
         if is_news {
             explanations.push((loss.worker_id.clone(), explanation));
-            loss.cause = LossCause::Restarted;
         }
-        explanation != Explanation::Unreachable
+        apply(loss, explanation)
     });
-    end_wait_if_explained(now_ms, task, awaited);
     explanations
 }
 
+/// Whether a task may not start again after the runs that it has lost.
+pub(super) fn has_lost_too_often(task: &Task) -> bool {
+    let lost_runs = task.count_losses(|loss| loss.has_begun || loss.has_restarted);
+    lost_runs >= LOST_RUNS_MAX || task.losses.len() >= LOST_STARTS_MAX
+}
+
 /// Whether a task waits for the explanation of a loss before it starts again or its job is
 /// given up.
 fn awaits_explanation(task: &Task) -> bool {
-    let unexplained = match task.losses.len() {
-        0..LOSSES_MAX => 0,
-        LOSSES_MAX..LOST_RUNS_MAX => task.unexplained_losses(),
+    let unexplained = if has_lost_too_often(task) {
         // These workers may be unreachable as well.
-        _ => task.unexplained_losses() + task.losses_by(LossCause::Correlated),
+        task.count_losses(|loss| !loss.has_restarted)
+    } else if task.losses.len() >= LOSSES_MAX {
+        task.count_losses(|loss| !loss.has_restarted && !loss.is_correlated)
+    } else {
+        0
     };
     task.is_waiting() && unexplained > 0
 }
@@ -381,18 +422,11 @@
     }
 }
 
-/// Time for which the runs of a worker still hold a lease that it has confirmed; negative
-/// once it may have expired.
-fn confirmed_lease_ms(now_ms: u64, worker: &Worker) -> i64 {
-    worker.leases_hold_until_ms() as i64 - now_ms as i64
-}
-
 fn losses_detail(task: &Task) -> String {
     format!(
-        "crashed {} restarted {} correlated {} unexplained {}",
-        task.crashes(),
-        task.losses_by(LossCause::Restarted),
-        task.losses_by(LossCause::Correlated),
-        task.unexplained_losses()
+        "restarted {} correlated {} unexplained {}",
+        task.count_losses(|loss| loss.has_restarted),
+        task.count_losses(|loss| loss.is_correlated),
+        task.count_losses(|loss| !loss.has_restarted)
     )
 }
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -150,9 +150,6 @@
     pub resources: Option<Resources>,
     /// When its start was ordered.
     pub ordered_ms: u64,
-    /// Deadline on the worker's clock of the lease that its start requested; `None` if an
-    /// earlier owner started it.
-    pub lease_deadline_ms: Option<u64>,
     /// When an answer first showed that it is on the worker.
     pub confirmed_ms: u64,
     /// Estimated run time on a worker of average speed.
@@ -211,8 +208,6 @@
     pub sent_ms: u64,
     /// How long the worker may delay the answer until a run ends.
     pub wait_ms: u64,
-    /// Deadline on the worker's clock of the lease that it requests, if any.
-    pub lease_deadline_ms: Option<u64>,
 }
 
 /// A worker of an owner.
@@ -256,10 +251,6 @@
     pub last_completion_ms: u64,
     /// Last reading of its clock, and when it was read.
     clock: Option<(u64, u64)>,
-    /// Upper bound of its clock minus the owner's.
-    clock_offset_max_ms: Option<i64>,
-    /// Latest deadline on its clock of a lease that it has confirmed.
-    confirmed_deadline_ms: u64,
     /// When all leases granted so far have expired.
     pub leases_expire_ms: u64,
     /// Recent failures and speed.
@@ -292,8 +283,6 @@
             acked_completion: 0,
             last_completion_ms: 0,
             clock: None,
-            clock_offset_max_ms: None,
-            confirmed_deadline_ms: 0,
             leases_expire_ms: 0,
             health: WorkerHealth::default(),
             degradation: 1.0,
@@ -406,24 +395,6 @@
         Some(deadline_ms)
     }
 
-    /// Records that it has answered an order sent at `sent_ms`, which requested a lease until
-    /// `deadline_ms` of its clock, and read its clock meanwhile.
-    pub fn confirm_lease(&mut self, sent_ms: u64, deadline_ms: Option<u64>, clock_ms: u64) {
-        // Its clock may be slow, but is never fast, so that the bound holds from then on.
-        let offset_ms = clock_ms as i64 - sent_ms as i64;
-        let known_ms = self.clock_offset_max_ms.unwrap_or(i64::MAX);
-        self.clock_offset_max_ms = Some(offset_ms.min(known_ms));
-        self.confirmed_deadline_ms = self.confirmed_deadline_ms.max(deadline_ms.unwrap_or(0));
-    }
-
-    /// Time by the owner's clock until which its runs certainly hold a lease, unlike
-    /// `leases_expire_ms`, after which they certainly hold none.
-    pub fn leases_hold_until_ms(&self) -> u64 {
-        let offset_ms = self.clock_offset_max_ms.unwrap_or(i64::MAX);
-        let until_ms = (self.confirmed_deadline_ms as i64).saturating_sub(offset_ms);
-        u64::try_from(until_ms).unwrap_or(0)
-    }
-
     /// Requests a poll of its runs, unless one is in progress.
     pub fn request_poll(&mut self) {
         self.poll_due = self.renewal.is_none_or(|renewal| renewal.wait_ms > 0);
--- a/crates/core/tests/dispatch_crashes/losses.rs
+++ b/crates/core/tests/dispatch_crashes/losses.rs
@@ -186,3 +186,44 @@
     assert!(pool.workers_of("a").len() > 3);
     assert_eq!(pool.ended, [("a".to_owned(), Outcome::Completed)]);
 }
+
+// Guards against a verdict on a run that was done, behind a cut, before its worker crashed.
+#[test]
+fn a_run_that_had_ended_before_its_worker_crashed_does_not_fail_its_job() {
+    const CUT_AFTER_START_MS: u64 = 20;
+    const CRASH_AFTER_START_MS: u64 = 120;
+    let mut pool = Pool::new(&["w1", "w2", "w3", "w4"]);
+    pool.restart_ms = 10;
+    pool.delegate("a", 1);
+    for start in 1..=2 {
+        run_until_started(&mut pool, "a", start);
+        let started_ms = pool.now_ms;
+        let worker = pool.workers_of("a")[start - 1].clone();
+        pool.run_until(started_ms + CUT_AFTER_START_MS);
+        pool.dead.insert(worker.clone());
+        pool.run_until(started_ms + CRASH_AFTER_START_MS);
+        pool.crash(&worker);
+        pool.run_until(started_ms + CRASH_AFTER_START_MS + 10);
+        pool.dead.remove(&worker);
+    }
+    pool.run_until(8000);
+    assert_eq!(pool.ended, [("a".to_owned(), Outcome::Completed)]);
+}
+
+// Guards against a job that is given up although none of its starts arrived: owners do not
+// call idle workers, so that several may be gone unnoticed.
+#[test]
+fn a_job_whose_starts_never_arrived_is_not_given_up() {
+    for restart_ms in [1000, u64::MAX / 2] {
+        let mut pool = Pool::new(&["w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"]);
+        pool.restart_ms = restart_ms;
+        pool.run_until(200);
+        for id in ["w1", "w2", "w3"] {
+            pool.crash(id);
+        }
+        pool.delegate("a", 1);
+        pool.run_until(12_000);
+        let completed = [("a".to_owned(), Outcome::Completed)];
+        assert_eq!(pool.ended, completed, "{:?}", pool.workers_of("a"));
+    }
+}
