peers: a refusal of an earlier submission is not told while a later one is under way

Cause: an entry that asks the owner again and hears that the job is unknown sends the submission again, under the same request ID. Each late answer causes one submission. If the first is refused and the next finds a free slot, the caller was told the refusal, not_run, while the job ran.

Each submission now has a request ID of its own.

The new test, with a scripted owner, failed before (overload, not_run, with a second submission admitted) and passes.

--- a/src/peers/forward.rs
+++ b/src/peers/forward.rs
@@ -155,6 +155,8 @@
                     };
                 }
                 resubmitted = true;
+                // Answers to what was sent before say nothing of this submission.
+                pending = self.pending.open(key, owner);
                 self.counters.count_reasked();
                 let _ = self.send_request(owner, request.body(pending.id(), key, started));
                 continue;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod faults_stop;
 mod faults_store;
 mod faults_work;
+mod forward;
 mod health;
 mod leaving;
 mod leaving_servers;
