peers: an entry that does not know a key's owner does not say that its job never ran

Cause: GET and DELETE of a key whose owner is unknown (no view of the key's failure domain yet, or a join that waits for former owners) were answered from the entry's own memory: 404 unknown_job with the verdict not_run, though the owner may run the job. A malformed submission under the key was told the same verdict. Requests from peers were checked already.

Such an answer is now not_vouched, may_have_run, with a retry delay, as for submissions.

The new test failed before (not_run) and passes.

--- a/src/peers/forward.rs
+++ b/src/peers/forward.rs
@@ -106,7 +106,8 @@
                     .await;
             }
             Route::Local | Route::Unknown { .. } => {
-                return self.context.runtime.fetch(key, wait_ms).await;
+                let answer = self.context.runtime.fetch(key, wait_ms).await;
+                return self.check_ownership(key, answer);
             }
         };
         let limit_ms = wait_ms + SHORT_REQUEST_MS;
@@ -119,7 +120,10 @@
         let owner = match self.route(key) {
             Route::Peer(owner) => owner,
             Route::OwnerLost => return self.recall(key, None, &OwnerRequest::Cancel).await,
-            Route::Local | Route::Unknown { .. } => return self.context.runtime.cancel(key).await,
+            Route::Local | Route::Unknown { .. } => {
+                let answer = self.context.runtime.cancel(key).await;
+                return self.check_ownership(key, answer);
+            }
         };
         self.request_owner(&owner, key, &OwnerRequest::Cancel, SHORT_REQUEST_MS)
             .await
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -184,7 +184,7 @@
     }
 
     /// Replaces the answer that a job is unknown, which is valid only from the owner.
-    fn check_ownership(&self, key: &JobKey, answer: JobAnswer) -> JobAnswer {
+    pub(super) fn check_ownership(&self, key: &JobKey, answer: JobAnswer) -> JobAnswer {
         match self.route(key) {
             Route::Local => answer,
             _ if !forward::is_unknown_job(&answer) => answer,
--- a/tests/testsuite/forward.rs
+++ b/tests/testsuite/forward.rs
@@ -225,6 +225,21 @@
     JobKey::mint(REMOTE_DOMAIN, now.as_millis() as u64, random)
 }
 
+/// The owner may run the job, which only an instance that knows the views can tell.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_that_does_not_know_the_owner_does_not_say_that_its_job_never_ran() {
+    let entry = Entry::start(&[]).await;
+    let key = new_key(1);
+    let path = format!("/v1/jobs/{key}");
+    for method in [Method::GET, Method::DELETE] {
+        let answer = entry.call(method.clone(), &path, &key, Value::Null).await;
+        assert_eq!(answer["verdict"], "may_have_run", "{method}: {answer}");
+    }
+    // A submission that is refused for its form is told what is known of its key.
+    let malformed = entry.call(Method::POST, "/v1/jobs", &key, json!({})).await;
+    assert_eq!(malformed["verdict"], "may_have_run", "{malformed}");
+}
+
 /// Each of two late answers that the job is unknown would cause a submission. The answer
 /// to the first of them says nothing of the second.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
