peers: a submission that a successor leaves unanswered may have run

Cause: a submission whose owner is gone is sent to the successor, which never starts it. That holds if a stored view has removed the owner. If the entry only knows that the owner ended, the successor may know a view that the entry does not, in which it owns the key itself, and runs the job.

Such a request is now answered with answer_lost, may_have_run. If all former holders are removed by stored views, the answer is owner_lost as before: views that follow begin later.

--- a/src/peers/forward.rs
+++ b/src/peers/forward.rs
@@ -192,7 +192,7 @@
 }
 
 impl OwnerRequest<'_> {
-    fn is_submission(&self) -> bool {
+    pub(super) fn is_submission(&self) -> bool {
         matches!(self, Self::Submit { .. })
     }
 
@@ -331,7 +331,7 @@
     }
 }
 
-fn answer_lost(owner: &Member) -> Refusal {
+pub(super) fn answer_lost(owner: &Member) -> Refusal {
     Refusal {
         reason: RefusalReason::AnswerLost,
         detail: format!(
--- a/src/peers/recall.rs
+++ b/src/peers/recall.rs
@@ -8,8 +8,9 @@
 use trefoil_core::engine::JobAnswer;
 use trefoil_core::handover::Absence;
 use trefoil_core::key::JobKey;
+use trefoil_core::view::Succession;
 
-use super::forward::{OwnerRequest, owner_left, owner_lost, refused, unknown_owner};
+use super::forward::{OwnerRequest, answer_lost, owner_left, owner_lost, refused, unknown_owner};
 use super::{Peers, convert};
 
 /// Time limit for a successor's answer.
@@ -32,7 +33,7 @@
         let succession = self.membership().succession(key);
         match succession {
             Some((succession, _)) if succession.holder != self.local_member => {
-                self.ask_successor(&succession.holder, key, request).await
+                self.ask_successor(&succession, key, request).await
             }
             Some(_) | None => self.recall_here(key, fingerprint).await,
         }
@@ -40,22 +41,29 @@
 
     async fn ask_successor(
         &self,
-        successor: &trefoil_core::view::Member,
+        succession: &Succession,
         key: &JobKey,
         request: &OwnerRequest<'_>,
     ) -> JobAnswer {
+        let successor = &succession.holder;
         let started = Instant::now();
+        let mut sent = false;
         let mut pending = self.pending.open(key, successor);
         while started.elapsed() < SUCCESSOR_TIMEOUT {
             let body = request.body(pending.id(), key, started);
             if self.send_request(successor, body).is_err() {
                 break;
             }
+            sent = true;
             let answer = tokio::time::timeout(RESEND_INTERVAL, pending.next()).await;
             if let Ok(Some(message)) = answer {
                 return convert::answer(message);
             }
         }
+        if sent && request.is_submission() && !succession.stored {
+            // The successor may know a view in which it owns the key.
+            return refused(answer_lost(successor));
+        }
         let mut refusal = owner_lost();
         refusal.retry_after_ms = NO_ANSWER_RETRY_MS;
         refused(refusal)
--- a/tests/testsuite/forward.rs
+++ b/tests/testsuite/forward.rs
@@ -15,7 +15,9 @@
 use trefoil_core::view::{Member, View};
 use trefoil_fakes::client::{Client, request};
 use trefoil_fakes::platform::{self, PlatformHandle, PlatformOptions};
-use trefoil_schema::peer::{JobAnswer, JobState, Verdict, ViewRecord, message::Body};
+use trefoil_schema::peer::{
+    Heartbeat, InstanceState, JobAnswer, JobState, Verdict, ViewRecord, message::Body,
+};
 use trefoil_schema::settings::PeerSettings;
 use trefoilbay::links::{Incoming, LinkSettings, Links};
 use trefoilbay::server;
@@ -179,6 +181,16 @@
         self.send(entry, Body::View(record));
     }
 
+    fn send_heartbeat(&self, entry: &Entry) {
+        let heartbeat = Heartbeat {
+            domain: REMOTE_DOMAIN.to_owned(),
+            state: InstanceState::Serving as i32,
+            address: self.address.to_string(),
+            ..Heartbeat::default()
+        };
+        self.send(entry, Body::Heartbeat(heartbeat));
+    }
+
     /// The next request about a job.
     async fn next_request(&mut self) -> Body {
         loop {
@@ -225,6 +237,18 @@
     JobKey::mint(REMOTE_DOMAIN, now.as_millis() as u64, random)
 }
 
+/// A new key that `owner` owns in a view of `members`.
+fn key_owned_by(owner: &Member, members: &[&Member]) -> JobKey {
+    let view = View {
+        version: 1,
+        from_ms: 0,
+        members: members.iter().copied().cloned().collect(),
+    };
+    let keys = (0..).map(new_key);
+    let mut owned = keys.filter(|key| view.owner(key) == Some(owner));
+    owned.next().unwrap()
+}
+
 /// The owner may run the job, which only an instance that knows the views can tell.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_entry_that_does_not_know_the_owner_does_not_say_that_its_job_never_ran() {
@@ -281,3 +305,31 @@
         _ => assert_ne!(answer["verdict"], "not_run", "admitted, told: {answer}"),
     }
 }
+
+/// The successor may know a view in which it owns the key, and then runs the job.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_submission_that_a_successor_does_not_answer_may_have_run() {
+    let restarted = ScriptedPeer::start("owner", 2);
+    let mut successor = ScriptedPeer::start("successor", 1);
+    let former = Member::new("owner", 1);
+    let members = [&former, &successor.member];
+    let key = key_owned_by(&former, &members);
+    let own_key = key_owned_by(&successor.member, &members);
+    let entry = Entry::start(&[&restarted, &successor]).await;
+    successor.send_view(&entry, &members);
+    entry.wait_until_owner_is(&mut successor, &own_key).await;
+    restarted.send_heartbeat(&entry);
+    sleep(SETTLE_TIME).await;
+    let received = async {
+        loop {
+            if let Body::ForwardJob(job) = successor.next_request().await
+                && job.key == key.as_str()
+            {
+                return;
+            }
+        }
+    };
+    let (answer, received) = tokio::join!(entry.submit(&key), timeout(WAIT_LIMIT, received));
+    received.expect("the successor receives the submission");
+    assert_eq!(answer["request_verdict"], "may_have_run", "{answer}");
+}
