--- a/crates/core/src/dispatch/owner/poison_tasks.rs
+++ b/crates/core/src/dispatch/owner/poison_tasks.rs
@@ -6,12 +6,11 @@
 //! task, which would be suspected along with it. If every worker that has room runs a
 //! suspect task, other tasks wait for its end while their jobs can still end in time.
 //!
-//! No loss convicts a task. A later incarnation shows that the worker has crashed, but not
-//! when: a start that was never answered may not have arrived before, and a run that had begun
-//! may have ended before, by itself or with its lease behind a cut. So after
-//! [`LOST_RUNS_MAX`] lost runs the job is given up without a verdict: its caller is told that it
-//! may have run. The price is that a job is never reported as failed for a task that does crash
-//! its workers.
+//! No lost run counts as a failure of its task. A later incarnation shows that the worker has
+//! crashed, but not when: a start that was never answered may not have arrived before, and a run
+//! that had begun may have ended before, by itself or with its lease behind a cut. So after
+//! [`LOST_RUNS_MAX`] lost runs the job is given up, and its caller is told that it may have run.
+//! The price is that a job is never reported as failed for a task that does crash its workers.
 //!
 //! A worker that answers again in the same incarnation has not crashed; its loss is
 //! forgotten. After two losses that are not both explained the task waits for the
@@ -48,7 +47,7 @@
 /// How long a lost incarnation is remembered, so that it is not counted again when a later
 /// one answers.
 const LOSS_RETENTION_MS: u64 = 10_000;
-/// Why a job is given up without a verdict on its task.
+/// Why a job is given up.
 const LOST_TOO_OFTEN: &str = "workers were lost under a task too often";
 
 /// Incarnations of workers that were lost recently, oldest first, and when.
