platform: the start of a worker's incarnation is decoded and passed on

Cause: a worker may start again under the id that it had.

Owners pass it on with the workers of their pools; releases that send none mean unknown. No decision depends on it yet.

--- a/crates/core/src/dispatch/order.rs
+++ b/crates/core/src/dispatch/order.rs
@@ -149,6 +149,8 @@
 pub enum RenewOutcome {
     /// The lease is renewed.
     Renewed {
+        /// Start of the incarnation that answered, in Unix milliseconds; `None` if unknown.
+        born_ms: Option<u64>,
         /// Reading of the worker's clock, in milliseconds.
         clock_ms: u64,
         /// All current runs.
--- a/crates/core/src/dispatch/owner/lease_renewal.rs
+++ b/crates/core/src/dispatch/owner/lease_renewal.rs
@@ -110,6 +110,7 @@
                 clock_ms,
                 running,
                 completions,
+                ..
             } => {
                 worker.observe_clock(now_ms, clock_ms);
                 let was_unfenced = worker.fencing == FencingState::Unfenced;
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -25,7 +25,7 @@
 /// A worker's entry in the platform's registry.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WorkerRecord {
-    /// Identifies one incarnation of the worker.
+    /// Identifies the worker and, unless it starts again under the same id, one incarnation.
     pub id: Arc<str>,
     /// `ip:port`.
     pub address: Arc<str>,
@@ -41,6 +41,9 @@
     pub capacity: Resources,
     /// Labels for its kind and its rack.
     pub labels: BTreeSet<Arc<str>>,
+    /// Start of the incarnation in Unix milliseconds; `None` if unknown. A worker may start
+    /// again under the same id.
+    pub born_ms: Option<u64>,
 }
 
 /// The announced exit of a draining worker. Everything that runs on the worker ends with it.
--- a/crates/core/tests/dispatch_support/mod.rs
+++ b/crates/core/tests/dispatch_support/mod.rs
@@ -38,6 +38,7 @@
             gpus: 0,
         },
         labels: ["a", "r1"].into_iter().map(Arc::from).collect(),
+        born_ms: None,
     }
 }
 
@@ -232,6 +233,7 @@
         self.unacked
             .retain(|completion| completion.number > order.acked_completion);
         RenewOutcome::Renewed {
+            born_ms: None,
             clock_ms: self.clock_ms(now_ms),
             running: self
                 .runs
--- a/crates/core/tests/dispatch_support/orders.rs
+++ b/crates/core/tests/dispatch_support/orders.rs
@@ -34,6 +34,7 @@
 
 pub fn renewed(running: Vec<ListedRun>, completions: Vec<RunCompletion>) -> RenewOutcome {
     RenewOutcome::Renewed {
+        born_ms: None,
         clock_ms: 50_000,
         running,
         completions,
--- a/crates/instance/src/instance/workers.rs
+++ b/crates/instance/src/instance/workers.rs
@@ -186,6 +186,7 @@
         labels: record.labels.iter().map(ToString::to_string).collect(),
         // 0 means unknown.
         remaining_ms: remaining_ms.map_or(0, |remaining_ms| remaining_ms.max(1)),
+        born_ms: record.born_ms.unwrap_or(0),
     }
 }
 
@@ -206,5 +207,6 @@
             gpus: worker.gpus,
         },
         labels: worker.labels.into_iter().map(Arc::from).collect(),
+        born_ms: (worker.born_ms > 0).then_some(worker.born_ms),
     }
 }
--- a/crates/instance/tests/instance/pool_workers.rs
+++ b/crates/instance/tests/instance/pool_workers.rs
@@ -32,6 +32,7 @@
         }),
         capacity: Resources::default(),
         labels: Default::default(),
+        born_ms: None,
     }
 }
 
@@ -41,6 +42,14 @@
     instance: &Rc<Instance<FakePlatform>>,
     address: std::net::SocketAddr,
 ) -> u64 {
+    reported_worker(instance, address).await.remaining_ms
+}
+
+/// Lets the instance own the pool; returns its worker as it then reports it.
+async fn reported_worker(
+    instance: &Rc<Instance<FakePlatform>>,
+    address: std::net::SocketAddr,
+) -> Worker {
     spawn_local(Rc::clone(instance).tick_forever());
     store_polling::start(instance);
     for incarnation in 2.. {
@@ -50,7 +59,7 @@
             if let Body::PoolWorkers(reported) = body
                 && let [worker] = reported.workers.as_slice()
             {
-                return worker.remaining_ms;
+                return worker.clone();
             }
         }
     }
@@ -142,3 +151,36 @@
         assert!(remaining_ms.is_ok(), "the worker is not known");
     });
 }
+
+/// Guards against a successor that takes a worker which has started again for the one before, as it
+/// does not know from which incarnation the list is.
+#[test]
+fn a_report_tells_the_incarnation_of_a_worker() {
+    const BORN_MS: u64 = 1_700_000_000_000;
+    run(async {
+        let platform = FakePlatform {
+            workers: None,
+            ..FakePlatform::default()
+        };
+        let (instance, address) = start_instance(platform).await;
+        let mut link = Link::open(address, 1).await;
+        link.read_heartbeat().await;
+        let worker = Worker {
+            id: "w1".to_owned(),
+            address: "w1:80".to_owned(),
+            service: "register".to_owned(),
+            born_ms: BORN_MS,
+            ..Worker::default()
+        };
+        let reported = PoolWorkers {
+            pool: format!("{DOMAIN}/0"),
+            workers: vec![worker],
+            ..PoolWorkers::default()
+        };
+        link.send(Body::PoolWorkers(reported)).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let reported = timeout(TIMEOUT, reported_worker(&instance, address)).await;
+        let born_ms = reported.map(|worker| worker.born_ms);
+        assert_eq!(born_ms, Ok(BORN_MS));
+    });
+}
--- a/crates/replay/examples/owner_rate.rs
+++ b/crates/replay/examples/owner_rate.rs
@@ -83,12 +83,14 @@
             gpus: 0,
         },
         labels: [Arc::from("a")].into_iter().collect(),
+        born_ms: None,
     });
     let mut out = Vec::new();
     owner.set_workers(0, records.collect(), &mut out);
     for command in out {
         if let Command::Renew(order) = command {
             let held = RenewOutcome::Renewed {
+                born_ms: None,
                 clock_ms: 1,
                 running: Vec::new(),
                 completions: Vec::new(),
--- a/crates/replay/src/simulation/topology.rs
+++ b/crates/replay/src/simulation/topology.rs
@@ -132,6 +132,7 @@
                 gpus: 0,
             },
             labels: [Arc::from(kind.label)].into_iter().collect(),
+            born_ms: None,
         };
         self.worker_positions.insert(id, position);
         self.workers.push(Worker::new(record, kind.slowdown));
--- a/crates/replay/src/worker.rs
+++ b/crates/replay/src/worker.rs
@@ -97,6 +97,7 @@
     /// Result of a renewal; the worker's clock has no offset.
     pub fn renew_outcome(&self, now_ms: u64) -> RenewOutcome {
         RenewOutcome::Renewed {
+            born_ms: None,
             clock_ms: now_ms,
             running: self.runs.clone(),
             completions: self.completions.iter().cloned().collect(),
