owner: a worker that starts again under its id is a later incarnation

Cause: an order names a worker by its id only, so that a worker that had started again was taken for the one before.

An answer to a renewal or an entry with a later `born_ms` now begins a new incarnation: a fresh state under a raised fence, leases that may last as long as the worker grants, and no task until the registry lists its entry. Its runs stay until a renewal under the raised fence does not list them, since the worker, which has seen no fence, may have carried out or may still carry out orders meant for the one before; those that are missing are lost runs of their tasks. Answers and entries with an earlier `born_ms` are ignored. The answer to a start whose clock is behind one read before the start was sent shows the same, so that the lease counts in full. Workers without `born_ms` are treated as before.

--- a/crates/core/src/dispatch/job.rs
+++ b/crates/core/src/dispatch/job.rs
@@ -8,6 +8,7 @@
 use super::link::LinkId;
 use super::order::WorkerKey;
 use super::owner::StartBarrier;
+use super::worker::{WorkerRecord, is_earlier};
 
 /// Up to this multiple of the latency objective, an answer is late but still useful.
 pub const LATE_FACTOR: f64 = 3.0;
@@ -45,6 +46,8 @@
     pub worker_id: Arc<str>,
     /// Its `ip:port`.
     pub address: Arc<str>,
+    /// Its start in Unix milliseconds; `None` if unknown.
+    pub born_ms: Option<u64>,
     /// Id of the run.
     pub run_id: u64,
     /// Whether the run had begun: its start was answered, or the worker listed it. Otherwise
@@ -57,6 +60,13 @@
     pub has_restarted: bool,
 }
 
+impl WorkerLoss {
+    /// Whether it is the loss of this incarnation, as far as known.
+    pub fn is_of(&self, record: &WorkerRecord) -> bool {
+        self.worker_id == record.id && !is_earlier(self.born_ms, record.born_ms)
+    }
+}
+
 /// A task of a job.
 #[derive(Clone, Debug)]
 pub struct Task {
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -52,6 +52,7 @@
 mod poison_tasks;
 mod queue;
 mod rate;
+mod rebirth;
 mod reservation;
 mod restart_targets;
 mod run_times;
@@ -79,7 +80,7 @@
     WorkerKey,
 };
 use super::ownership::{Predecessor, Roster};
-use super::worker::{FencingState, RunOwner, RunState, Worker, WorkerRecord};
+use super::worker::{FencingState, RunOwner, RunState, Worker, WorkerRecord, is_earlier};
 pub use command::{Command, JobResult, OrderResult};
 pub use departure::{DepartureAction, RunOutlook};
 pub use log_event::{LogEvent, LogTopic};
@@ -114,8 +115,8 @@
     worker_losses: poison_tasks::WorkerLosses,
     lost_runs: lost_runs::LostRuns,
     /// Incarnations that have ended and whose entries the registry still lists, with their
-    /// addresses.
-    ended_incarnations: HashMap<Arc<str>, Arc<str>>,
+    /// addresses and starts.
+    ended_incarnations: HashMap<Arc<str>, (Arc<str>, Option<u64>)>,
     /// Jobs that ended recently, oldest first.
     ended_jobs: VecDeque<(u64, String, Outcome)>,
     /// Jobs that this owner has given up, oldest first.
@@ -237,6 +238,15 @@
         out: &mut Vec<Command>,
     ) {
         if let Some(&key) = self.worker_ids.get(&record.id) {
+            let known_ms = self.workers[key].record.born_ms;
+            if is_earlier(record.born_ms, known_ms) {
+                return;
+            }
+            if let Some(born_ms) = record.born_ms
+                && is_earlier(known_ms, Some(born_ms))
+            {
+                self.begin_incarnation(now_ms, key, born_ms, out);
+            }
             let worker = &mut self.workers[key];
             if worker.record.draining != record.draining {
                 out.push(Command::Log(LogEvent::worker("draining", worker)));
@@ -250,10 +260,17 @@
             if worker.record.departure != record.departure {
                 worker.exit = departure::expected_exit(now_ms, worker, record.departure);
             }
-            worker.record = record;
+            let born_ms = record.born_ms.or(known_ms);
+            worker.record = WorkerRecord { born_ms, ..record };
+            if std::mem::take(&mut worker.awaits_entry) {
+                worker.set_prior(&self.worker_speeds);
+            }
             return;
         }
-        if self.ended_incarnations.get(&record.id) == Some(&record.address) {
+        let ended = self.ended_incarnations.get(&record.id);
+        if ended.is_some_and(|(address, born_ms)| {
+            *address == record.address && !is_earlier(*born_ms, record.born_ms)
+        }) {
             return;
         }
         let id = record.id.clone();
--- a/crates/core/src/dispatch/owner/lease_renewal.rs
+++ b/crates/core/src/dispatch/owner/lease_renewal.rs
@@ -90,13 +90,20 @@
         if !fence.same_ownership(self.fence) {
             return;
         }
-        let Some(worker) = self.workers.get_mut(key) else {
+        if !self.workers.contains_key(key) {
             return;
-        };
+        }
         if outcome == RenewOutcome::WrongIncarnation {
             self.on_incarnation_ended(now_ms, key, out);
             return self.schedule(now_ms, out);
         }
+        let mut outcome = outcome;
+        if let RenewOutcome::Renewed { born_ms, .. } = outcome
+            && self.observe_incarnation(now_ms, key, born_ms, out)
+        {
+            outcome = RenewOutcome::NoAnswer;
+        }
+        let worker = &mut self.workers[key];
         let Some(renewal) = worker.renewal.filter(|renewal| renewal.number == number) else {
             return self.take_late_completions(now_ms, key, outcome, out);
         };
@@ -133,8 +140,8 @@
                 }
                 self.reconcile(now_ms, key, renewal, &running, out);
                 if was_unfenced && let Some(worker) = self.workers.get(key) {
-                    let worker_id = worker.record.id.clone();
-                    self.clear_suspicion(now_ms, &worker_id, out);
+                    let record = worker.record.clone();
+                    self.clear_suspicion(now_ms, &record, out);
                 }
             }
             RenewOutcome::Fenced => self.on_superseded(now_ms, key, out),
@@ -218,6 +225,7 @@
             event.worker = self.workers[key].record.id.to_string();
             out.push(Command::Log(event));
             self.requeue(now_ms, &run.owner, 0);
+            self.record_ended_with_incarnation(now_ms, key, &run, out);
         }
         for listed in unknown_runs {
             self.take_unknown_run(now_ms, key, listed, out);
--- a/crates/core/src/dispatch/owner/order_results.rs
+++ b/crates/core/src/dispatch/owner/order_results.rs
@@ -12,17 +12,31 @@
         if !result.fence.same_ownership(self.fence) {
             return;
         }
-        if result.outcome == OrderOutcome::WrongIncarnation {
+        let worker = self.workers.get(result.worker);
+        let was_reborn = worker.is_some_and(|worker| worker.rebirth.is_some());
+        let is_rejected_by_successor = match result.outcome {
+            OrderOutcome::WrongIncarnation => true,
+            OrderOutcome::Fenced => was_reborn,
+            _ => false,
+        };
+        if is_rejected_by_successor {
             self.clear_loss_of_run(now_ms, &result.task, result.run_id);
         }
         let Some(worker) = self.workers.get_mut(result.worker) else {
             return;
         };
+        let is_current = worker.is_current(result.fence);
         let is_newest = result.fence == worker.fence;
         let position = worker.position(&result.task, result.run_id);
         match result.outcome {
             OrderOutcome::Done { clock_ms } => {
-                worker.observe_clock(now_ms, clock_ms);
+                if is_current {
+                    if let Some(position) = position {
+                        let ordered_ms = worker.runs[position].ordered_ms;
+                        worker.reset_clock_if_anew(now_ms, ordered_ms, clock_ms);
+                    }
+                    worker.observe_clock(now_ms, clock_ms);
+                }
                 if let Some(position) = position {
                     let ordered_ms = worker.runs[position].ordered_ms;
                     self.answer_timeout.record_answer(now_ms - ordered_ms);
@@ -95,11 +109,16 @@
         };
         let is_newest = result.fence == worker.fence;
         match result.outcome {
-            OrderOutcome::Done { clock_ms } => worker.observe_clock(now_ms, clock_ms),
+            OrderOutcome::Done { clock_ms } if worker.is_current(result.fence) => {
+                worker.observe_clock(now_ms, clock_ms)
+            }
             OrderOutcome::NoAnswer if is_newest => worker.raise_fence(),
             OrderOutcome::Fenced if is_newest => self.on_superseded(now_ms, result.worker, out),
             OrderOutcome::WrongIncarnation => self.on_incarnation_ended(now_ms, result.worker, out),
-            OrderOutcome::NoAnswer | OrderOutcome::Fenced | OrderOutcome::Rejected(_) => {}
+            OrderOutcome::Done { .. }
+            | OrderOutcome::NoAnswer
+            | OrderOutcome::Fenced
+            | OrderOutcome::Rejected(_) => {}
         }
         self.dirty_workers.insert(result.worker);
         self.schedule(now_ms, out);
@@ -127,7 +146,7 @@
         let record = &worker.record;
         self.worker_ids.remove(&record.id);
         self.ended_incarnations
-            .insert(record.id.clone(), record.address.clone());
+            .insert(record.id.clone(), (record.address.clone(), record.born_ms));
         if self.predecessor.record_fenced(&worker.record.id) {
             self.queue.invalidate();
         }
--- a/crates/core/src/dispatch/owner/poison_tasks.rs
+++ b/crates/core/src/dispatch/owner/poison_tasks.rs
@@ -56,7 +56,7 @@
 
 impl WorkerLosses {
     /// Records a loss, unless it is recorded already.
-    fn record(&mut self, now_ms: u64, worker_id: &Arc<str>) {
+    pub(super) fn record(&mut self, now_ms: u64, worker_id: &Arc<str>) {
         let is_old = |lost_ms: u64| lost_ms + LOSS_RETENTION_MS < now_ms;
         while self.0.front().is_some_and(|loss| is_old(loss.0)) {
             self.0.pop_front();
@@ -118,45 +118,39 @@
     ) {
         for run in runs {
             self.requeue(now_ms, &run.owner, 0);
-            if let RunOwner::Task(key, index) = run.owner
-                && !record.draining
-            {
-                let loss = WorkerLoss {
-                    worker_id: record.id.clone(),
-                    address: record.address.clone(),
-                    run_id: run.run_id,
-                    has_begun: !matches!(run.state, RunState::Starting(_)),
-                    is_correlated: false,
-                    has_restarted,
-                };
-                self.record_worker_loss(now_ms, loss, key, index, out);
-            }
+            self.record_worker_loss(now_ms, record, &run, has_restarted, out);
         }
     }
 
-    fn record_worker_loss(
+    /// Records the loss of a worker with this entry for the task of a run there.
+    pub(super) fn record_worker_loss(
         &mut self,
         now_ms: u64,
-        loss: WorkerLoss,
-        key: JobKey,
-        index: usize,
+        record: &WorkerRecord,
+        run: &Run,
+        has_restarted: bool,
         out: &mut Vec<Command>,
     ) {
-        let Some(job) = self.jobs.get_mut(key) else {
+        let RunOwner::Task(key, index) = run.owner else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(key).filter(|_| !record.draining) else {
             return;
         };
         let task = &mut job.tasks[index];
         let mut event = LogEvent::job("worker lost under task", &task.name);
-        event.worker = loss.worker_id.to_string();
-        let state = if loss.has_begun {
-            "begun"
-        } else {
-            "unanswered"
-        };
+        event.worker = record.id.to_string();
+        let has_begun = !matches!(run.state, RunState::Starting(_));
+        let state = if has_begun { "begun" } else { "unanswered" };
         let is_correlated = self.worker_losses.are_correlated(now_ms, task);
         task.losses.push(WorkerLoss {
+            worker_id: record.id.clone(),
+            address: record.address.clone(),
+            born_ms: record.born_ms,
+            run_id: run.run_id,
+            has_begun,
             is_correlated,
-            ..loss
+            has_restarted,
         });
         event.detail = format!("{state} {}", losses_detail(task));
         out.push(Command::Log(event));
@@ -227,7 +221,12 @@
     }
 
     /// Records that a worker has started again, as a later incarnation has answered.
-    fn confirm_restart(&mut self, now_ms: u64, record: &WorkerRecord, out: &mut Vec<Command>) {
+    pub(super) fn confirm_restart(
+        &mut self,
+        now_ms: u64,
+        record: &WorkerRecord,
+        out: &mut Vec<Command>,
+    ) {
         self.explain_losses(now_ms, out, |loss| match loss.worker_id == record.id {
             true => Explanation::Restarted,
             false => Explanation::None,
@@ -257,10 +256,10 @@
     pub(super) fn clear_suspicion(
         &mut self,
         now_ms: u64,
-        worker_id: &Arc<str>,
+        record: &WorkerRecord,
         out: &mut Vec<Command>,
     ) {
-        self.explain_losses(now_ms, out, |loss| match loss.worker_id == *worker_id {
+        self.explain_losses(now_ms, out, |loss| match loss.is_of(record) {
             true => Explanation::Unreachable,
             false => Explanation::None,
         });
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -7,6 +7,7 @@
 //! the worker's incarnation has ended, or when its lease has expired.
 
 mod health;
+mod incarnation;
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -21,6 +22,7 @@
 use super::order::JobKey;
 use super::owner::Slowness;
 pub use health::{SLOWDOWN_RANGE, WorkerHealth};
+pub use incarnation::{Rebirth, is_earlier};
 
 /// A worker's entry in the platform's registry.
 #[derive(Clone, Debug, PartialEq)]
@@ -213,11 +215,24 @@
     pub wait_ms: u64,
 }
 
+/// Longest time of the owner's clock that a lease of `lease_ms` of a worker's clock takes.
+fn longest_lease_ms(lease_ms: u64) -> u64 {
+    (lease_ms as f64 / (1.0 - CLOCK_DRIFT_MAX)) as u64 + 1
+}
+
 /// A worker of an owner.
 #[derive(Clone, Debug)]
 pub struct Worker {
-    /// Last entry in the registry.
+    /// Last entry in the registry. `born_ms` is that of the latest known incarnation.
     pub record: WorkerRecord,
+    /// Whether the registry has not listed the entry of this incarnation yet, so that its
+    /// capacity and labels are unknown.
+    pub awaits_entry: bool,
+    /// Its last rebirth that this owner has seen.
+    pub rebirth: Option<Rebirth>,
+    /// Fence that it was first called with in this incarnation. Orders under lower ones may have
+    /// been answered by an earlier one.
+    first_fence: Fence,
     /// When it may exit, if it has announced that.
     pub exit: Option<ExpectedExit>,
     /// Since when the registry has not listed it.
@@ -269,6 +284,9 @@
     pub fn new(record: WorkerRecord, fence: Fence) -> Self {
         Self {
             record,
+            awaits_entry: false,
+            rebirth: None,
+            first_fence: fence,
             exit: None,
             unlisted_since_ms: None,
             fence,
@@ -338,6 +356,7 @@
     pub fn accepts_tasks(&self, now_ms: u64) -> bool {
         self.fencing == FencingState::Fenced
             && self.in_stored_roster
+            && !self.awaits_entry
             && !self.has_left(now_ms)
             && !self.record.draining
             && self.health.allows_task(now_ms, self.runs.len())
@@ -349,6 +368,7 @@
     pub fn accepts_tasks_soon(&self, now_ms: u64) -> bool {
         self.fencing != FencingState::Superseded
             && !self.last_renewal_unanswered
+            && !self.awaits_entry
             && !self.has_left(now_ms)
             && !self.record.draining
             && !self.health.is_on_probation()
@@ -393,8 +413,8 @@
     pub fn extend_lease(&mut self, now_ms: u64, lease_ms: u64, reduction_ms: u64) -> Option<u64> {
         let lease_ms = lease_ms.checked_sub(reduction_ms)?;
         let deadline_ms = self.clock_ms(now_ms)? + lease_ms;
-        let longest_ms = (lease_ms as f64 / (1.0 - CLOCK_DRIFT_MAX)) as u64 + 1;
-        self.leases_expire_ms = self.leases_expire_ms.max(now_ms + longest_ms);
+        let expires_ms = now_ms + longest_lease_ms(lease_ms);
+        self.leases_expire_ms = self.leases_expire_ms.max(expires_ms);
         Some(deadline_ms)
     }
 
--- a/crates/core/tests/dispatch_crashes/pool.rs
+++ b/crates/core/tests/dispatch_crashes/pool.rs
@@ -80,8 +80,22 @@
         self.take(out);
     }
 
-    pub fn add_worker(&mut self, id: &str) {
-        self.workers.push(SimWorker::new(id, 50_000, TASK_MS));
+    /// Starts a crashed worker again under its id. Returns false if it has not crashed.
+    pub fn start_again(&mut self, id: &str) -> bool {
+        if self.crashed.remove(id).is_none() {
+            return false;
+        }
+        let now_ms = self.now_ms;
+        let mut workers = self.workers.iter_mut();
+        if let Some(worker) = workers.find(|worker| &*worker.record.id == id) {
+            worker.start_again(now_ms, now_ms);
+        }
+        self.list_workers();
+        true
+    }
+
+    /// Lets the owner read the registry.
+    pub fn list_workers(&mut self) {
         let records = self.workers.iter().map(|worker| worker.record.clone());
         let mut out = Vec::new();
         self.owner
@@ -89,6 +103,11 @@
         self.take(out);
     }
 
+    pub fn add_worker(&mut self, id: &str) {
+        self.workers.push(SimWorker::new(id, 50_000, TASK_MS));
+        self.list_workers();
+    }
+
     pub fn take(&mut self, commands: Vec<Command>) {
         for start in starts(&commands) {
             self.started.push((self.now_ms, start.clone()));
--- a/crates/core/tests/dispatch_history/events.rs
+++ b/crates/core/tests/dispatch_history/events.rs
@@ -44,6 +44,11 @@
         worker: usize,
         cpu_millicores: u64,
     },
+    /// A worker starts again under its id, with this capacity.
+    StartAgain {
+        worker: usize,
+        cpu_millicores: u64,
+    },
     /// The entry considers the current owner lost; it may still act for a while.
     ReplaceOwner,
     /// The lost owner detects that its link is down.
