--- a/review/stand-ins-2/src/deployment.rs
+++ b/review/stand-ins-2/src/deployment.rs
@@ -1,6 +1,6 @@
 //! A small deployment: the store, workers, and instances as processes of their own.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fs::{self, File};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -15,7 +15,7 @@
 use crate::http::{self, Answer};
 use crate::record::Record;
 use crate::store::Store;
-use crate::worker::{SERVICE, Start, Worker};
+use crate::worker::{SERVICE, Shared, Start, Worker};
 
 /// What `build` of the deploy file makes, and `run` of it starts.
 const PROGRAM: &str = "target/release/trefoil-entry";
@@ -28,71 +28,87 @@
     pub name: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    pub zone: String,
+    /// Whether the store turns it away.
+    pub is_refused: Rc<Cell<bool>>,
     settings: PathBuf,
     child: RefCell<Option<Child>>,
 }
 
+/// What a deployment consists of.
+pub struct Layout<'a> {
+    pub zones: &'a [&'a str],
+    /// Instances and workers of each zone.
+    pub instances: u8,
+    pub workers: u8,
+    /// Kinds of the workers of a zone, in turn.
+    pub kinds: &'a [&'a str],
+    /// Room of a worker and need of a task, in thousandths of a core.
+    pub cpu: u64,
+    pub task_cpu: u64,
+    /// `hold_max_ms` of the deployment.
+    pub hold_max_ms: u64,
+}
+
 pub struct Deployment {
     pub record: Record,
     pub instances: Vec<Instance>,
     pub workers: Vec<Rc<Worker>>,
     pub starts: Rc<RefCell<Vec<Start>>>,
+    store: Store,
     folder: PathBuf,
     _stop: watch::Sender<bool>,
 }
 
 impl Deployment {
-    /// Starts a deployment in which each zone has this many instances and workers.
-    pub async fn start(
-        record: &Record,
-        zones: &[(&str, u8, u8)],
-        cpu: u64,
-        kind: &str,
-    ) -> Result<Self, String> {
+    /// Starts a deployment, and waits until all its instances are ready.
+    pub async fn start(record: &Record, layout: &Layout<'_>) -> Result<Self, String> {
         let text = |error: std::io::Error| error.to_string();
         let (stop, stopped) = watch::channel(false);
         let store = Store::default();
-        let store_address = store.start(stopped).await.map_err(text)?;
+        store.put("op/config", &config());
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&folder).map_err(text)?;
-        let starts = Rc::new(RefCell::new(Vec::new()));
-        store.put("op/config", &config());
-        let [_, _, high, low] = std::process::id().to_be_bytes();
+        let shared = Shared {
+            store: store.clone(),
+            record: record.clone(),
+            starts: Rc::default(),
+            workers: Rc::default(),
+            hold_max_ms: layout.hold_max_ms,
+            task_cpu: layout.task_cpu,
+        };
         let mut deployment = Self {
             record: record.clone(),
             instances: Vec::new(),
             workers: Vec::new(),
-            starts,
+            starts: Rc::clone(&shared.starts),
+            store,
             folder,
             _stop: stop,
         };
-        let mut host = 0;
-        for &(zone, instances, workers) in zones {
-            for number in 1..=workers {
-                host += 1;
-                let ip = Ipv4Addr::new(127, high | 0x40, low, host);
+        let [_, _, high, low] = std::process::id().to_be_bytes();
+        let mut hosts = (1..).map(|host| Ipv4Addr::new(127, high | 0x40, low, host));
+        for zone in layout.zones {
+            for number in 0..layout.workers {
+                let ip = hosts.next().ok_or("too many hosts")?;
                 let address = free_address(ip).map_err(text)?;
-                let (id, rack) = (format!("w-{zone}-{number}"), format!("r-{zone}"));
-                let worker = Worker::new(
-                    &id,
-                    address,
-                    zone,
-                    &rack,
-                    cpu,
-                    &store,
-                    record,
-                    &deployment.starts,
-                );
+                let id = format!("w-{zone}-{number}");
+                let worker = Worker::new(&id, address, zone, layout.cpu, &shared);
+                let kind = layout.kinds[usize::from(number) % layout.kinds.len()];
                 worker.begin(kind).await.map_err(text)?;
-                deployment.workers.push(worker);
+                deployment.workers.push(Rc::clone(&worker));
+                shared.workers.borrow_mut().push(worker);
             }
-            for number in 1..=instances {
-                host += 1;
-                let ip = Ipv4Addr::new(127, high | 0x40, low, host);
+            for number in 1..=layout.instances {
+                let ip = hosts.next().ok_or("too many hosts")?;
                 let name = format!("front-{zone}-{number}");
-                deployment
-                    .add_instance(&name, zone, ip, store_address)
-                    .map_err(text)?;
+                let is_refused = Rc::new(Cell::new(false));
+                let store = deployment
+                    .store
+                    .start(stopped.clone(), Rc::clone(&is_refused));
+                let store = store.await.map_err(text)?;
+                let added = deployment.add_instance(&name, zone, ip, store, is_refused);
+                added.map_err(text)?;
             }
         }
         for instance in &deployment.instances {
@@ -108,15 +124,14 @@
         zone: &str,
         ip: Ipv4Addr,
         store: SocketAddr,
+        is_refused: Rc<Cell<bool>>,
     ) -> std::io::Result<()> {
-        let listeners = [(); 4].map(|()| TcpListener::bind((ip, 0)));
-        let mut addresses = Vec::new();
-        for listener in &listeners {
-            let listener = listener
-                .as_ref()
-                .map_err(|error| std::io::Error::other(error.to_string()))?;
-            addresses.push(listener.local_addr()?);
+        let mut listeners = Vec::new();
+        for _ in 0..4 {
+            listeners.push(TcpListener::bind((ip, 0))?);
         }
+        let addresses = listeners.iter().map(TcpListener::local_addr);
+        let addresses = addresses.collect::<std::io::Result<Vec<_>>>()?;
         // The template of the deploy file, filled in for a small deployment.
         let settings = json!({
             "instance": name, "failure_domain": zone,
@@ -131,12 +146,21 @@
             name: name.to_owned(),
             front: addresses[0],
             ready: addresses[1],
+            zone: zone.to_owned(),
+            is_refused,
             settings: path,
             child: RefCell::default(),
         });
         Ok(())
     }
 
+    /// The instance that owns the first pool of a zone, by its record in the store.
+    pub fn owner_of(&self, zone: &str) -> Option<&Instance> {
+        let claim = self.store.get(&format!("trefoilbay/owners/{zone}/0"))?;
+        let name = claim["owner"]["name"].as_str()?.to_owned();
+        self.instances.iter().find(|instance| instance.name == name)
+    }
+
     pub async fn wait_until_ready(&self) -> Result<(), String> {
         let began = Instant::now();
         for instance in &self.instances {
@@ -222,8 +246,6 @@
     format!("{PREFIX}{id}")
 }
 
-pub const HOST_HEADER: (&str, &str) = ("host", HOST);
-
 fn config() -> Value {
     json!({
         "version": 7,
--- a/review/stand-ins-2/src/relabelled.rs
+++ b/review/stand-ins-2/src/relabelled.rs
@@ -7,10 +7,10 @@
 use tokio::time::sleep;
 
 use crate::Verdict;
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, Layout};
 use crate::record::Record;
 
-/// One of them crashes at a time, which is less than the 0.15 that the pages allow.
+/// One of them crashes at a time, which is less than the 0.14 that the pages allow.
 const WORKERS: u8 = 8;
 const CPU: u64 = 16_000;
 /// Kind that the jobs require, and that the worker has after its crash.
@@ -21,44 +21,51 @@
 const DOWN: Duration = Duration::from_millis(500);
 /// Time from the start of a worker, which writes its entry at once, to the next job.
 const PAUSE: Duration = Duration::from_millis(50);
-/// Time between the rounds, in which all entries are read.
+/// Time before each round, in which all entries are read.
 const REST: Duration = Duration::from_secs(4);
+/// Added for each further round, so that they don't fall into step with reads of the store.
+const SHIFT: Duration = Duration::from_millis(230);
 
-pub async fn run(record: &Record, has_trouble: bool) -> Verdict {
-    let deployment = Deployment::start(record, &[("east", 2, WORKERS)], CPU, KIND).await?;
+pub async fn run(record: &Record, trouble: &str) -> Verdict {
+    let has_trouble = trouble != "0";
+    let layout = Layout {
+        zones: &["east"],
+        instances: 2,
+        workers: WORKERS,
+        kinds: &[KIND],
+        cpu: CPU,
+        task_cpu: CPU,
+        hold_max_ms: 1000,
+    };
+    let deployment = Deployment::start(record, &layout).await?;
     let front = deployment.instances[0].front;
     // Each task takes a whole worker, so that the job uses all of them.
     let body = json!({"spec": "ms=100", "best_effort": true, "phases": [{"count": WORKERS,
         "cpu": CPU, "mem_mb": 64, "estimate_ms": 100, "required_label": KIND}]});
     for number in 0..3 {
-        let answer = deployment
-            .submit(front, &format!("{number:016x}"), &body, 5000)
-            .await?;
+        let id = format!("{number:016x}");
+        let answer = deployment.submit(front, &id, &body, 5000).await?;
         if answer.0 != 200 {
-            return Err(format!(
-                "a job before the disruption was answered {}",
-                answer.0
-            ));
+            return Err(format!("a job before the disruption got {}", answer.0));
         }
     }
-    sleep(REST).await;
     for round in 0..ROUNDS {
-        let worker = &deployment.workers[round % usize::from(WORKERS)];
+        sleep(REST + SHIFT * round as u32).await;
+        let worker = &deployment.workers[round];
         if has_trouble {
             worker.crash();
-            sleep(DOWN).await;
+        }
+        sleep(DOWN).await;
+        if has_trouble {
             worker
                 .begin(OTHER_KIND)
                 .await
                 .map_err(|error| error.to_string())?;
-        } else {
-            sleep(DOWN).await;
         }
         sleep(PAUSE).await;
         let id = format!("{:016x}", 0x100 + round);
         deployment.submit(front, &id, &body, 5000).await?;
-        let starts = deployment.starts_of(&id);
-        if !has_trouble && starts.len() < usize::from(WORKERS) {
+        if !has_trouble && deployment.starts_of(&id).len() < usize::from(WORKERS) {
             return Err("the job did not run".to_owned());
         }
         sleep(REST).await;
@@ -73,15 +80,15 @@
         }
     }
     let starts = deployment.starts.borrow();
+    let has_label = |labels: &[String]| labels.iter().any(|label| label == KIND);
     let wrong: Vec<_> = starts
         .iter()
-        .filter(|start| !start.labels.iter().any(|label| label == KIND))
+        .filter(|start| !has_label(&start.labels))
         .collect();
     Ok(wrong.first().map(|start| {
         format!(
-            "ROUTE, {} of {} rounds: {} began on {} with labels {:?}, but requires {KIND}",
+            "ROUTE, in {} of {ROUNDS} rounds: {} began on {} with labels {:?}, but requires {KIND}",
             wrong.len(),
-            ROUNDS,
             start.task,
             start.worker,
             start.labels
--- a/review/stand-ins-2/src/store.rs
+++ b/review/stand-ins-2/src/store.rs
@@ -1,6 +1,6 @@
 //! The platform's store: keys with revisions, transactions, watches and leases.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -37,17 +37,34 @@
 pub struct Store(Rc<RefCell<State>>);
 
 impl Store {
-    pub async fn start(&self, stop: watch::Receiver<bool>) -> std::io::Result<SocketAddr> {
+    /// Serves one machine, which the store turns away while `refuses` is set.
+    pub async fn start(
+        &self,
+        stop: watch::Receiver<bool>,
+        refuses: Rc<Cell<bool>>,
+    ) -> std::io::Result<SocketAddr> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let store = self.clone();
         serve(listener, stop, move |request| {
-            let store = store.clone();
-            async move { store.handle(request).await }
+            let (store, refuses) = (store.clone(), Rc::clone(&refuses));
+            async move {
+                match refuses.get() {
+                    true => (429, Value::Null),
+                    false => store.handle(request).await,
+                }
+            }
         });
         Ok(address)
     }
 
+    /// The value of a key.
+    pub fn get(&self, key: &str) -> Option<Value> {
+        let state = self.0.borrow();
+        let value = STANDARD.decode(&state.items.get(key)?.value).ok()?;
+        serde_json::from_slice(&value).ok()
+    }
+
     /// Writes of the operator and the workers.
     pub fn put(&self, key: &str, value: &Value) {
         let mut state = self.0.borrow_mut();
--- a/review/stand-ins-2/src/worker.rs
+++ b/review/stand-ins-2/src/worker.rs
@@ -2,7 +2,7 @@
 //!
 //! A task runs as long as its `spec` says: `ms=N`.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,8 +17,10 @@
 use crate::record::Record;
 use crate::store::Store;
 
-const HOLD_MAX_MS: u64 = 1000;
 const HEARTBEAT_MS: u64 = 1500;
+/// Clock of the first incarnation when it starts: it has been up for ten minutes.
+const FIRST_CLOCK_MS: u64 = 600_000;
+/// Clock of each later one.
 const CLOCK_START_MS: u64 = 1000;
 pub const SERVICE: &str = "payroll";
 
@@ -30,6 +32,26 @@
     /// Labels of the incarnation that began it.
     pub labels: Vec<String>,
     pub task: String,
+    /// Another worker that is up and runs the task at the same time.
+    pub also_on: Option<String>,
+    /// CPU of all that runs there, this run included, and the worker's room.
+    pub used_cpu: u64,
+    pub cpu: u64,
+    /// When the worker's room became what it is.
+    pub cpu_since_ms: u64,
+}
+
+/// What the workers of a case share.
+#[derive(Clone)]
+pub struct Shared {
+    pub store: Store,
+    pub record: Record,
+    pub starts: Rc<RefCell<Vec<Start>>>,
+    pub workers: Rc<RefCell<Vec<Rc<Worker>>>>,
+    /// `hold_max_ms` of the deployment.
+    pub hold_max_ms: u64,
+    /// CPU of a task.
+    pub task_cpu: u64,
 }
 
 struct Run {
@@ -50,46 +72,63 @@
     /// Highest run that was stopped or ended, by task.
     closed: HashMap<String, u64>,
     sequence: u64,
+    clock_start_ms: u64,
+    hold_max_ms: u64,
     stop: watch::Sender<bool>,
 }
 
 pub struct Worker {
     pub id: String,
     pub address: SocketAddr,
-    zone: String,
-    rack: String,
-    cpu: u64,
+    pub zone: String,
+    /// Whether its first incarnation has started.
+    has_begun: Cell<bool>,
+    cpu: Cell<u64>,
+    cpu_since_ms: Cell<u64>,
+    /// While it is cut off, it gets and answers nothing, but runs on.
+    is_cut: watch::Sender<bool>,
     life: RefCell<Option<Life>>,
-    store: Store,
-    record: Record,
-    starts: Rc<RefCell<Vec<Start>>>,
+    shared: Shared,
 }
 
 impl Worker {
-    #[expect(clippy::too_many_arguments, reason = "a worker has these properties")]
-    pub fn new(
-        id: &str,
-        address: SocketAddr,
-        zone: &str,
-        rack: &str,
-        cpu: u64,
-        store: &Store,
-        record: &Record,
-        starts: &Rc<RefCell<Vec<Start>>>,
-    ) -> Rc<Self> {
+    pub fn new(id: &str, address: SocketAddr, zone: &str, cpu: u64, shared: &Shared) -> Rc<Self> {
         Rc::new(Self {
             id: id.to_owned(),
             address,
             zone: zone.to_owned(),
-            rack: rack.to_owned(),
-            cpu,
+            has_begun: Cell::default(),
+            cpu: Cell::new(cpu),
+            cpu_since_ms: Cell::default(),
+            is_cut: watch::Sender::new(false),
             life: RefCell::default(),
-            store: store.clone(),
-            record: record.clone(),
-            starts: Rc::clone(starts),
+            shared: shared.clone(),
         })
     }
 
+    /// Changes its room and tells it at once.
+    pub fn set_cpu(&self, cpu: u64) {
+        self.cpu.set(cpu);
+        self.cpu_since_ms.set(self.shared.record.now_ms());
+        self.shared
+            .record
+            .line(&format!("worker {} has room for {cpu}", self.id));
+        self.beat();
+    }
+
+    /// Cuts it off from all machines and the store, or ends that.
+    pub fn cut(&self, is_cut: bool) {
+        self.shared
+            .record
+            .line(&format!("worker {} cut off: {is_cut}", self.id));
+        self.is_cut.send_replace(is_cut);
+    }
+
+    async fn wait_for_path(&self) {
+        let mut is_cut = self.is_cut.subscribe();
+        let _ = is_cut.wait_for(|is_cut| !is_cut).await;
+    }
+
     /// Starts an incarnation, and writes its entry.
     pub async fn begin(self: &Rc<Self>, kind: &str) -> std::io::Result<()> {
         let listener = TcpListener::bind(self.address).await?;
@@ -100,7 +139,7 @@
         let life = Life {
             began: Instant::now(),
             born: since_epoch.as_millis() as u64,
-            labels: vec![kind.to_owned(), self.rack.clone()],
+            labels: vec![kind.to_owned(), format!("r-{}", self.zone)],
             fence: 0,
             lease_until_ms: 0,
             runs: Vec::new(),
@@ -108,9 +147,14 @@
             last_end: 0,
             closed: HashMap::new(),
             sequence: 0,
+            clock_start_ms: match self.has_begun.replace(true) {
+                true => CLOCK_START_MS,
+                false => FIRST_CLOCK_MS,
+            },
+            hold_max_ms: self.shared.hold_max_ms,
             stop,
         };
-        self.record.line(&format!(
+        self.shared.record.line(&format!(
             "worker {} starts, labels {:?}, born {}",
             self.id, life.labels, life.born
         ));
@@ -118,7 +162,13 @@
         let worker = Rc::clone(self);
         serve(listener, stopped.clone(), move |request| {
             let worker = Rc::clone(&worker);
-            async move { worker.handle(request).await }
+            async move {
+                worker.wait_for_path().await;
+                let answer = worker.handle(request).await;
+                // An answer in a cut is held up.
+                worker.wait_for_path().await;
+                answer
+            }
         });
         let worker = Rc::clone(self);
         spawn_local(async move {
@@ -136,7 +186,9 @@
 
     /// Ends the incarnation with all that runs there. It says nothing of it.
     pub fn crash(&self) {
-        self.record.line(&format!("worker {} crashes", self.id));
+        self.shared
+            .record
+            .line(&format!("worker {} crashes", self.id));
         if let Some(life) = self.life.borrow_mut().take() {
             let _ = life.stop.send(true);
         }
@@ -144,15 +196,19 @@
 
     fn beat(&self) {
         let mut life = self.life.borrow_mut();
-        let Some(life) = life.as_mut() else { return };
+        let Some(life) = life.as_mut().filter(|_| !*self.is_cut.borrow()) else {
+            return;
+        };
         life.sequence += 1;
         let entry = json!({
             "backend": SERVICE, "address": self.address.to_string(), "zone": self.zone,
             "version": "v1", "slots": 8, "state": "ready", "cold_ms": 0,
-            "capacity": {"cpu": self.cpu, "mem_mb": 32768, "gpus": 0}, "labels": life.labels,
+            "capacity": {"cpu": self.cpu.get(), "mem_mb": 32768, "gpus": 0}, "labels": life.labels,
             "clock_ms": life.clock_ms(), "sequence": life.sequence, "born": life.born,
         });
-        self.store.put(&format!("servers/{}", self.id), &entry);
+        self.shared
+            .store
+            .put(&format!("servers/{}", self.id), &entry);
     }
 
     async fn handle(&self, request: Received) -> (u16, Value) {
@@ -193,6 +249,20 @@
         }
     }
 
+    /// The id of another worker that is up and runs a task now.
+    fn runs_elsewhere(&self, task: &str) -> Option<String> {
+        let workers = self.shared.workers.borrow();
+        let mut others = workers.iter().filter(|worker| worker.id != self.id);
+        let other = others.find(|worker| {
+            let mut life = worker.life.borrow_mut();
+            life.as_mut().is_some_and(|life| {
+                life.advance();
+                life.runs.iter().any(|run| run.task == task)
+            })
+        });
+        other.map(|worker| worker.id.clone())
+    }
+
     fn start(&self, life: &mut Life, body: &Value) -> (u16, Value) {
         let text = |name: &str| body[name].as_str().unwrap_or_default().to_owned();
         let (task, run_id) = (text("task"), body["run_id"].as_u64().unwrap_or(0));
@@ -222,17 +292,23 @@
             .strip_prefix("ms=")
             .and_then(|ms| ms.parse().ok())
             .unwrap_or(100);
+        let also_on = self.runs_elsewhere(&task);
+        life.advance();
         let start = Start {
-            at_ms: self.record.now_ms(),
+            at_ms: self.shared.record.now_ms(),
             worker: self.id.clone(),
             labels: life.labels.clone(),
             task: task.clone(),
+            also_on: also_on.clone(),
+            used_cpu: (life.runs.len() as u64 + 1) * self.shared.task_cpu,
+            cpu: self.cpu.get(),
+            cpu_since_ms: self.cpu_since_ms.get(),
         };
-        self.record.line(&format!(
-            "worker {} {:?} begins {task} run {run_id}",
-            self.id, life.labels
+        self.shared.record.line(&format!(
+            "worker {} {:?} begins {task} run {run_id}, {} of {} in use, also on {also_on:?}",
+            self.id, life.labels, start.used_cpu, start.cpu
         ));
-        self.starts.borrow_mut().push(start);
+        self.shared.starts.borrow_mut().push(start);
         let ends = Instant::now() + Duration::from_millis(takes_ms);
         life.runs.push(Run { task, run_id, ends });
         (200, json!({"clock_ms": clock_ms}))
@@ -241,11 +317,11 @@
 
 impl Life {
     fn clock_ms(&self) -> u64 {
-        CLOCK_START_MS + self.began.elapsed().as_millis() as u64
+        self.clock_start_ms + self.began.elapsed().as_millis() as u64
     }
 
     fn extend(&mut self, deadline_ms: u64) {
-        let longest_ms = self.clock_ms() + HOLD_MAX_MS;
+        let longest_ms = self.clock_ms() + self.hold_max_ms;
         self.lease_until_ms = self.lease_until_ms.max(deadline_ms.min(longest_ms));
     }
 
