--- a/review/stand-ins-2/src/relabelled.rs
+++ b/review/stand-ins-2/src/relabelled.rs
@@ -1,5 +1,6 @@
 //! ROUTE: an idle worker crashes and starts again under its id as one of another kind. Jobs that
-//! require the label of its former kind must not start there.
+//! require the label of its former kind must not start there. With TROUBLE=refused the store turns
+//! the owner of the zone away from before the crash until after the job.
 
 use std::time::Duration;
 
@@ -21,6 +22,9 @@
 const DOWN: Duration = Duration::from_millis(500);
 /// Time from the start of a worker, which writes its entry at once, to the next job.
 const PAUSE: Duration = Duration::from_millis(50);
+/// The same with TROUBLE=refused, where the store turns the owner away meanwhile: longer than
+/// `contact_ms` and one beat.
+const REFUSED_PAUSE: Duration = Duration::from_millis(6000);
 /// Time before each round, in which all entries are read.
 const REST: Duration = Duration::from_secs(4);
 /// Added for each further round, so that they don't fall into step with reads of the store.
@@ -28,9 +32,10 @@
 
 pub async fn run(record: &Record, trouble: &str) -> Verdict {
     let has_trouble = trouble != "0";
+    let refuses = trouble == "refused";
     let layout = Layout {
         zones: &["east"],
-        instances: 2,
+        instances: 3,
         workers: WORKERS,
         kinds: &[KIND],
         cpu: CPU,
@@ -52,6 +57,11 @@
     for round in 0..ROUNDS {
         sleep(REST + SHIFT * round as u32).await;
         let worker = &deployment.workers[round];
+        let owner = deployment.owner_of("east").ok_or("the zone has no owner")?;
+        if refuses {
+            record.line(&format!("the store turns {} away", owner.name));
+            owner.is_refused.set(true);
+        }
         if has_trouble {
             worker.crash();
         }
@@ -62,9 +72,10 @@
                 .await
                 .map_err(|error| error.to_string())?;
         }
-        sleep(PAUSE).await;
+        sleep(if refuses { REFUSED_PAUSE } else { PAUSE }).await;
         let id = format!("{:016x}", 0x100 + round);
         deployment.submit(front, &id, &body, 5000).await?;
+        owner.is_refused.set(false);
         if !has_trouble && deployment.starts_of(&id).len() < usize::from(WORKERS) {
             return Err("the job did not run".to_owned());
         }
