settings: memory and descriptors of the instance

The deploy template passed neither the memory nor the descriptors of the machine on, so that no limit could follow from them. Nothing uses them yet.

--- a/crates/instance/src/settings.rs
+++ b/crates/instance/src/settings.rs
@@ -8,6 +8,11 @@
 use serde::Deserialize;
 use trefoil_core::dispatch::owner;
 
+/// Lower bound of `memory_mb`: an idle instance uses 6 MiB, and declarations more.
+const MEMORY_MB_MIN: u64 = 32;
+/// Lower bound of `descriptors_max`.
+const DESCRIPTORS_MIN: u64 = 300;
+
 /// Settings of one instance, read from a JSON file.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -38,6 +43,12 @@
     /// Speed factor of its processor; multiplies `cpu_share`.
     #[serde(default = "default_cores")]
     pub cores: f64,
+    /// Memory that the process may use, in MiB.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
+    /// Number of file descriptors that the process may open.
+    #[serde(default = "default_descriptors_max")]
+    pub descriptors_max: u64,
     /// Time after the operator closes a failure domain by which no task may start
     /// there any more.
     #[serde(default = "default_close_within_ms")]
@@ -74,6 +85,16 @@
     1.0
 }
 
+/// Memory of the smallest instances.
+fn default_memory_mb() -> u64 {
+    120
+}
+
+/// Descriptors of the smallest instances.
+fn default_descriptors_max() -> u64 {
+    3075
+}
+
 fn default_close_within_ms() -> u64 {
     5000
 }
@@ -156,6 +177,12 @@
     if settings.weight_millicores() == 0 {
         return Err(value("cpu_share", "at least 0.001"));
     }
+    if settings.memory_mb < MEMORY_MB_MIN {
+        return Err(value("memory_mb", "at least 32"));
+    }
+    if settings.descriptors_max < DESCRIPTORS_MIN {
+        return Err(value("descriptors_max", "at least 300"));
+    }
     if settings.close_within_ms == 0 {
         return Err(value("close_within_ms", "a number greater than 0"));
     }
