accept: back off after a failure

What callers saw: none of their connections, and an instance that was busy with nothing else. Cause: without a free descriptor accept() fails at once and for as long as that lasts, and was called again at once, with a log line each time.

A listener now waits 10 ms after a failure and twice as long after each further one, up to 500 ms, and writes one line a second with the number of failures. The same for links.

--- a/crates/instance/src/instance/peers.rs
+++ b/crates/instance/src/instance/peers.rs
@@ -18,6 +18,7 @@
 use trefoil_schema::dispatch::{Frame, Hello};
 
 use super::*;
+use crate::accept::Acceptor;
 use crate::links::{self, FrameReader, LinkGuard, LinkSender};
 
 /// Minimum interval between two dials of one peer.
@@ -120,13 +121,10 @@
 impl<P: Store + WorkerClient + 'static> Instance<P> {
     /// Accepts links from other instances until the process ends.
     pub async fn accept_links(self: Rc<Self>, listener: TcpListener) {
+        let mut acceptor = Acceptor::new(listener, self.log.clone());
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::task::spawn_local(Rc::clone(&self).serve_link(stream, Side::Accepted));
-                }
-                Err(error) => warn!(self.log, "cannot accept a link"; "error" => %error),
-            }
+            let stream = acceptor.accept().await;
+            tokio::task::spawn_local(Rc::clone(&self).serve_link(stream, Side::Accepted));
         }
     }
 
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -5,6 +5,7 @@
 //! and carries out the decisions. Platforms are accessed through the traits of
 //! [`platform`].
 //!
+//! * [`accept`]: accepts connections, with a delay after each failure.
 //! * [`clock`]: monotonic clock that includes suspensions.
 //! * [`platform`]: interfaces to the platform's store and workers.
 //! * [`declarations`]: routes and services in force.
@@ -15,6 +16,7 @@
 //! * [`log`]: structured logging through a bounded buffer.
 //! * [`metrics`]: Prometheus metrics.
 
+pub mod accept;
 pub mod clock;
 pub mod declarations;
 pub mod instance;
