placement: what the tasks of a job share is computed once

Found by reading, for jobs of up to 10,000 phases, which a body of legal size holds: the remaining time, the objective and the ready phases of a job were computed anew for each of its tasks, and the first two for each candidate worker as well, each in time proportional to the job. The tasks of a phase on a worker were counted by scanning all tasks.

They are now computed once for each job and placement, and the tasks on a worker are counted by its runs.

No test fails before this, since none measures time.

--- a/crates/core/src/dispatch/job.rs
+++ b/crates/core/src/dispatch/job.rs
@@ -181,14 +181,21 @@
         &self.spec.phases[usize::from(task.phase)]
     }
 
-    /// Whether all phases that `phase` depends on are done.
-    pub fn is_phase_ready(&self, phase: usize) -> bool {
-        let after = &self.spec.phases[phase].after;
-        after.is_empty() || {
-            let unfinished = |task: &&Task| task.state != TaskState::Done;
-            let mut tasks = self.tasks.iter().filter(unfinished);
-            !tasks.any(|task| after.contains(&u32::from(task.phase)))
+    /// The phases whose tasks may start, since all phases that they depend on are done.
+    pub fn ready_phases(&self) -> ReadyPhases {
+        let phases = &self.spec.phases;
+        if phases.iter().all(|phase| phase.after.is_empty()) {
+            return ReadyPhases::All;
         }
+        let mut is_done = vec![true; phases.len()];
+        let unfinished = |task: &&Task| task.state != TaskState::Done;
+        for task in self.tasks.iter().filter(unfinished) {
+            is_done[usize::from(task.phase)] = false;
+        }
+        let is_prior_done = |prior: &u32| is_done.get(*prior as usize).is_none_or(|done| *done);
+        let ready = phases.iter();
+        let ready = ready.map(|phase| phase.after.iter().all(is_prior_done));
+        ReadyPhases::Some(ready.collect())
     }
 
     /// Records that a task failed on a worker.
@@ -267,9 +274,10 @@
     /// CPU demand of the waiting tasks whose phases may start, in thousandths of a
     /// core.
     pub fn waiting_millicores(&self) -> u64 {
+        let ready = self.ready_phases();
         let tasks = self.tasks.iter().filter(|task| task.is_waiting());
-        let ready = tasks.filter(|task| self.is_phase_ready(usize::from(task.phase)));
-        ready.map(|task| self.phase(task).cpu_millicores).sum()
+        let tasks = tasks.filter(|task| ready.contains(task.phase));
+        tasks.map(|task| self.phase(task).cpu_millicores).sum()
     }
 
     /// Estimated work of the waiting tasks, in thousandths of a core times
@@ -289,6 +297,25 @@
     }
 }
 
+/// The phases of a job whose tasks may start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReadyPhases {
+    /// All phases.
+    All,
+    /// Those whose index holds `true`.
+    Some(Vec<bool>),
+}
+
+impl ReadyPhases {
+    /// Whether the tasks of a phase may start.
+    pub fn contains(&self, phase: u16) -> bool {
+        match self {
+            Self::All => true,
+            Self::Some(ready) => ready[usize::from(phase)],
+        }
+    }
+}
+
 /// Estimated time of the critical path through the phases.
 fn critical_path_ms(phases: &[Phase]) -> u64 {
     if let [only] = phases {
--- a/crates/core/src/dispatch/owner/placement.rs
+++ b/crates/core/src/dispatch/owner/placement.rs
@@ -16,7 +16,8 @@
 
 use trefoil_schema::dispatch::Phase;
 
-use super::super::worker::Resources;
+use super::super::job::ReadyPhases;
+use super::super::worker::{Resources, Run};
 use super::packing::Packing;
 use super::queue::{Lateness, lateness};
 use super::shares::Shares;
@@ -55,6 +56,24 @@
     pub(super) suspect_losses: usize,
 }
 
+/// Properties of a job that all its tasks share while they are placed.
+pub(super) struct JobOutlook {
+    ready_phases: ReadyPhases,
+    /// Estimated time of the critical path through the unfinished tasks.
+    pub(super) remaining_ms: u64,
+    pub(super) objective_ms: u64,
+}
+
+impl JobOutlook {
+    fn new(job: &Job) -> Self {
+        Self {
+            ready_phases: job.ready_phases(),
+            remaining_ms: job.remaining_ms(),
+            objective_ms: job.objective_ms(1.0),
+        }
+    }
+}
+
 /// Counters of placement since the owner was created.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PlacementStats {
@@ -175,14 +194,15 @@
             return false;
         }
         let tasks = job.tasks.len();
+        let outlook = JobOutlook::new(job);
         // All tasks of a phase request the same: if one does not fit, none does.
         let mut full_phase = None;
         for index in 0..tasks {
             let phase = Some(self.jobs[key].tasks[index].phase);
-            if phase == full_phase || !self.can_start_task(key, index, now_ms) {
+            if phase == full_phase || !self.can_start_task(key, index, &outlook, now_ms) {
                 continue;
             }
-            if !self.place_task(now_ms, key, index, candidates, claimed, out) {
+            if !self.place_task(now_ms, key, index, &outlook, candidates, claimed, out) {
                 full_phase = phase;
             }
         }
@@ -203,7 +223,7 @@
         candidates.filter(some_fits).collect()
     }
 
-    fn can_start_task(&self, key: JobKey, index: usize, now_ms: u64) -> bool {
+    fn can_start_task(&self, key: JobKey, index: usize, outlook: &JobOutlook, now_ms: u64) -> bool {
         let job = &self.jobs[key];
         let task = &job.tasks[index];
         let due =
@@ -213,27 +233,30 @@
             job.is_suspect() && (job.probe_task() != Some(index) || job.has_assigned_tasks());
         due && !poison_tasks::has_lost_too_often(task)
             && !is_held_back
-            && job.is_phase_ready(usize::from(task.phase))
+            && outlook.ready_phases.contains(task.phase)
     }
 
     /// Starts a task where it costs least. Returns false if it fits nowhere.
+    #[expect(clippy::too_many_arguments, reason = "the state of one placement")]
     fn place_task(
         &mut self,
         now_ms: u64,
         key: JobKey,
         index: usize,
+        outlook: &JobOutlook,
         candidates: &mut [Candidate],
         claimed: &mut Vec<WorkerKey>,
         out: &mut Vec<Command>,
     ) -> bool {
-        let Some(position) = self.cheapest(now_ms, key, index, candidates, None, &[]) else {
+        let Some(position) = self.cheapest(now_ms, key, index, outlook, candidates, None, &[])
+        else {
             return false;
         };
         if self.awaits_suspects(now_ms, key, index, &candidates[position]) {
             return false;
         }
         if let Some(awaited) =
-            self.awaited_worker(now_ms, key, index, &candidates[position], claimed)
+            self.awaited_worker(now_ms, key, index, outlook, &candidates[position], claimed)
         {
             claimed.push(awaited);
             return false;
@@ -263,15 +286,19 @@
         {
             return false;
         }
+        let outlook = JobOutlook::new(job);
         let mut planned: Vec<PlannedStart> = Vec::new();
         for index in 0..job.tasks.len() {
             let task = &job.tasks[index];
-            if !job.is_phase_ready(usize::from(task.phase)) {
+            if !outlook.ready_phases.contains(task.phase) {
                 continue;
             }
             let position = self
-                .can_start_task(key, index, now_ms)
-                .then(|| self.cheapest(now_ms, key, index, candidates, Some(packing), &planned))
+                .can_start_task(key, index, &outlook, now_ms)
+                .then(|| {
+                    let packing = Some(packing);
+                    self.cheapest(now_ms, key, index, &outlook, candidates, packing, &planned)
+                })
                 .flatten();
             let Some(position) = position else {
                 for start in planned.iter().rev() {
@@ -317,11 +344,13 @@
     /// Position of the candidate on which a task costs least; with `packing`, only among
     /// those on which it strands no CPU and the job ends in time, near its data and not beside a
     /// suspect task.
+    #[expect(clippy::too_many_arguments, reason = "the state of one placement")]
     fn cheapest(
         &self,
         now_ms: u64,
         key: JobKey,
         index: usize,
+        outlook: &JobOutlook,
         candidates: &[Candidate],
         packing: Option<Packing>,
         planned: &[PlannedStart],
@@ -333,7 +362,7 @@
         let is_planned = |start: &&PlannedStart, position: usize| {
             start.position == position && job.tasks[start.index].phase == task.phase
         };
-        let (remaining_ms, objective_ms) = (job.remaining_ms(), job.objective_ms(1.0));
+        let (remaining_ms, objective_ms) = (outlook.remaining_ms, outlook.objective_ms);
         let mut best: Option<(f64, usize)> = None;
         for (position, candidate) in candidates.iter().enumerate() {
             if !candidate.free.fits(&resources) {
@@ -360,8 +389,9 @@
             };
             let cost = self.cost(
                 candidate,
-                job,
+                (key, job),
                 index,
+                outlook,
                 phase,
                 &resources,
                 planned_here as u32,
@@ -383,8 +413,9 @@
     fn cost(
         &self,
         candidate: &Candidate,
-        job: &Job,
+        (key, job): (JobKey, &Job),
         index: usize,
+        outlook: &JobOutlook,
         phase: &Phase,
         resources: &Resources,
         planned_here: u32,
@@ -396,14 +427,13 @@
             && worker.can_run(&job.spec.service, phase)
             && worker.health.allows_task(now_ms, candidate.runs)
             && (phase.per_worker_max == 0
-                || self.count_assigned(candidate.key, job, index) + planned_here
-                    < phase.per_worker_max);
+                || count_assigned(worker, key, job, index) + planned_here < phase.per_worker_max);
         if !allowed {
             return None;
         }
         let factor = worker.run_time_factor() * self.distance(worker.is_remote(phase));
-        let end_ms = now_ms + (job.remaining_ms() as f64 * factor) as u64;
-        let late_cost = match end_ms <= job.objective_ms(1.0) {
+        let end_ms = now_ms + (outlook.remaining_ms as f64 * factor) as u64;
+        let late_cost = match end_ms <= outlook.objective_ms {
             true => 0.0,
             false => LATE_COST,
         };
@@ -429,15 +459,16 @@
                 + slowness_cost,
         )
     }
+}
 
-    /// Number of tasks of the same phase that are assigned to a worker.
-    fn count_assigned(&self, key: WorkerKey, job: &Job, index: usize) -> u32 {
-        let phase = job.tasks[index].phase;
-        let same_phase = job.tasks.iter().filter(|task| task.phase == phase);
-        same_phase
-            .filter(|task| task.state == TaskState::Assigned(key))
-            .count() as u32
-    }
+/// Number of tasks of the same phase that are assigned to a worker.
+fn count_assigned(worker: &Worker, key: JobKey, job: &Job, index: usize) -> u32 {
+    let phase = job.tasks[index].phase;
+    let is_same_phase = |run: &&Run| match run.owner {
+        RunOwner::Task(owner, index) => owner == key && job.tasks[index].phase == phase,
+        RunOwner::Orphan { .. } => false,
+    };
+    worker.runs.iter().filter(is_same_phase).count() as u32
 }
 
 fn max_free_millicores(candidates: &[Candidate]) -> u64 {
--- a/crates/core/src/dispatch/owner/placement/waiting.rs
+++ b/crates/core/src/dispatch/owner/placement/waiting.rs
@@ -6,7 +6,7 @@
 
 use super::super::reservation::available_at_ms;
 use super::super::*;
-use super::{Candidate, resources_of};
+use super::{Candidate, JobOutlook, resources_of};
 
 /// When a job would end if a task started on some worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,13 +33,14 @@
         now_ms: u64,
         key: JobKey,
         index: usize,
+        outlook: &JobOutlook,
         candidate: &Candidate,
         claimed: &[WorkerKey],
     ) -> Option<WorkerKey> {
         let job = &self.jobs[key];
         let phase = job.phase(&job.tasks[index]);
         let resources = resources_of(phase);
-        let (estimate_ms, objective_ms) = (job.remaining_ms(), job.objective_ms(1.0));
+        let (estimate_ms, objective_ms) = (outlook.remaining_ms, outlook.objective_ms);
         let prospect = |worker: &Worker, at_ms: u64| {
             let is_remote = worker.is_remote(phase);
             let distance = self.distance(is_remote);
