owner: at most 32 unanswered starts and 1,024 runs on a worker

What callers saw: an instance that ran out of descriptors and memory while it started the tasks of a few wide jobs. Cause: tasks that request next to nothing all fit at once, each start is a call, and each call beyond the idle connections opens one more.

An owner orders no start on a worker with 32 unanswered ones, half of the connections that it accepts, and none beyond 1,024 runs. A start whose turn does not come is ordered anew; it was not sent, so the worker is not fenced again.

Evidence: whole_jobs_of_many_tasks opened 4,023 descriptors, limit 400, and single_job_of_the_maximum_size_is_completed was answered 504.

--- a/crates/core/src/dispatch/limits.rs
+++ b/crates/core/src/dispatch/limits.rs
@@ -55,6 +55,11 @@
 /// other side's [`LINK_TIMEOUT_MS`], a lease renewed just before on a clock that is
 /// slow by [`CLOCK_DRIFT_MAX`], and the network latency.
 pub const REDELEGATION_DELAY_MS: u64 = LINK_TIMEOUT_MS + LEASE_MS + 80;
+/// Maximum number of unanswered starts on a worker: half of the connections that it accepts.
+pub const STARTS_IN_FLIGHT_MAX: usize = 32;
+/// Maximum number of runs on a worker. Tasks that request next to nothing would otherwise make
+/// its listings, which are compared run by run, as long as its jobs are wide.
+pub const RUNS_PER_WORKER_MAX: usize = 1024;
 /// Maximum size of a pool when a failure domain's pools are created. Larger pools
 /// pack tasks better; smaller ones can be owned by a small instance.
 pub const POOL_WORKERS_MAX: usize = 60;
--- a/crates/core/src/dispatch/order.rs
+++ b/crates/core/src/dispatch/order.rs
@@ -107,6 +107,8 @@
     Unhealthy,
     /// The worker cannot parse the order.
     Invalid,
+    /// The order was not sent: too many calls were in progress.
+    Congested,
 }
 
 /// A run that a worker lists.
--- a/crates/core/src/dispatch/owner/order_results.rs
+++ b/crates/core/src/dispatch/owner/order_results.rs
@@ -77,6 +77,7 @@
                     OrderOutcome::Rejected(Rejection::Unhealthy) => {
                         worker.health.record_failure(now_ms)
                     }
+                    OrderOutcome::Rejected(Rejection::Congested) => {}
                     OrderOutcome::Rejected(Rejection::OldRun) => self.run_id_counter += RUN_ID_LEAP,
                     // The worker's state differs from what is known of it: fence it again,
                     // which lists its runs.
--- a/crates/core/src/dispatch/owner/placement.rs
+++ b/crates/core/src/dispatch/owner/placement.rs
@@ -17,9 +17,10 @@
 use trefoil_schema::dispatch::Phase;
 
 use super::super::job::ReadyPhases;
+use super::super::limits::{RUNS_PER_WORKER_MAX, STARTS_IN_FLIGHT_MAX};
 use super::super::worker::{Resources, Run};
 use super::packing::Packing;
-use super::queue::{Lateness, lateness};
+use super::queue::{Lateness, Queue, lateness};
 use super::shares::Shares;
 use super::*;
 pub(super) use start::run_timeouts;
@@ -52,10 +53,19 @@
     pub(super) key: WorkerKey,
     pub(super) free: Resources,
     runs: usize,
+    /// Number of starts that are not answered yet.
+    starting: usize,
     /// Highest number of losses of a suspect task there; 0 if there is none.
     pub(super) suspect_losses: usize,
 }
 
+impl Candidate {
+    /// Whether another start may be ordered there now.
+    fn accepts_start(&self) -> bool {
+        self.starting < STARTS_IN_FLIGHT_MAX && self.runs < RUNS_PER_WORKER_MAX
+    }
+}
+
 /// Properties of a job that all its tasks share while they are placed.
 pub(super) struct JobOutlook {
     ready_phases: ReadyPhases,
@@ -113,7 +123,7 @@
             self.queue.sort(&self.jobs, &shares, now_ms, fenced);
         }
         let mut candidates = self.candidates(now_ms);
-        if self.queue.none_fits(max_free_millicores(&candidates)) {
+        if nothing_fits(&self.queue, &candidates) {
             return;
         }
         let queue = std::mem::take(&mut self.queue);
@@ -125,7 +135,7 @@
         for &key in &started {
             self.place_job(now_ms, key, &mut candidates, &mut claimed, out);
             self.reserve(now_ms, key, &mut candidates);
-            if queue.none_fits(max_free_millicores(&candidates)) {
+            if nothing_fits(&queue, &candidates) {
                 break;
             }
         }
@@ -133,14 +143,14 @@
         if unstarted.len() > 1 {
             let packing = queue.packing();
             for &key in unstarted.iter().take(PACKED_JOBS_MAX) {
-                if queue.none_fits(max_free_millicores(&candidates)) {
+                if nothing_fits(&queue, &candidates) {
                     break;
                 }
                 begun += u32::from(self.place_packed(now_ms, key, packing, &mut candidates, out));
             }
         }
         for &key in &unstarted {
-            if queue.none_fits(max_free_millicores(&candidates)) {
+            if nothing_fits(&queue, &candidates) {
                 break;
             }
             begun += u32::from(self.place_job(now_ms, key, &mut candidates, &mut claimed, out));
@@ -216,6 +226,7 @@
             key,
             free: worker.free_resources(),
             runs: worker.runs.len(),
+            starting: worker.starting_runs(),
             suspect_losses: self.suspect_losses(worker),
         });
         let some_fits =
@@ -338,6 +349,7 @@
         let task = &job.tasks[index];
         candidate.free = candidate.free.minus(&resources_of(job.phase(task)));
         candidate.runs += 1;
+        candidate.starting += 1;
         candidate.suspect_losses = candidate.suspect_losses.max(task.suspect_losses());
     }
 
@@ -365,7 +377,7 @@
         let (remaining_ms, objective_ms) = (outlook.remaining_ms, outlook.objective_ms);
         let mut best: Option<(f64, usize)> = None;
         for (position, candidate) in candidates.iter().enumerate() {
-            if !candidate.free.fits(&resources) {
+            if !candidate.accepts_start() || !candidate.free.fits(&resources) {
                 continue;
             }
             let capacity = self.workers[candidate.key].record.capacity;
@@ -471,9 +483,11 @@
     worker.runs.iter().filter(is_same_phase).count() as u32
 }
 
-fn max_free_millicores(candidates: &[Candidate]) -> u64 {
-    let free = candidates
+/// Whether no start of a waiting task can be ordered.
+fn nothing_fits(queue: &Queue, candidates: &[Candidate]) -> bool {
+    let accepting = candidates
         .iter()
-        .map(|candidate| candidate.free.cpu_millicores);
-    free.max().unwrap_or(0)
+        .filter(|candidate| candidate.accepts_start());
+    let free = accepting.map(|candidate| candidate.free.cpu_millicores);
+    free.max().is_none_or(|free| queue.none_fits(free))
 }
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -334,6 +334,12 @@
         free
     }
 
+    /// Number of runs whose starts are not answered yet.
+    pub fn starting_runs(&self) -> usize {
+        let is_starting = |run: &&Run| matches!(run.state, RunState::Starting(_));
+        self.runs.iter().filter(is_starting).count()
+    }
+
     /// Whether tasks of a phase of a job for `service` may run there at all.
     pub fn can_run(&self, service: &str, phase: &Phase) -> bool {
         let label = phase.required_label.as_str();
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -15,6 +15,7 @@
 //! * [`store_polling`]: periodic reads of the store, and registration.
 //! * [`log`]: structured logging through a bounded buffer.
 //! * [`metrics`]: Prometheus metrics.
+//! * [`resource_limits`]: division of memory and descriptors among their uses.
 
 pub mod accept;
 pub mod clock;
@@ -24,5 +25,6 @@
 pub mod log;
 pub mod metrics;
 pub mod platform;
+pub mod resource_limits;
 pub mod settings;
 pub mod store_polling;
