jobs: limits on the memory of jobs in progress

What callers saw: an instance that ran out of memory. Cause: nothing limited the sum of the jobs that an entry awaits, of those that an owner is delegated by all entries, or of the delegations that wait for a slow link; and the body of a job was kept until the job was answered.

The footprint of a job is estimated from its specification. What does not fit is refused at once as not run, by an owner with the retry delay of its admission control, so that other owners are tried. Counters by place, and a gauge of the owned jobs' bytes.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -14,6 +14,7 @@
 //! * [`entry`]: callers' jobs and their delegation.
 //! * [`owner`]: jobs, tasks and workers of one owner.
 //! * [`worker`]: an owner's state of one worker.
+//! * [`footprint`]: memory that jobs occupy.
 //! * [`job`]: a job's tasks and phases.
 //! * [`order`]: orders to workers and their outcomes.
 //! * [`store_reads`]: when an instance reads the store.
@@ -25,6 +26,7 @@
 pub mod declaration_transfer;
 pub mod entry;
 pub mod fence;
+pub mod footprint;
 pub mod job;
 pub mod limits;
 pub mod link;
--- a/crates/core/src/dispatch/entry.rs
+++ b/crates/core/src/dispatch/entry.rs
@@ -20,12 +20,13 @@
 
 use trefoil_schema::dispatch::{Claim, Holder, Job as JobSpec, Load, Outcome};
 
+use super::job::total_millicore_ms;
 use super::limits::{ORIGIN_RECONNECT_GRACE_MS, PLACEMENT_TIMEOUT_MS, REDELEGATION_DELAY_MS};
 use super::link::LinkId;
 use super::owner::JobResult;
 use super::ownership::holder_of;
 
-use pool_selection::{PoolView, initial_millicores, select_pool, total_millicore_ms};
+use pool_selection::{PoolView, initial_millicores, select_pool};
 use refusal::{ALL_CLOSED, Refusal};
 
 pub use command::{Answer, Command, PoolOwner, RequestId, RevocationCause};
--- a/crates/core/src/dispatch/entry/pool_selection.rs
+++ b/crates/core/src/dispatch/entry/pool_selection.rs
@@ -110,11 +110,3 @@
         .map(|phase| u64::from(phase.count) * phase.cpu_millicores)
         .sum()
 }
-
-/// Estimated work of a job, in thousandths of a core times milliseconds.
-pub(super) fn total_millicore_ms(spec: &JobSpec) -> u64 {
-    let phases = spec.phases.iter();
-    let work =
-        phases.map(|phase| u64::from(phase.count) * phase.cpu_millicores * phase.estimate_ms);
-    work.sum()
-}
--- a/crates/core/src/dispatch/job.rs
+++ b/crates/core/src/dispatch/job.rs
@@ -5,6 +5,7 @@
 
 use trefoil_schema::dispatch::{Job as JobSpec, Phase};
 
+use super::footprint;
 use super::link::LinkId;
 use super::order::WorkerKey;
 use super::owner::StartBarrier;
@@ -132,6 +133,8 @@
     pub paused: bool,
     /// Whether a start was ever ordered for any task.
     pub started: bool,
+    /// Memory that it occupies, estimated.
+    pub footprint_bytes: u64,
     /// Workers on which tasks of the job failed, without duplicates. Others are
     /// preferred.
     pub failed_on: Vec<WorkerKey>,
@@ -144,6 +147,7 @@
         let arrived_ms = now_ms.saturating_sub(spec.age_ms);
         Self {
             task_spec: Arc::from(spec.spec.as_str()),
+            footprint_bytes: footprint::owned_job_bytes(&spec),
             spec,
             origin: Some(origin),
             tasks,
@@ -316,6 +320,14 @@
     }
 }
 
+/// Estimated work of a job, in thousandths of a core times milliseconds.
+pub(super) fn total_millicore_ms(spec: &JobSpec) -> u64 {
+    let phases = spec.phases.iter();
+    let work =
+        phases.map(|phase| u64::from(phase.count) * phase.cpu_millicores * phase.estimate_ms);
+    work.sum()
+}
+
 /// Estimated time of the critical path through the phases.
 fn critical_path_ms(phases: &[Phase]) -> u64 {
     if let [only] = phases {
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -70,6 +70,7 @@
 use trefoil_schema::dispatch::{Holder, Job as JobSpec, Load, Outcome};
 
 use super::fence::Fence;
+use super::footprint;
 use super::job::{Job, Origin, Task, TaskState};
 use super::limits::{
     ADOPTION_GRACE_MS, ENDED_JOB_RETENTION_MS, LINK_TIMEOUT_MS, ORIGIN_RECONNECT_GRACE_MS,
@@ -140,6 +141,8 @@
     worker_speeds: worker_speed::WorkerSpeeds,
     placement_stats: PlacementStats,
     settings: Settings,
+    /// Memory that its jobs may occupy.
+    jobs_bytes_max: u64,
 }
 
 impl Owner {
@@ -177,6 +180,7 @@
             worker_speeds: worker_speed::WorkerSpeeds::default(),
             placement_stats: PlacementStats::default(),
             settings: Settings::default(),
+            jobs_bytes_max: u64::MAX,
         }
     }
 
@@ -204,6 +208,17 @@
         &self.pool
     }
 
+    /// Sets how much memory the jobs may occupy, in bytes; further jobs are refused. Unlimited
+    /// by default.
+    pub fn set_jobs_bytes_max(&mut self, bytes_max: u64) {
+        self.jobs_bytes_max = bytes_max;
+    }
+
+    /// Memory that the jobs occupy, in bytes, estimated.
+    pub fn jobs_bytes(&self) -> u64 {
+        self.jobs.values().map(|job| job.footprint_bytes).sum()
+    }
+
     /// Records the load of another owner's pool, from its heartbeat.
     pub fn observe_pool_load(&mut self, now_ms: u64, pool: &str, load: &Load) {
         if pool != &*self.pool {
@@ -325,6 +340,10 @@
             let result = JobResult::new(&spec, Outcome::Returned);
             return job_results::report(origin, result, "ownership has ended", out);
         }
+        let bytes = footprint::owned_job_bytes(&spec);
+        if !footprint::fits(self.jobs_bytes(), bytes, self.jobs_bytes_max) {
+            return self.refuse_unqueued(now_ms, origin, &spec, out);
+        }
         let id = spec.id.clone();
         let mut spec = spec;
         self.run_times.refine_estimates(&mut spec);
--- a/crates/core/src/dispatch/owner/admit.rs
+++ b/crates/core/src/dispatch/owner/admit.rs
@@ -3,6 +3,7 @@
 //!
 //! [`admission`]: super::admission
 
+use super::super::job::total_millicore_ms;
 use super::admission::{BeginForecast, CpuUsage};
 use super::forecast::Forecast;
 use super::shares::Shares;
@@ -136,6 +137,13 @@
         self.admission.retry_after_ms(now_ms, cpu, millicore_ms)
     }
 
+    /// Retry delay of the caller of a job that is not taken.
+    pub(super) fn unqueued_retry_after_ms(&mut self, now_ms: u64, spec: &JobSpec) -> u64 {
+        let cpu = self.cpu_usage(now_ms);
+        let millicore_ms = total_millicore_ms(spec);
+        self.admission.retry_after_ms(now_ms, cpu, millicore_ms)
+    }
+
     fn load_snapshot(&self, now_ms: u64) -> LoadSnapshot {
         LoadSnapshot {
             cpu: self.cpu_usage(now_ms),
--- a/crates/core/src/dispatch/owner/job_results.rs
+++ b/crates/core/src/dispatch/owner/job_results.rs
@@ -154,6 +154,28 @@
     }
 }
 
+impl Owner {
+    /// Reports to the origin of a job, which is not taken, that nothing of it has run.
+    pub(super) fn refuse_unqueued(
+        &mut self,
+        now_ms: u64,
+        origin: Origin,
+        spec: &JobSpec,
+        out: &mut Vec<Command>,
+    ) {
+        let result = JobResult {
+            retry_after_ms: self.unqueued_retry_after_ms(now_ms, spec),
+            ..JobResult::new(spec, Outcome::NotRun)
+        };
+        report(
+            origin,
+            result,
+            "the jobs in progress occupy the memory",
+            out,
+        );
+    }
+}
+
 /// Reports a result to the origin of the job.
 pub(super) fn report(
     origin: Origin,
--- a/crates/core/src/dispatch/owner/stats.rs
+++ b/crates/core/src/dispatch/owner/stats.rs
@@ -9,6 +9,8 @@
 pub struct OwnerStats {
     /// Jobs that have not ended.
     pub jobs: usize,
+    /// Memory that the jobs occupy, in bytes, estimated.
+    pub jobs_bytes: u64,
     /// Jobs with tasks that wait for capacity.
     pub waiting: usize,
     /// Workers in the owner's table, listed by the registry or not.
@@ -33,6 +35,7 @@
     fn sum<I: Iterator<Item = Self>>(stats: I) -> Self {
         stats.fold(Self::default(), |sum, stats| Self {
             jobs: sum.jobs + stats.jobs,
+            jobs_bytes: sum.jobs_bytes + stats.jobs_bytes,
             waiting: sum.waiting + stats.waiting,
             workers: sum.workers + stats.workers,
             workers_fenced: sum.workers_fenced + stats.workers_fenced,
@@ -85,6 +88,7 @@
         let fenced = |worker: &&Worker| worker.fencing == FencingState::Fenced;
         OwnerStats {
             jobs: self.jobs.len(),
+            jobs_bytes: self.jobs_bytes(),
             waiting: self.waiting_jobs(),
             workers: self.workers.len(),
             workers_fenced: self.workers.values().filter(fenced).count(),
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -37,9 +37,10 @@
 use tokio::time::MissedTickBehavior;
 use trefoil_core::dispatch::entry::{self, Answer, Entry, PoolOwner, RequestId};
 use trefoil_core::dispatch::fence::Fence;
+use trefoil_core::dispatch::footprint;
 use trefoil_core::dispatch::job::Origin;
 use trefoil_core::dispatch::limits::{
-    HEARTBEAT_MS, POOL_CREATION_DELAY_MS, POOL_CREATION_STAGGER_MS,
+    HEARTBEAT_MS, POOL_CREATION_DELAY_MS, POOL_CREATION_STAGGER_MS, RETRY_AFTER_MS,
 };
 use trefoil_core::dispatch::owner::{self, Owner};
 use trefoil_core::dispatch::ownership::{self, Ownership};
@@ -50,8 +51,10 @@
 
 use crate::clock::Clock;
 use crate::log::{WORK_TAG, unix_ms};
-use crate::metrics::Metrics;
+use crate::memory_budget::MemoryBudget;
+use crate::metrics::{JobMemory, Metrics};
 use crate::platform::{DeploymentState, Store, WorkerClient};
+use crate::resource_limits::ResourceLimits;
 use crate::settings::InstanceSettings;
 use effects::Effects;
 use peers::Peers;
@@ -85,6 +88,10 @@
     /// Notifies that new declarations are in force.
     declarations_changed: Notify,
     clock: Clock,
+    pub resource_limits: ResourceLimits,
+    entry_jobs: Rc<MemoryBudget>,
+    /// Delegations that wait to be written to their links.
+    queued_delegations: Rc<MemoryBudget>,
     /// Number of the last heartbeat.
     heartbeats_built: Cell<u64>,
     state: RefCell<State>,
@@ -114,6 +121,8 @@
     awaiting_successor_since_ms: Option<u64>,
     leaving: bool,
     failure_domain: String,
+    /// Memory that the jobs of all owners may occupy together.
+    owned_jobs_bytes_max: u64,
 }
 
 impl<P: Store + WorkerClient + 'static> Instance<P> {
@@ -156,7 +165,9 @@
             awaiting_successor_since_ms: None,
             leaving: false,
             failure_domain: settings.failure_domain.clone(),
+            owned_jobs_bytes_max: ResourceLimits::new(&settings).owned_jobs_bytes_max,
         };
+        let resource_limits = ResourceLimits::new(&settings);
         Rc::new(Self {
             settings,
             log,
@@ -166,6 +177,9 @@
             store_read_requested: Notify::new(),
             declarations_changed: Notify::new(),
             clock,
+            resource_limits,
+            entry_jobs: MemoryBudget::new(resource_limits.entry_jobs_bytes_max),
+            queued_delegations: MemoryBudget::new(resource_limits.delegations_bytes_max),
             heartbeats_built: Cell::new(0),
             state: RefCell::new(state),
         })
@@ -239,8 +253,15 @@
     }
 
     /// Submits a caller's job and waits for its answer; dropping the future cancels
-    /// the job.
+    /// the job. A job is refused at once if others occupy the memory.
     pub async fn submit(self: &Rc<Self>, spec: JobSpec, timeout_ms: u64) -> Answer {
+        let Some(_reservation) = self.entry_jobs.try_reserve(footprint::spec_bytes(&spec)) else {
+            self.metrics.record_memory_refusal(JobMemory::Entry);
+            return Answer::NotRun {
+                retry_after_ms: RETRY_AFTER_MS,
+                reason: "the jobs in progress occupy the memory",
+            };
+        };
         let (sender, answer) = oneshot::channel();
         let request_id = self.update(|state, now_ms, effects| {
             let request_id = state.next_request_id;
@@ -408,9 +429,16 @@
         let Some(spec) = delegate.job else {
             return true;
         };
+        let others = self
+            .owners
+            .iter()
+            .filter(|(pool, _)| **pool != delegate.pool);
+        let others_bytes: u64 = others.map(|(_, owner)| owner.jobs_bytes()).sum();
+        let jobs_bytes_max = self.owned_jobs_bytes_max.saturating_sub(others_bytes);
         let unsafe_for_ms = delegate.unsafe_for_ms;
         let holder = delegate.unsafe_holder.as_ref();
         let taken = self.with_owner(&delegate.pool, effects, |owner, out| {
+            owner.set_jobs_bytes_max(jobs_bytes_max);
             owner.delegate(now_ms, origin, spec, unsafe_for_ms, holder, out);
         });
         taken.is_some()
--- a/crates/instance/src/instance/frames.rs
+++ b/crates/instance/src/instance/frames.rs
@@ -9,6 +9,7 @@
 
 use super::peers::encode;
 use super::*;
+use crate::metrics::JobMemory;
 
 impl<P: Store + WorkerClient + 'static> Instance<P> {
     pub(super) fn on_frame(self: &Rc<Self>, id: u64, frame: Frame) {
@@ -167,7 +168,7 @@
     }
 
     /// Sends a delegation over a link to the owner, or returns the job to the entry if there
-    /// is no link that takes it.
+    /// is no link that takes it, or if too many delegations wait to be written.
     pub(super) fn send_delegate(
         &self,
         to: &PoolOwner,
@@ -179,12 +180,19 @@
             return;
         };
         let (job_id, delegation) = (job.id.clone(), job.delegation);
+        let refusal = JobResult::new(job, Outcome::NotRun);
         let frame = encode(Body::Delegate(delegate));
+        let Some(reservation) = self.queued_delegations.try_reserve(frame.len() as u64) else {
+            self.metrics.record_memory_refusal(JobMemory::Links);
+            let (now_ms, out) = (self.now_ms(), &mut effects.entry);
+            let mut state = self.state.borrow_mut();
+            return state.entry.on_job_ended(now_ms, to, &refusal, out);
+        };
         let mut state = self.state.borrow_mut();
         let State { peers, entry, .. } = &mut *state;
         let sent = link.filter(|id| {
             let link = peers.links.get(id);
-            link.is_some_and(|link| link.sender.send(frame))
+            link.is_some_and(|link| link.sender.send_reserved(frame, Some(reservation)))
         });
         match sent {
             Some(link) => entry.on_delegation_sent(&job_id, delegation, link),
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -14,6 +14,7 @@
 //! * [`links`]: connections between instances.
 //! * [`store_polling`]: periodic reads of the store, and registration.
 //! * [`log`]: structured logging through a bounded buffer.
+//! * [`memory_budget`]: limit on the memory in use for one purpose.
 //! * [`metrics`]: Prometheus metrics.
 //! * [`resource_limits`]: division of memory and descriptors among their uses.
 
@@ -23,6 +24,7 @@
 pub mod instance;
 pub(crate) mod links;
 pub mod log;
+pub(crate) mod memory_budget;
 pub mod metrics;
 pub mod platform;
 pub mod resource_limits;
--- a/crates/instance/src/links.rs
+++ b/crates/instance/src/links.rs
@@ -20,6 +20,8 @@
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 use trefoil_schema::dispatch::Frame;
 
+use crate::memory_budget::Reservation;
+
 /// Connect timeout; shorter than the kernel's retransmission of a lost SYN after
 /// one second, so that the instance dials again instead.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(400);
@@ -39,12 +41,20 @@
 /// queue, a sender queues none, so that the next heartbeat closes the link.
 #[derive(Clone, Debug)]
 pub struct LinkSender {
-    frames: mpsc::Sender<Bytes>,
+    frames: mpsc::Sender<QueuedFrame>,
     has_dropped: Rc<Cell<bool>>,
 }
 
+/// A frame that waits to be written.
+#[derive(Debug)]
+struct QueuedFrame {
+    bytes: Bytes,
+    /// Released once the frame has been written.
+    _reservation: Option<Reservation>,
+}
+
 impl LinkSender {
-    fn new(frames: mpsc::Sender<Bytes>) -> Self {
+    fn new(frames: mpsc::Sender<QueuedFrame>) -> Self {
         Self {
             frames,
             has_dropped: Rc::default(),
@@ -53,6 +63,15 @@
 
     /// Queues a frame; returns `false` if the queue is or was full, or the link is down.
     pub fn send(&self, frame: Bytes) -> bool {
+        self.send_reserved(frame, None)
+    }
+
+    /// The same for a frame whose memory is reserved while it is queued.
+    pub fn send_reserved(&self, bytes: Bytes, reservation: Option<Reservation>) -> bool {
+        let frame = QueuedFrame {
+            bytes,
+            _reservation: reservation,
+        };
         let is_queued = !self.has_dropped.get() && self.frames.try_send(frame).is_ok();
         self.has_dropped.set(!is_queued);
         is_queued
@@ -115,13 +134,13 @@
     SinkExt::<Bytes>::flush(framed).await
 }
 
-async fn write_frames(write: OwnedWriteHalf, mut frames: mpsc::Receiver<Bytes>) {
+async fn write_frames(write: OwnedWriteHalf, mut frames: mpsc::Receiver<QueuedFrame>) {
     let mut framed = FramedWrite::new(write, codec());
     while let Some(frame) = frames.recv().await {
-        let mut sent = framed.feed(frame).await;
+        let mut sent = framed.feed(frame.bytes).await;
         while let Ok(frame) = frames.try_recv() {
             if sent.is_ok() {
-                sent = framed.feed(frame).await;
+                sent = framed.feed(frame.bytes).await;
             }
         }
         if sent.is_err() || flush(&mut framed).await.is_err() {
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -14,6 +14,24 @@
     0.5, 1.0, 2.0, 5.0, 10.0, 25.0, 50.0, 100.0, 250.0, 500.0, 1000.0, 2500.0,
 ];
 
+/// Whose memory a refused job did not fit into.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobMemory {
+    /// Unanswered jobs of callers.
+    Entry,
+    /// Delegations that wait to be written.
+    Links,
+}
+
+impl JobMemory {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Entry => "entry",
+            Self::Links => "links",
+        }
+    }
+}
+
 /// The metrics registry of one instance.
 pub struct Metrics {
     registry: Registry,
@@ -43,7 +61,9 @@
     pub(crate) declaration_bytes_sent: IntCounter,
     /// Requests that are malformed, match no route or come before the declarations.
     pub bad_requests: IntCounter,
+    memory_refusals: IntCounterVec,
     jobs_awaited: IntGauge,
+    jobs_bytes: IntGauge,
     jobs_owned: IntGauge,
     jobs_waiting: IntGauge,
     workers: IntGauge,
@@ -75,6 +95,12 @@
         let answers = Opts::new("trefoil_answers_total", "Callers' requests by outcome.");
         let answers = IntCounterVec::new(answers, &["outcome"])?;
         registry.register(Box::new(answers.clone()))?;
+        let memory_refusals = Opts::new(
+            "trefoil_jobs_refused_for_memory_total",
+            "Jobs refused because others occupy the memory.",
+        );
+        let memory_refusals = IntCounterVec::new(memory_refusals, &["at"])?;
+        registry.register(Box::new(memory_refusals.clone()))?;
         Ok(Self {
             answers,
             answer_ms: histogram(&registry, "trefoil_answer_ms", "Whole request to answer.")?,
@@ -117,6 +143,12 @@
                 "trefoil_bad_requests_total",
                 "Unusable requests.",
             )?,
+            memory_refusals,
+            jobs_bytes: gauge(
+                &registry,
+                "trefoil_jobs_owned_bytes",
+                "Estimated memory of the jobs at this owner.",
+            )?,
             jobs_awaited: gauge(&registry, "trefoil_jobs_awaited", "Callers' jobs here.")?,
             jobs_owned: gauge(&registry, "trefoil_jobs_owned", "Jobs at this owner.")?,
             jobs_waiting: gauge(
@@ -183,6 +215,12 @@
         })
     }
 
+    /// Counts a job that was refused because others occupy the memory.
+    pub(crate) fn record_memory_refusal(&self, memory: JobMemory) {
+        let label = memory.label();
+        self.memory_refusals.with_label_values(&[label]).inc();
+    }
+
     /// Sets whether the failure domain is closed to new tasks.
     pub(crate) fn set_closed(&self, is_closed: bool) {
         self.closed.set(i64::from(is_closed));
@@ -204,6 +242,7 @@
     pub(crate) fn set_stats(&self, jobs_awaited: usize, owned: OwnerStats) {
         self.jobs_awaited.set(jobs_awaited as i64);
         self.jobs_owned.set(owned.jobs as i64);
+        self.jobs_bytes.set(owned.jobs_bytes as i64);
         self.jobs_waiting.set(owned.waiting as i64);
         self.workers.set(owned.workers as i64);
         self.workers_fenced.set(owned.workers_fenced as i64);
