callers: limits on connections and on bodies that are being received

What callers saw: an instance that ran out of memory or descriptors. Cause: neither connections nor the bodies that they were sending were limited in number, in sum or in time; each chunk of a body kept a whole read buffer; and of the configuration's limits only the size of a body was read.

Connections have a limit by the descriptors and the memory in the settings, and bodies that are being received an eighth of the memory, each copied into one buffer. At a limit, the request that has been arriving for longest makes room for the newest one, as one that ends arrives within moments; its caller is told to retry (503), or finds its connection closed. A connection whose request is being handled is not closed; if all are, new ones are refused with 503. A body has 30 s in all; the header size and timeout, and the idle timeout, which holds between two parts of a body too, are those of the configuration. Socket buffers are limited, so that unread bytes are. Counters by cause, and gauges.

--- a/crates/instance/src/declarations.rs
+++ b/crates/instance/src/declarations.rs
@@ -22,6 +22,31 @@
     pub routes: Vec<Route>,
     /// Maximum size of a request body.
     pub body_bytes_max: u64,
+    /// Further limits on callers' requests.
+    #[serde(default)]
+    pub request_limits: RequestLimits,
+}
+
+/// Limits on callers' requests besides the size of their bodies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct RequestLimits {
+    /// Maximum size of a request's line and headers.
+    pub header_bytes_max: u64,
+    /// Maximum time from the first byte of a request until the end of its headers.
+    pub header_timeout_ms: u64,
+    /// Maximum time that a connection is open without a request, or without progress.
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for RequestLimits {
+    fn default() -> Self {
+        Self {
+            header_bytes_max: 16_384,
+            header_timeout_ms: 3000,
+            idle_timeout_ms: 15_000,
+        }
+    }
 }
 
 /// Result of one read of the declarations from the store.
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -50,6 +50,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Clock;
+use crate::connections::ConnectionLimits;
 use crate::log::{WORK_TAG, unix_ms};
 use crate::memory_budget::MemoryBudget;
 use crate::metrics::{JobMemory, Metrics};
@@ -290,6 +291,21 @@
         !state.leaving && state.declared.table().is_some() && state.entry.is_ready()
     }
 
+    /// Limits on callers' connections, by the settings and the declarations in force.
+    pub fn connection_limits(&self) -> ConnectionLimits {
+        let declared = self.declarations();
+        let declared = declared.map(|table| table.declarations().request_limits);
+        let declared = declared.unwrap_or_default();
+        let resources = &self.resource_limits;
+        ConnectionLimits {
+            connections_max: resources.connections_max(declared.header_bytes_max),
+            bodies_bytes_max: resources.bodies_bytes_max,
+            header_bytes_max: declared.header_bytes_max,
+            header_timeout_ms: declared.header_timeout_ms,
+            idle_timeout_ms: declared.idle_timeout_ms,
+        }
+    }
+
     /// Whether the instance is shutting down.
     pub fn is_leaving(&self) -> bool {
         self.state.borrow().leaving
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`accept`]: accepts connections, with a delay after each failure.
 //! * [`clock`]: monotonic clock that includes suspensions.
 //! * [`platform`]: interfaces to the platform's store and workers.
+//! * [`connections`]: limits on callers' connections.
 //! * [`declarations`]: routes and services in force.
 //! * [`settings`]: loading and validation of instance settings.
 //! * [`instance`]: state and event handling of one instance.
@@ -20,6 +21,7 @@
 
 pub mod accept;
 pub mod clock;
+pub mod connections;
 pub mod declarations;
 pub mod instance;
 pub(crate) mod links;
--- a/crates/instance/src/metrics.rs
+++ b/crates/instance/src/metrics.rs
@@ -8,6 +8,8 @@
 };
 use trefoil_core::dispatch::owner::OwnerStats;
 
+use crate::connections::{ConnectionStats, Connections};
+
 /// Bucket bounds of latency histograms in milliseconds, from a call inside a
 /// failure domain to the longest job.
 const BUCKETS_MS: [f64; 12] = [
@@ -62,6 +64,12 @@
     /// Requests that are malformed, match no route or come before the declarations.
     pub bad_requests: IntCounter,
     memory_refusals: IntCounterVec,
+    connections: IntGauge,
+    bodies_bytes: IntGauge,
+    connections_closed: IntCounterVec,
+    bodies_given_up: IntCounterVec,
+    /// Totals at the last call of [`Self::set_connections`].
+    last_connections: Cell<ConnectionStats>,
     jobs_awaited: IntGauge,
     jobs_bytes: IntGauge,
     jobs_owned: IntGauge,
@@ -95,6 +103,18 @@
         let answers = Opts::new("trefoil_answers_total", "Callers' requests by outcome.");
         let answers = IntCounterVec::new(answers, &["outcome"])?;
         registry.register(Box::new(answers.clone()))?;
+        let connections_closed = Opts::new(
+            "trefoil_connections_closed_total",
+            "Callers' connections closed by a limit.",
+        );
+        let connections_closed = IntCounterVec::new(connections_closed, &["cause"])?;
+        registry.register(Box::new(connections_closed.clone()))?;
+        let bodies_given_up = Opts::new(
+            "trefoil_bodies_given_up_total",
+            "Request bodies that were not received to their end because of a limit.",
+        );
+        let bodies_given_up = IntCounterVec::new(bodies_given_up, &["cause"])?;
+        registry.register(Box::new(bodies_given_up.clone()))?;
         let memory_refusals = Opts::new(
             "trefoil_jobs_refused_for_memory_total",
             "Jobs refused because others occupy the memory.",
@@ -144,6 +164,19 @@
                 "Unusable requests.",
             )?,
             memory_refusals,
+            connections: gauge(
+                &registry,
+                "trefoil_connections",
+                "Open connections of callers.",
+            )?,
+            bodies_bytes: gauge(
+                &registry,
+                "trefoil_bodies_bytes",
+                "Memory of request bodies that are being received.",
+            )?,
+            connections_closed,
+            bodies_given_up,
+            last_connections: Cell::default(),
             jobs_bytes: gauge(
                 &registry,
                 "trefoil_jobs_owned_bytes",
@@ -215,6 +248,31 @@
         })
     }
 
+    /// Sets the figures of callers' connections.
+    pub fn set_connections(&self, connections: &Connections) {
+        self.connections.set(connections.len() as i64);
+        self.bodies_bytes.set(connections.bodies_bytes() as i64);
+        let stats = connections.stats();
+        let last = self.last_connections.replace(stats);
+        let closed = [
+            ("evicted", stats.evicted - last.evicted),
+            ("refused", stats.refused - last.refused),
+            ("timed_out", stats.timed_out - last.timed_out),
+        ];
+        let given_up = [
+            ("evicted", stats.bodies_evicted - last.bodies_evicted),
+            ("timed_out", stats.bodies_timed_out - last.bodies_timed_out),
+        ];
+        for (cause, count) in closed {
+            let counter = self.connections_closed.with_label_values(&[cause]);
+            counter.inc_by(count);
+        }
+        for (cause, count) in given_up {
+            let counter = self.bodies_given_up.with_label_values(&[cause]);
+            counter.inc_by(count);
+        }
+    }
+
     /// Counts a job that was refused because others occupy the memory.
     pub(crate) fn record_memory_refusal(&self, memory: JobMemory) {
         let label = memory.label();
