settings: limits of trefoild on connections and bodies

`http.connections_max`, `http.request_timeout_ms`, `http.body_timeout_ms` and `http.bodies_bytes_max`, with their ranges. Nothing uses them yet.

--- a/src/util/settings/validate.rs
+++ b/src/util/settings/validate.rs
@@ -5,8 +5,8 @@
 use std::net::{IpAddr, SocketAddr};
 
 use trefoil_schema::settings::{
-    JobSettings, MembershipSettings, PeerSettings, PlacementSettings, PlatformSettings, Settings,
-    TelemetrySettings, WorkerSettings,
+    HttpSettings, JobSettings, MembershipSettings, PeerSettings, PlacementSettings,
+    PlatformSettings, Settings, TelemetrySettings, WorkerSettings,
 };
 
 use super::InvalidSetting;
@@ -28,6 +28,7 @@
     validator.instance(settings);
     validator.peers(settings);
     validator.platform(&settings.platform);
+    validator.http(&settings.http);
     validator.jobs(&settings.jobs);
     validator.membership(&settings.membership);
     validator.workers(&settings.workers);
@@ -198,6 +199,15 @@
         }
     }
 
+    fn http(&mut self, http: &HttpSettings) {
+        self.range("http.connections_max", http.connections_max, 1, COUNT_MAX);
+        self.range("http.bodies_bytes_max", http.bodies_bytes_max, 1, BYTES_MAX);
+        self.durations(&[
+            ("http.request_timeout_ms", http.request_timeout_ms),
+            ("http.body_timeout_ms", http.body_timeout_ms),
+        ]);
+    }
+
     fn jobs(&mut self, jobs: &JobSettings) {
         self.range("jobs.shards", jobs.shards, 1, SHARDS_MAX);
         self.range("jobs.tasks_max", jobs.tasks_max, 1, TASKS_MAX);
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -95,6 +95,9 @@
         ),
         ("failure_domain=elsewhere", "failure_domain"),
         ("failure_domains=[\"local\",\"local\"]", "failure_domains.1"),
+        ("http.connections_max=0", "http.connections_max"),
+        ("http.bodies_bytes_max=0", "http.bodies_bytes_max"),
+        ("http.body_timeout_ms=0", "http.body_timeout_ms"),
         ("jobs.shards=1025", "jobs.shards"),
         ("jobs.keys_max=0", "jobs.keys_max"),
         (
