--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod http;
 pub mod load;
 pub mod platform;
+pub mod process_usage;
 pub mod relay;
 pub mod worker;
--- a/tests/testsuite/support/deployment.rs
+++ b/tests/testsuite/support/deployment.rs
@@ -48,6 +48,8 @@
     pub workers_per_domain: usize,
     /// The setting `drain.announce_ms` of all instances.
     pub announce_ms: u64,
+    /// Further settings of all instances, as `PATH=VALUE`.
+    pub settings: &'static [&'static str],
 }
 
 impl Default for DeploymentOptions {
@@ -58,6 +60,7 @@
             workers_per_domain: 4,
             // Longer than `vouch_ahead_ms`, as by default, so that keys are handed over.
             announce_ms: 700,
+            settings: &[],
         }
     }
 }
@@ -442,6 +445,7 @@
                 platform,
                 peers: Vec::new(),
                 announce_ms: options.announce_ms,
+                settings: options.settings,
             }
         })
         .collect()
--- a/tests/testsuite/support/instance.rs
+++ b/tests/testsuite/support/instance.rs
@@ -26,6 +26,8 @@
     pub platform: SocketAddr,
     pub peers: Vec<PeerSettings>,
     pub announce_ms: u64,
+    /// Further settings, as `PATH=VALUE`.
+    pub settings: &'static [&'static str],
 }
 
 /// An instance, which may be stopped.
@@ -58,6 +60,13 @@
         }
     }
 
+    /// Id of the process, if it runs.
+    #[allow(dead_code, reason = "used by the tests of resource limits")]
+    pub fn id(&mut self) -> Option<u32> {
+        let child = self.child.as_mut()?;
+        child.try_wait().unwrap().is_none().then(|| child.id())
+    }
+
     /// Sends `SIGTERM`, which starts a planned stop.
     pub fn terminate(&self) {
         self.signal("TERM");
@@ -136,6 +145,9 @@
     for setting in overrides {
         command.args(["--set", &setting]);
     }
+    for setting in options.settings {
+        command.args(["--set", setting]);
+    }
     command.stderr(log_output(options)).stdout(Stdio::null());
     command
 }
