trefoild: a limit on the memory and the time of submissions' bodies

What callers saw: an instance whose memory grew with every large body that it was sent. Cause: only the size of one body was limited, neither the sum nor the time; parts of a body kept their read buffers until it was complete.

A body is received into one buffer, which counts in http.bodies_bytes_max (64 MiB) until the last payload of its tasks is dropped. When that is used up, the body that has been arriving for longest makes room for the newest one: 429, memory_full, with a retry delay. Complete bodies are kept. A body has http.body_timeout_ms (30 s) to arrive.

--- a/examples/caller_overhead.rs
+++ b/examples/caller_overhead.rs
@@ -24,7 +24,8 @@
 };
 use trefoil_core::key::JobKey;
 use trefoil_schema::resources::{BackendServerSpec, BackendServerState, ServiceSpec, TeamSpec};
-use trefoil_schema::settings::{JobSettings, WorkerSettings};
+use trefoil_schema::settings::{HttpSettings, JobSettings, WorkerSettings};
+use trefoilbay::http::body_budget::BodyBudget;
 use trefoilbay::http::caller::{self, CallerContext};
 use trefoilbay::runtime::dispatch::{Dispatcher, fingerprint};
 use trefoilbay::runtime::{RequestContext, Runtime};
@@ -229,9 +230,12 @@
 
 /// Starts the callers' HTTP API; returns its address.
 async fn start_server(runtime: &Arc<Runtime>) -> String {
+    let http = HttpSettings::default();
     let context = CallerContext {
         dispatch: Dispatcher::new(Arc::clone(runtime)),
         jobs: Arc::new(JobSettings::default()),
+        bodies: BodyBudget::new(http.bodies_bytes_max),
+        body_timeout: Duration::from_millis(http.body_timeout_ms),
         failure_domain: DOMAIN.into(),
     };
     let acceptor = PoemListener::bind("127.0.0.1:0")
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,5 +1,6 @@
 //! HTTP APIs for callers and operators.
 
+pub mod body_budget;
 pub mod caller;
 pub mod operator;
 pub mod problem;
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -11,7 +11,7 @@
 mod request;
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use poem::http::{HeaderMap, StatusCode};
 use poem::web::Data;
@@ -25,6 +25,7 @@
 use trefoil_schema::api::KeysResponse;
 use trefoil_schema::settings::JobSettings;
 
+use crate::http::body_budget::BodyBudget;
 use crate::runtime::RequestContext;
 use crate::runtime::dispatch::Dispatcher;
 use crate::util::telemetry::trace::{Hop, record_answer};
@@ -43,6 +44,10 @@
     pub dispatch: Dispatcher,
     /// Limits on jobs.
     pub jobs: Arc<JobSettings>,
+    /// Memory of submissions' bodies.
+    pub bodies: Arc<BodyBudget>,
+    /// Maximum time that a body takes to arrive.
+    pub body_timeout: Duration,
     /// Failure domain that minted keys name.
     pub failure_domain: Arc<str>,
 }
@@ -146,7 +151,7 @@
     body: Body,
     context: &CallerContext,
 ) -> Result<(JobSubmission, Instant), RequestError> {
-    let bytes = request::read_body(request.headers(), body, &context.jobs).await?;
+    let bytes = request::read_body(request.headers(), body, context).await?;
     let received_at = Instant::now();
     let job = JobSubmission::parse(&bytes)?;
     job.check(&context.jobs, &context.dispatch.config())?;
--- a/src/http/caller/request.rs
+++ b/src/http/caller/request.rs
@@ -4,11 +4,11 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use poem::error::ReadBodyError;
 use poem::http::{HeaderMap, header};
 use poem::{Body, Request};
 use serde::Deserialize;
 use serde_json::value::RawValue;
+use tokio::io::AsyncReadExt;
 use trefoil_core::config::ConfigSnapshot;
 use trefoil_core::engine::{RefusalReason, Submission, Task};
 use trefoil_core::key::JobKey;
@@ -16,13 +16,19 @@
 use trefoil_schema::api::FieldError;
 use trefoil_schema::settings::JobSettings;
 
+use super::CallerContext;
 use super::answer::refusal_status;
+use crate::http::body_budget::{Evicted, Receiving};
 use crate::http::problem::Problem;
 use crate::runtime::dispatch::fingerprint;
 
 pub(super) const KEY_HEADER: &str = "idempotency-key";
 const TRACEPARENT_HEADER: &str = "traceparent";
 const DEFAULT_TEAM: &str = "default";
+/// Initial size of the buffer of a body, unless the body is smaller.
+const BODY_BUFFER_BYTES: u64 = 16 * 1024;
+/// Retry delay of a caller whose body found no memory.
+const MEMORY_RETRY_MS: u64 = 1000;
 /// Precedes the expected value in the text of a JSON error.
 const EXPECTED_SEPARATOR: &str = ", expected ";
 /// Precedes the position in the text of a JSON error.
@@ -34,6 +40,17 @@
     reason: RefusalReason,
     detail: String,
     errors: Vec<FieldError>,
+    /// 0 if a retry does not help.
+    retry_after_ms: u64,
+}
+
+impl From<Evicted> for RequestError {
+    fn from(error: Evicted) -> Self {
+        Self {
+            retry_after_ms: MEMORY_RETRY_MS,
+            ..Self::new(RefusalReason::MemoryFull, error.to_string())
+        }
+    }
 }
 
 impl RequestError {
@@ -47,6 +64,7 @@
             reason,
             detail: detail.into(),
             errors: Vec::new(),
+            retry_after_ms: 0,
         }
     }
 
@@ -63,7 +81,9 @@
     pub(super) fn into_problem(self, verdict: Verdict) -> Problem {
         let status = refusal_status(self.reason);
         let reason = self.reason.to_string();
-        Problem::new(status, &reason, self.detail, verdict).errors(self.errors)
+        Problem::new(status, &reason, self.detail, verdict)
+            .errors(self.errors)
+            .retry_after_ms(self.retry_after_ms)
     }
 }
 
@@ -97,22 +117,59 @@
     value.to_str().ok().map(Arc::from)
 }
 
-/// Reads the body up to its size limit.
+/// Reads the body within the limits on its size, its time and the memory of all bodies.
 pub(super) async fn read_body(
     headers: &HeaderMap,
     body: Body,
-    jobs: &JobSettings,
+    context: &CallerContext,
 ) -> Result<Bytes, RequestError> {
-    let bytes_max = jobs.body_bytes_max;
-    if declared_length(headers).is_some_and(|length| length > bytes_max) {
+    let bytes_max = context.jobs.body_bytes_max;
+    let declared = declared_length(headers);
+    if declared.is_some_and(|length| length > bytes_max) {
         return Err(too_large(bytes_max));
     }
-    body.into_bytes_limit(bytes_max as usize)
-        .await
-        .map_err(|error| match error {
-            ReadBodyError::PayloadTooLarge => too_large(bytes_max),
-            error => RequestError::malformed(error.to_string()),
-        })
+    let receiving = context.bodies.receive();
+    let evicted = receiving.evicted();
+    let expected_bytes = declared.unwrap_or(BODY_BUFFER_BYTES).max(1);
+    let received = receive(body, receiving, expected_bytes, bytes_max);
+    tokio::select! {
+        biased;
+        received = tokio::time::timeout(context.body_timeout, received) => {
+            received.unwrap_or_else(|_| {
+                Err(RequestError::malformed("the body took too long to arrive"))
+            })
+        }
+        () = evicted.notified() => Err(RequestError::from(Evicted)),
+    }
+}
+
+/// Reads the body into one buffer: its parts would each keep a read buffer in memory.
+async fn receive(
+    body: Body,
+    mut receiving: Receiving,
+    expected_bytes: u64,
+    bytes_max: u64,
+) -> Result<Bytes, RequestError> {
+    let mut reader = body.into_async_read();
+    let mut data = Vec::new();
+    loop {
+        if data.len() == data.capacity() {
+            let capacity = data.capacity() as u64;
+            // One more, to see whether the body ends there.
+            let doubled = (capacity * 2).max(expected_bytes.min(BODY_BUFFER_BYTES));
+            let new_capacity = doubled.min(bytes_max + 1);
+            receiving.grow(new_capacity - capacity)?;
+            data.reserve_exact((new_capacity - capacity) as usize);
+        }
+        let read = reader.read_buf(&mut data).await;
+        let read = read.map_err(|error| RequestError::malformed(error.to_string()))?;
+        if data.len() as u64 > bytes_max {
+            return Err(too_large(bytes_max));
+        }
+        if read == 0 {
+            return Ok(receiving.finish(data)?);
+        }
+    }
 }
 
 fn declared_length(headers: &HeaderMap) -> Option<u64> {
--- a/src/server/components.rs
+++ b/src/server/components.rs
@@ -18,6 +18,7 @@
 use super::drain::DrainHold;
 use super::metrics::MetricsReporter;
 use super::{Context, ServerError};
+use crate::http::body_budget::BodyBudget;
 use crate::http::caller::{self, CallerContext};
 use crate::http::operator::{self, OperatorContext};
 use crate::http::problem::Problem;
@@ -110,6 +111,8 @@
         let caller = CallerContext {
             dispatch: Dispatcher::with_peers(self.runtime.clone(), self.peers.clone()),
             jobs: Arc::new(context.settings.jobs.clone()),
+            bodies: BodyBudget::new(context.settings.http.bodies_bytes_max),
+            body_timeout: Duration::from_millis(context.settings.http.body_timeout_ms),
             failure_domain: Arc::from(context.settings.failure_domain.as_str()),
         };
         let route = Route::new().at("/v1/drain", post(drain));
--- a/tests/testsuite/caller.rs
+++ b/tests/testsuite/caller.rs
@@ -1,6 +1,7 @@
 //! Responses of the callers' API, and how often tasks are started.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use expect_test::expect;
 use poem::http::{Method, StatusCode};
@@ -12,6 +13,7 @@
 use trefoil_core::key::JobKey;
 use trefoil_schema::resources::{BackendServerSpec, BackendServerState, ServiceSpec, TeamSpec};
 use trefoil_schema::settings::{JobSettings, WorkerSettings};
+use trefoilbay::http::body_budget::BodyBudget;
 use trefoilbay::http::caller::{self, CallerContext};
 use trefoilbay::runtime::dispatch::Dispatcher;
 use trefoilbay::runtime::{Runtime, TickerGuard};
@@ -69,6 +71,8 @@
         let context = CallerContext {
             dispatch: Dispatcher::new(Arc::clone(&runtime)),
             jobs: Arc::new(jobs),
+            bodies: BodyBudget::new(1 << 20),
+            body_timeout: Duration::from_secs(10),
             failure_domain: DOMAIN.into(),
         };
         Self {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests, one module per feature.
 
 mod api_page;
+mod body_budget;
 mod caller;
 mod conditions;
 mod config_requests;
