trefoild: limits on connections and on the time of a request's headers

What callers saw: connections without a request stayed open until no descriptor was left. Cause: they had neither a limit nor a timeout, and a failed accept was retried at once.

The server accepts up to http.connections_max connections (800). Beyond that, the one that has waited longest for a request is closed; if requests are in progress on all, the new one is. A connection without a request in progress is closed after http.request_timeout_ms (30 s), headers included, unless its client goes on reading a response. After a failure, accept waits 10 ms and up to 500 ms. One log line a second.

--- a/src/http.rs
+++ b/src/http.rs
@@ -2,5 +2,6 @@
 
 pub mod body_budget;
 pub mod caller;
+pub mod connections;
 pub mod operator;
 pub mod problem;
--- a/src/server.rs
+++ b/src/server.rs
@@ -24,6 +24,7 @@
 use trefoil_core::drain::{DrainOutcome, DrainState};
 use trefoil_schema::settings::Settings;
 
+use crate::http::connections::{Connections, LimitedAcceptor};
 use crate::peers::PeersError;
 use crate::util::clock::Clock;
 use crate::util::telemetry::Telemetry;
@@ -61,6 +62,8 @@
     pub clock: Clock,
     /// Counts work in flight and runs the drain.
     pub drain: Arc<DrainController>,
+    /// Connections of callers and operators.
+    pub connections: Arc<Connections>,
     configured: AtomicBool,
     in_view: AtomicBool,
 }
@@ -70,12 +73,14 @@
     pub fn new(settings: Settings, log: Logger, telemetry: Telemetry) -> Self {
         let clock = Clock::start();
         let drain = Arc::new(DrainController::new(clock, &settings.drain));
+        let connections = Connections::new(&settings.http);
         Self {
             settings,
             log,
             telemetry,
             clock,
             drain,
+            connections,
             configured: AtomicBool::new(false),
             in_view: AtomicBool::new(false),
         }
@@ -138,6 +143,8 @@
 ) -> DrainOutcome {
     let (close, closing) = oneshot::channel::<()>();
     let closed = async move { drop(closing.await) };
+    let connections = Arc::clone(&context.connections);
+    let acceptor = LimitedAcceptor::new(acceptor, connections, context.log.clone());
     let server = poem::Server::new_with_acceptor(acceptor).run_with_graceful_shutdown(
         routes(context, components),
         closed,
@@ -166,7 +173,22 @@
         .routes(context)
         .around(observe::observe_submission)
         .around(track_request);
-    health.nest_no_strip("/v1", work).data(context.clone())
+    health
+        .nest_no_strip("/v1", work)
+        .around(track_connection)
+        .data(context.clone())
+}
+
+/// Keeps the connection open until the request is answered.
+async fn track_connection<E: Endpoint>(next: Arc<E>, request: Request) -> poem::Result<E::Output> {
+    let context: Option<&Arc<Context>> = request.data();
+    let client = request.remote_addr().as_socket_addr();
+    let guard = context
+        .zip(client)
+        .and_then(|(context, client)| context.connections.begin_request(client));
+    let response = next.call(request).await;
+    drop(guard);
+    response
 }
 
 /// Delays the end of the drain until the request is answered.
