--- a/src/http/connections.rs
+++ b/src/http/connections.rs
@@ -90,10 +90,11 @@
         Some(RequestGuard { connection })
     }
 
-    /// Adds a connection, if need be in the place of another one. Returns `None` if requests are
-    /// in progress on all others.
-    fn open(&self, client: SocketAddr) -> Option<Arc<Connection>> {
+    /// Adds a connection, if need be in the place of another one. Returns it, and whether another
+    /// one was closed for it; `None` if requests are in progress on all others.
+    fn open(&self, client: SocketAddr) -> Option<(Arc<Connection>, bool)> {
         let mut open = self.lock();
+        let mut has_evicted = false;
         while open.len() >= self.connections_max {
             let connections = open.iter();
             let waiting = connections
@@ -101,6 +102,7 @@
             let (_, oldest) = waiting.min()?;
             if let Some(connection) = open.remove(&oldest) {
                 connection.evict();
+                has_evicted = true;
             }
         }
         let connection = Arc::new(Connection(Mutex::new(ConnectionState {
@@ -110,7 +112,7 @@
             waker: None,
         })));
         open.insert(client, Arc::clone(&connection));
-        Some(connection)
+        Some((connection, has_evicted))
     }
 
     fn close(&self, client: SocketAddr, connection: &Arc<Connection>) {
@@ -193,10 +195,13 @@
             self.failures = 0;
             let client = stream.peer_addr().ok();
             let opened = client.and_then(|client| Some((client, self.connections.open(client)?)));
-            let Some((client, connection)) = opened else {
+            let Some((client, (connection, has_evicted))) = opened else {
                 self.log("connection refused", None);
                 continue;
             };
+            if has_evicted {
+                self.log("connection closed for a new one", None);
+            }
             let stream = LimitedStream {
                 stream,
                 client,
