--- a/crates/core/tests/dispatch_start_limits.rs
+++ b/crates/core/tests/dispatch_start_limits.rs
@@ -2,26 +2,11 @@
 
 mod dispatch_support;
 
-use dispatch_support::orders::{LINK, answer_start, fenced_owner};
-use dispatch_support::{SimWorker, job, starts};
+use dispatch_support::orders::{answer_start, delegate_job, fenced_owner};
+use dispatch_support::{SimWorker, job, starts, wide_job};
 use trefoil_core::dispatch::limits::{RUNS_PER_WORKER_MAX, STARTS_IN_FLIGHT_MAX};
 use trefoil_core::dispatch::order::{OrderOutcome, Rejection, StartOrder};
-use trefoil_core::dispatch::owner::{Command, Owner};
-use trefoil_schema::dispatch::Job;
-
-/// A job whose tasks all fit on one worker.
-fn wide_job(id: &str, count: u32) -> Job {
-    let mut job = job(id, count, 100);
-    job.phases[0].cpu_millicores = 0;
-    job.phases[0].memory_mb = 0;
-    job
-}
-
-fn delegate(owner: &mut Owner, now_ms: u64, spec: Job) -> Vec<Command> {
-    let mut out = Vec::new();
-    owner.delegate(now_ms, LINK, spec, 0, None, &mut out);
-    out
-}
+use trefoil_core::dispatch::owner::Owner;
 
 fn answer(owner: &mut Owner, now_ms: u64, order: &StartOrder) -> Vec<StartOrder> {
     let clock_ms = SimWorker::new("w", 50_000, 0).clock_ms(now_ms);
@@ -32,7 +17,7 @@
 #[test]
 fn starts_wait_for_the_answers_to_earlier_ones() {
     let mut owner = fenced_owner(1, &["w1"]);
-    let mut unanswered = starts(&delegate(&mut owner, 10, wide_job("a", 100)));
+    let mut unanswered = starts(&delegate_job(&mut owner, 10, wide_job("a", 100)));
     assert_eq!(unanswered.len(), STARTS_IN_FLIGHT_MAX);
     let mut ordered = unanswered.len();
     while let Some(order) = unanswered.pop() {
@@ -49,7 +34,7 @@
 fn runs_on_a_worker_are_limited() {
     let mut owner = fenced_owner(1, &["w1"]);
     let tasks = RUNS_PER_WORKER_MAX as u32 + 100;
-    let mut unanswered = starts(&delegate(&mut owner, 10, wide_job("a", tasks)));
+    let mut unanswered = starts(&delegate_job(&mut owner, 10, wide_job("a", tasks)));
     let mut ordered = unanswered.len();
     while let Some(order) = unanswered.pop() {
         let next = answer(&mut owner, 11, &order);
@@ -62,7 +47,7 @@
 #[test]
 fn a_start_that_was_not_sent_is_ordered_again_under_the_same_fence() {
     let mut owner = fenced_owner(1, &["w1"]);
-    let order = starts(&delegate(&mut owner, 10, job("a", 1, 100))).remove(0);
+    let order = starts(&delegate_job(&mut owner, 10, job("a", 1, 100))).remove(0);
     let congested = OrderOutcome::Rejected(Rejection::Congested);
     assert!(starts(&answer_start(&mut owner, 20, &order, congested)).is_empty());
     let mut out = Vec::new();
--- a/crates/core/tests/dispatch_support/mod.rs
+++ b/crates/core/tests/dispatch_support/mod.rs
@@ -64,6 +64,14 @@
     }
 }
 
+/// A job whose tasks all fit on one worker.
+pub fn wide_job(id: &str, count: u32) -> Job {
+    let mut job = job(id, count, 100);
+    job.phases[0].cpu_millicores = 0;
+    job.phases[0].memory_mb = 0;
+    job
+}
+
 /// The holder of the pool in a term.
 pub fn holder(term: u64) -> Holder {
     Holder {
--- a/crates/core/tests/dispatch_support/orders.rs
+++ b/crates/core/tests/dispatch_support/orders.rs
@@ -8,7 +8,7 @@
     StopOrder, Target,
 };
 use trefoil_core::dispatch::owner::{Command, OrderResult, Owner};
-use trefoil_schema::dispatch::Outcome;
+use trefoil_schema::dispatch::{Job, Outcome};
 
 use super::{job, owner, renewals, worker_record};
 
@@ -107,6 +107,12 @@
     owner
 }
 
+pub fn delegate_job(owner: &mut Owner, now_ms: u64, spec: Job) -> Vec<Command> {
+    let mut out = Vec::new();
+    owner.delegate(now_ms, LINK, spec, 0, None, &mut out);
+    out
+}
+
 pub fn delegate(owner: &mut Owner, now_ms: u64, id: &str, tasks: u32) -> Vec<Command> {
     let mut out = Vec::new();
     owner.delegate(now_ms, LINK, job(id, tasks, 100), 0, None, &mut out);
