--- a/review/standins-3/src/deployment.rs
+++ b/review/standins-3/src/deployment.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -13,15 +13,15 @@
 
 use crate::http::call;
 use crate::record::Record;
+use crate::relay::Links;
 use crate::store::{Gate, Store};
 use crate::worker::Worker;
 
 pub const HOST: &str = "nony24.example";
 pub const PREFIX: &str = "/pufi791/";
 const SERVICE: &str = "dele69a";
-/// How long clients wait, and after what time they send a job again.
+/// How long clients wait.
 const DEADLINE_MS: u64 = 1500;
-const RETRY: Duration = Duration::from_millis(1300);
 /// Traffic starts 10 s after the machines do.
 const START: Duration = Duration::from_secs(10);
 
@@ -37,6 +37,7 @@
     pub name: String,
     pub zone: String,
     pub callers: SocketAddr,
+    ready: SocketAddr,
     pub gate: Arc<Gate>,
     settings: PathBuf,
     log: PathBuf,
@@ -65,45 +66,30 @@
         }
     }
 
-    /// Sends a signal.
-    pub fn signal(&self, signal: i32) {
-        if let Some(child) = self.child.lock().unwrap().as_ref() {
-            // SAFETY: the process is a child that has not been waited for.
-            unsafe { libc::kill(child.id() as i32, signal) };
-        }
-    }
-
-    /// Lines of the log that hold a text.
-    pub fn log_lines(&self, text: &str) -> Vec<String> {
-        let log = fs::read_to_string(&self.log).unwrap_or_default();
-        log.lines()
-            .filter(|line| line.contains(text))
-            .map(str::to_owned)
-            .collect()
+    /// Status of the answer to a readiness check.
+    pub fn ready(&self) -> Option<u16> {
+        let patience = Duration::from_millis(500);
+        call(self.ready, "GET", "/api/ready", &[], "", patience).map(|(status, _)| status)
     }
 }
 
 pub struct Deployment {
     pub record: Arc<Record>,
     pub store: Arc<Store>,
+    pub links: Arc<Links>,
     pub entries: Vec<Entry>,
     pub workers: Vec<Arc<Worker>>,
     program: PathBuf,
     folder: PathBuf,
-    stop_load: Arc<AtomicBool>,
-    last_job: Arc<AtomicU64>,
-    pub served: Arc<AtomicU64>,
+    last_job: AtomicU64,
 }
 
 impl Drop for Deployment {
     fn drop(&mut self) {
-        self.stop_load.store(true, Ordering::SeqCst);
         for entry in &self.entries {
             entry.kill();
         }
-        if std::env::var_os("KEEP_LOGS").is_none() {
-            let _ = fs::remove_dir_all(&self.folder);
-        }
+        let _ = fs::remove_dir_all(&self.folder);
     }
 }
 
@@ -138,13 +124,12 @@
         let mut deployment = Self {
             record: Arc::clone(record),
             store,
+            links: Arc::default(),
             entries: Vec::new(),
             workers: Vec::new(),
             program,
             folder,
-            stop_load: Arc::default(),
-            last_job: Arc::default(),
-            served: Arc::default(),
+            last_job: AtomicU64::default(),
         };
         for (zone, _, workers) in shape.zones {
             for number in 0..*workers {
@@ -170,17 +155,31 @@
         let addresses: Vec<[SocketAddr; 4]> = (0..names.len())
             .map(|number| free_addresses(number as u8 + 1))
             .collect();
-        let seeds: Vec<SocketAddr> = addresses.iter().step_by(3).take(3).map(|a| a[2]).collect();
-        for ((zone, number), [callers, ready, links, metrics]) in names.into_iter().zip(addresses) {
+        let relays: Vec<TcpListener> = names
+            .iter()
+            .map(|_| TcpListener::bind("127.0.0.1:0"))
+            .collect::<Result<_, _>>()?;
+        let seeds: Vec<SocketAddr> = relays
+            .iter()
+            .step_by(3)
+            .take(3)
+            .map(TcpListener::local_addr)
+            .collect::<Result<_, _>>()?;
+        let instances = names.into_iter().zip(addresses).zip(relays);
+        for (((zone, number), [callers, ready, links, metrics]), relay) in instances {
             let name = format!("front-{zone}-{number}");
             let gate = self.store.gate(&name);
-            // As the template of the deploy file is filled in.
+            let advertised = relay.local_addr()?;
+            self.links.add_name(&name);
+            self.links.forward(relay, &name, links);
+            // As the template of the deploy file is filled in, and with a proxy for links.
             let settings = json!({
                 "instance": name,
                 "failure_domain": zone,
                 "callers_address": callers,
                 "ready_address": ready,
                 "links_address": links,
+                "links_advertised_address": advertised,
                 "metrics_address": metrics,
                 "store_address": gate.address,
                 "seeds": seeds,
@@ -198,6 +197,7 @@
                 zone: zone.to_owned(),
                 settings: path,
                 callers,
+                ready,
                 gate,
                 child: Mutex::new(None),
                 name,
@@ -241,56 +241,24 @@
         self.entry(&self.store.leader(&format!("{zone}/0"))?)
     }
 
-    pub fn restart(&self, entry: &Entry) {
-        entry.kill();
-        let _ = entry.start(&self.program);
-    }
-
     /// Sends a job with one step and waits for the answer. `None`: no answer.
     pub fn submit(&self, to: SocketAddr, tasks: u64, cpu: u64, work_ms: u64) -> Option<u16> {
         let id = self.new_job();
         send(&self.record, &id, to, tasks, cpu, work_ms)
     }
 
+    /// Sends a job without waiting for the answer.
+    pub fn submit_aside(&self, to: SocketAddr, tasks: u64, cpu: u64, work_ms: u64) {
+        let (id, record) = (self.new_job(), Arc::clone(&self.record));
+        thread::spawn(move || send(&record, &id, to, tasks, cpu, work_ms));
+    }
+
     fn new_job(&self) -> String {
         format!(
             "{:016x}",
             0x5c0e_0000 + self.last_job.fetch_add(1, Ordering::SeqCst)
         )
     }
-
-    /// Clients of a zone send jobs to its instances in turn, and again after no answer.
-    pub fn start_load(&self, zone: &str, per_s: u64, tasks: u64, cpu: u64, work_ms: u64) {
-        let addresses: Vec<SocketAddr> = self.entries_of(zone).map(|e| e.callers).collect();
-        let (stop, record) = (Arc::clone(&self.stop_load), Arc::clone(&self.record));
-        let (jobs, served) = (Arc::clone(&self.last_job), Arc::clone(&self.served));
-        thread::spawn(move || {
-            let mut turn = 0;
-            while !stop.load(Ordering::SeqCst) {
-                thread::sleep(Duration::from_micros(1_000_000 / per_s));
-                turn += 1;
-                let id = format!("{:016x}", 0x5c0e_0000 + jobs.fetch_add(1, Ordering::SeqCst));
-                let (addresses, record) = (addresses.clone(), Arc::clone(&record));
-                let served = Arc::clone(&served);
-                thread::spawn(move || {
-                    for attempt in 0..3 {
-                        let to = addresses[(turn + attempt) % addresses.len()];
-                        match send(&record, &id, to, tasks, cpu, work_ms) {
-                            None | Some(502 | 504) => thread::sleep(RETRY),
-                            Some(status) => {
-                                served.fetch_add(u64::from(status == 200), Ordering::SeqCst);
-                                return;
-                            }
-                        }
-                    }
-                });
-            }
-        });
-    }
-
-    pub fn stop_load(&self) {
-        self.stop_load.store(true, Ordering::SeqCst);
-    }
 }
 
 fn send(
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -1,11 +1,13 @@
 //! Cases of the third review: `review-case CASE RECORD`.
 //!
 //! Exits with 1 if a rule was broken, 0 if it held, and 2 if the case could not run. With
-//! `TROUBLE=0` in the environment, the disruption is left out.
+//! `TROUBLE=0` in the environment, the disruptions are left out; with `cut` or `restart`, only
+//! that one comes.
 
 mod deployment;
 mod http;
 mod record;
+mod relay;
 mod store;
 mod worker;
 
@@ -17,7 +19,7 @@
 use std::time::Duration;
 
 use deployment::{Deployment, Shape};
-use record::Record;
+use record::{Record, RunRecord};
 
 const ZONES: &[(&str, usize, usize)] = &[
     ("half-way-tree", 3, 16),
@@ -25,6 +27,13 @@
     ("portmore", 2, 16),
 ];
 
+/// Which disruptions come.
+#[derive(Clone, Copy, Default)]
+struct Trouble {
+    cut: bool,
+    restart: bool,
+}
+
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, path] = arguments.as_slice() else {
@@ -34,10 +43,23 @@
         return ExitCode::from(2);
     };
     let record = Arc::new(record);
-    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let trouble = match std::env::var("TROUBLE").as_deref() {
+        Ok("0") => Trouble::default(),
+        Ok("cut") => Trouble {
+            cut: true,
+            ..Trouble::default()
+        },
+        Ok("restart") => Trouble {
+            restart: true,
+            ..Trouble::default()
+        },
+        _ => Trouble {
+            cut: true,
+            restart: true,
+        },
+    };
     let result = match case.as_str() {
-        "drain" => drain(&record, trouble),
-        "limit-reborn" => limit_reborn(&record, trouble),
+        "stale-owner" => stale_owner(&record, trouble),
         "twice-reborn" => twice_reborn(&record, trouble),
         _ => Err(format!("no case {case}")),
     };
@@ -56,78 +78,12 @@
     }
 }
 
-/// Workers drain while their pool's owner is cut off from the store, and then it is killed.
-fn drain(record: &Arc<Record>, trouble: bool) -> Result<(), String> {
-    const DRAIN_MS: u64 = 2000;
-    let shape = Shape {
-        zones: ZONES,
-        cores: 16,
-        tells_born: false,
-    };
-    let deployment = Deployment::start(&shape, record)?;
-    let zone = ZONES[0].0;
-    for (zone, _, _) in ZONES {
-        deployment.start_load(zone, 8, 8, 6800, 60);
-        deployment.start_load(zone, 20, 2, 6800, 200);
-    }
-    sleep(Duration::from_secs(5));
-    let owner = deployment.leader(zone).ok_or("no owner")?;
-    let name = owner.name.clone();
-    record.note(&format!("{name} owns the pool"));
-    let workers: Vec<_> = deployment.workers_of(zone).take(4).cloned().collect();
-    if trouble {
-        owner.gate.set_cut(true);
-        record.note(&format!("{name} is cut off from the store"));
-    }
-    sleep(Duration::from_millis(300));
-    for worker in &workers {
-        worker.drain(Duration::from_millis(DRAIN_MS + 6000));
-    }
-    sleep(Duration::from_millis(DRAIN_MS + 100));
-    let killed_ms = record.now_ms();
-    if trouble {
-        owner.kill();
-        record.note(&format!("{name} is killed"));
-    }
-    sleep(Duration::from_millis(2800));
-    if trouble {
-        owner.gate.set_cut(false);
-        record.note("the path to the store is whole again");
-        deployment.restart(owner);
-        record.note(&format!("{name} is started again"));
-    }
-    sleep(Duration::from_secs(4));
-    deployment.stop_load();
-    for entry in &deployment.entries {
-        for line in entry.log_lines("ownership acquired") {
-            record.note(&format!("log of {}: {line}", entry.name));
-        }
-    }
-    for worker in &workers {
-        let draining_ms = *worker.draining_ms.get().ok_or("not draining")?;
-        for (started_ms, task) in worker.starts.lock().unwrap().iter() {
-            // Until its end, the owner that was cut off may have sent it.
-            let is_excused = trouble && *started_ms <= killed_ms + 50;
-            if *started_ms > draining_ms + DRAIN_MS && !is_excused {
-                record.note_break(format!(
-                    "DRAIN: {task} was started on {} {} ms after the store accepted that it drains",
-                    worker.id,
-                    started_ms - draining_ms
-                ));
-            }
-        }
-    }
-    record.note(&format!(
-        "{} jobs served",
-        deployment.served.load(std::sync::atomic::Ordering::SeqCst)
-    ));
-    Ok(())
-}
-
-/// Idle workers start again under their ids, with less capacity.
-fn limit_reborn(record: &Arc<Record>, trouble: bool) -> Result<(), String> {
-    const CORES: u64 = 24;
-    const FEWER_CORES: u64 = 16;
+/// A replaced owner, which is cut off, and its successor use workers that have started again
+/// under their ids and forgotten the successor's fence.
+fn stale_owner(record: &Arc<Record>, trouble: Trouble) -> Result<(), String> {
+    const CORES: u64 = 16;
+    /// Twice as many as workers, so that all are used.
+    const TASKS: u64 = 32;
     let shape = Shape {
         zones: ZONES,
         cores: CORES,
@@ -137,32 +93,61 @@
     let zone = ZONES[0].0;
     sleep(Duration::from_secs(2));
     let workers: Vec<_> = deployment.workers_of(zone).take(4).cloned().collect();
-    let is_idle = workers.iter().all(|worker| worker.run_count() == 0);
-    record.note(&format!("the workers are idle: {is_idle}"));
-    if trouble {
+    let owner = deployment.leader(zone).ok_or("no owner")?;
+    record.note(&format!("{} owns the pool", owner.name));
+    if trouble.cut {
+        owner.gate.set_cut(true);
+        deployment.links.set_cut(Some(&owner.name));
+        record.note(&format!(
+            "{} is cut off from the store and from all other instances",
+            owner.name
+        ));
+    }
+    sleep(Duration::from_millis(1500));
+    let successor = deployment.leader(zone).ok_or("no owner")?;
+    record.note(&format!("{} owns the pool", successor.name));
+    if trouble.restart {
         for worker in &workers {
             worker.crash();
         }
         sleep(Duration::from_millis(700));
-        for worker in &workers {
-            worker.start_again(FEWER_CORES);
-        }
     }
-    sleep(Duration::from_millis(100));
-    let to = deployment
+    deployment.store.wait_for_registry_read(&successor.name);
+    sleep(Duration::from_millis(10));
+    if trouble.restart {
+        workers.iter().for_each(|worker| worker.start_again(CORES));
+    }
+    sleep(Duration::from_millis(50));
+    record.note(&format!(
+        "{} answers the readiness check: {:?}",
+        owner.name,
+        owner.ready()
+    ));
+    let other = deployment
         .entries_of(zone)
-        .next()
-        .ok_or("no entry")?
-        .callers;
-    deployment.submit(to, 32, 8000, 300);
+        .find(|entry| entry.name != owner.name);
+    let other = other.ok_or("no other instance")?;
+    deployment.submit_aside(owner.callers, TASKS, 6800, 900);
+    sleep(Duration::from_millis(50));
+    deployment.submit_aside(other.callers, TASKS, 6800, 900);
+    sleep(Duration::from_millis(2000));
+    if trouble.cut {
+        owner.gate.set_cut(false);
+        deployment.links.set_cut(None);
+        record.note("the cut has healed");
+    }
     sleep(Duration::from_secs(2));
+    note_over_capacity(record, |_| CORES);
+    note_double_runs(record);
+    Ok(())
+}
+
+/// Notes the workers on which a start used more than their capacity.
+fn note_over_capacity(record: &Record, cores_of: impl Fn(&RunRecord) -> u64) {
     let mut over = HashSet::new();
     let runs = record.runs.lock().unwrap().clone();
     for run in &runs {
-        let cores = match run.life {
-            1 => CORES,
-            _ => FEWER_CORES,
-        };
+        let cores = cores_of(run);
         let at_work = runs.iter().filter(|other| {
             let ended_ms = other.ended.map_or(u64::MAX, |(ended_ms, _)| ended_ms);
             other.worker == run.worker
@@ -180,11 +165,10 @@
             ));
         }
     }
-    Ok(())
 }
 
 /// Idle workers start again under their ids, and are cut off as they start tasks.
-fn twice_reborn(record: &Arc<Record>, trouble: bool) -> Result<(), String> {
+fn twice_reborn(record: &Arc<Record>, trouble: Trouble) -> Result<(), String> {
     const CORES: u64 = 16;
     let shape = Shape {
         zones: ZONES,
@@ -196,15 +180,19 @@
     sleep(Duration::from_secs(2));
     let workers: Vec<_> = deployment.workers_of(zone).take(4).cloned().collect();
     let owner = deployment.leader(zone).ok_or("no owner")?;
-    if trouble {
+    if trouble.restart {
         for worker in &workers {
             worker.crash();
         }
         sleep(Duration::from_millis(700));
-        deployment.store.wait_for_registry_read(&owner.name);
-        sleep(Duration::from_millis(10));
-        for worker in &workers {
+    }
+    deployment.store.wait_for_registry_read(&owner.name);
+    sleep(Duration::from_millis(10));
+    for worker in &workers {
+        if trouble.restart {
             worker.start_again(CORES);
+        }
+        if trouble.cut {
             worker.cut_at_start();
         }
     }
@@ -216,8 +204,8 @@
         .callers;
     deployment.submit(to, 16, 6800, 900);
     sleep(Duration::from_secs(2));
-    for worker in &workers {
-        worker.set_cut(false);
+    if trouble.cut {
+        workers.iter().for_each(|worker| worker.heal());
     }
     sleep(Duration::from_secs(1));
     note_double_runs(record);
@@ -228,7 +216,7 @@
 fn note_double_runs(record: &Record) {
     let now_ms = record.now_ms();
     let runs = record.runs.lock().unwrap().clone();
-    let end_ms = |run: &record::RunRecord| run.ended.map_or(now_ms, |(ended_ms, _)| ended_ms);
+    let end_ms = |run: &RunRecord| run.ended.map_or(now_ms, |(ended_ms, _)| ended_ms);
     for (position, first) in runs.iter().enumerate() {
         for second in &runs[position + 1..] {
             let both_ms = end_ms(first)
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -117,12 +117,6 @@
         self.changed.notify_all();
     }
 
-    pub fn remove(&self, key: &str) {
-        let mut state = self.state.lock().unwrap();
-        state.remove(key);
-        self.changed.notify_all();
-    }
-
     /// The instance that last wrote the claim on a pool under a condition.
     pub fn leader(&self, pool: &str) -> Option<String> {
         self.state.lock().unwrap().leaders.get(pool).cloned()
--- a/review/standins-3/src/worker.rs
+++ b/review/standins-3/src/worker.rs
@@ -39,7 +39,6 @@
     /// Highest run stopped or ended, by task.
     past_runs: HashMap<String, u64>,
     sequence: u64,
-    draining: Option<Instant>,
 }
 
 struct State {
@@ -62,12 +61,6 @@
     record: Arc<Record>,
     state: Mutex<State>,
     server: OnceLock<Arc<Server>>,
-    /// When the store accepted the report that it drains.
-    pub draining_ms: OnceLock<u64>,
-    /// Starts that it carried out: time of the record, task.
-    pub starts: Mutex<Vec<(u64, String)>>,
-    /// When it was cut off.
-    pub cut_ms: OnceLock<u64>,
 }
 
 fn unix_ms() -> u64 {
@@ -100,9 +93,6 @@
                 cut_at_start: false,
             }),
             server: OnceLock::new(),
-            draining_ms: OnceLock::new(),
-            starts: Mutex::new(Vec::new()),
-            cut_ms: OnceLock::new(),
         });
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let handling = Arc::clone(&worker);
@@ -153,7 +143,6 @@
             last_end: 0,
             past_runs: HashMap::new(),
             sequence: 0,
-            draining: None,
         });
         drop(state);
         self.register();
@@ -177,34 +166,9 @@
         if self.tells_born {
             report["born"] = json!(life.born_ms);
         }
-        if let Some(exit_at) = life.draining {
-            let left = exit_at.saturating_duration_since(Instant::now());
-            report["state"] = json!("draining");
-            report["remaining_ms"] = json!(left.as_millis() as u64);
-        }
         self.store.put(&format!("servers/{}", self.id), &report);
     }
 
-    /// Reports that it drains, serves for `serves`, and leaves.
-    pub fn drain(self: &Arc<Self>, serves: Duration) {
-        if let Some(life) = &mut self.state.lock().unwrap().life {
-            life.draining = Some(Instant::now() + serves);
-        }
-        self.register();
-        let _ = self.draining_ms.set(self.record.now_ms());
-        self.record
-            .note(&format!("worker {} drains, accepted by the store", self.id));
-        let worker = Arc::clone(self);
-        thread::spawn(move || {
-            thread::sleep(serves);
-            worker.crash();
-            worker.store.remove(&format!("servers/{}", worker.id));
-            worker
-                .record
-                .note(&format!("worker {} has left", worker.id));
-        });
-    }
-
     /// Ends what runs there and all connections.
     pub fn crash(&self) {
         let life = self.state.lock().unwrap().life.take();
@@ -231,15 +195,10 @@
         self.state.lock().unwrap().cut_at_start = true;
     }
 
-    pub fn set_cut(&self, cut: bool) {
-        self.state.lock().unwrap().cut = cut;
-        let what = if cut { "is cut off" } else { "is back" };
-        self.record.note(&format!("worker {} {what}", self.id));
-    }
-
-    pub fn run_count(&self) -> usize {
-        let state = self.state.lock().unwrap();
-        state.life.as_ref().map_or(0, |life| life.runs.len())
+    /// Ends the partition, if there is one.
+    pub fn heal(&self) {
+        self.state.lock().unwrap().cut = false;
+        self.record.note(&format!("worker {} is back", self.id));
     }
 
     fn wait_while_cut(&self) -> bool {
@@ -332,10 +291,8 @@
                     self.id,
                     cores * 1000
                 ));
-                self.starts.lock().unwrap().push((now_ms, task));
                 if std::mem::take(&mut state.cut_at_start) {
                     state.cut = true;
-                    let _ = self.cut_ms.set(now_ms);
                     self.record
                         .note(&format!("worker {} is cut off from all machines", self.id));
                 }
