--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 cd "$folder/../.." || exit 2
 case=review/standins-3/target/release/review-case
 [ -x "$case" ] || { echo "run review/build-3.sh first"; exit 2; }
-exec "$case" limit-reborn "$folder/record.txt"
+exec "$case" stale-owner "$folder/record.txt"
