review: cases that can't run end in time, with code 2

A case waits at most 3 s for an owner's read of the registry, and ends with 2 if there is no successor or the program itself fails.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,7 @@
 cd "$folder/../.." || exit 2
 case=review/standins-3/target/release/review-case
 [ -x "$case" ] || { echo "run review/build-3.sh first"; exit 2; }
-exec "$case" twice-reborn "$folder/record.txt"
+"$case" twice-reborn "$folder/record.txt"
+code=$?
+[ "$code" -le 1 ] || exit 2
+exit "$code"
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -105,6 +105,9 @@
     }
     sleep(Duration::from_millis(1500));
     let successor = deployment.leader(zone).ok_or("no owner")?;
+    if trouble.cut && successor.name == owner.name {
+        return Err(format!("{} has no successor", owner.name));
+    }
     record.note(&format!("{} owns the pool", successor.name));
     if trouble.restart {
         for worker in &workers {
@@ -112,7 +115,7 @@
         }
         sleep(Duration::from_millis(700));
     }
-    deployment.store.wait_for_registry_read(&successor.name);
+    deployment.store.wait_for_registry_read(&successor.name)?;
     sleep(Duration::from_millis(10));
     if trouble.restart {
         workers.iter().for_each(|worker| worker.start_again(CORES));
@@ -186,7 +189,7 @@
         }
         sleep(Duration::from_millis(700));
     }
-    deployment.store.wait_for_registry_read(&owner.name);
+    deployment.store.wait_for_registry_read(&owner.name)?;
     sleep(Duration::from_millis(10));
     for worker in &workers {
         if trouble.restart {
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -122,16 +122,21 @@
         self.state.lock().unwrap().leaders.get(pool).cloned()
     }
 
-    /// Waits until an instance has read the workers' entries.
-    pub fn wait_for_registry_read(&self, instance: &str) {
+    /// Waits until an instance has read the workers' entries; it is an error if it doesn't.
+    pub fn wait_for_registry_read(&self, instance: &str) -> Result<(), String> {
         let reads = || {
             let state = self.state.lock().unwrap();
             state.registry_reads.get(instance).copied().unwrap_or(0)
         };
         let before = reads();
+        let until = Instant::now() + Duration::from_secs(3);
         while reads() == before {
+            if Instant::now() > until {
+                return Err(format!("{instance} doesn't read the workers' entries"));
+            }
             thread::sleep(Duration::from_millis(1));
         }
+        Ok(())
     }
 
     fn expire(&self) {
