--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -30,6 +30,7 @@
 /// Which disruptions come.
 #[derive(Clone, Copy, Default)]
 struct Trouble {
+    /// A partition, or a step of the time of day.
     cut: bool,
     restart: bool,
 }
@@ -60,6 +61,7 @@
     };
     let result = match case.as_str() {
         "stale-owner" => stale_owner(&record, trouble),
+        "born-earlier" => born_earlier(&record, trouble),
         "twice-reborn" => twice_reborn(&record, trouble),
         _ => Err(format!("no case {case}")),
     };
@@ -145,6 +147,55 @@
     Ok(())
 }
 
+/// Idle workers go down and up twice, the second time with less capacity, after the time of day
+/// of their machines has gone back in between, so that they tell an earlier start.
+fn born_earlier(record: &Arc<Record>, trouble: Trouble) -> Result<(), String> {
+    const CORES: u64 = 24;
+    const FEWER_CORES: u64 = 16;
+    const STEP_MS: u64 = 2000;
+    /// `contact_ms` and one beat, for which a room that has shrunk still counts, and more.
+    const PAUSE: Duration = Duration::from_millis(4000 + 1500 + 1500);
+    let shape = Shape {
+        zones: ZONES,
+        cores: CORES,
+        tells_born: true,
+    };
+    let deployment = Deployment::start(&shape, record)?;
+    let zone = ZONES[0].0;
+    sleep(Duration::from_secs(2));
+    let workers: Vec<_> = deployment.workers_of(zone).take(4).cloned().collect();
+    let owner = deployment.leader(zone).ok_or("no owner")?;
+    if trouble.restart {
+        workers.iter().for_each(|worker| worker.crash());
+        sleep(Duration::from_millis(700));
+        workers.iter().for_each(|worker| worker.start_again(CORES));
+        deployment.store.wait_for_registry_read(&owner.name)?;
+    }
+    if trouble.cut {
+        workers.iter().for_each(|worker| worker.set_behind(STEP_MS));
+    }
+    sleep(Duration::from_millis(50));
+    if trouble.restart {
+        workers.iter().for_each(|worker| worker.crash());
+        sleep(Duration::from_millis(700));
+        workers
+            .iter()
+            .for_each(|worker| worker.start_again(FEWER_CORES));
+    }
+    sleep(Duration::from_millis(4000));
+    workers.iter().for_each(|worker| worker.set_behind(0));
+    sleep(PAUSE - Duration::from_millis(4000));
+    let to = deployment.entries_of(zone).next().ok_or("no entry")?;
+    deployment.submit_aside(to.callers, 32, 8000, 900);
+    deployment.submit_aside(to.callers, 16, 8000, 900);
+    sleep(Duration::from_secs(3));
+    note_over_capacity(record, |run| match run.life {
+        1 | 2 => CORES,
+        _ => FEWER_CORES,
+    });
+    Ok(())
+}
+
 /// Notes the workers on which a start used more than their capacity.
 fn note_over_capacity(record: &Record, cores_of: impl Fn(&RunRecord) -> u64) {
     let mut over = HashSet::new();
--- a/review/standins-3/src/worker.rs
+++ b/review/standins-3/src/worker.rs
@@ -43,6 +43,8 @@
 
 struct State {
     cores: u64,
+    /// How far the time of day of its machine is behind.
+    behind_ms: u64,
     life: Option<Life>,
     lives: u32,
     /// Whether all machines have lost their path to and from this worker.
@@ -87,6 +89,7 @@
             record: Arc::clone(record),
             state: Mutex::new(State {
                 cores,
+                behind_ms: 0,
                 life: None,
                 lives: 0,
                 cut: false,
@@ -126,10 +129,10 @@
         let mut state = self.state.lock().unwrap();
         state.lives += 1;
         state.cores = cores;
-        let number = state.lives;
+        let (number, behind_ms) = (state.lives, state.behind_ms);
         state.life = Some(Life {
             number,
-            born_ms: unix_ms(),
+            born_ms: unix_ms() - behind_ms,
             started: Instant::now(),
             // The clock starts anew.
             clock_start_ms: match number {
@@ -185,16 +188,31 @@
     pub fn start_again(&self, cores: u64) {
         self.begin_life(cores);
         self.record.note(&format!(
-            "worker {} has started again under its id with {cores} cores, and is in the store",
-            self.id
+            "worker {} has started again under its id with {cores} cores, born {}, and is in the store",
+            self.id,
+            self.born_ms()
         ));
     }
 
+    fn born_ms(&self) -> u64 {
+        let state = self.state.lock().unwrap();
+        state.life.as_ref().map_or(0, |life| life.born_ms)
+    }
+
     /// The next start is carried out, and its answer is the first to be lost in a partition.
     pub fn cut_at_start(&self) {
         self.state.lock().unwrap().cut_at_start = true;
     }
 
+    /// Sets back the time of day of its machine by this much, or forward again.
+    pub fn set_behind(&self, behind_ms: u64) {
+        self.state.lock().unwrap().behind_ms = behind_ms;
+        self.record.note(&format!(
+            "the time of day at {} is {behind_ms} ms behind",
+            self.id
+        ));
+    }
+
     /// Ends the partition, if there is one.
     pub fn heal(&self) {
         self.state.lock().unwrap().cut = false;
