--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -18,8 +18,9 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-use deployment::{Deployment, Shape};
+use deployment::{Deployment, Entry, Shape};
 use record::{Record, RunRecord};
+use worker::Worker;
 
 const ZONES: &[(&str, usize, usize)] = &[
     ("half-way-tree", 3, 16),
@@ -61,6 +62,7 @@
     };
     let result = match case.as_str() {
         "stale-owner" => stale_owner(&record, trouble),
+        "drain-earlier" => drain_earlier(&record, trouble),
         "born-earlier" => born_earlier(&record, trouble),
         "twice-reborn" => twice_reborn(&record, trouble),
         _ => Err(format!("no case {case}")),
@@ -165,14 +167,48 @@
     sleep(Duration::from_secs(2));
     let workers: Vec<_> = deployment.workers_of(zone).take(4).cloned().collect();
     let owner = deployment.leader(zone).ok_or("no owner")?;
+    restart_twice(
+        &deployment,
+        owner,
+        &workers,
+        trouble,
+        [CORES, FEWER_CORES],
+        STEP_MS,
+    )?;
+    sleep(Duration::from_millis(4000));
+    workers.iter().for_each(|worker| worker.set_behind(0));
+    sleep(PAUSE - Duration::from_millis(4000));
+    let to = deployment.entries_of(zone).next().ok_or("no entry")?;
+    deployment.submit_aside(to.callers, 32, 8000, 900);
+    deployment.submit_aside(to.callers, 16, 8000, 900);
+    sleep(Duration::from_secs(3));
+    note_over_capacity(record, |run| match run.life {
+        1 | 2 => CORES,
+        _ => FEWER_CORES,
+    });
+    Ok(())
+}
+
+/// Workers go down and up twice, with these cores; in between, the time of day of their machines goes
+/// back.
+fn restart_twice(
+    deployment: &Deployment,
+    owner: &Entry,
+    workers: &[Arc<Worker>],
+    trouble: Trouble,
+    cores: [u64; 2],
+    step_ms: u64,
+) -> Result<(), String> {
     if trouble.restart {
         workers.iter().for_each(|worker| worker.crash());
         sleep(Duration::from_millis(700));
-        workers.iter().for_each(|worker| worker.start_again(CORES));
+        workers
+            .iter()
+            .for_each(|worker| worker.start_again(cores[0]));
         deployment.store.wait_for_registry_read(&owner.name)?;
     }
     if trouble.cut {
-        workers.iter().for_each(|worker| worker.set_behind(STEP_MS));
+        workers.iter().for_each(|worker| worker.set_behind(step_ms));
     }
     sleep(Duration::from_millis(50));
     if trouble.restart {
@@ -180,19 +216,49 @@
         sleep(Duration::from_millis(700));
         workers
             .iter()
-            .for_each(|worker| worker.start_again(FEWER_CORES));
+            .for_each(|worker| worker.start_again(cores[1]));
     }
+    Ok(())
+}
+
+/// Workers that tell an earlier start than before, as above, drain.
+fn drain_earlier(record: &Arc<Record>, trouble: Trouble) -> Result<(), String> {
+    const CORES: u64 = 16;
+    const STEP_MS: u64 = 2000;
+    const DRAIN_MS: u64 = 3000;
+    let shape = Shape {
+        zones: ZONES,
+        cores: CORES,
+        tells_born: true,
+    };
+    let deployment = Deployment::start(&shape, record)?;
+    let zone = ZONES[0].0;
+    sleep(Duration::from_secs(2));
+    let workers: Vec<_> = deployment.workers_of(zone).take(3).cloned().collect();
+    let owner = deployment.leader(zone).ok_or("no owner")?;
+    restart_twice(&deployment, owner, &workers, trouble, [CORES; 2], STEP_MS)?;
     sleep(Duration::from_millis(4000));
     workers.iter().for_each(|worker| worker.set_behind(0));
-    sleep(PAUSE - Duration::from_millis(4000));
+    let draining_ms = record.now_ms();
+    workers
+        .iter()
+        .for_each(|worker| worker.drain(Duration::from_millis(DRAIN_MS)));
+    sleep(Duration::from_millis(DRAIN_MS + 1500));
     let to = deployment.entries_of(zone).next().ok_or("no entry")?;
-    deployment.submit_aside(to.callers, 32, 8000, 900);
-    deployment.submit_aside(to.callers, 16, 8000, 900);
+    deployment.submit_aside(to.callers, 32, 6800, 300);
     sleep(Duration::from_secs(3));
-    note_over_capacity(record, |run| match run.life {
-        1 | 2 => CORES,
-        _ => FEWER_CORES,
-    });
+    let runs = record.runs.lock().unwrap().clone();
+    for run in &runs {
+        let is_draining = workers.iter().any(|worker| worker.id == run.worker);
+        if is_draining && run.started_ms > draining_ms + DRAIN_MS {
+            record.note_break(format!(
+                "DRAIN: {} was started on {} {} ms after the store accepted that it drains",
+                run.task,
+                run.worker,
+                run.started_ms - draining_ms
+            ));
+        }
+    }
     Ok(())
 }
 
--- a/review/standins-3/src/worker.rs
+++ b/review/standins-3/src/worker.rs
@@ -39,6 +39,8 @@
     /// Highest run stopped or ended, by task.
     past_runs: HashMap<String, u64>,
     sequence: u64,
+    /// Earliest end, once it drains.
+    draining: Option<Instant>,
 }
 
 struct State {
@@ -146,6 +148,7 @@
             last_end: 0,
             past_runs: HashMap::new(),
             sequence: 0,
+            draining: None,
         });
         drop(state);
         self.register();
@@ -169,6 +172,11 @@
         if self.tells_born {
             report["born"] = json!(life.born_ms);
         }
+        if let Some(exit_at) = life.draining {
+            let left = exit_at.saturating_duration_since(Instant::now());
+            report["state"] = json!("draining");
+            report["remaining_ms"] = json!(left.as_millis() as u64);
+        }
         self.store.put(&format!("servers/{}", self.id), &report);
     }
 
@@ -213,6 +221,16 @@
         ));
     }
 
+    /// Reports that it drains, with the minimum time that is left. It serves on.
+    pub fn drain(&self, at_least: Duration) {
+        if let Some(life) = &mut self.state.lock().unwrap().life {
+            life.draining = Some(Instant::now() + at_least);
+        }
+        self.register();
+        self.record
+            .note(&format!("worker {} drains, as the store holds", self.id));
+    }
+
     /// Ends the partition, if there is one.
     pub fn heal(&self) {
         self.state.lock().unwrap().cut = false;
