dispatch: tie orders to the incarnation that they are for

Cause: an order named a worker by its id alone. The owner composed it by what it knew of an idle worker, which an incarnation had shown that had ended since; the client opened a new connection to whoever accepted it. The deadline was by the ended clock, which was far ahead, so that the later incarnation granted its longest lease while the owner counted 0.3 s.

Fix: an order names its incarnation and is sent only on a connection on which that incarnation has told its start. A connection ends with the process that has accepted it, so no order reaches another incarnation, whatever happens when. An order that is not sent is told apart from one without an answer, and its task goes elsewhere at once.

Four tests of dispatch_rebirth are of types that did not exist before.

--- a/crates/core/src/dispatch/order.rs
+++ b/crates/core/src/dispatch/order.rs
@@ -24,6 +24,9 @@
     pub address: Arc<str>,
     /// Fencing token of the sender.
     pub fence: Fence,
+    /// Start of the incarnation that the order is for, in Unix milliseconds; `None` if it is
+    /// unknown. The order must reach no other incarnation, whichever is alive by then.
+    pub born_ms: Option<u64>,
 }
 
 /// Starts one run of a task.
@@ -86,9 +89,16 @@
     Fenced,
     /// Not carried out, for another reason that the worker gave.
     Rejected(Rejection),
-    /// Not carried out: another incarnation of the worker answered.
+    /// Not carried out: the worker with this id has ended, and another one answered.
     #[debug("OtherLife")]
     WrongIncarnation,
+    /// Not carried out: another incarnation of the worker answered, under the same id.
+    OtherIncarnation {
+        /// Its start, in Unix milliseconds.
+        born_ms: u64,
+    },
+    /// Not carried out: the worker could not be reached.
+    NotSent,
     /// Unknown: it may have been carried out, or may still be.
     NoAnswer,
 }
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -81,7 +81,9 @@
     WorkerKey,
 };
 use super::ownership::{Predecessor, Roster};
-use super::worker::{FencingState, RunOwner, RunState, Worker, WorkerRecord, is_earlier};
+use super::worker::{
+    Evidence, FencingState, RunOwner, RunState, Succession, Worker, WorkerRecord, is_earlier,
+};
 pub use command::{Command, JobResult, OrderResult};
 pub use departure::{DepartureAction, RunOutlook};
 pub use log_event::{LogEvent, LogTopic};
@@ -253,14 +255,10 @@
         out: &mut Vec<Command>,
     ) {
         if let Some(&key) = self.worker_ids.get(&record.id) {
-            let known_ms = self.workers[key].record.born_ms;
-            if is_earlier(record.born_ms, known_ms) {
-                return;
-            }
-            if let Some(born_ms) = record.born_ms
-                && is_earlier(known_ms, Some(born_ms))
-            {
-                self.begin_incarnation(now_ms, key, born_ms, out);
+            match self.workers[key].compare_incarnation(record.born_ms, Evidence::Entry) {
+                Succession::Earlier => return,
+                Succession::Later => self.begin_incarnation(now_ms, key, record.born_ms, out),
+                Succession::Same => {}
             }
             let worker = &mut self.workers[key];
             if worker.record.draining != record.draining {
@@ -275,7 +273,7 @@
             if worker.record.departure != record.departure {
                 worker.exit = departure::expected_exit(now_ms, worker, record.departure);
             }
-            let born_ms = record.born_ms.or(known_ms);
+            let born_ms = record.born_ms.or(worker.record.born_ms);
             worker.record = WorkerRecord { born_ms, ..record };
             if std::mem::take(&mut worker.awaits_entry) {
                 worker.set_prior(&self.worker_speeds);
@@ -458,6 +456,7 @@
         worker_id: worker.record.id.clone(),
         address: worker.record.address.clone(),
         fence: worker.fence,
+        born_ms: worker.record.born_ms,
     }
 }
 
--- a/crates/core/src/dispatch/owner/lease_renewal.rs
+++ b/crates/core/src/dispatch/owner/lease_renewal.rs
@@ -98,8 +98,12 @@
             return self.schedule(now_ms, out);
         }
         let mut outcome = outcome;
+        let renewal = self.workers[key].renewal;
+        let sent_ms = renewal
+            .filter(|renewal| renewal.number == number)
+            .map(|renewal| renewal.sent_ms);
         if let RenewOutcome::Renewed { born_ms, .. } = outcome
-            && self.observe_incarnation(now_ms, key, born_ms, out)
+            && self.observe_incarnation(now_ms, key, born_ms, sent_ms, out)
         {
             outcome = RenewOutcome::NoAnswer;
         }
--- a/crates/core/src/dispatch/owner/order_results.rs
+++ b/crates/core/src/dispatch/owner/order_results.rs
@@ -1,7 +1,7 @@
 //! Results of start and stop orders.
 //!
-//! A rejected order was not carried out. An unanswered one may have been, or may
-//! still be (see [`lease_renewal`]). A rejected fence ends ownership, unless this
+//! A rejected order was not carried out, nor was one that was not sent. An unanswered one may
+//! have been, or may still be (see [`lease_renewal`]). A rejected fence ends ownership, unless this
 //! owner itself has used a newer fence on the worker since.
 
 use super::*;
@@ -14,12 +14,14 @@
         }
         let worker = self.workers.get(result.worker);
         let was_reborn = worker.is_some_and(|worker| worker.rebirth.is_some());
-        let is_rejected_by_successor = match result.outcome {
-            OrderOutcome::WrongIncarnation => true,
+        let never_began = match result.outcome {
+            OrderOutcome::WrongIncarnation
+            | OrderOutcome::OtherIncarnation { .. }
+            | OrderOutcome::NotSent => true,
             OrderOutcome::Fenced => was_reborn,
             _ => false,
         };
-        if is_rejected_by_successor {
+        if never_began {
             self.clear_loss_of_run(now_ms, &result.task, result.run_id);
         }
         let Some(worker) = self.workers.get_mut(result.worker) else {
@@ -58,6 +60,30 @@
                     result,
                 )));
             }
+            OrderOutcome::OtherIncarnation { born_ms } => {
+                let rejected = position.map(|position| worker.runs.swap_remove(position));
+                let sent_ms = rejected.as_ref().map(|run| run.ordered_ms);
+                self.observe_incarnation(now_ms, result.worker, Some(born_ms), sent_ms, out);
+                if let Some(run) = rejected {
+                    self.requeue(now_ms, &run.owner, 0);
+                }
+            }
+            OrderOutcome::NotSent => {
+                self.answer_timeout.record_unanswered();
+                if is_newest {
+                    worker.raise_fence();
+                    worker.backoff_until_ms = now_ms + RETRY_BACKOFF_MAX_MS;
+                }
+                out.push(Command::Log(LogEvent::run(
+                    "start not sent",
+                    worker,
+                    result,
+                )));
+                if let Some(position) = position {
+                    let run = worker.runs.swap_remove(position);
+                    self.requeue(now_ms, &run.owner, 0);
+                }
+            }
             OrderOutcome::Fenced if is_newest => self.on_superseded(now_ms, result.worker, out),
             OrderOutcome::WrongIncarnation => {
                 // It never began, so that its loss is none of its task's.
@@ -113,11 +139,15 @@
             OrderOutcome::Done { clock_ms } if worker.is_current(result.fence) => {
                 worker.observe_clock(now_ms, clock_ms)
             }
-            OrderOutcome::NoAnswer if is_newest => worker.raise_fence(),
+            OrderOutcome::NoAnswer | OrderOutcome::NotSent if is_newest => worker.raise_fence(),
             OrderOutcome::Fenced if is_newest => self.on_superseded(now_ms, result.worker, out),
             OrderOutcome::WrongIncarnation => self.on_incarnation_ended(now_ms, result.worker, out),
+            OrderOutcome::OtherIncarnation { born_ms } => {
+                self.observe_incarnation(now_ms, result.worker, Some(born_ms), None, out);
+            }
             OrderOutcome::Done { .. }
             | OrderOutcome::NoAnswer
+            | OrderOutcome::NotSent
             | OrderOutcome::Fenced
             | OrderOutcome::Rejected(_) => {}
         }
--- a/crates/core/src/dispatch/owner/rebirth.rs
+++ b/crates/core/src/dispatch/owner/rebirth.rs
@@ -10,31 +10,29 @@
 //! Its clock, the numbers of its completions and its health are unknown, and so is its capacity
 //! until the registry lists the entry of this incarnation.
 
-use super::super::worker::{Run, is_earlier};
+use super::super::worker::{Evidence, Run, Succession};
 use super::*;
 
 impl Owner {
-    /// Compares the incarnation that has answered with the known one. Returns whether the answer
-    /// is a late one of an earlier incarnation, and is to be ignored.
+    /// Compares the incarnation that has answered an order sent at `sent_ms` with the known one.
+    /// Returns whether the answer is a late one of an earlier incarnation, and is to be ignored.
     pub(super) fn observe_incarnation(
         &mut self,
         now_ms: u64,
         key: WorkerKey,
         born_ms: Option<u64>,
+        sent_ms: Option<u64>,
         out: &mut Vec<Command>,
     ) -> bool {
         let worker = &mut self.workers[key];
-        let known_ms = worker.record.born_ms;
-        if is_earlier(born_ms, known_ms) {
-            let event = "answer of an earlier incarnation ignored";
-            out.push(Command::Log(LogEvent::worker(event, worker)));
-            return true;
-        }
-        match born_ms {
-            Some(born_ms) if is_earlier(known_ms, Some(born_ms)) => {
-                self.begin_incarnation(now_ms, key, born_ms, out);
+        match worker.compare_incarnation(born_ms, Evidence::Answer { sent_ms }) {
+            Succession::Earlier => {
+                let event = "answer of an earlier incarnation ignored";
+                out.push(Command::Log(LogEvent::worker(event, worker)));
+                return true;
             }
-            _ => worker.record.born_ms = known_ms.or(born_ms),
+            Succession::Later => self.begin_incarnation(now_ms, key, born_ms, out),
+            Succession::Same => worker.record.born_ms = worker.record.born_ms.or(born_ms),
         }
         false
     }
@@ -44,13 +42,14 @@
         &mut self,
         now_ms: u64,
         key: WorkerKey,
-        born_ms: u64,
+        born_ms: Option<u64>,
         out: &mut Vec<Command>,
     ) {
+        let Some(born_ms) = born_ms else { return };
         let worker = &mut self.workers[key];
         let mut event = LogEvent::worker("worker started again", worker);
         let ended_ms = worker.record.born_ms.unwrap_or(0);
-        event.detail += &format!(" born {born_ms}, {} ms later", born_ms - ended_ms);
+        event.detail += &format!(" born {born_ms} before {ended_ms}");
         out.push(Command::Log(event));
         let ended = worker.record.clone();
         worker.begin_incarnation(now_ms, born_ms);
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -22,7 +22,7 @@
 use super::order::JobKey;
 use super::owner::Slowness;
 pub use health::{SLOWDOWN_RANGE, WorkerHealth};
-pub use incarnation::{Rebirth, is_earlier};
+pub use incarnation::{Evidence, Rebirth, Succession, is_earlier};
 
 /// A worker's entry in the platform's registry.
 #[derive(Clone, Debug, PartialEq)]
@@ -225,6 +225,8 @@
 pub struct Worker {
     /// Last entry in the registry. `born_ms` is that of the latest known incarnation.
     pub record: WorkerRecord,
+    /// When the known incarnation was first seen, by the owner's clock; 0 for the first one.
+    shown_ms: u64,
     /// Whether the registry has not listed the entry of this incarnation yet, so that its
     /// capacity and labels are unknown.
     pub awaits_entry: bool,
@@ -284,6 +286,7 @@
     pub fn new(record: WorkerRecord, fence: Fence) -> Self {
         Self {
             record,
+            shown_ms: 0,
             awaits_entry: false,
             rebirth: None,
             first_fence: fence,
--- a/crates/core/src/dispatch/worker/incarnation.rs
+++ b/crates/core/src/dispatch/worker/incarnation.rs
@@ -1,4 +1,20 @@
-//! Incarnations of a worker with one id.
+//! Incarnations of a worker with one id: what shows one, and since when.
+//!
+//! All that an owner knows of a worker was shown by one incarnation and ends with it:
+//!
+//! | belief | shown by | ends with |
+//! |---|---|---|
+//! | the incarnation | the start that an answer or an entry tells | evidence of another one |
+//! | its fence and its runs | the answer to a renewal under that fence | an order without an answer, another incarnation |
+//! | its clock, and leases by it | a reading in an answer | another incarnation |
+//! | its capacity, labels and drain | its own entry in the registry | its next entry, another incarnation |
+//!
+//! Silence shows nothing, and an idle worker is not called, so each of these may be outdated when
+//! an order is sent. The order therefore names its incarnation ([`Target::born_ms`]) and reaches
+//! no other. Whichever incarnation is alive then, it has obeyed the fence of the order, the
+//! deadline is by its clock, and its entry is the one that the task was placed by.
+//!
+//! [`Target::born_ms`]: crate::dispatch::order::Target::born_ms
 
 use std::collections::BTreeSet;
 
@@ -15,6 +31,29 @@
     pub observed_ms: u64,
 }
 
+/// What shows an incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// Its entry in the registry.
+    Entry,
+    /// Its answer to an order that was sent at this time of the owner's clock, if that is known.
+    Answer {
+        /// When the order was sent.
+        sent_ms: Option<u64>,
+    },
+}
+
+/// How an incarnation relates to the known one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Succession {
+    /// It is the known one, as far as can be told.
+    Same,
+    /// It is a later one; the known one has ended.
+    Later,
+    /// It has ended before the known one started.
+    Earlier,
+}
+
 /// Whether an incarnation that started at `born_ms` is known to be earlier than one that started
 /// at `other_ms`.
 pub fn is_earlier(born_ms: Option<u64>, other_ms: Option<u64>) -> bool {
@@ -23,6 +62,24 @@
 }
 
 impl Worker {
+    /// Compares an incarnation, which tells that it started at `born_ms`, with the known one.
+    ///
+    /// One that answers an order which was sent after the known one had been seen is later,
+    /// whatever start it tells: the time of day of its machine may have been set back. The starts
+    /// decide only where the order of events does not.
+    pub fn compare_incarnation(&self, born_ms: Option<u64>, evidence: Evidence) -> Succession {
+        let (Some(born_ms), Some(known_ms)) = (born_ms, self.record.born_ms) else {
+            return Succession::Same;
+        };
+        let is_answer_to_later_order = matches!(evidence, Evidence::Answer { sent_ms: Some(sent_ms) } if sent_ms > self.shown_ms);
+        match born_ms.cmp(&known_ms) {
+            std::cmp::Ordering::Equal => Succession::Same,
+            _ if is_answer_to_later_order => Succession::Later,
+            std::cmp::Ordering::Greater => Succession::Later,
+            std::cmp::Ordering::Less => Succession::Earlier,
+        }
+    }
+
     /// Replaces all state but the runs by that of a later incarnation. Its fence is higher than
     /// all before, since it may still carry out earlier orders.
     pub fn begin_incarnation(&mut self, now_ms: u64, born_ms: u64) {
@@ -35,6 +92,7 @@
             ..self.record.clone()
         };
         let earlier = std::mem::replace(self, Self::new(record, self.fence.raised()));
+        self.shown_ms = now_ms;
         self.awaits_entry = true;
         self.rebirth = Some(Rebirth {
             ended: earlier.record,
--- a/crates/core/tests/dispatch_rebirth.rs
+++ b/crates/core/tests/dispatch_rebirth.rs
@@ -305,3 +305,63 @@
     assert!(!has_event(&out, "worker started again"));
     assert_eq!(starts(&delegate(&mut owner, 40, "b", 1)).len(), 1);
 }
+
+// Guards against orders that an incarnation carries out which the owner does not know of: their
+// deadlines are by another clock, and neither its capacity nor its fence is known.
+#[test]
+fn orders_name_the_incarnation_that_they_are_for() {
+    let (mut owner, start, renewal) = owner_with_run();
+    assert_eq!(start.target.born_ms, Some(BORN_MS));
+    assert_eq!(renewal.target.born_ms, Some(BORN_MS));
+    let out = list(&mut owner, 20, vec![record("w1", REBORN_MS)]);
+    assert_eq!(renewals(&out)[0].target.born_ms, Some(REBORN_MS));
+}
+
+// Guards against a task that waits for the end of a lease which was never granted, or that starts
+// again on the incarnation before its entry is read.
+#[test]
+fn a_start_that_another_incarnation_answers_is_repeated_elsewhere_at_once() {
+    let mut owner = owner_of(&["w1", "w2"]);
+    let start = starts(&delegate(&mut owner, 10, "a", 1))[0].clone();
+    let outcome = OrderOutcome::OtherIncarnation { born_ms: REBORN_MS };
+    let out = answer_start(&mut owner, 12, &start, outcome);
+    assert!(has_event(&out, "worker started again"));
+    let again = starts(&out);
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].target.worker_id, start.target.worker_id);
+    assert_eq!(renewals(&out)[0].target.born_ms, Some(REBORN_MS));
+}
+
+// Guards against an incarnation that tells an earlier start, as the time of day has been set back,
+// and is ignored for as long as it lives.
+#[test]
+fn an_incarnation_that_answers_a_later_order_is_the_later_one_whatever_start_it_tells() {
+    let mut owner = owner_of(&["w1"]);
+    let start = starts(&delegate(&mut owner, 10, "a", 1))[0].clone();
+    let born_ms = BORN_MS - 2000;
+    let out = answer_start(
+        &mut owner,
+        12,
+        &start,
+        OrderOutcome::OtherIncarnation { born_ms },
+    );
+    let renewal = renewals(&out)[0].clone();
+    assert_eq!(renewal.target.born_ms, Some(born_ms));
+    let mut answer = later_answer(vec![], vec![]);
+    if let RenewOutcome::Renewed { born_ms: told, .. } = &mut answer {
+        *told = Some(born_ms);
+    }
+    let out = answer_renewal(&mut owner, 14, &renewal, answer);
+    assert!(starts(&out).is_empty(), "its entry is not read");
+}
+
+// Guards against a task that is held until a lease ends although its start was not sent.
+#[test]
+fn a_start_that_was_not_sent_is_repeated_elsewhere_at_once() {
+    let mut owner = owner_of(&["w1", "w2"]);
+    let start = starts(&delegate(&mut owner, 10, "a", 1))[0].clone();
+    let out = answer_start(&mut owner, 12, &start, OrderOutcome::NotSent);
+    let again = starts(&out);
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].target.worker_id, start.target.worker_id);
+}
