store polling: read the claims before a later incarnation is used

Cause: both relied on a fence that an ended incarnation had obeyed. What was left: an owner that still reaches the store could find the entry of the later incarnation in a read that ended before its successor's claim was written, and fence that incarnation before the successor did.

Fix: where the registry lists a later incarnation, the claims are read after it and applied before it; other entries are applied at once. An incarnation that has forgotten a fence has written its entry after the claim, so the read finds it.

Tests: an_owner_reads_the_claims_before_it_uses_a_worker_that_has_started_again failed before. The histories with workers that start again now replace owners too; they left that out.

The owner of the history that was replaced now releases its pool as it reads the registry, since its claims are read with it.

--- a/crates/core/tests/dispatch_history/main.rs
+++ b/crates/core/tests/dispatch_history/main.rs
@@ -76,13 +76,7 @@
         let at_ms = history.choices.int_in_range(1..=latest_ms)?;
         history.schedule(at_ms, Event::Submit { job });
     }
-    // An owner that was replaced is kept from using a worker by the fence that the worker has
-    // seen, which its next incarnation has not.
-    let replacements_max = match change {
-        Change::None | Change::Resize => 3,
-        Change::StartAgain => 0,
-    };
-    for _ in 0..history.choices.int_in_range(0..=replacements_max)? {
+    for _ in 0..history.choices.int_in_range(0..=3)? {
         let at_ms = history.choices.int_in_range(100..=3000)?;
         history.schedule(at_ms, Event::ReplaceOwner);
     }
--- a/crates/core/tests/dispatch_history/simulation.rs
+++ b/crates/core/tests/dispatch_history/simulation.rs
@@ -281,6 +281,10 @@
                 self.schedule(now_ms + TICK_PERIOD_MS, Event::Tick { owner });
             }
             Event::OriginLost { .. } => acting_owner.on_origin_lost(now_ms, ENTRY, &mut out),
+            // An owner applies the registry only if the claims that it reads after it are its own.
+            Event::ReadRegistry { .. } if self.record.owner > owner => {
+                acting_owner.release(now_ms, &mut out);
+            }
             Event::ReadRegistry { .. } => {
                 let listed = self.workers.iter().zip(&self.added_ms);
                 let listed = listed.filter(|(_, added_ms)| **added_ms <= now_ms);
--- a/crates/instance/src/instance/workers.rs
+++ b/crates/instance/src/instance/workers.rs
@@ -37,6 +37,27 @@
         }
     }
 
+    /// The records with the former entries of workers that have started again under their ids since
+    /// the last read; `None` if there are no such workers.
+    pub(super) fn known_incarnations(&self, records: &[WorkerRecord]) -> Option<Vec<WorkerRecord>> {
+        let former = self.worker_records.iter();
+        let former: HashMap<&str, &WorkerRecord> =
+            former.map(|record| (&*record.id, record)).collect();
+        let known_incarnation = |record: &WorkerRecord| {
+            let former = former.get(&*record.id).copied();
+            former.filter(|former| former.born_ms != record.born_ms)
+        };
+        let has_reborn = records
+            .iter()
+            .any(|record| known_incarnation(record).is_some());
+        has_reborn.then(|| {
+            let records = records.iter();
+            records
+                .map(|record| known_incarnation(record).unwrap_or(record).clone())
+                .collect()
+        })
+    }
+
     /// Assigns the workers reported by the former owner to the new owner of a pool,
     /// for use before the registry has been read.
     pub(super) fn assign_reported_workers(
--- a/crates/instance/src/store_polling.rs
+++ b/crates/instance/src/store_polling.rs
@@ -11,6 +11,7 @@
 use slog::{info, warn};
 use trefoil_core::dispatch::pool;
 use trefoil_core::dispatch::store_reads::{ReadSchedule, ScheduledRead, StoreRead};
+use trefoil_core::dispatch::worker::WorkerRecord;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::instance::Instance;
@@ -111,13 +112,7 @@
     instance: &Rc<Instance<P>>,
     worker_count: &mut WorkerCount,
 ) -> Result<(), StoreError> {
-    let domain = &instance.settings.failure_domain;
-    let workers = async {
-        if instance.owns_pools() {
-            instance.apply_workers(instance.platform.workers(domain).await?);
-        }
-        Ok(())
-    };
+    let workers = read_workers(instance);
     let deployment = async {
         let began_ms = instance.now_ms();
         instance.apply_deployment_state(instance.platform.deployment_state().await?, began_ms);
@@ -129,9 +124,40 @@
     let declarations = read_declarations(instance);
     // A failing read does not cancel the others: declarations must arrive in time.
     let (workers, deployment, declarations) = tokio::join!(workers, deployment, declarations);
+    let workers = match workers {
+        Ok(Some(reborn)) => apply_reborn_workers(instance, reborn).await,
+        Ok(None) => Ok(()),
+        Err(error) => Err(error),
+    };
     workers.and(deployment).and(declarations)
 }
 
+/// Reads the registered workers if this instance owns pools. Returns them if some have started
+/// again, whose entries are not applied yet.
+async fn read_workers<P: Store + WorkerClient + 'static>(
+    instance: &Rc<Instance<P>>,
+) -> Result<Option<Vec<WorkerRecord>>, StoreError> {
+    if !instance.owns_pools() {
+        return Ok(None);
+    }
+    let domain = &instance.settings.failure_domain;
+    let records = instance.platform.workers(domain).await?;
+    Ok(instance.apply_known_incarnations(records))
+}
+
+/// Applies the entries of workers that have started again, if this instance still owns their
+/// pools. Such a worker knows no fence, so that nothing but the claims, read after its entry,
+/// keeps it from an owner that was replaced.
+async fn apply_reborn_workers<P: Store + WorkerClient + 'static>(
+    instance: &Rc<Instance<P>>,
+    records: Vec<WorkerRecord>,
+) -> Result<(), StoreError> {
+    let began_ms = instance.now_ms();
+    instance.apply_deployment_state(instance.platform.deployment_state().await?, began_ms);
+    instance.apply_workers(records);
+    Ok(())
+}
+
 async fn read_declarations<P: Store + WorkerClient + 'static>(
     instance: &Rc<Instance<P>>,
 ) -> Result<(), StoreError> {
--- a/crates/instance/tests/instance/main.rs
+++ b/crates/instance/tests/instance/main.rs
@@ -3,6 +3,7 @@
 mod congested_link;
 mod declaration_transfer;
 mod pool_workers;
+mod reborn_workers;
 mod restarted_peer;
 mod store_reads;
 mod support;
--- a/crates/instance/tests/instance/pool_workers.rs
+++ b/crates/instance/tests/instance/pool_workers.rs
@@ -19,6 +19,15 @@
 /// Longer than an instance takes to acquire a vacant pool and to report its workers.
 const TIMEOUT: Duration = Duration::from_secs(3);
 
+/// A worker of the failure domain.
+pub fn worker_record() -> WorkerRecord {
+    WorkerRecord {
+        draining: false,
+        departure: None,
+        ..draining_record()
+    }
+}
+
 fn draining_record() -> WorkerRecord {
     WorkerRecord {
         id: Arc::from("w1"),
--- a/crates/instance/tests/instance/support/mod.rs
+++ b/crates/instance/tests/instance/support/mod.rs
@@ -3,7 +3,7 @@
 pub mod link;
 pub mod peer;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -35,6 +35,19 @@
     pub reads: Rc<Cell<u64>>,
     /// Registered workers; `None` if neither they nor the declarations can be read.
     pub workers: Option<Vec<WorkerRecord>>,
+    /// What the next read of the workers finds, after all reads that began with it.
+    pub takeover: Rc<RefCell<Option<Takeover>>>,
+    /// What the last such read has found.
+    pub taken_over: RefCell<Option<Takeover>>,
+    /// The incarnations that renewals were for.
+    pub renewed: Rc<RefCell<Vec<Option<u64>>>>,
+}
+
+/// Another instance's claim, and workers that have started again since.
+#[derive(Clone, Debug)]
+pub struct Takeover {
+    pub claim: Claim,
+    pub workers: Vec<WorkerRecord>,
 }
 
 impl Default for FakePlatform {
@@ -44,6 +57,9 @@
             claims: Rc::default(),
             reads: Rc::default(),
             workers: Some(Vec::new()),
+            takeover: Rc::default(),
+            taken_over: RefCell::default(),
+            renewed: Rc::default(),
         }
     }
 }
@@ -65,14 +81,33 @@
     }
 
     async fn deployment_state(&self) -> Result<DeploymentState, StoreError> {
+        let taken_over = self.taken_over.borrow();
+        let claims = taken_over.iter().map(|takeover| {
+            let record = ClaimRecord {
+                claim: takeover.claim.clone(),
+                roster: None,
+            };
+            (record, self.claims.get() + 1)
+        });
         Ok(DeploymentState {
+            claims: claims.collect(),
             pool_counts: HashMap::from([(DOMAIN.to_owned(), self.pools)]),
             ..DeploymentState::default()
         })
     }
 
     async fn workers(&self, _failure_domain: &str) -> Result<Vec<WorkerRecord>, StoreError> {
-        self.workers.clone().ok_or(UNAVAILABLE)
+        if let Some(takeover) = self.takeover.take() {
+            // The reads that began with this one end first.
+            for _ in 0..10 {
+                tokio::task::yield_now().await;
+            }
+            self.taken_over.replace(Some(takeover));
+        }
+        match &*self.taken_over.borrow() {
+            Some(takeover) => Ok(takeover.workers.clone()),
+            None => self.workers.clone().ok_or(UNAVAILABLE),
+        }
     }
 
     fn unreadable_entries(&self) -> usize {
@@ -108,7 +143,8 @@
         OrderOutcome::NoAnswer
     }
 
-    async fn renew(&self, _order: &RenewOrder) -> RenewOutcome {
+    async fn renew(&self, order: &RenewOrder) -> RenewOutcome {
+        self.renewed.borrow_mut().push(order.target.born_ms);
         RenewOutcome::NoAnswer
     }
 }
