owner: bound leases for an origin that has sent no heartbeat

What callers saw: nothing yet. A simulated history had two runs of a task at once: an owner that was replaced 24 ms after it had got a job went on for it for as long as it did not notice, while the job's next owner started the task too.

Cause: leases end by the last heartbeat of the job's origin, and an origin without one was taken for connected at any time.

Fix: the arrival of the first delegation bounds leases until the first heartbeat.

--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -128,6 +128,8 @@
     dirty_workers: BTreeSet<WorkerKey>,
     /// When each origin was last known to be connected.
     origin_heartbeats: HashMap<Origin, u64>,
+    /// When the first delegation of each origin arrived that has not sent a heartbeat yet.
+    unconfirmed_origins: HashMap<Origin, u64>,
     /// Origins whose links broke recently and when, oldest first.
     lost_origins: VecDeque<(u64, Origin)>,
     /// Lower bound of new run ids.
@@ -170,6 +172,7 @@
             abandoned_jobs: VecDeque::new(),
             dirty_workers: BTreeSet::new(),
             origin_heartbeats: HashMap::new(),
+            unconfirmed_origins: HashMap::new(),
             lost_origins: VecDeque::new(),
             run_id_counter,
             predecessor: start_barrier::PredecessorFencing::default(),
--- a/crates/core/src/dispatch/owner/origins.rs
+++ b/crates/core/src/dispatch/owner/origins.rs
@@ -6,6 +6,15 @@
     /// Records a heartbeat of an origin, which was connected at `alive_ms`.
     pub fn on_origin_heartbeat(&mut self, origin: Origin, alive_ms: u64) {
         self.origin_heartbeats.insert(origin, alive_ms);
+        self.unconfirmed_origins.remove(&origin);
+    }
+
+    /// Records that a delegation of an origin has arrived, before it is accepted. Until the first
+    /// heartbeat, it is all that shows that the origin is connected.
+    pub fn on_origin_delegated(&mut self, now_ms: u64, origin: Origin) {
+        if !self.origin_heartbeats.contains_key(&origin) {
+            self.unconfirmed_origins.entry(origin).or_insert(now_ms);
+        }
     }
 
     /// Time since an origin's link should have timed out. Leases are shortened by it, so
@@ -13,11 +22,9 @@
     pub(super) fn origin_overdue_ms(&self, now_ms: u64, origin: Option<Origin>) -> u64 {
         match origin {
             Some(origin @ Origin::Link(_)) => {
-                let alive_ms = self
-                    .origin_heartbeats
-                    .get(&origin)
-                    .copied()
-                    .unwrap_or(now_ms);
+                let heartbeat_ms = self.origin_heartbeats.get(&origin);
+                let alive_ms = heartbeat_ms.or_else(|| self.unconfirmed_origins.get(&origin));
+                let alive_ms = alive_ms.copied().unwrap_or(now_ms);
                 now_ms.saturating_sub(alive_ms + LINK_TIMEOUT_MS)
             }
             Some(Origin::Local) | None => 0,
@@ -77,6 +84,7 @@
             self.stop_job(now_ms, key, out);
         }
         self.origin_heartbeats.remove(&origin);
+        self.unconfirmed_origins.remove(&origin);
         self.schedule(now_ms, out);
     }
 }
--- a/crates/core/tests/dispatch_history/main.rs
+++ b/crates/core/tests/dispatch_history/main.rs
@@ -142,3 +142,9 @@
 fn no_task_has_two_runs_at_once_although_workers_start_again() {
     run_histories(2000..2400, Change::StartAgain);
 }
+
+// Guards against an owner that goes on for a job whose origin was lost before its first heartbeat.
+#[test]
+fn no_task_has_two_runs_at_once_when_an_origin_is_lost_before_its_first_heartbeat() {
+    run_histories(7261..7262, Change::StartAgain);
+}
--- a/crates/core/tests/dispatch_history/simulation.rs
+++ b/crates/core/tests/dispatch_history/simulation.rs
@@ -347,6 +347,7 @@
         let unsafe_holder = entry_job.unsafe_owner.map(holder_of);
         let mut out = Vec::new();
         let owner = &mut self.owners[entry_job.owner];
+        owner.on_origin_delegated(now_ms, ENTRY);
         owner.delegate(
             now_ms,
             ENTRY,
--- a/crates/core/tests/dispatch_origin.rs
+++ b/crates/core/tests/dispatch_origin.rs
@@ -40,6 +40,27 @@
     assert!(deadline_ms <= 50_000 + now_ms + LEASE_MS - lag_ms);
 }
 
+/// Guards against leases that are renewed for as long as the loss of a link goes unnoticed, if the
+/// origin delegated a job and was lost before its first heartbeat.
+#[test]
+fn leases_are_bounded_by_the_delegation_of_an_origin_without_heartbeats() {
+    let mut owner = fenced_owner(1, &["w1"]);
+    owner.on_origin_delegated(10, LINK);
+    let started = starts(&delegate(&mut owner, 10, "a", 1));
+    let clock_ms = 50_010;
+    let out = answer_start(&mut owner, 12, &started[0], OrderOutcome::Done { clock_ms });
+    let renewal = &renewals(&out)[0];
+    let listed = ListedRun {
+        task: started[0].task.clone(),
+        run_id: started[0].run_id,
+    };
+    let lag_ms = LEASE_MS * 2 / 3;
+    let now_ms = 10 + LINK_TIMEOUT_MS + lag_ms;
+    let out = answer_renewal(&mut owner, now_ms, renewal, renewed(vec![listed], vec![]));
+    let deadline_ms = renewals(&out)[0].deadline_ms;
+    assert!(deadline_ms.is_some_and(|at_ms| at_ms <= 50_000 + now_ms + LEASE_MS - lag_ms));
+}
+
 #[test]
 fn a_job_of_a_lost_origin_is_stopped_and_can_be_delegated_again() {
     let mut owner = fenced_owner(1, &["w1"]);
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -474,6 +474,7 @@
         let holder = delegate.unsafe_holder.as_ref();
         let taken = self.with_owner(&delegate.pool, effects, |owner, out| {
             owner.set_jobs_bytes_max(jobs_bytes_max);
+            owner.on_origin_delegated(now_ms, origin);
             owner.delegate(now_ms, origin, spec, unsafe_for_ms, holder, out);
         });
         taken.is_some()
