dispatch: order a worker's incarnations by evidence, not by its clock

Cause: the incarnation with the later start was taken for the later one, and the entries of the other one were dropped for as long as it lived.

Fix: entries carry the store's revision. One that replaces the known entry and tells another start begins a new incarnation; one that has not been replaced yet does not.

Two tests of dispatch_rebirth are of the new field.

--- a/crates/core/src/dispatch/job.rs
+++ b/crates/core/src/dispatch/job.rs
@@ -9,7 +9,7 @@
 use super::link::LinkId;
 use super::order::WorkerKey;
 use super::owner::StartBarrier;
-use super::worker::{WorkerRecord, is_earlier};
+use super::worker::WorkerRecord;
 
 /// Up to this multiple of the latency objective, an answer is late but still useful.
 pub const LATE_FACTOR: f64 = 3.0;
@@ -64,7 +64,8 @@
 impl WorkerLoss {
     /// Whether it is the loss of this incarnation, as far as known.
     pub fn is_of(&self, record: &WorkerRecord) -> bool {
-        self.worker_id == record.id && !is_earlier(self.born_ms, record.born_ms)
+        let starts = self.born_ms.zip(record.born_ms);
+        self.worker_id == record.id && starts.is_none_or(|(lost_ms, born_ms)| lost_ms == born_ms)
     }
 }
 
--- a/crates/core/src/dispatch/owner.rs
+++ b/crates/core/src/dispatch/owner.rs
@@ -258,7 +258,10 @@
         out: &mut Vec<Command>,
     ) {
         if let Some(&key) = self.worker_ids.get(&record.id) {
-            match self.workers[key].compare_incarnation(record.born_ms, Evidence::Entry) {
+            let evidence = Evidence::Entry {
+                revision: record.revision,
+            };
+            match self.workers[key].compare_incarnation(record.born_ms, evidence) {
                 Succession::Earlier => return,
                 Succession::Later => self.begin_incarnation(now_ms, key, record.born_ms, out),
                 Succession::Same => {}
@@ -276,8 +279,7 @@
             if worker.record.departure != record.departure {
                 worker.exit = departure::expected_exit(now_ms, worker, record.departure);
             }
-            let born_ms = record.born_ms.or(worker.record.born_ms);
-            worker.record = WorkerRecord { born_ms, ..record };
+            worker.set_record(record);
             if std::mem::take(&mut worker.awaits_entry) {
                 worker.set_prior(&self.worker_speeds);
             }
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -46,6 +46,9 @@
     /// Start of the incarnation in Unix milliseconds; `None` if unknown. A worker may start
     /// again under the same id.
     pub born_ms: Option<u64>,
+    /// Revision of the entry in the registry, which increases with each write; 0 if unknown, as
+    /// in the reports of other owners.
+    pub revision: u64,
 }
 
 /// The announced exit of a draining worker. Everything that runs on the worker ends with it.
@@ -227,6 +230,8 @@
     pub record: WorkerRecord,
     /// When the known incarnation was first seen, by the owner's clock; 0 for the first one.
     shown_ms: u64,
+    /// Start that its last entry in the registry tells.
+    listed_born_ms: Option<u64>,
     /// Whether the registry has not listed the entry of this incarnation yet, so that its
     /// capacity and labels are unknown.
     pub awaits_entry: bool,
@@ -285,8 +290,9 @@
     /// Creates a worker that this owner has not called yet.
     pub fn new(record: WorkerRecord, fence: Fence) -> Self {
         Self {
-            record,
             shown_ms: 0,
+            listed_born_ms: record.born_ms,
+            record,
             awaits_entry: false,
             rebirth: None,
             first_fence: fence,
--- a/crates/core/src/dispatch/worker/incarnation.rs
+++ b/crates/core/src/dispatch/worker/incarnation.rs
@@ -34,8 +34,11 @@
 /// What shows an incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Evidence {
-    /// Its entry in the registry.
-    Entry,
+    /// Its entry in the registry, of this revision; 0 if that is unknown.
+    Entry {
+        /// Increases with each write.
+        revision: u64,
+    },
     /// Its answer to an order that was sent at this time of the owner's clock, if that is known.
     Answer {
         /// When the order was sent.
@@ -64,22 +67,40 @@
 impl Worker {
     /// Compares an incarnation, which tells that it started at `born_ms`, with the known one.
     ///
-    /// One that answers an order which was sent after the known one had been seen is later,
-    /// whatever start it tells: the time of day of its machine may have been set back. The starts
-    /// decide only where the order of events does not.
+    /// One that answers an order which was sent after the known one had been seen is later, and so
+    /// is one whose entry has replaced the one that was known, whatever start it tells: the time of
+    /// day of its machine may have been set back. An entry that has not changed is one that the
+    /// known incarnation has not replaced yet. The starts decide only where the order of events does
+    /// not.
     pub fn compare_incarnation(&self, born_ms: Option<u64>, evidence: Evidence) -> Succession {
         let (Some(born_ms), Some(known_ms)) = (born_ms, self.record.born_ms) else {
             return Succession::Same;
         };
-        let is_answer_to_later_order = matches!(evidence, Evidence::Answer { sent_ms: Some(sent_ms) } if sent_ms > self.shown_ms);
-        match born_ms.cmp(&known_ms) {
-            std::cmp::Ordering::Equal => Succession::Same,
-            _ if is_answer_to_later_order => Succession::Later,
-            std::cmp::Ordering::Greater => Succession::Later,
-            std::cmp::Ordering::Less => Succession::Earlier,
+        if born_ms == known_ms {
+            return Succession::Same;
+        }
+        let is_later = match evidence {
+            Evidence::Answer {
+                sent_ms: Some(sent_ms),
+            } if sent_ms > self.shown_ms => true,
+            Evidence::Entry { revision } if revision > 0 => {
+                revision > self.record.revision && self.listed_born_ms != Some(born_ms)
+            }
+            Evidence::Answer { .. } | Evidence::Entry { .. } => born_ms > known_ms,
+        };
+        match is_later {
+            true => Succession::Later,
+            false => Succession::Earlier,
         }
     }
 
+    /// Replaces its entry by a newer one of the known incarnation.
+    pub fn set_record(&mut self, record: WorkerRecord) {
+        self.listed_born_ms = record.born_ms;
+        let born_ms = record.born_ms.or(self.record.born_ms);
+        self.record = WorkerRecord { born_ms, ..record };
+    }
+
     /// Replaces all state but the runs by that of a later incarnation. Its fence is higher than
     /// all before, since it may still carry out earlier orders.
     pub fn begin_incarnation(&mut self, now_ms: u64, born_ms: u64) {
@@ -93,6 +114,7 @@
         };
         let earlier = std::mem::replace(self, Self::new(record, self.fence.raised()));
         self.shown_ms = now_ms;
+        self.listed_born_ms = earlier.listed_born_ms;
         self.awaits_entry = true;
         self.rebirth = Some(Rebirth {
             ended: earlier.record,
--- a/crates/core/tests/dispatch_rebirth.rs
+++ b/crates/core/tests/dispatch_rebirth.rs
@@ -365,3 +365,75 @@
     assert_eq!(again.len(), 1);
     assert_ne!(again[0].target.worker_id, start.target.worker_id);
 }
+
+/// An entry that was written later than all before, by a worker that tells an earlier start.
+fn set_back_record(id: &str, revision: u64) -> WorkerRecord {
+    WorkerRecord {
+        revision,
+        capacity: Resources {
+            cpu_millicores: 1000,
+            memory_mb: 1000,
+            gpus: 0,
+        },
+        ..record(id, BORN_MS - 2000)
+    }
+}
+
+// Guards against entries that are dropped for as long as a worker lives, with its capacity and its
+// drain, since the time of day of its machine has been set back.
+#[test]
+fn a_later_entry_counts_whatever_start_it_tells() {
+    let mut owner = owner(1);
+    let known = WorkerRecord {
+        revision: 10,
+        ..record("w1", BORN_MS)
+    };
+    let out = list(&mut owner, 0, vec![known.clone()]);
+    answer_renewal(
+        &mut owner,
+        1,
+        &renewals(&out)[0],
+        earlier_answer(vec![], vec![]),
+    );
+    let out = list(&mut owner, 20, vec![set_back_record("w1", 11)]);
+    assert!(has_event(&out, "worker started again"));
+    let renewal = renewals(&out)[0].clone();
+    assert_eq!(renewal.target.born_ms, Some(BORN_MS - 2000));
+    let mut answer = later_answer(vec![], vec![]);
+    if let RenewOutcome::Renewed { born_ms, .. } = &mut answer {
+        *born_ms = Some(BORN_MS - 2000);
+    }
+    answer_renewal(&mut owner, 22, &renewal, answer);
+    let out = delegate(&mut owner, 30, "a", 3);
+    assert_eq!(starts(&out).len(), 1, "there is room for one task");
+    // A stale list, and the same entry once more.
+    for records in [vec![known], vec![set_back_record("w1", 11)]] {
+        assert!(!has_event(
+            &list(&mut owner, 40, records),
+            "worker started again"
+        ));
+    }
+}
+
+// Guards against an entry that the later incarnation has not replaced yet, and that takes the
+// worker back to the incarnation that has ended with each read.
+#[test]
+fn an_entry_that_has_not_been_replaced_does_not_end_the_incarnation_that_has_answered() {
+    let known = WorkerRecord {
+        revision: 10,
+        ..record("w1", BORN_MS)
+    };
+    let mut owner = owner(1);
+    let out = list(&mut owner, 0, vec![known.clone()]);
+    let renewal = renewals(&out)[0].clone();
+    answer_renewal(&mut owner, 5, &renewal, later_answer(vec![], vec![]));
+    for revision in [10, 11] {
+        let again = WorkerRecord {
+            revision,
+            ..known.clone()
+        };
+        let out = list(&mut owner, 20 + revision, vec![again]);
+        assert!(!has_event(&out, "worker started again"));
+        assert!(starts(&delegate(&mut owner, 40, "a", 1)).is_empty());
+    }
+}
--- a/crates/core/tests/dispatch_support/mod.rs
+++ b/crates/core/tests/dispatch_support/mod.rs
@@ -39,6 +39,7 @@
         },
         labels: ["a", "r1"].into_iter().map(Arc::from).collect(),
         born_ms: None,
+        revision: 0,
     }
 }
 
--- a/crates/instance/src/instance/workers.rs
+++ b/crates/instance/src/instance/workers.rs
@@ -178,20 +178,35 @@
     }
 }
 
-/// Whether the records differ in more than the time until an announced exit. That time is
-/// not sent again, since the receiver counts it down, and it changes with every report.
+/// Whether the records differ in more than the time until an announced exit and the revisions.
+/// That time is not sent again, since the receiver counts it down, and both change with every
+/// heartbeat of a worker.
 fn has_changed(known: &[WorkerRecord], records: &[WorkerRecord]) -> bool {
-    let without_time = |record: &WorkerRecord| WorkerRecord {
-        departure: record.departure.map(|_| Departure {
-            remaining_ms: 0,
-            reported_clock_ms: None,
-        }),
-        ..record.clone()
-    };
-    let is_same = |(known, record): (&WorkerRecord, &WorkerRecord)| {
-        known == record || without_time(known) == without_time(record)
-    };
-    known.len() != records.len() || !known.iter().zip(records).all(is_same)
+    known.len() != records.len() || !known.iter().zip(records).all(is_same_entry)
+}
+
+fn is_same_entry((known, record): (&WorkerRecord, &WorkerRecord)) -> bool {
+    let WorkerRecord {
+        id,
+        address,
+        failure_domain,
+        service,
+        draining,
+        departure,
+        capacity,
+        labels,
+        born_ms,
+        revision: _,
+    } = known;
+    *id == record.id
+        && *address == record.address
+        && *failure_domain == record.failure_domain
+        && *service == record.service
+        && *draining == record.draining
+        && departure.is_some() == record.departure.is_some()
+        && *capacity == record.capacity
+        && *labels == record.labels
+        && *born_ms == record.born_ms
 }
 
 /// `remaining_ms` is the time until an announced exit, as of now.
@@ -229,5 +244,6 @@
         },
         labels: worker.labels.into_iter().map(Arc::from).collect(),
         born_ms: (worker.born_ms > 0).then_some(worker.born_ms),
+        revision: 0,
     }
 }
--- a/crates/instance/tests/instance/pool_workers.rs
+++ b/crates/instance/tests/instance/pool_workers.rs
@@ -42,6 +42,7 @@
         capacity: Resources::default(),
         labels: Default::default(),
         born_ms: None,
+        revision: 0,
     }
 }
 
--- a/crates/replay/examples/owner_rate.rs
+++ b/crates/replay/examples/owner_rate.rs
@@ -84,6 +84,7 @@
         },
         labels: [Arc::from("a")].into_iter().collect(),
         born_ms: None,
+        revision: 0,
     });
     let mut out = Vec::new();
     owner.set_workers(0, records.collect(), &mut out);
--- a/crates/replay/src/simulation/topology.rs
+++ b/crates/replay/src/simulation/topology.rs
@@ -133,6 +133,7 @@
             },
             labels: [Arc::from(kind.label)].into_iter().collect(),
             born_ms: None,
+            revision: 0,
         };
         self.worker_positions.insert(id, position);
         self.workers.push(Worker::new(record, kind.slowdown));
