tests: odd entries among trefoild's servers and instances

Odd entries of another writer (deep nesting, numbers too large, addresses that cannot be) under new names and under that of a live backend server, and in the list of instances.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -20,6 +20,7 @@
 mod leaving_servers;
 mod links;
 mod metrics;
+mod odd_entries;
 mod operator;
 mod operator_feed;
 mod operator_sources;
