instance list: ignore entries that another writer left

What callers saw: nothing yet. In a test, a live instance of trefoild was not ready any more for as long as it was watched (30 s).

Cause: an entry of the platform's list under any key counted for the instance that it named. One with an incarnation of 2^64 - 1 replaced the live incarnation for good, so that its heartbeats were ignored; one with an address that cannot be replaced its address.

Fix: an entry counts only under the key of its own name, with an incarnation of at most 2^53 and addresses that can be.

Test: odd_entries::odd_entries_of_another_writer_do_no_harm failed before. Its first form passed alone and failed once beside the other tests, since the list is read only while an instance is missing or joins; now one is killed.

--- a/src/sources/instances.rs
+++ b/src/sources/instances.rs
@@ -1,5 +1,6 @@
 //! Polls the platform's list of instances, which may be out of date.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +11,9 @@
 
 use super::platform::{KeyValue, PlatformStore};
 
+/// Largest incarnation that is exact as a JSON number.
+const INCARNATION_MAX: u64 = 1 << 53;
+
 /// An instance in the platform's list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[expect(
@@ -114,7 +118,9 @@
         let Ok(listing) = self.store.range(&self.prefix).await else {
             return;
         };
-        let list: Vec<PlatformInstance> = listing.keys.iter().filter_map(instance).collect();
+        let keys = listing.keys.iter();
+        let list: Vec<PlatformInstance> =
+            keys.filter_map(|kv| instance(kv, &self.prefix)).collect();
         let mut changed = false;
         // Notifies also if the list is unchanged: the membership counts the reads from
         // which an instance is missing.
@@ -137,9 +143,16 @@
     true
 }
 
-fn instance(kv: &KeyValue) -> Option<PlatformInstance> {
+/// The instance that a key below `prefix` names; `None` if another writer left the entry: under a
+/// key of another name, with an incarnation that a later start could not exceed, or with an
+/// address that cannot be.
+fn instance(kv: &KeyValue, prefix: &str) -> Option<PlatformInstance> {
     let entry: Entry = serde_json::from_slice(&kv.value).ok()?;
-    Some(PlatformInstance {
+    let addresses = [&entry.http_address, &entry.peer_address];
+    let is_plausible = kv.key.strip_prefix(prefix) == Some(&entry.name)
+        && entry.incarnation <= INCARNATION_MAX
+        && addresses.into_iter().all(|address| is_address(address));
+    is_plausible.then_some(PlatformInstance {
         name: entry.name,
         incarnation: entry.incarnation,
         failure_domain: entry.failure_domain,
@@ -148,3 +161,11 @@
         leaving: entry.state == EntryState::Leaving,
     })
 }
+
+/// Whether it is empty or an address that can be connected to.
+fn is_address(address: &str) -> bool {
+    address.is_empty()
+        || address
+            .parse::<SocketAddr>()
+            .is_ok_and(|address| address.port() > 0)
+}
--- a/tests/testsuite/odd_entries.rs
+++ b/tests/testsuite/odd_entries.rs
@@ -2,15 +2,20 @@
 //! with numbers that are too large, or with addresses that cannot be. The processes are built with
 //! overflow checks.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use serde_json::json;
+use tokio::time::sleep;
 use trefoil_fakes::platform::INSTANCE_LIST_PREFIX;
 use trefoil_schema::settings::{PlatformSettings, Settings};
 use trefoilbay::sources::platform::etcd::EtcdClient;
 use trefoilbay::sources::platform::{CasResult, PlatformStore};
 
-use crate::support::deployment::{DOMAINS, Deployment, DeploymentOptions, wait_until};
+use crate::support::deployment::{DOMAINS, Deployment, DeploymentOptions};
 
+/// In which the list of instances is read several times.
+const LIST_READS: Duration = Duration::from_millis(1000);
 const NUMBERS: [&str; 8] = [
     "4294967295",
     "4294967296",
@@ -121,11 +126,21 @@
         put(&store, &key, entry, 0).await;
     }
     wait_until_followed(&mut deployment, "instances").await;
-    for index in 0..deployment.instances.len() {
-        wait_until("an instance is ready", async || {
-            deployment.is_ready(index).await
-        })
-        .await;
+    // The list is read while an instance is missing.
+    deployment.instances[2].kill();
+    sleep(LIST_READS).await;
+    let live = &listing.keys[0];
+    let mut revisions = (live.revision, 0);
+    let alone = format!("{INSTANCE_LIST_PREFIX}odder");
+    for entry in &instances {
+        revisions.1 = put(&store, &alone, entry, revisions.1).await;
+        sleep(LIST_READS / 4).await;
+        revisions.0 = put(&store, &live.key, entry, revisions.0).await;
     }
+    put(&store, &live.key, instance, revisions.0).await;
+    sleep(LIST_READS).await;
     deployment.wait_until_serving().await;
+    for instance in &mut deployment.instances[..2] {
+        assert!(instance.id().is_some(), "an instance has ended");
+    }
 }
