instance: keep the assignment of workers in one module

The application of the entries of workers that have started again moves to instance/workers.rs, and two tests of leases share how they start a job. No change of behaviour.

--- a/crates/core/tests/dispatch_origin.rs
+++ b/crates/core/tests/dispatch_origin.rs
@@ -10,30 +10,35 @@
 use trefoil_core::dispatch::limits::{
     LEASE_MS, LINK_TIMEOUT_MS, ORIGIN_RECONNECT_GRACE_MS, START_LEASE_MS,
 };
-use trefoil_core::dispatch::order::{ListedRun, OrderOutcome, Rejection, RunOutcome};
-use trefoil_core::dispatch::owner::Command;
+use trefoil_core::dispatch::order::{ListedRun, OrderOutcome, Rejection, RenewOrder, RunOutcome};
+use trefoil_core::dispatch::owner::{Command, Owner};
 use trefoil_schema::dispatch::{Job, Outcome};
 
 /// Another link of the same instance.
 const NEXT_LINK: Origin = Origin::Link(8);
 
-#[test]
-fn leases_are_bounded_by_the_origins_last_heartbeat() {
-    let mut owner = fenced_owner(1, &["w1"]);
-    owner.on_origin_heartbeat(LINK, 0);
-    let started = starts(&delegate(&mut owner, 10, "a", 1));
+/// Delegates a job at 10 ms and starts it. Returns the renewal that is then open, and the run.
+fn start_job(owner: &mut Owner) -> (RenewOrder, ListedRun) {
+    let started = starts(&delegate(owner, 10, "a", 1));
     let clock_ms = 50_010;
-    let out = answer_start(&mut owner, 12, &started[0], OrderOutcome::Done { clock_ms });
-    let renewal = &renewals(&out)[0];
+    let out = answer_start(owner, 12, &started[0], OrderOutcome::Done { clock_ms });
     let listed = ListedRun {
         task: started[0].task.clone(),
         run_id: started[0].run_id,
     };
+    (renewals(&out)[0].clone(), listed)
+}
+
+#[test]
+fn leases_are_bounded_by_the_origins_last_heartbeat() {
+    let mut owner = fenced_owner(1, &["w1"]);
+    owner.on_origin_heartbeat(LINK, 0);
+    let (renewal, listed) = start_job(&mut owner);
     // This instance notices late: two thirds of a lease have passed since the origin
     // became overdue.
     let lag_ms = LEASE_MS * 2 / 3;
     let now_ms = LINK_TIMEOUT_MS + lag_ms;
-    let out = answer_renewal(&mut owner, now_ms, renewal, renewed(vec![listed], vec![]));
+    let out = answer_renewal(&mut owner, now_ms, &renewal, renewed(vec![listed], vec![]));
     let deadline_ms = renewals(&out)[0]
         .deadline_ms
         .expect("part of the lease is left");
@@ -46,17 +51,10 @@
 fn leases_are_bounded_by_the_delegation_of_an_origin_without_heartbeats() {
     let mut owner = fenced_owner(1, &["w1"]);
     owner.on_origin_delegated(10, LINK);
-    let started = starts(&delegate(&mut owner, 10, "a", 1));
-    let clock_ms = 50_010;
-    let out = answer_start(&mut owner, 12, &started[0], OrderOutcome::Done { clock_ms });
-    let renewal = &renewals(&out)[0];
-    let listed = ListedRun {
-        task: started[0].task.clone(),
-        run_id: started[0].run_id,
-    };
+    let (renewal, listed) = start_job(&mut owner);
     let lag_ms = LEASE_MS * 2 / 3;
     let now_ms = 10 + LINK_TIMEOUT_MS + lag_ms;
-    let out = answer_renewal(&mut owner, now_ms, renewal, renewed(vec![listed], vec![]));
+    let out = answer_renewal(&mut owner, now_ms, &renewal, renewed(vec![listed], vec![]));
     let deadline_ms = renewals(&out)[0].deadline_ms;
     assert!(deadline_ms.is_some_and(|at_ms| at_ms <= 50_000 + now_ms + LEASE_MS - lag_ms));
 }
--- a/crates/instance/src/instance.rs
+++ b/crates/instance/src/instance.rs
@@ -364,25 +364,6 @@
         });
     }
 
-    /// Applies the registered workers of this failure domain, with the former entries of those
-    /// that have started again under their ids. Returns all records if there are such workers.
-    pub(crate) fn apply_known_incarnations(
-        self: &Rc<Self>,
-        records: Vec<WorkerRecord>,
-    ) -> Option<Vec<WorkerRecord>> {
-        let known = self.state.borrow().known_incarnations(&records);
-        match known {
-            Some(known) => {
-                self.apply_workers(known);
-                Some(records)
-            }
-            None => {
-                self.apply_workers(records);
-                None
-            }
-        }
-    }
-
     /// Whether a lost owner may have a successor that is known only from the store.
     /// Returns `false` after [`SUCCESSOR_WAIT_MAX_MS`], since there may be none.
     fn is_awaiting_successor(&self) -> bool {
--- a/crates/instance/src/instance/workers.rs
+++ b/crates/instance/src/instance/workers.rs
@@ -14,6 +14,27 @@
 use super::peers::{Link, encode};
 use super::*;
 
+impl<P: Store + WorkerClient + 'static> Instance<P> {
+    /// Applies the registered workers of this failure domain, with the former entries of those
+    /// that have started again under their ids. Returns all records if there are such workers.
+    pub(crate) fn apply_known_incarnations(
+        self: &Rc<Self>,
+        records: Vec<WorkerRecord>,
+    ) -> Option<Vec<WorkerRecord>> {
+        let known = self.state.borrow().known_incarnations(&records);
+        match known {
+            Some(known) => {
+                self.apply_workers(known);
+                Some(records)
+            }
+            None => {
+                self.apply_workers(records);
+                None
+            }
+        }
+    }
+}
+
 impl State {
     /// Assigns the registered workers to the owners of their pools. Workers of
     /// undeclared services are ignored, since they may belong to another system.
